--- /dev/null
+++ b/internal/call/kqcall/call.go
@@ -0,0 +1,115 @@
+package kqcall
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	// Answered calls have the upstream's own answer.
+	Answered Result = "answered"
+	// NotRun calls certainly did not run at any upstream.
+	NotRun Result = "not_run"
+	// Unknown calls may have run; no answer came.
+	Unknown Result = "unknown"
+
+	// NoReason goes with Answered.
+	NoReason Reason = ""
+	// NoRoute tells that no route fits the call.
+	NoRoute Reason = "no_route"
+	// NoConfig tells that the route's configuration could not be fetched in time.
+	NoConfig Reason = "no_config"
+	// NoUpstream tells that no upstream of the service takes new work.
+	NoUpstream Reason = "no_upstream"
+	// QueueFull tells that the gate's queue had no place.
+	QueueFull Reason = "queue_full"
+	// Late tells that the call's deadline passed, or would pass, before it began.
+	Late Reason = "late"
+	// Draining tells that the upstream takes no new work.
+	Draining Reason = "draining"
+	// Shed tells that the upstream refused with 503 and its service's
+	// configuration states that it then has not run.
+	Shed Reason = "shed"
+	// ConnectFailed tells that no connection could be made, so nothing was sent.
+	ConnectFailed Reason = "connect_failed"
+	// TooLarge tells that the call's body is over the bound.
+	TooLarge Reason = "too_large"
+	// Malformed tells that the call's headers cannot be read.
+	Malformed Reason = "malformed"
+	// Timeout tells that the deadline passed after the call was sent.
+	Timeout Reason = "timeout"
+	// Cut tells that the connection broke after the call was sent.
+	Cut Reason = "cut"
+	// Crossed tells that the answer carried another call's id.
+	Crossed Reason = "crossed"
+)
+
+type (
+	// Result is how a call ended.
+	Result string
+
+	// Reason tells why a call did not end with an answer; each has a counter.
+	Reason string
+
+	// ID names one call on its way through the nodes.
+	ID string
+
+	// Outcome is a call's end and its reason.
+	Outcome struct {
+		Result Result
+		Reason Reason
+		// RetryAfter tells the caller when to come back; 0 says nothing.
+		RetryAfter time.Duration
+	}
+
+	// Call is one request on its way from caller to upstream. Request and
+	// Response belong to whoever serves the call.
+	Call struct {
+		ID         ID
+		Caller     kqname.Caller
+		Route      kqname.Route
+		Service    kqname.Service
+		Version    kqname.UpstreamVersion
+		Class      kqdocument.Class
+		Idempotent bool
+		// RefusalMeansNotRun is the service's contract on its own 503.
+		RefusalMeansNotRun bool
+		// Depth counts the calls above this one: 0 for an outside caller's.
+		Depth    int
+		Arrived  time.Time
+		Deadline time.Time
+		Request  *fasthttp.Request
+		Response *fasthttp.Response
+	}
+)
+
+// OK is the outcome of a call that has its upstream's answer.
+func OK() Outcome { return Outcome{Result: Answered} }
+
+// Refuse is the outcome of a call that did not run.
+func Refuse(reason Reason) Outcome { return Outcome{Result: NotRun, Reason: reason} }
+
+// Lose is the outcome of a call that may have run.
+func Lose(reason Reason) Outcome { return Outcome{Result: Unknown, Reason: reason} }
+
+// Status returns the HTTP status that goes with an outcome that is not an
+// answer: 404 for no route, 413 for too large a body, 400 for a malformed
+// call, 503 where the call did not run and 504 where it may have.
+func (o Outcome) Status() int {
+	switch {
+	case o.Reason == NoRoute:
+		return fasthttp.StatusNotFound
+	case o.Reason == TooLarge:
+		return fasthttp.StatusRequestEntityTooLarge
+	case o.Reason == Malformed:
+		return fasthttp.StatusBadRequest
+	case o.Result == NotRun:
+		return fasthttp.StatusServiceUnavailable
+	default:
+		return fasthttp.StatusGatewayTimeout
+	}
+}
--- /dev/null
+++ b/internal/config/kqresource/resource.go
@@ -0,0 +1,145 @@
+package kqresource
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+// MaxObjectBytes bounds one object, in bytes; the platform's service holds
+// values up to 1 MB.
+const MaxObjectBytes = 1 << 20
+
+var (
+	// ErrTooLarge tells that an object is over MaxObjectBytes.
+	ErrTooLarge = errors.New("object is over 1 MB")
+	// ErrDigest tells that bytes are not those that their digest names.
+	ErrDigest = errors.New("bytes do not have the stated digest")
+
+	encoder = mustEncoder()
+	decoder = mustDecoder()
+)
+
+type (
+	// Digest is the SHA-256 of an object's canonical bytes.
+	Digest [sha256.Size]byte
+
+	// Objects holds objects' canonical bytes by digest.
+	Objects map[Digest][]byte
+
+	// Root is the record that a commit swaps in. It names every object of one
+	// configuration version.
+	Root struct {
+		Version   kqname.ConfigVersion      `cbor:"1,keyasint"`
+		Parent    Digest                    `cbor:"2,keyasint"`
+		RequestID string                    `cbor:"3,keyasint"`
+		Author    string                    `cbor:"4,keyasint"`
+		Reason    string                    `cbor:"5,keyasint"`
+		At        time.Time                 `cbor:"6,keyasint"`
+		Hosts     map[kqname.Host]Digest    `cbor:"7,keyasint"`
+		Services  map[kqname.Service]Digest `cbor:"8,keyasint"`
+		Ownership Digest                    `cbor:"9,keyasint"`
+	}
+
+	// Host holds the routes of one host name.
+	Host struct {
+		Name   kqname.Host        `cbor:"1,keyasint"`
+		Routes []kqdocument.Route `cbor:"2,keyasint"`
+	}
+
+	// Service holds one service, its rollouts and the policies they name.
+	Service struct {
+		Service  kqdocument.Service   `cbor:"1,keyasint"`
+		Rollouts []kqdocument.Rollout `cbor:"2,keyasint"`
+		Policies []kqdocument.Policy  `cbor:"3,keyasint"`
+	}
+
+	// Ownership holds what only operators need: teams and all policies.
+	Ownership struct {
+		Teams    []kqdocument.Team   `cbor:"1,keyasint"`
+		Policies []kqdocument.Policy `cbor:"2,keyasint"`
+	}
+)
+
+// String returns the digest in lower-case hex.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// IsZero reports whether the digest names nothing.
+func (d Digest) IsZero() bool { return d == Digest{} }
+
+// DigestOf returns the digest that names the given bytes.
+func DigestOf(data []byte) Digest { return sha256.Sum256(data) }
+
+// ParseDigest reads a digest in hex.
+func ParseDigest(text string) (Digest, error) {
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != sha256.Size {
+		return Digest{}, fmt.Errorf("read digest %q: %w", text, ErrDigest)
+	}
+	return Digest(raw), nil
+}
+
+// Encode returns the canonical bytes of a root or an object.
+func Encode(value any) ([]byte, error) {
+	data, err := encoder.Marshal(value)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", value, err)
+	}
+	if len(data) > MaxObjectBytes {
+		return nil, fmt.Errorf("encode %T of %d bytes: %w", value, len(data), ErrTooLarge)
+	}
+	return data, nil
+}
+
+// Decode reads the canonical bytes of a root or an object into value, and
+// refuses unknown fields, duplicate keys and trailing bytes.
+func Decode(data []byte, value any) error {
+	if len(data) > MaxObjectBytes {
+		return fmt.Errorf("decode %T of %d bytes: %w", value, len(data), ErrTooLarge)
+	}
+	if err := decoder.Unmarshal(data, value); err != nil {
+		return fmt.Errorf("decode %T: %w", value, err)
+	}
+	return nil
+}
+
+// Add encodes value, stores its bytes and returns their digest.
+func (o Objects) Add(value any) (Digest, error) {
+	data, err := Encode(value)
+	if err != nil {
+		return Digest{}, err
+	}
+	d := DigestOf(data)
+	o[d] = data
+	return d, nil
+}
+
+func mustEncoder() cbor.EncMode {
+	options := cbor.CoreDetEncOptions()
+	options.Time = cbor.TimeRFC3339Nano
+	mode, err := options.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		IndefLength:       cbor.IndefLengthForbidden,
+		MaxNestedLevels:   16,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
--- /dev/null
+++ b/internal/config/kqresource/split.go
@@ -0,0 +1,133 @@
+package kqresource
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+// Split turns a document into a root and its objects. Equal documents, up to
+// the order of their items, give equal digests. The root's version, parent and
+// authorship are left for the commit to fill in.
+func Split(d kqdocument.Document) (Root, Objects, error) {
+	d = Sorted(d)
+	root := Root{
+		Hosts:    make(map[kqname.Host]Digest),
+		Services: make(map[kqname.Service]Digest),
+	}
+	objects := make(Objects)
+	for host, routes := range groupBy(d.Routes, func(r kqdocument.Route) kqname.Host { return r.Host }) {
+		digest, err := objects.Add(Host{Name: host, Routes: routes})
+		if err != nil {
+			return Root{}, nil, fmt.Errorf("split host %s: %w", host, err)
+		}
+		root.Hosts[host] = digest
+	}
+	rollouts := groupBy(d.Rollouts, func(r kqdocument.Rollout) kqname.Service { return r.Service })
+	for _, s := range d.Services {
+		digest, err := objects.Add(Service{
+			Service:  s,
+			Rollouts: rollouts[s.Name],
+			Policies: policiesOf(d.Policies, rollouts[s.Name]),
+		})
+		if err != nil {
+			return Root{}, nil, fmt.Errorf("split service %s: %w", s.Name, err)
+		}
+		root.Services[s.Name] = digest
+	}
+	digest, err := objects.Add(Ownership{Teams: d.Teams, Policies: d.Policies})
+	if err != nil {
+		return Root{}, nil, fmt.Errorf("split ownership: %w", err)
+	}
+	root.Ownership = digest
+	return root, objects, nil
+}
+
+// Join gives back the document that a root and all its objects stand for.
+func Join(root Root, objects Objects) (kqdocument.Document, error) {
+	var d kqdocument.Document
+	for _, name := range slices.Sorted(maps.Keys(root.Hosts)) {
+		var h Host
+		if err := objects.read(root.Hosts[name], &h); err != nil {
+			return d, fmt.Errorf("join host %s: %w", name, err)
+		}
+		d.Routes = append(d.Routes, h.Routes...)
+	}
+	for _, name := range slices.Sorted(maps.Keys(root.Services)) {
+		var s Service
+		if err := objects.read(root.Services[name], &s); err != nil {
+			return d, fmt.Errorf("join service %s: %w", name, err)
+		}
+		d.Services = append(d.Services, s.Service)
+		d.Rollouts = append(d.Rollouts, s.Rollouts...)
+	}
+	var o Ownership
+	if err := objects.read(root.Ownership, &o); err != nil {
+		return d, fmt.Errorf("join ownership: %w", err)
+	}
+	d.Teams, d.Policies = o.Teams, o.Policies
+	return Sorted(d), nil
+}
+
+// Digests returns the digest of every object that the root names, each once.
+func (r Root) Digests() []Digest {
+	seen := make(map[Digest]bool, len(r.Hosts)+len(r.Services)+1)
+	if !r.Ownership.IsZero() {
+		seen[r.Ownership] = true
+	}
+	for _, d := range r.Hosts {
+		seen[d] = true
+	}
+	for _, d := range r.Services {
+		seen[d] = true
+	}
+	return slices.SortedFunc(maps.Keys(seen), func(a, b Digest) int { return slices.Compare(a[:], b[:]) })
+}
+
+// Sorted returns the document with its items in the order of their names and
+// its times in UTC; the items themselves are shared with d.
+func Sorted(d kqdocument.Document) kqdocument.Document {
+	d.Teams = sortedBy(d.Teams, func(t kqdocument.Team) kqname.Team { return t.Name })
+	d.Policies = sortedBy(d.Policies, func(p kqdocument.Policy) kqname.Policy { return p.Name })
+	d.Services = sortedBy(d.Services, func(s kqdocument.Service) kqname.Service { return s.Name })
+	d.Routes = sortedBy(d.Routes, func(r kqdocument.Route) kqname.Route { return r.Name })
+	d.Rollouts = sortedBy(d.Rollouts, func(r kqdocument.Rollout) kqname.Rollout { return r.Name })
+	for i, r := range d.Rollouts {
+		d.Rollouts[i].Start, d.Rollouts[i].Deadline = r.Start.UTC(), r.Deadline.UTC()
+	}
+	return d
+}
+
+func (o Objects) read(d Digest, value any) error {
+	data, ok := o[d]
+	if !ok {
+		return fmt.Errorf("object %s is missing: %w", d, ErrDigest)
+	}
+	return Decode(data, value)
+}
+
+func policiesOf(all []kqdocument.Policy, rollouts []kqdocument.Rollout) []kqdocument.Policy {
+	var used []kqdocument.Policy
+	for _, p := range all {
+		if slices.ContainsFunc(rollouts, func(r kqdocument.Rollout) bool { return r.Policy == p.Name }) {
+			used = append(used, p)
+		}
+	}
+	return used
+}
+
+func groupBy[T any, K comparable](items []T, key func(T) K) map[K][]T {
+	groups := make(map[K][]T)
+	for _, item := range items {
+		groups[key(item)] = append(groups[key(item)], item)
+	}
+	return groups
+}
+
+func sortedBy[T any, K cmp.Ordered](items []T, key func(T) K) []T {
+	return slices.SortedStableFunc(slices.Values(items), func(a, b T) int { return cmp.Compare(key(a), key(b)) })
+}
--- /dev/null
+++ b/internal/peer/kqpeer/client.go
@@ -0,0 +1,139 @@
+package kqpeer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const dialTimeout = time.Second
+
+type (
+	// Client sends requests to peers and keeps one connection to each.
+	Client struct {
+		self  kqname.Node
+		meter Meter
+		dial  Dialer
+
+		mu    sync.Mutex
+		links map[kqname.Address]*link
+	}
+
+	// Dialer opens a connection to a peer.
+	Dialer func(ctx context.Context, to kqname.Address) (net.Conn, error)
+
+	// ClientOption sets up a Client.
+	ClientOption func(*Client)
+
+	link struct {
+		// mu is held for one exchange: a drpc connection takes one at a time.
+		mu   sync.Mutex
+		conn *drpcconn.Conn
+	}
+)
+
+// WithDialer replaces plain TCP.
+func WithDialer(d Dialer) ClientOption { return func(c *Client) { c.dial = d } }
+
+// NewClient returns a client that speaks as self; meter may be nil.
+func NewClient(self kqname.Node, meter Meter, options ...ClientOption) *Client {
+	c := &Client{self: self, meter: meter, links: make(map[kqname.Address]*link), dial: dialTCP}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+// Call sends q to a peer's method and waits for its answer. The connection is
+// closed, never used again, when the exchange fails: a late answer on it could
+// otherwise be taken for the next request's.
+func Call[Q, A any](ctx context.Context, c *Client, to kqname.Address, method string, q Q) (A, error) {
+	var a A
+	l := c.link(to)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := c.connect(ctx, l, to); err != nil {
+		return a, fmt.Errorf("connect to %s: %w", to, err)
+	}
+	if err := l.conn.Invoke(ctx, method, codec{}, &envelope[Q]{From: c.self, Body: q}, &a); err != nil {
+		_ = l.conn.Close()
+		l.conn = nil
+		return a, fmt.Errorf("%s at %s: %w", method, to, err)
+	}
+	return a, nil
+}
+
+// Forget closes the connection to a peer.
+func (c *Client) Forget(to kqname.Address) {
+	c.mu.Lock()
+	l, ok := c.links[to]
+	delete(c.links, to)
+	c.mu.Unlock()
+	if ok {
+		l.close()
+	}
+}
+
+// Close closes every connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	links := c.links
+	c.links = make(map[kqname.Address]*link)
+	c.mu.Unlock()
+	for _, l := range links {
+		l.close()
+	}
+}
+
+func (c *Client) link(to kqname.Address) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, ok := c.links[to]
+	if !ok {
+		l = &link{}
+		c.links[to] = l
+	}
+	return l
+}
+
+func (c *Client) connect(ctx context.Context, l *link, to kqname.Address) error {
+	if l.conn != nil {
+		select {
+		case <-l.conn.Closed():
+			l.conn = nil
+		default:
+			return nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := c.dial(ctx, to)
+	if err != nil {
+		return err
+	}
+	l.conn = drpcconn.NewWithOptions(meteredConn{Conn: raw, meter: c.meter}, drpcconn.Options{Manager: managerOptions()})
+	return nil
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		_ = l.conn.Close()
+		l.conn = nil
+	}
+}
+
+func dialTCP(ctx context.Context, to kqname.Address) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", string(to))
+	if err != nil {
+		return nil, fmt.Errorf("dial: %w", err)
+	}
+	return conn, nil
+}
--- /dev/null
+++ b/internal/platform/kqstandin/serve.go
@@ -0,0 +1,113 @@
+package kqstandin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+)
+
+const maxRequestBytes = 2*kqstore.MaxValueBytes + 4096
+
+type (
+	// Call is the JSON body of POST /v1/VERB; each verb reads its own fields.
+	Call struct {
+		Key      string           `json:"key,omitempty"`
+		Value    []byte           `json:"value,omitempty"`
+		Expected kqstore.Revision `json:"expected,omitempty"`
+		Lease    kqstore.Lease    `json:"lease,omitempty"`
+		WaitMS   int64            `json:"wait_ms,omitempty"`
+	}
+
+	// Answer is the JSON body of every answer. Error is one of not_found,
+	// conflict, lease_lapsed, too_large, rate_limited and unavailable.
+	Answer struct {
+		Entry    kqstore.Entry    `json:"entry,omitzero"`
+		Revision kqstore.Revision `json:"revision,omitempty"`
+		Lease    kqstore.Lease    `json:"lease,omitempty"`
+		Error    string           `json:"error,omitempty"`
+	}
+)
+
+// Errors gives the name that each error has in an Answer.
+var Errors = map[string]error{
+	"not_found":    kqstore.ErrNotFound,
+	"conflict":     kqstore.ErrConflict,
+	"lease_lapsed": kqstore.ErrLeaseLapsed,
+	"too_large":    kqstore.ErrTooLarge,
+	"rate_limited": kqstore.ErrRateLimited,
+	"unavailable":  kqstore.ErrUnavailable,
+}
+
+// Handler serves the stand-in as JSON over HTTP: POST /v1/{get,put,swap,delete,
+// grant,renew,watch}, GET and PUT /faults, and GET /counts.
+func (s *Standin) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/{verb}", s.serveVerb)
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, s.Counts()) })
+	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, s.Faults()) })
+	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if err := json.NewDecoder(io.LimitReader(r.Body, maxRequestBytes)).Decode(&f); err != nil {
+			http.Error(w, "read faults: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.SetFaults(f)
+		reply(w, http.StatusOK, f)
+	})
+	return mux
+}
+
+func (s *Standin) serveVerb(w http.ResponseWriter, r *http.Request) {
+	var c Call
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&c); err != nil {
+		http.Error(w, "read call: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	a, err := s.serve(r.Context(), r.PathValue("verb"), c)
+	if err == nil {
+		reply(w, http.StatusOK, a)
+		return
+	}
+	for name, known := range Errors {
+		if errors.Is(err, known) {
+			reply(w, http.StatusConflict, Answer{Error: name})
+			return
+		}
+	}
+	http.Error(w, err.Error(), http.StatusBadRequest)
+}
+
+func (s *Standin) serve(ctx context.Context, verb string, c Call) (a Answer, err error) {
+	wait := time.Duration(c.WaitMS) * time.Millisecond
+	switch verb {
+	case "get":
+		a.Entry, err = s.Get(ctx, c.Key)
+	case "put":
+		a.Revision, err = s.Put(ctx, c.Key, c.Value, c.Lease)
+	case "swap":
+		a.Revision, err = s.Swap(ctx, c.Key, c.Expected, c.Value, c.Lease)
+	case "delete":
+		err = s.Delete(ctx, c.Key, c.Expected)
+	case "grant":
+		a.Lease, err = s.Grant(ctx, wait)
+	case "renew":
+		err = s.Renew(ctx, c.Lease)
+	case "watch":
+		a.Entry, err = s.Watch(ctx, c.Key, c.Expected, wait)
+	default:
+		err = errors.New("unknown verb " + verb)
+	}
+	return a, err
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that has gone away is the only cause of an error here.
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/internal/platform/kqstore/store.go
@@ -0,0 +1,73 @@
+// Package kqstore describes the platform's key-value service as kumquatgw uses
+// it: get, put, compare-and-swap on a revision, leases and waiting watches.
+// Parts declare the few verbs they need; this package holds what those verbs
+// pass and the errors that they return.
+package kqstore
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+const (
+	// MaxValueBytes is the largest value that the service holds, in bytes.
+	MaxValueBytes = 1 << 20
+	// NoLease is the lease of keys that last until they are deleted.
+	NoLease Lease = ""
+	// Absent is the revision of a key that does not exist.
+	Absent Revision = 0
+)
+
+var (
+	// ErrNotFound tells that the key does not exist.
+	ErrNotFound = errors.New("key not found")
+	// ErrConflict tells that the key's revision is not the expected one.
+	ErrConflict = errors.New("revision conflict")
+	// ErrLeaseLapsed tells that the lease has lapsed or never was.
+	ErrLeaseLapsed = errors.New("lease lapsed")
+	// ErrTooLarge tells that the value is over MaxValueBytes.
+	ErrTooLarge = errors.New("value is too large")
+	// ErrUnavailable tells that the service did not answer. A write that fails
+	// with it may or may not have taken effect.
+	ErrUnavailable = errors.New("platform unavailable")
+	// ErrRateLimited tells that the service refused the call for its rate.
+	ErrRateLimited = errors.New("platform rate exceeded")
+)
+
+type (
+	// Revision numbers the writes of a service; a key's revision is that of
+	// its last write.
+	Revision uint64
+
+	// Lease names a lease; its keys are deleted when it lapses.
+	Lease string
+
+	// Entry is a key's value.
+	Entry struct {
+		Key      string   `json:"key"`
+		Value    []byte   `json:"value"`
+		Revision Revision `json:"revision"`
+	}
+
+	// Store is every verb of the service. Each call of it, a waiting watch
+	// included, counts against the service's rates.
+	Store interface {
+		// Get returns a key's entry, or ErrNotFound.
+		Get(ctx context.Context, key string) (Entry, error)
+		// Put writes a key whatever its revision.
+		Put(ctx context.Context, key string, value []byte, lease Lease) (Revision, error)
+		// Swap writes a key whose revision is expected, and returns
+		// ErrConflict where it is another; Absent expects no key.
+		Swap(ctx context.Context, key string, expected Revision, value []byte, lease Lease) (Revision, error)
+		// Delete removes a key whose revision is expected.
+		Delete(ctx context.Context, key string, expected Revision) error
+		// Grant returns a new lease that lapses unless renewed within ttl.
+		Grant(ctx context.Context, ttl time.Duration) (Lease, error)
+		// Renew starts the lease's time anew, or returns ErrLeaseLapsed.
+		Renew(ctx context.Context, lease Lease) error
+		// Watch waits until the key's revision is over after and returns the
+		// entry; it returns ErrNotFound when the key stays as it was for wait.
+		Watch(ctx context.Context, key string, after Revision, wait time.Duration) (Entry, error)
+	}
+)
--- /dev/null
+++ b/internal/platform/kqstoreclient/client.go
@@ -0,0 +1,114 @@
+// Package kqstoreclient speaks to the platform's key-value service in JSON over
+// HTTP.
+package kqstoreclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+)
+
+const defaultTimeout = 2 * time.Second
+
+type (
+	// Client implements kqstore.Store over HTTP.
+	Client struct {
+		url     string
+		http    *http.Client
+		timeout time.Duration
+	}
+
+	// Option sets up a Client.
+	Option func(*Client)
+)
+
+// WithTimeout bounds each call but a watch, whose wait is added to it.
+func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
+
+// New returns a client of the service at url, such as "http://10.0.0.1:7000".
+func New(url string, options ...Option) *Client {
+	c := &Client{url: url, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}, timeout: defaultTimeout}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+// Get implements kqstore.Store.
+func (c *Client) Get(ctx context.Context, key string) (kqstore.Entry, error) {
+	a, err := c.call(ctx, "get", kqstandin.Call{Key: key}, 0)
+	return a.Entry, err
+}
+
+// Put implements kqstore.Store.
+func (c *Client) Put(ctx context.Context, key string, value []byte, lease kqstore.Lease) (kqstore.Revision, error) {
+	a, err := c.call(ctx, "put", kqstandin.Call{Key: key, Value: value, Lease: lease}, 0)
+	return a.Revision, err
+}
+
+// Swap implements kqstore.Store.
+func (c *Client) Swap(ctx context.Context, key string, expected kqstore.Revision, value []byte, lease kqstore.Lease) (kqstore.Revision, error) {
+	a, err := c.call(ctx, "swap", kqstandin.Call{Key: key, Expected: expected, Value: value, Lease: lease}, 0)
+	return a.Revision, err
+}
+
+// Delete implements kqstore.Store.
+func (c *Client) Delete(ctx context.Context, key string, expected kqstore.Revision) error {
+	_, err := c.call(ctx, "delete", kqstandin.Call{Key: key, Expected: expected}, 0)
+	return err
+}
+
+// Grant implements kqstore.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (kqstore.Lease, error) {
+	a, err := c.call(ctx, "grant", kqstandin.Call{WaitMS: ttl.Milliseconds()}, 0)
+	return a.Lease, err
+}
+
+// Renew implements kqstore.Store.
+func (c *Client) Renew(ctx context.Context, lease kqstore.Lease) error {
+	_, err := c.call(ctx, "renew", kqstandin.Call{Lease: lease}, 0)
+	return err
+}
+
+// Watch implements kqstore.Store.
+func (c *Client) Watch(ctx context.Context, key string, after kqstore.Revision, wait time.Duration) (kqstore.Entry, error) {
+	a, err := c.call(ctx, "watch", kqstandin.Call{Key: key, Expected: after, WaitMS: wait.Milliseconds()}, wait)
+	return a.Entry, err
+}
+
+func (c *Client) call(ctx context.Context, verb string, call kqstandin.Call, wait time.Duration) (kqstandin.Answer, error) {
+	var a kqstandin.Answer
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
+	defer cancel()
+	body, err := json.Marshal(call)
+	if err != nil {
+		return a, fmt.Errorf("encode %s: %w", verb, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url+"/v1/"+verb, bytes.NewReader(body))
+	if err != nil {
+		return a, fmt.Errorf("make %s: %w", verb, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return a, fmt.Errorf("%s %s: %w", verb, call.Key, errors.Join(kqstore.ErrUnavailable, err))
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
+		return a, fmt.Errorf("%s %s, status %d: %w", verb, call.Key, resp.StatusCode, errors.Join(kqstore.ErrUnavailable, err))
+	}
+	if a.Error == "" {
+		return a, nil
+	}
+	known, ok := kqstandin.Errors[a.Error]
+	if !ok {
+		known = kqstore.ErrUnavailable
+	}
+	return a, fmt.Errorf("%s %s: %w", verb, call.Key, known)
+}
