--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -182,7 +182,7 @@
 }
 
 func (e *Entry) pick(c *kqcall.Call, tried map[kqname.Node]bool) (kqmember.Candidate, bool) {
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // Load sharing needs no secrecy.
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return e.picker.Pick(e.directory.Upstreams(c.Service), c.Version, tried, random)
 }
 
--- /dev/null
+++ b/internal/lab/kqupstream/upstream.go
@@ -0,0 +1,176 @@
+// Package kqupstream is a fake upstream for demonstrations and tests: an HTTP
+// server with slots that announces itself to its node, can misbehave in the
+// ways that real ones do, and records every call that it ran.
+package kqupstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+// HeaderWork names a caller's piece of work; the answer echoes it, and the
+// upstream counts how often it ran each.
+const HeaderWork = "Work-Id"
+
+const announceEvery = 500 * time.Millisecond
+
+type (
+	// Behaviour is how an upstream answers; it may change at any time.
+	Behaviour struct {
+		// Work is how long a call takes; ColdWork is added for the first
+		// ColdFor after the start.
+		Work     time.Duration `json:"work"`
+		ColdWork time.Duration `json:"cold_work"`
+		ColdFor  time.Duration `json:"cold_for"`
+		// FailShare of calls, from 0 to 1, get status 500; FailPath limits
+		// that to paths with this prefix.
+		FailShare float64 `json:"fail_share"`
+		FailPath  string  `json:"fail_path"`
+		// SlowAbove running calls, Work is multiplied by SlowFactor; 0 for a
+		// factor of 1 throughout.
+		SlowAbove  int     `json:"slow_above"`
+		SlowFactor float64 `json:"slow_factor"`
+		// Shed answers 503 without running the call once more than the slots
+		// are taken.
+		Shed bool `json:"shed"`
+	}
+
+	// Upstream is a fake upstream. It is safe for concurrent use.
+	Upstream struct {
+		announcement kqlocal.Announcement
+		node         kqname.Address
+		server       *fasthttp.Server
+		listener     net.Listener
+		http         *http.Client
+		started      time.Time
+
+		behaviour atomic.Pointer[Behaviour]
+		draining  atomic.Bool
+		running   atomic.Int64
+
+		mu   sync.Mutex
+		runs map[string]int
+	}
+)
+
+// New opens an upstream of a service's version with the given slots; it
+// announces itself to the node whose local address is node.
+func New(service kqname.Service, version kqname.UpstreamVersion, slots int, node kqname.Address, b Behaviour) (*Upstream, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("open upstream of %s: %w", service, err)
+	}
+	u := &Upstream{
+		announcement: kqlocal.Announcement{Service: service, Version: version, Address: kqname.Address(l.Addr().String()), Slots: slots},
+		node:         node,
+		listener:     l,
+		http:         &http.Client{Timeout: time.Second},
+		started:      time.Now(),
+		runs:         make(map[string]int),
+	}
+	u.SetBehaviour(b)
+	u.server = &fasthttp.Server{Handler: u.handle, NoDefaultServerHeader: true, IdleTimeout: time.Minute}
+	return u, nil
+}
+
+// SetBehaviour changes how calls are answered from now on.
+func (u *Upstream) SetBehaviour(b Behaviour) { u.behaviour.Store(&b) }
+
+// Run serves and announces until ctx ends, and then drains.
+func (u *Upstream) Run(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() { failed <- u.server.Serve(u.listener) }()
+	ticker := time.NewTicker(announceEvery)
+	defer ticker.Stop()
+	for {
+		u.announce()
+		select {
+		case err := <-failed:
+			return fmt.Errorf("serve upstream of %s: %w", u.announcement.Service, err)
+		case <-ctx.Done():
+			u.draining.Store(true)
+			u.announce()
+			if err := u.server.Shutdown(); err != nil {
+				return fmt.Errorf("drain upstream of %s: %w", u.announcement.Service, err)
+			}
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Drain makes the upstream announce that it takes no new work.
+func (u *Upstream) Drain() {
+	u.draining.Store(true)
+	u.announce()
+}
+
+// Runs returns how often each piece of work ran.
+func (u *Upstream) Runs() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	copied := make(map[string]int, len(u.runs))
+	for id, n := range u.runs {
+		copied[id] = n
+	}
+	return copied
+}
+
+func (u *Upstream) handle(ctx *fasthttp.RequestCtx) {
+	b := *u.behaviour.Load()
+	running := u.running.Add(1)
+	defer u.running.Add(-1)
+	if b.Shed && running > int64(u.announcement.Slots) {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	work := string(ctx.Request.Header.Peek(HeaderWork))
+	u.mu.Lock()
+	u.runs[work]++
+	u.mu.Unlock()
+	time.Sleep(u.duration(b, running))
+	ctx.Response.Header.Set(HeaderWork, work)
+	if bytes.HasPrefix(ctx.Path(), []byte(b.FailPath)) && rand.Float64() < b.FailShare {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	fmt.Fprintf(ctx, "%s %s %s\n", u.announcement.Service, u.announcement.Version, work)
+}
+
+func (u *Upstream) duration(b Behaviour, running int64) time.Duration {
+	d := b.Work
+	if b.SlowFactor > 0 && running > int64(b.SlowAbove) {
+		d = time.Duration(float64(d) * b.SlowFactor)
+	}
+	if time.Since(u.started) < b.ColdFor {
+		d += b.ColdWork
+	}
+	return d
+}
+
+func (u *Upstream) announce() {
+	a := u.announcement
+	a.Draining = u.draining.Load()
+	body, err := json.Marshal(a)
+	if err != nil {
+		return
+	}
+	// A node that is away hears of the upstream at the next announcement.
+	resp, err := u.http.Post("http://"+string(u.node)+"/kq/announce", "application/json", bytes.NewReader(body))
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+}
--- /dev/null
+++ b/internal/run/kqcommand/command.go
@@ -0,0 +1,60 @@
+package kqcommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// Command is the whole command line with its streams.
+type Command struct {
+	app    *kingpin.Application
+	out    io.Writer
+	errors io.Writer
+	run    map[string]func(context.Context) error
+}
+
+// New returns the command line of the program.
+func New(out, errors io.Writer) *Command {
+	c := &Command{
+		app:    kingpin.New("kumquatgw", "Distributes a service mesh's configuration, and moves its traffic."),
+		out:    out,
+		errors: errors,
+		run:    make(map[string]func(context.Context) error),
+	}
+	c.app.UsageWriter(errors).ErrorWriter(errors)
+	c.addPlatform()
+	c.addNode()
+	c.addUpstream()
+	c.addDocument()
+	c.addSettings()
+	c.addDemo()
+	return c
+}
+
+// Run runs the command that the arguments name, until it ends or the process
+// is told to stop, and returns the exit status.
+func (c *Command) Run(arguments []string) int {
+	name, err := c.app.Parse(arguments)
+	if err != nil {
+		fmt.Fprintf(c.errors, "kumquatgw: %v\n", err)
+		return 2
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := c.run[name](ctx); err != nil {
+		fmt.Fprintf(c.errors, "kumquatgw: %v\n", err)
+		return 1
+	}
+	return 0
+}
+
+// add registers what a command runs.
+func (c *Command) add(clause *kingpin.CmdClause, run func(context.Context) error) {
+	c.run[clause.FullCommand()] = run
+}
--- /dev/null
+++ b/internal/run/kqlog/log.go
@@ -0,0 +1,60 @@
+// Package kqlog makes the loggers of the parts: short sentences, as text or
+// JSON, each behind the fixed prefix of its part.
+package kqlog
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+type (
+	// Logger makes parts' loggers that share one output.
+	Logger struct {
+		base *logrus.Logger
+	}
+
+	prefixed struct {
+		next logrus.Formatter
+	}
+)
+
+// New returns a logger that writes to w at the given level ("debug" to
+// "error"), as "text" or "json".
+func New(w io.Writer, level, format string) (*Logger, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("set log level: %w", err)
+	}
+	base := logrus.New()
+	base.SetOutput(w)
+	base.SetLevel(parsed)
+	base.SetFormatter(prefixed{next: &logrus.TextFormatter{FullTimestamp: true, DisableColors: true}})
+	if format == "json" {
+		base.SetFormatter(prefixed{next: &logrus.JSONFormatter{}})
+	}
+	return &Logger{base: base}, nil
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *Logger {
+	base := logrus.New()
+	base.SetOutput(io.Discard)
+	return &Logger{base: base}
+}
+
+// Part returns the logger of one part, such as "entry".
+func (l *Logger) Part(name string) *logrus.Entry { return l.base.WithField("part", name) }
+
+// Format implements logrus.Formatter.
+func (p prefixed) Format(e *logrus.Entry) ([]byte, error) {
+	part, _ := e.Data["part"].(string)
+	copied := *e
+	copied.Message = part + ": " + e.Message
+	line, err := p.next.Format(&copied)
+	if err != nil {
+		return nil, fmt.Errorf("format log line: %w", err)
+	}
+	return line, nil
+}
--- /dev/null
+++ b/internal/run/kqmetric/metric.go
@@ -0,0 +1,83 @@
+// Package kqmetric holds a node's counters and gauges. Label values come from
+// fixed lists, so that no caller can make their number grow.
+package kqmetric
+
+import (
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+// Metrics are one node's. They are safe for concurrent use.
+type Metrics struct {
+	registry       *prometheus.Registry
+	ended          *prometheus.CounterVec
+	retried        *prometheus.CounterVec
+	configRefused  *prometheus.CounterVec
+	platformFailed prometheus.Counter
+	version        prometheus.Gauge
+	sent, received atomic.Uint64
+}
+
+// New returns metrics in a registry of their own.
+func New() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatgw_calls_total", Help: "Calls by how they ended and why.",
+		}, []string{"result", "reason"}),
+		retried: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatgw_call_retries_total", Help: "Calls sent again, by the reason of the try before.",
+		}, []string{"reason"}),
+		configRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatgw_config_refused_total", Help: "Configuration versions refused, by reason.",
+		}, []string{"reason"}),
+		platformFailed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "kumquatgw_platform_failures_total", Help: "Calls to the platform's service that failed.",
+		}),
+		version: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "kumquatgw_config_version", Help: "Configuration version in force on this node.",
+		}),
+	}
+	m.registry.MustRegister(m.ended, m.retried, m.configRefused, m.platformFailed, m.version,
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "kumquatgw_control_sent_bytes_total", Help: "Bytes of control traffic sent to peers.",
+		}, func() float64 { return float64(m.sent.Load()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "kumquatgw_control_received_bytes_total", Help: "Bytes of control traffic received from peers.",
+		}, func() float64 { return float64(m.received.Load()) }),
+	)
+	return m
+}
+
+// Registry returns the registry, to serve it or to add to it.
+func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
+
+// Ended counts a call's end.
+func (m *Metrics) Ended(o kqcall.Outcome) {
+	m.ended.WithLabelValues(string(o.Result), string(o.Reason)).Inc()
+}
+
+// Retried counts a call that is sent again.
+func (m *Metrics) Retried(r kqcall.Reason) { m.retried.WithLabelValues(string(r)).Inc() }
+
+// ConfigRefused counts a configuration version that was not applied.
+func (m *Metrics) ConfigRefused(reason string) { m.configRefused.WithLabelValues(reason).Inc() }
+
+// PlatformFailed counts a call to the platform's service that failed.
+func (m *Metrics) PlatformFailed() { m.platformFailed.Inc() }
+
+// Version records the configuration version in force.
+func (m *Metrics) Version(v kqname.ConfigVersion) { m.version.Set(float64(v)) }
+
+// Sent implements kqpeer.Meter.
+func (m *Metrics) Sent(bytes int) { m.sent.Add(uint64(max(bytes, 0))) }
+
+// Received implements kqpeer.Meter.
+func (m *Metrics) Received(bytes int) { m.received.Add(uint64(max(bytes, 0))) }
+
+// ControlBytes returns the bytes of control traffic since the start.
+func (m *Metrics) ControlBytes() (sent, received uint64) { return m.sent.Load(), m.received.Load() }
--- /dev/null
+++ b/internal/run/kqnode/call.go
@@ -0,0 +1,85 @@
+package kqnode
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	announcePath = "/kq/announce"
+	readTimeout  = 10 * time.Second
+	// serverIdle is longer than the clients keep idle connections, so that the
+	// client is the one to close: a server that closes first could cut a call
+	// that was just being sent.
+	serverIdle = time.Minute
+)
+
+type callServers struct {
+	entry, local, gate *fasthttp.Server
+}
+
+// joinCalls joins the call flow: match, admit, pick, send, judge and answer.
+func (n *Node) joinCalls() {
+	n.local = kqlocal.New(n.settings.Member.UpstreamTTL, func(list []kqmember.Upstream) {
+		n.table.Update(func(m *kqmember.Member) { m.Upstreams = list })
+	})
+	n.gate = kqgate.New(n.local)
+	n.entry = kqentry.New(n.settings.Node.Name, n.replica, n.table, n.gate, kqentry.WithCounter(n.metrics))
+	n.servers = callServers{
+		entry: n.server(n.entry.ServeOutside),
+		local: n.server(n.serveLocal),
+		gate:  n.server(n.gate.Serve),
+	}
+}
+
+func (n *Node) server(handler fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: handler, Name: "kumquatgw", ReadTimeout: readTimeout, IdleTimeout: serverIdle,
+		MaxRequestBodySize: n.settings.Call.MaxBody, NoDefaultServerHeader: true, CloseOnShutdown: true,
+	}
+}
+
+// serveLocal takes the announcements and the calls of the local upstream.
+func (n *Node) serveLocal(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != announcePath {
+		n.entry.ServeLocal(ctx, kqname.Caller(n.settings.Node.Service))
+		return
+	}
+	var a kqlocal.Announcement
+	err := json.Unmarshal(ctx.PostBody(), &a)
+	if err == nil {
+		err = n.local.Announce(a, time.Now())
+	}
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+	}
+}
+
+func (s callServers) serve(start func(func() error), l listeners) {
+	start(func() error { return s.entry.Serve(l.entry) })
+	start(func() error { return s.local.Serve(l.local) })
+	start(func() error { return s.gate.Serve(l.gate) })
+}
+
+// shutdown closes the listeners and waits for the calls in flight: the
+// entries' first, since they may still need the gate.
+func (s callServers) shutdown(ctx context.Context) error {
+	var errs []error
+	for _, server := range []*fasthttp.Server{s.entry, s.local, s.gate} {
+		if err := server.ShutdownWithContext(ctx); err != nil {
+			errs = append(errs, fmt.Errorf("drain: %w", err))
+		}
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/run/kqnode/node.go
@@ -0,0 +1,236 @@
+package kqnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquatgw/kumquatgw/internal/admin/kqadmin"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqreplica"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqwatch"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqexchange"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqspread"
+	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqmetric"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const sweepEvery = 250 * time.Millisecond
+
+type (
+	// Node is one kumquatgw process beside its upstream.
+	Node struct {
+		settings kqsettings.Settings
+		store    kqstore.Store
+		logger   *kqlog.Logger
+		log      *logrus.Entry
+		metrics  *kqmetric.Metrics
+
+		listeners listeners
+		table     *kqmember.Table
+		peers     *kqpeer.Server
+		client    *kqpeer.Client
+		spreader  *kqspread.Spreader
+		exchange  *kqexchange.Exchanger
+		replica   *kqreplica.Replica
+		watcher   *kqwatch.Watcher
+		local     *kqlocal.Upstreams
+		gate      *kqgate.Gate
+		entry     *kqentry.Entry
+		servers   callServers
+		admin     *kqadmin.Admin
+		leaving   atomic.Bool
+		started   time.Time
+	}
+
+	// Option sets up a Node.
+	Option func(*Node)
+
+	listeners struct {
+		control, gate, entry, local, admin net.Listener
+	}
+)
+
+// WithLogger sets where the node logs.
+func WithLogger(l *kqlog.Logger) Option { return func(n *Node) { n.logger = l } }
+
+// New opens the node's listeners and joins its parts; Run starts it.
+func New(settings kqsettings.Settings, store kqstore.Store, options ...Option) (*Node, error) {
+	n := &Node{settings: settings, store: store, logger: kqlog.Discard(), metrics: kqmetric.New(), started: time.Now()}
+	for _, o := range options {
+		o(n)
+	}
+	n.log = n.logger.Part("node")
+	if err := n.listen(); err != nil {
+		n.listeners.close()
+		return nil, fmt.Errorf("start node %s: %w", settings.Node.Name, err)
+	}
+	n.table = kqmember.NewTable(kqmember.Member{
+		Node: settings.Node.Name, Domain: settings.Node.Domain, Region: settings.Node.Region,
+		Control: advertised(settings.Node.ControlAddress, n.listeners.control),
+		Gate:    advertised(settings.Node.GateAddress, n.listeners.gate),
+		// A node that was replaced must win over its former self's records,
+		// and it keeps nothing: its start time does.
+		Incarnation: uint64(n.started.UnixMilli()),
+	})
+	n.peers = kqpeer.NewServer(n.metrics)
+	n.client = kqpeer.NewClient(settings.Node.Name, n.metrics)
+	n.joinConfig()
+	n.joinCalls()
+	n.joinAdmin()
+	return n, nil
+}
+
+// Run serves until ctx ends, and then leaves: new work goes elsewhere first,
+// and what is in flight is finished.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.Infof("Started as %s in %s.", n.settings.Node.Name, n.settings.Node.Domain)
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	var group conc.WaitGroup
+	group.Go(func() { n.watcher.Run(background) })
+	group.Go(func() { n.exchange.Run(background) })
+	group.Go(func() { n.sweep(background) })
+	failed := make(chan error, 8)
+	serve := func(f func() error) {
+		group.Go(func() {
+			if err := f(); err != nil {
+				failed <- err
+			}
+		})
+	}
+	serve(func() error { return n.peers.Serve(background, n.listeners.control) })
+	n.servers.serve(serve, n.listeners)
+	if n.admin != nil {
+		serve(func() error { return n.admin.Serve(n.listeners.admin) })
+	}
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	err = errors.Join(err, n.leave())
+	stop()
+	n.client.Close()
+	n.listeners.close()
+	group.Wait()
+	n.log.Info("Stopped.")
+	return err
+}
+
+// Ready reports whether the node has a configuration and is not leaving.
+func (n *Node) Ready() bool { return n.replica.Current().Version() > 0 && !n.leaving.Load() }
+
+// Version returns the configuration version in force.
+func (n *Node) Version() kqname.ConfigVersion { return n.replica.Current().Version() }
+
+// Snapshot returns the configuration in force.
+func (n *Node) Snapshot() *kqsnapshot.Snapshot { return n.replica.Current() }
+
+// Members returns the node's view of the fleet.
+func (n *Node) Members() []kqmember.Member { return n.table.Members() }
+
+// Metrics returns the node's counters.
+func (n *Node) Metrics() *kqmetric.Metrics { return n.metrics }
+
+// EntryAddress returns where callers connect.
+func (n *Node) EntryAddress() kqname.Address { return address(n.listeners.entry) }
+
+// LocalAddress returns where the local upstream connects.
+func (n *Node) LocalAddress() kqname.Address { return address(n.listeners.local) }
+
+// ControlAddress returns where peers connect.
+func (n *Node) ControlAddress() kqname.Address { return address(n.listeners.control) }
+
+// AdminAddress returns where operators connect, "" where admin is off.
+func (n *Node) AdminAddress() kqname.Address {
+	if n.listeners.admin == nil {
+		return ""
+	}
+	return address(n.listeners.admin)
+}
+
+// leave tells the others first, so that they stop sending, and then waits for
+// the calls in flight. The other way round, calls would meet a closed gate.
+func (n *Node) leave() error {
+	n.leaving.Store(true)
+	n.log.Info("Leaving.")
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Node.DrainTimeout)
+	defer cancel()
+	n.table.Update(func(m *kqmember.Member) { m.State = kqmember.Leaving })
+	n.exchange.Announce(ctx)
+	err := n.servers.shutdown(ctx)
+	if n.admin != nil {
+		err = errors.Join(err, n.admin.Shutdown())
+	}
+	return err
+}
+
+func (n *Node) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.local.Sweep(now)
+			n.replica.Sweep(now.Add(-n.settings.Config.InterestIdle))
+		}
+	}
+}
+
+func (n *Node) listen() error {
+	s := n.settings.Node
+	for _, l := range []struct {
+		to *net.Listener
+		at kqname.Address
+	}{
+		{&n.listeners.control, s.ControlListen},
+		{&n.listeners.gate, s.GateListen},
+		{&n.listeners.entry, s.EntryListen},
+		{&n.listeners.local, s.LocalListen},
+		{&n.listeners.admin, n.settings.Admin.Listen},
+	} {
+		if l.at == "" {
+			continue
+		}
+		opened, err := net.Listen("tcp", string(l.at))
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", l.at, err)
+		}
+		*l.to = opened
+	}
+	return nil
+}
+
+func (l listeners) close() {
+	for _, one := range []net.Listener{l.control, l.gate, l.entry, l.local, l.admin} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
+func address(l net.Listener) kqname.Address { return kqname.Address(l.Addr().String()) }
+
+func advertised(set kqname.Address, l net.Listener) kqname.Address {
+	if set != "" {
+		return set
+	}
+	return address(l)
+}
--- /dev/null
+++ b/internal/run/kqsettings/settings.go
@@ -0,0 +1,72 @@
+package kqsettings
+
+import (
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+type (
+	// Settings are all settings of one node. Field tags: key is the name in
+	// the file, default the value without one, min and max the bounds, one_of
+	// the allowed words, and doc the meaning.
+	Settings struct {
+		Node     Node     `section:"node"`
+		Platform Platform `section:"platform"`
+		Member   Member   `section:"member"`
+		Config   Config   `section:"config"`
+		Call     Call     `section:"call"`
+		Admin    Admin    `section:"admin"`
+		Log      Log      `section:"log"`
+	}
+
+	// Node tells who the node is and where it listens.
+	Node struct {
+		Name           kqname.Node    `key:"name" required:"true" doc:"Unique name of this node."`
+		Domain         kqname.Domain  `key:"domain" required:"true" doc:"Failure domain of this server."`
+		Region         kqname.Region  `key:"region" default:"default" doc:"Region of this server."`
+		Service        kqname.Service `key:"service" doc:"Service of the upstream on this server; its configuration is always held."`
+		EntryListen    kqname.Address `key:"entry_listen" default:"127.0.0.1:8080" doc:"Where callers from outside connect."`
+		LocalListen    kqname.Address `key:"local_listen" default:"127.0.0.1:8081" doc:"Where the local upstream announces itself and makes calls; loopback only."`
+		GateListen     kqname.Address `key:"gate_listen" default:"127.0.0.1:8082" doc:"Where other nodes send calls for the local upstream."`
+		GateAddress    kqname.Address `key:"gate_address" doc:"Address of gate_listen as other nodes reach it; empty takes gate_listen."`
+		ControlListen  kqname.Address `key:"control_listen" default:"127.0.0.1:8083" doc:"Where other nodes exchange configuration and membership."`
+		ControlAddress kqname.Address `key:"control_address" doc:"Address of control_listen as other nodes reach it; empty takes control_listen."`
+		DrainTimeout   time.Duration  `key:"drain_timeout" default:"30s" min:"1s" max:"10m" doc:"Longest wait for calls in flight at shutdown."`
+	}
+
+	// Platform tells where the platform's key-value service is.
+	Platform struct {
+		URL     string        `key:"url" default:"http://127.0.0.1:7070" doc:"Base URL of the platform's key-value service."`
+		Timeout time.Duration `key:"timeout" default:"2s" min:"10ms" max:"1m" doc:"Longest wait for one answer; a watch's own wait is added."`
+	}
+
+	// Member tells how nodes keep track of each other.
+	Member struct {
+		Seeds       []string      `key:"seeds" doc:"Control addresses of nodes to ask at the start, parted by commas."`
+		Heartbeat   time.Duration `key:"heartbeat" default:"500ms" min:"10ms" max:"1m" doc:"Time between two heartbeats to a peer."`
+		UpstreamTTL time.Duration `key:"upstream_ttl" default:"3s" min:"100ms" max:"1m" doc:"How long an upstream's announcement lasts unless renewed."`
+	}
+
+	// Config tells how configuration reaches the node.
+	Config struct {
+		Strategy     string        `key:"strategy" default:"direct" one_of:"direct" doc:"How new versions reach the node: direct watches the platform."`
+		InterestIdle time.Duration `key:"interest_idle" default:"30m" min:"1s" max:"24h" doc:"How long the routes of a host stay without a call for it."`
+	}
+
+	// Call bounds the calls that the node serves.
+	Call struct {
+		MaxBody int `key:"max_body" default:"4MB" min:"1KB" max:"64MB" unit:"bytes" doc:"Largest request body that is taken."`
+	}
+
+	// Admin tells where operators connect.
+	Admin struct {
+		Listen kqname.Address `key:"listen" doc:"Where the console, the API and the metrics are served; empty switches them off."`
+	}
+
+	// Log tells how the node logs.
+	Log struct {
+		Level  string `key:"level" default:"info" one_of:"debug,info,warning,error" doc:"Least severe level that is logged."`
+		Format string `key:"format" default:"text" one_of:"text,json" doc:"Form of a log line."`
+	}
+)
