Fix the interfaces that the parts share

Cause: replay players, measurements and rollout targets are built by several parts at once. Conclusion: parts can be built side by side.

--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -42,9 +42,9 @@
 		Upstreams(service kqname.Service) []kqmember.Candidate
 	}
 
-	// Splitter says which upstream version a call goes to; "" accepts any.
+	// Splitter says which upstreams of a service a call may go to.
 	Splitter interface {
-		Split(service kqresource.Service, call *kqcall.Call) kqname.UpstreamVersion
+		Split(service kqresource.Service, call *kqcall.Call) kqpick.Target
 	}
 
 	// Local runs calls at this node's own upstream.
@@ -81,8 +81,8 @@
 )
 
 // Split implements Splitter.
-func (stable) Split(s kqresource.Service, _ *kqcall.Call) kqname.UpstreamVersion {
-	return s.Service.Version
+func (stable) Split(s kqresource.Service, _ *kqcall.Call) kqpick.Target {
+	return kqpick.Target{Version: s.Service.Version}
 }
 
 // Ended implements Counter.
@@ -145,11 +145,12 @@
 	}
 	service, _ := snapshot.Service(route.Service)
 	fill(c, route, service, now)
-	c.Version = e.splitter.Split(service, c)
+	target := e.splitter.Split(service, c)
+	c.Version = target.Version
 	tried := make(map[kqname.Node]bool)
 	last := kqcall.Refuse(kqcall.NoUpstream)
 	for range maxTries {
-		to, ok := e.pick(c, tried)
+		to, ok := e.pick(c, target, tried)
 		if !ok {
 			return last
 		}
@@ -181,9 +182,9 @@
 	return snapshot, route, kqcall.NoReason
 }
 
-func (e *Entry) pick(c *kqcall.Call, tried map[kqname.Node]bool) (kqmember.Candidate, bool) {
+func (e *Entry) pick(c *kqcall.Call, target kqpick.Target, tried map[kqname.Node]bool) (kqmember.Candidate, bool) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return e.picker.Pick(e.directory.Upstreams(c.Service), c.Version, tried, random)
+	return e.picker.Pick(e.directory.Upstreams(c.Service), target, tried, random)
 }
 
 func (e *Entry) send(c *kqcall.Call, to kqmember.Candidate) kqcall.Outcome {
--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -8,18 +8,28 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
-// Picker chooses at random among the candidates of a version.
-type Picker struct{}
+type (
+	// Picker chooses at random among the candidates that a target allows.
+	Picker struct{}
+
+	// Target says which upstreams of a service a call may go to.
+	Target struct {
+		// Version is the wanted upstream version; empty accepts any.
+		Version kqname.UpstreamVersion
+		// Nodes limits the choice to these nodes' upstreams; nil accepts all.
+		Nodes map[kqname.Node]bool
+	}
+)
 
 // New returns a picker.
 func New() *Picker { return &Picker{} }
 
-// Pick returns a candidate of the wanted version, any version if it is empty,
-// that is not among the tried nodes.
-func (p *Picker) Pick(all []kqmember.Candidate, want kqname.UpstreamVersion, tried map[kqname.Node]bool, random *rand.Rand) (kqmember.Candidate, bool) {
+// Pick returns a candidate that the target allows and that is not among the
+// tried nodes.
+func (p *Picker) Pick(all []kqmember.Candidate, target Target, tried map[kqname.Node]bool, random *rand.Rand) (kqmember.Candidate, bool) {
 	var fit []kqmember.Candidate
 	for _, c := range all {
-		if (want == "" || c.Version == want) && !tried[c.Node] {
+		if target.allows(c) && !tried[c.Node] {
 			fit = append(fit, c)
 		}
 	}
@@ -28,3 +38,7 @@
 	}
 	return fit[random.IntN(len(fit))], true
 }
+
+func (t Target) allows(c kqmember.Candidate) bool {
+	return (t.Version == "" || c.Version == t.Version) && (t.Nodes == nil || t.Nodes[c.Node])
+}
--- a/internal/run/kqcommand/command.go
+++ b/internal/run/kqcommand/command.go
@@ -16,7 +16,9 @@
 	app    *kingpin.Application
 	out    io.Writer
 	errors io.Writer
-	run    map[string]func(context.Context) error
+	// measure is the parent of the commands that measure.
+	measure *kingpin.CmdClause
+	run     map[string]func(context.Context) error
 }
 
 // New returns the command line of the program.
@@ -34,6 +36,7 @@
 	c.addDocument()
 	c.addSettings()
 	c.addDemo()
+	c.addMeasure()
 	return c
 }
 
