Replay recorded traces against stated outcomes

Cause: decisions are to be proved by recorded traces, and no trace could be read or run. Conclusion: other decisions add a player and traces. A trace without outcomes was ruled out, since it would pass whatever is decided.

--- /dev/null
+++ b/internal/lab/kqreplay/replay_test.go
@@ -0,0 +1,74 @@
+package kqreplay_test
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqreplay"
+)
+
+const head = `{"kind":"trace","decision":"count","seed":1}` + "\n"
+
+// counter is the simplest player: it counts its inputs.
+type counter struct{ seen int }
+
+func (c *counter) Input(time.Duration, json.RawMessage) ([]kqreplay.Decision, error) {
+	c.seen++
+	return nil, nil
+}
+
+func (c *counter) State(time.Duration) (any, error) {
+	return map[string]any{"seen": c.seen, "other": []string{"a"}}, nil
+}
+
+func run(text string) error {
+	t, err := kqreplay.Read("trace", strings.NewReader(text))
+	if err != nil {
+		return err
+	}
+	_, err = t.Run(func(json.RawMessage, uint64) (kqreplay.Player, error) { return &counter{}, nil }, nil)
+	return err
+}
+
+func TestOutcomesAreSubsetsAndRanges(t *testing.T) {
+	text := head + `{"kind":"input","at_ms":1,"input":{}}
+{"kind":"outcome","at_ms":1,"expect":{"seen":1}}
+{"kind":"outcome","at_ms":2.5,"expect":{"seen":{"min":1,"max":2},"other":["a"]}}`
+	if err := run(text); err != nil {
+		t.Error(err)
+	}
+}
+
+// A stated outcome is not met, or a trace was written by hand with a slip. The
+// reader is told the file, the line and the place, and nothing passes quietly.
+func TestFaultsNameTheLine(t *testing.T) {
+	outcome := `{"kind":"outcome","at_ms":1,"expect":{"seen":0}}` + "\n"
+	for name, c := range map[string]struct {
+		text, want string
+		is         error
+	}{
+		"missed":        {head + outcome + `{"kind":"outcome","at_ms":2,"expect":{"seen":3}}`, "trace:3: outcome missed at 2ms: state.seen is 0, want 3", kqreplay.ErrMissed},
+		"missed range":  {head + `{"kind":"outcome","at_ms":2,"expect":{"seen":{"min":1}}}`, "trace:2:", kqreplay.ErrMissed},
+		"missed list":   {head + `{"kind":"outcome","at_ms":2,"expect":{"other":["a","b"]}}`, "state.other", kqreplay.ErrMissed},
+		"unknown field": {head + `{"kind":"outcome","at_ms":2,"expect":{"nothing":1}}`, "state.nothing is missing", kqreplay.ErrMissed},
+		"not JSON":      {head + outcome + "{", "trace:3:", kqreplay.ErrMalformed},
+		"two values":    {head + outcome + "{}{}", "trace:3:", kqreplay.ErrMalformed},
+		"typing slip":   {head + outcome + `{"kind":"input","at":3,"input":{}}`, "trace:3:", kqreplay.ErrMalformed},
+		"back in time":  {head + outcome + `{"kind":"input","at_ms":0,"input":{}}`, "is before the line above", kqreplay.ErrMalformed},
+		"unknown kind":  {head + outcome + `{"kind":"note","at_ms":3}`, `unknown kind "note"`, kqreplay.ErrMalformed},
+		"no head":       {outcome, "trace:1:", kqreplay.ErrMalformed},
+		"empty":         {"", "no head line", kqreplay.ErrMalformed},
+		"no outcome":    {head, "nothing would be checked", kqreplay.ErrMalformed},
+		"long line":     {head + strings.Repeat("x", kqreplay.MaxLineBytes+1), "trace:2:", kqreplay.ErrMalformed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			err := run(c.text)
+			if !errors.Is(err, c.is) || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("got %v, want %q", err, c.want)
+			}
+		})
+	}
+}
