Measure how configuration reaches many real nodes

Cause: nothing showed what a change costs or how long it takes to be in force on every node. Change: kqnodes and measure nodes run real nodes over the stand-in, with faults; direct now takes the whole document on each node, as the baseline.

--- a/internal/config/kqreplica/replica.go
+++ b/internal/config/kqreplica/replica.go
@@ -6,6 +6,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +41,9 @@
 		services map[kqname.Service]bool
 		changed  []func(*kqsnapshot.Snapshot)
 		refused  func(reason string)
+		// whole and fresh make up the direct strategy: the whole document, taken
+		// anew for each version.
+		whole, fresh bool
 	}
 
 	// Option sets up a Replica.
@@ -57,6 +62,10 @@
 // WithRefused calls f with the reason of each version that is refused.
 func WithRefused(f func(reason string)) Option { return func(r *Replica) { r.refused = f } }
 
+// WithWholeDocument takes every object anew for each version, whatever the
+// traffic needs. It is the baseline that closures are measured against.
+func WithWholeDocument() Option { return func(r *Replica) { r.whole, r.fresh = true, true } }
+
 // New returns a replica that holds the empty version 0.
 func New(source Source, options ...Option) *Replica {
 	r := &Replica{
@@ -144,6 +153,12 @@
 // pointer, so that no call ever sees a part of it.
 func (r *Replica) swap(ctx context.Context, root kqresource.Root) error {
 	hosts, services, objects := r.needs()
+	if r.whole {
+		hosts, services = slices.Collect(maps.Keys(root.Hosts)), slices.Collect(maps.Keys(root.Services))
+	}
+	if r.fresh {
+		objects = make(kqresource.Objects)
+	}
 	for range fetchRounds {
 		snapshot, missing, err := kqsnapshot.Build(root, objects, hosts, services)
 		if err == nil {
--- /dev/null
+++ b/internal/lab/kqnodes/result.go
@@ -0,0 +1,97 @@
+package kqnodes
+
+import (
+	"slices"
+	"time"
+)
+
+type (
+	// Result is what one measurement found.
+	Result struct {
+		Strategy string `json:"strategy"`
+		Fault    string `json:"fault"`
+		Runs     []Run  `json:"runs"`
+		// Slopes tell how much each figure grows with one more node.
+		Slopes Slopes `json:"slopes"`
+	}
+
+	// Run is the measurement of one fleet. Bytes are those sent and those
+	// received, with the platform's keys and values; processor time and memory
+	// are the whole process's over its nodes, the stand-in included.
+	Run struct {
+		Nodes       int         `json:"nodes"`
+		Changes     int         `json:"changes"`
+		Convergence Convergence `json:"convergence_ms"`
+		Bytes       Bytes       `json:"control_bytes_per_node_per_second"`
+		// BytesPerChange is over what the idle fleet would have used, a node.
+		BytesPerChange      float64 `json:"control_bytes_per_change"`
+		CPUShare            float64 `json:"cpu_share_per_node"`
+		CPUShareChanging    float64 `json:"cpu_share_per_node_changing"`
+		MemoryBytes         float64 `json:"memory_bytes_per_node"`
+		PlatformCalls       float64 `json:"platform_calls_per_second"`
+		PlatformCallsChange float64 `json:"platform_calls_per_change"`
+		PlatformPeakReads   uint64  `json:"platform_peak_reads_per_second"`
+		PlatformPeakWrites  uint64  `json:"platform_peak_writes_per_second"`
+		PlatformRefused     uint64  `json:"platform_refused"`
+		VersionsFallen      int     `json:"versions_fallen"`
+		Replaced            int     `json:"replaced_nodes,omitempty"`
+		ReplacedMS          float64 `json:"replaced_current_ms,omitempty"`
+	}
+
+	// Convergence is the time from the commit until the last live node had
+	// the version in force, in milliseconds, over all changes.
+	Convergence struct {
+		P50 float64 `json:"p50"`
+		P99 float64 `json:"p99"`
+		Max float64 `json:"max"`
+	}
+
+	// Bytes are control bytes of a node in a second.
+	Bytes struct {
+		Idle     float64 `json:"idle"`
+		Changing float64 `json:"changing"`
+	}
+
+	// Slopes are least-squares slopes over the number of nodes.
+	Slopes struct {
+		ConvergenceMS  float64 `json:"convergence_ms_p50"`
+		BytesIdle      float64 `json:"control_bytes_per_node_per_second_idle"`
+		BytesPerChange float64 `json:"control_bytes_per_change"`
+		CPUShare       float64 `json:"cpu_share_per_node"`
+		MemoryBytes    float64 `json:"memory_bytes_per_node"`
+		PlatformCalls  float64 `json:"platform_calls_per_second"`
+	}
+)
+
+func convergence(times []time.Duration) Convergence {
+	if len(times) == 0 {
+		return Convergence{}
+	}
+	slices.Sort(times)
+	at := func(share float64) float64 {
+		return float64(times[min(int(share*float64(len(times))), len(times)-1)].Microseconds()) / 1000
+	}
+	return Convergence{P50: at(0.5), P99: at(0.99), Max: at(1)}
+}
+
+func slopes(runs []Run) Slopes {
+	of := func(figure func(Run) float64) float64 {
+		var n, x, y, xx, xy float64
+		for _, r := range runs {
+			a, b := float64(r.Nodes), figure(r)
+			n, x, y, xx, xy = n+1, x+a, y+b, xx+a*a, xy+a*b
+		}
+		if d := n*xx - x*x; d != 0 {
+			return (n*xy - x*y) / d
+		}
+		return 0
+	}
+	return Slopes{
+		ConvergenceMS:  of(func(r Run) float64 { return r.Convergence.P50 }),
+		BytesIdle:      of(func(r Run) float64 { return r.Bytes.Idle }),
+		BytesPerChange: of(func(r Run) float64 { return r.BytesPerChange }),
+		CPUShare:       of(func(r Run) float64 { return r.CPUShare }),
+		MemoryBytes:    of(func(r Run) float64 { return r.MemoryBytes }),
+		PlatformCalls:  of(func(r Run) float64 { return r.PlatformCalls }),
+	}
+}
--- a/internal/run/kqcommand/command.go
+++ b/internal/run/kqcommand/command.go
@@ -38,6 +38,7 @@
 	c.addDemo()
 	c.addMeasure()
 	c.addReplay()
+	c.addMeasureNodes()
 	return c
 }
 
--- /dev/null
+++ b/internal/run/kqcommand/measure_nodes.go
@@ -0,0 +1,43 @@
+package kqcommand
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqnodes"
+)
+
+func (c *Command) addMeasureNodes() {
+	clause := c.measure.Command("nodes", "Measure how configuration reaches real nodes on loopback, over the stand-in.")
+	counts := clause.Flag("counts", "Sizes of the fleets, parted by commas.").Default("25,50").String()
+	strategy := clause.Flag("strategy", "How versions reach the nodes.").Default("overlay").Enum("direct", "overlay")
+	fault := clause.Flag("fault", "What goes wrong meanwhile.").Default("none").
+		Enum("none", "tenth_and_domain", "platform_down", "herd_restart")
+	changes := clause.Flag("changes", "Changes per fleet.").Default("50").Int()
+	idle := clause.Flag("idle", "How long the settled fleet is watched.").Default("20s").Duration()
+	gap := clause.Flag("gap", "Pause between two changes.").Default("200ms").Duration()
+	asJSON := clause.Flag("json", "Print the result as JSON.").Bool()
+	c.add(clause, func(ctx context.Context) error {
+		plan := kqnodes.Plan{Strategy: *strategy, Fault: kqnodes.Fault(*fault), Changes: *changes, Idle: *idle, Gap: *gap}
+		for _, text := range strings.Split(*counts, ",") {
+			n, err := strconv.Atoi(strings.TrimSpace(text))
+			if err != nil || n < 1 {
+				return fmt.Errorf("count %q is not a number above 0", text)
+			}
+			plan.Counts = append(plan.Counts, n)
+		}
+		result, err := kqnodes.New(plan).Run(ctx, func(r kqnodes.Run) {
+			fmt.Fprintf(c.errors, "%d nodes: convergence p50 %.0f ms, p99 %.0f ms; %.0f B/s idle, %.0f B a change, a node\n",
+				r.Nodes, r.Convergence.P50, r.Convergence.P99, r.Bytes.Idle, r.BytesPerChange)
+		})
+		if err != nil {
+			return err
+		}
+		if *asJSON {
+			return c.print(result)
+		}
+		return nil
+	})
+}
--- a/internal/run/kqnode/config.go
+++ b/internal/run/kqnode/config.go
@@ -28,6 +28,9 @@
 	if own := n.settings.Node.Service; own != "" {
 		options = append(options, kqreplica.WithService(own))
 	}
+	if n.settings.Config.Strategy == "direct" {
+		options = append(options, kqreplica.WithWholeDocument())
+	}
 	n.replica = kqreplica.New(kqcommit.New(n.store), options...)
 	n.watcher = kqwatch.New(n.store, func(ctx context.Context, root kqresource.Root) {
 		if err := n.replica.Offer(ctx, root); err != nil {
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -31,6 +31,10 @@
 
 const sweepEvery = 250 * time.Millisecond
 
+// ErrKilled is the cause of Run's context that ends a node without a goodbye,
+// the way a lost server does.
+var ErrKilled = errors.New("node killed")
+
 type (
 	// Node is one kumquatgw process beside its upstream.
 	Node struct {
@@ -123,7 +127,9 @@
 	case <-ctx.Done():
 	case err = <-failed:
 	}
-	err = errors.Join(err, n.leave())
+	if !errors.Is(context.Cause(ctx), ErrKilled) {
+		err = errors.Join(err, n.leave())
+	}
 	stop()
 	n.client.Close()
 	n.listeners.close()
@@ -135,6 +141,14 @@
 // Ready reports whether the node has a configuration and is not leaving.
 func (n *Node) Ready() bool { return n.replica.Current().Version() > 0 && !n.leaving.Load() }
 
+// Name returns the node's name.
+func (n *Node) Name() kqname.Node { return n.settings.Node.Name }
+
+// Want makes sure that the node holds a host's routes.
+func (n *Node) Want(ctx context.Context, host kqname.Host) (*kqsnapshot.Snapshot, error) {
+	return n.replica.Want(ctx, host, time.Now())
+}
+
 // Version returns the configuration version in force.
 func (n *Node) Version() kqname.ConfigVersion { return n.replica.Current().Version() }
 
