Settle lost answers, racing operators and old objects on commit

Cause: a lost answer was settled by the root in force alone, so a commit that others followed was reported as a conflict, and objects were never collected. Change: intents bind a request id to its content and name its objects; the swap is made again until it is certain; the history holds each root with its digest, chained by parent; a collector deletes what no root or intent names; kqdocument.Diff tells a conflict's difference. Conclusion: an operator hears committed, conflict or unknown, and none is a guess.

--- a/internal/config/kqcommit/commit.go
+++ b/internal/config/kqcommit/commit.go
@@ -1,6 +1,3 @@
-// Package kqcommit writes the operators' document to the platform's service
-// and reads it back. Objects are written first; the compare-and-swap of the
-// root alone commits.
 package kqcommit
 
 import (
@@ -19,20 +16,35 @@
 	// RootKey is the key of the root in force.
 	RootKey = "kumquatgw/root"
 
-	// Committed tells that the document is in force.
+	// Committed tells that the document came into force as Outcome.Version.
 	Committed Status = "committed"
-	// Conflict tells that another commit came first; nothing was changed.
+	// Conflict tells that another commit came first and this one will never
+	// take effect; Outcome.Difference is what changed since the base.
 	Conflict Status = "conflict"
-	// Unknown tells that the platform's answer was lost and could not be
-	// settled; Settle asks again.
+	// Unknown tells that answers were lost and could not be settled; Settle, or
+	// the same commit with the same id, asks again.
 	Unknown Status = "unknown"
 
 	objectPrefix = "kumquatgw/object/"
-	rootPrefix   = "kumquatgw/history/"
+
+	commitTries  = 3
+	swapTries    = 4
+	defaultPause = 50 * time.Millisecond
+	maxText      = 1024
 )
 
-// ErrInvalid tells that the document has problems; see Outcome.Problems.
-var ErrInvalid = errors.New("document is invalid")
+var (
+	// ErrInvalid tells that the document has problems; see Outcome.Problems.
+	ErrInvalid = errors.New("document is invalid")
+	// ErrRequest tells that a request's id, author or reason is unfit.
+	ErrRequest = errors.New("request is invalid")
+	// ErrReused tells that a request id was used before with another document.
+	ErrReused = errors.New("request id was used with another document")
+	// ErrNotBegun tells that nobody has begun a commit under a request id.
+	ErrNotBegun = errors.New("no commit was begun under this request id")
+
+	errRenewed = errors.New("root was renewed meanwhile")
+)
 
 type (
 	// Status is how a commit ended.
@@ -59,123 +71,115 @@
 
 	// Outcome is what the operator is told.
 	Outcome struct {
-		Status    Status               `json:"status"`
-		RequestID string               `json:"request_id"`
-		Version   kqname.ConfigVersion `json:"version"`
-		Problems  []kqdocument.Problem `json:"problems,omitempty"`
+		Status    Status `json:"status"`
+		RequestID string `json:"request_id"`
+		// Version is the committed one, or with Conflict the one in force.
+		Version    kqname.ConfigVersion `json:"version"`
+		Problems   []kqdocument.Problem `json:"problems,omitempty"`
+		Difference []kqdocument.Change  `json:"difference,omitempty"`
 	}
 
 	// Committer commits documents. It keeps nothing between calls.
 	Committer struct {
 		store Store
+		pause time.Duration
+	}
+
+	// Option sets up a Committer.
+	Option func(*Committer)
+
+	// attempt is one request on its way to the swap.
+	attempt struct {
+		request  Request
+		intent   intent
+		objects  kqresource.Objects
+		content  kqresource.Root
+		base     kqresource.Root
+		revision kqstore.Revision
 	}
 )
 
+// WithPause sets the wait before a lost answer is asked after again; it grows
+// with each try.
+func WithPause(d time.Duration) Option { return func(c *Committer) { c.pause = d } }
+
 // New returns a committer on the platform's service.
-func New(store Store) *Committer { return &Committer{store: store} }
+func New(store Store, options ...Option) *Committer {
+	c := &Committer{store: store, pause: defaultPause}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
 
 // ObjectKey returns the platform's key of an object.
 func ObjectKey(d kqresource.Digest) string { return objectPrefix + d.String() }
 
-// HistoryKey returns the platform's key of a past root.
-func HistoryKey(v kqname.ConfigVersion) string { return fmt.Sprintf("%s%020d", rootPrefix, v) }
-
-// Commit validates the document and puts it in force. It returns ErrInvalid
-// with the problems, kqstore's errors where nothing was swapped, and otherwise
-// an outcome that is certain, or Unknown.
+// Commit validates the document and puts it in force. Its errors, ErrInvalid,
+// ErrRequest, ErrReused and kqstore's, mean that this call has put nothing in
+// force; otherwise the outcome is certain or Unknown.
 func (c *Committer) Commit(ctx context.Context, q Request) (Outcome, error) {
+	if err := q.check(); err != nil {
+		return Outcome{RequestID: q.ID}, err
+	}
 	if problems := kqdocument.Validate(q.Document); len(problems) > 0 {
 		return Outcome{RequestID: q.ID, Problems: problems}, fmt.Errorf("commit %s: %w", q.ID, ErrInvalid)
 	}
-	current, revision, err := c.Root(ctx)
+	content, objects, err := kqresource.Split(q.Document)
 	if err != nil {
-		return Outcome{}, fmt.Errorf("commit %s: %w", q.ID, err)
-	}
-	if current.RequestID == q.ID {
-		return Outcome{Status: Committed, RequestID: q.ID, Version: current.Version}, nil
-	}
-	if current.Version != q.Base {
-		return Outcome{Status: Conflict, RequestID: q.ID, Version: current.Version}, nil
+		return Outcome{RequestID: q.ID}, fmt.Errorf("commit %s: %w", q.ID, err)
 	}
-	root, objects, err := kqresource.Split(q.Document)
-	if err != nil {
-		return Outcome{}, fmt.Errorf("commit %s: %w", q.ID, err)
+	var o Outcome
+	for range commitTries {
+		o, err = c.try(ctx, &attempt{request: q, content: content, objects: objects})
+		if !errors.Is(err, errRenewed) {
+			break
+		}
 	}
-	root.Version = current.Version + 1
-	root.RequestID, root.Author, root.Reason, root.At = q.ID, q.Author, q.Reason, q.At.UTC()
-	data, err := kqresource.Encode(root)
 	if err != nil {
-		return Outcome{}, fmt.Errorf("commit %s: %w", q.ID, err)
-	}
-	if err := c.write(ctx, current, objects); err != nil {
-		return Outcome{}, fmt.Errorf("commit %s: %w", q.ID, err)
-	}
-	_, err = c.store.Swap(ctx, RootKey, revision, data, kqstore.NoLease)
-	if err == nil {
-		return Outcome{Status: Committed, RequestID: q.ID, Version: root.Version}, nil
+		return Outcome{RequestID: q.ID}, fmt.Errorf("commit %s: %w", q.ID, err)
 	}
-	return c.Settle(ctx, q.ID, root.Version)
+	return o, nil
 }
 
-// Settle finds out whether a commit whose answer was lost took effect, by the
-// request id in the root that is in force.
-func (c *Committer) Settle(ctx context.Context, id string, version kqname.ConfigVersion) (Outcome, error) {
-	current, _, err := c.Root(ctx)
+func (q Request) check() error {
 	switch {
-	case err != nil:
-		return Outcome{Status: Unknown, RequestID: id, Version: version}, nil //nolint:nilerr // Unknown is the answer.
-	case current.RequestID == id:
-		return Outcome{Status: Committed, RequestID: id, Version: current.Version}, nil
+	case !kqname.Valid(q.ID):
+		return fmt.Errorf("id %q is not a plain name: %w", q.ID, ErrRequest)
+	case len(q.Author) > maxText || len(q.Reason) > maxText:
+		return fmt.Errorf("author or reason is over %d bytes: %w", maxText, ErrRequest)
 	default:
-		return Outcome{Status: Conflict, RequestID: id, Version: current.Version}, nil
+		return nil
 	}
 }
 
-// Root returns the root in force and its revision; before the first commit it
-// is the empty root at kqstore.Absent.
-func (c *Committer) Root(ctx context.Context) (kqresource.Root, kqstore.Revision, error) {
-	var root kqresource.Root
-	e, err := c.store.Get(ctx, RootKey)
-	if errors.Is(err, kqstore.ErrNotFound) {
-		return root, kqstore.Absent, nil
-	}
+func (c *Committer) try(ctx context.Context, a *attempt) (Outcome, error) {
+	content, err := contentDigest(a.content)
 	if err != nil {
-		return root, 0, fmt.Errorf("read root: %w", err)
+		return Outcome{}, err
 	}
-	if err := kqresource.Decode(e.Value, &root); err != nil {
-		return root, 0, fmt.Errorf("read root: %w", err)
+	known, found, err := c.begun(ctx, a.request.ID, content)
+	if err != nil {
+		return Outcome{}, err
 	}
-	return root, e.Revision, nil
-}
-
-// Document returns the document in force and its version.
-func (c *Committer) Document(ctx context.Context) (kqdocument.Document, kqresource.Root, error) {
-	root, _, err := c.Root(ctx)
-	if err != nil || root.Version == 0 {
-		return kqdocument.Document{}, root, err
+	if found != 0 {
+		return a.committed(found), nil
 	}
-	objects, err := c.Fetch(ctx, root.Digests())
+	a.base, a.revision, err = c.Root(ctx)
 	if err != nil {
-		return kqdocument.Document{}, root, fmt.Errorf("read document %d: %w", root.Version, err)
+		return Outcome{}, err
 	}
-	d, err := kqresource.Join(root, objects)
-	if err != nil {
-		return kqdocument.Document{}, root, fmt.Errorf("read document %d: %w", root.Version, err)
+	if a.base.Version != a.request.Base {
+		return c.conflict(ctx, a), nil
 	}
-	return d, root, nil
-}
-
-// Fetch reads objects from the platform's service.
-func (c *Committer) Fetch(ctx context.Context, wanted []kqresource.Digest) (kqresource.Objects, error) {
-	objects := make(kqresource.Objects, len(wanted))
-	for _, d := range wanted {
-		e, err := c.store.Get(ctx, ObjectKey(d))
-		if err != nil {
-			return nil, fmt.Errorf("fetch object: %w", err)
-		}
-		objects[d] = e.Value
+	a.intent = known.extended(a.request, content, a.objects)
+	if err := c.register(ctx, a.intent); err != nil {
+		return Outcome{}, err
+	}
+	if err := c.write(ctx, a.base, a.objects); err != nil {
+		return Outcome{}, err
 	}
-	return objects, nil
+	return c.swap(ctx, a)
 }
 
 // write puts the objects that the current root does not name, and the current
@@ -185,23 +189,38 @@
 	for _, d := range current.Digests() {
 		held[d] = true
 	}
-	for d, data := range objects {
+	for _, d := range objects.Digests() {
 		if held[d] {
 			continue
 		}
-		if _, err := c.store.Put(ctx, ObjectKey(d), data, kqstore.NoLease); err != nil {
+		if _, err := c.store.Put(ctx, ObjectKey(d), objects[d], kqstore.NoLease); err != nil {
 			return fmt.Errorf("write object %s: %w", d, err)
 		}
 	}
 	if current.Version == 0 {
 		return nil
 	}
-	data, err := kqresource.Encode(current)
+	return c.remember(ctx, current)
+}
+
+func (a *attempt) committed(v kqname.ConfigVersion) Outcome {
+	return Outcome{Status: Committed, RequestID: a.request.ID, Version: v}
+}
+
+// conflict tells what changed since the operator's base, or, where the base
+// cannot be read any more, what the operator's document would have changed.
+func (c *Committer) conflict(ctx context.Context, a *attempt) Outcome {
+	o := Outcome{Status: Conflict, RequestID: a.request.ID, Version: a.base.Version}
+	current, root, err := c.Document(ctx)
 	if err != nil {
-		return fmt.Errorf("write history: %w", err)
+		return o
 	}
-	if _, err := c.store.Put(ctx, HistoryKey(current.Version), data, kqstore.NoLease); err != nil {
-		return fmt.Errorf("write history: %w", err)
+	o.Version = root.Version
+	base, err := c.DocumentAt(ctx, a.request.Base)
+	if err != nil {
+		o.Difference = kqdocument.Diff(current, kqresource.Sorted(a.request.Document))
+		return o
 	}
-	return nil
+	o.Difference = kqdocument.Diff(base, current)
+	return o
 }
--- /dev/null
+++ b/internal/config/kqcommit/race_test.go
@@ -0,0 +1,143 @@
+package kqcommit_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
+	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20260102", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// taking lets one participant make a single call each time it is its turn.
+type taking struct {
+	*kqstandin.Standin
+	turn, done chan struct{}
+	lose       *bool
+}
+
+func (p *taking) take() func() {
+	<-p.turn
+	if *p.lose {
+		p.SetFaults(kqstandin.Faults{LoseAnswers: 1})
+	}
+	return func() {
+		p.SetFaults(kqstandin.Faults{})
+		p.done <- struct{}{}
+	}
+}
+
+func (p *taking) Get(ctx context.Context, key string) (kqstore.Entry, error) {
+	defer p.take()()
+	return p.Standin.Get(ctx, key)
+}
+
+func (p *taking) Put(ctx context.Context, key string, v []byte, l kqstore.Lease) (kqstore.Revision, error) {
+	defer p.take()()
+	return p.Standin.Put(ctx, key, v, l)
+}
+
+func (p *taking) Swap(ctx context.Context, key string, e kqstore.Revision, v []byte, l kqstore.Lease) (kqstore.Revision, error) {
+	defer p.take()()
+	return p.Standin.Swap(ctx, key, e, v, l)
+}
+
+func (p *taking) Delete(ctx context.Context, key string, e kqstore.Revision) error {
+	defer p.take()()
+	return p.Standin.Delete(ctx, key, e)
+}
+
+// Two operators commit over one version, their calls in any order, answers lost
+// here and there, and a collector runs between them whose age is so short that
+// an operator who pauses counts as gone. Each operator hears the truth, each
+// change is in force at most once, and every version can be read whole.
+func TestRacingOperatorsAndCollector(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		platform := kqstandin.New()
+		ctx := context.Background()
+		seed := committer(platform)
+		for v, d := range [][]string{{"store", "attic"}, {"store"}} {
+			if _, err := seed.Commit(ctx, request(fmt.Sprintf("seed-%d", v), kqname.ConfigVersion(v), document(d...))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		lose := false
+		outcomes := make([]kqcommit.Outcome, 2)
+		errs := make([]error, 2)
+		store := func() *taking {
+			return &taking{Standin: platform, turn: make(chan struct{}), done: make(chan struct{}), lose: &lose}
+		}
+		players := []*taking{store(), store(), store()}
+		ended := []chan struct{}{make(chan struct{}), make(chan struct{}), make(chan struct{})}
+		for i, d := range [][]string{{"store", "attic"}, {"store", "attic", "yard"}} {
+			go func() {
+				defer close(ended[i])
+				outcomes[i], errs[i] = committer(players[i]).Commit(ctx, request(fmt.Sprintf("op-%d", i), 2, document(d...)))
+			}()
+		}
+		go func() {
+			defer close(ended[2])
+			// The error says that it came between; it is then simply called again.
+			for range 2 {
+				_, _ = committer(players[2]).Collect(ctx, players[2], start.Add(time.Hour*24))
+			}
+		}()
+		running := []int{0, 1, 2}
+		for len(running) > 0 {
+			at := rapid.IntRange(0, len(running)-1).Draw(t, "turn")
+			lose = rapid.IntRange(0, 9).Draw(t, "lose") == 0
+			select {
+			case players[running[at]].turn <- struct{}{}:
+				<-players[running[at]].done
+			case <-ended[running[at]]:
+				running = append(running[:at:at], running[at+1:]...)
+			}
+		}
+		check(t, platform, outcomes, errs)
+	})
+}
+
+func check(t *rapid.T, platform *kqstandin.Standin, outcomes []kqcommit.Outcome, errs []error) {
+	ctx := context.Background()
+	if _, root, err := committer(platform).Document(ctx); err != nil {
+		t.Fatalf("version %d in force cannot be read: %v", root.Version, err)
+	}
+	history, err := committer(platform).History(ctx, 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	times := make(map[string]int)
+	for _, p := range history {
+		times[p.Root.RequestID]++
+	}
+	for i, o := range outcomes {
+		n := times[fmt.Sprintf("op-%d", i)]
+		wrong := n > 1 || errs[i] != nil && n != 0
+		wrong = wrong || errs[i] == nil && o.Status == kqcommit.Committed && n != 1
+		wrong = wrong || errs[i] == nil && o.Status == kqcommit.Conflict && n != 0
+		if wrong {
+			t.Fatalf("operator %d heard %+v, %v; in force %d times", i, o, errs[i], n)
+		}
+		if errs[i] != nil && !errors.Is(errs[i], kqstore.ErrUnavailable) && !errors.Is(errs[i], kqstore.ErrConflict) {
+			t.Fatalf("operator %d: %v", i, errs[i])
+		}
+	}
+}
--- a/internal/config/kqresource/resource.go
+++ b/internal/config/kqresource/resource.go
@@ -1,10 +1,13 @@
 package kqresource
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -71,6 +74,9 @@
 // String returns the digest in lower-case hex.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
 
+// Compare orders digests by their bytes.
+func (d Digest) Compare(other Digest) int { return bytes.Compare(d[:], other[:]) }
+
 // IsZero reports whether the digest names nothing.
 func (d Digest) IsZero() bool { return d == Digest{} }
 
@@ -121,6 +127,9 @@
 	return d, nil
 }
 
+// Digests returns the objects' digests in their order.
+func (o Objects) Digests() []Digest { return slices.SortedFunc(maps.Keys(o), Digest.Compare) }
+
 func mustEncoder() cbor.EncMode {
 	options := cbor.CoreDetEncOptions()
 	options.Time = cbor.TimeRFC3339Nano
--- a/internal/config/kqresource/split.go
+++ b/internal/config/kqresource/split.go
@@ -85,7 +85,7 @@
 	for _, d := range r.Services {
 		seen[d] = true
 	}
-	return slices.SortedFunc(maps.Keys(seen), func(a, b Digest) int { return slices.Compare(a[:], b[:]) })
+	return slices.SortedFunc(maps.Keys(seen), Digest.Compare)
 }
 
 // Sorted returns the document with its items in the order of their names and
