Prove every node by certificate, and reload certificates without a restart

Cause: whoever reached a control or gate port was obeyed; nothing told the fleet's own nodes from others. Conclusion: proof by the chain and the node's name in a URI, checked on both ends; checking host names was ruled out, since nodes find each other by address; TLS by the library's own client was ruled out, since it shakes hands at the first write and a refused handshake would look like a call that may have run.

--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -68,6 +68,7 @@
 		counter   Counter
 		picker    *kqpick.Picker
 		now       func() time.Time
+		dial      fasthttp.DialFunc
 
 		mu      sync.Mutex
 		clients map[kqname.Address]*fasthttp.HostClient
@@ -97,6 +98,10 @@
 // WithCounter counts ends and retries.
 func WithCounter(c Counter) Option { return func(e *Entry) { e.counter = c } }
 
+// WithDialer replaces plain TCP to other nodes' gates. Its errors must come
+// before a byte of a call is sent, and be net.OpErrors of "dial".
+func WithDialer(dial fasthttp.DialFunc) Option { return func(e *Entry) { e.dial = dial } }
+
 // New returns an entry of the node self.
 func New(self kqname.Node, config Configuration, directory Directory, local Local, options ...Option) *Entry {
 	e := &Entry{
@@ -212,7 +217,7 @@
 	client, ok := e.clients[to]
 	if !ok {
 		client = &fasthttp.HostClient{
-			Addr: string(to), MaxConns: maxConnections, MaxIdleConnDuration: idleConnection,
+			Addr: string(to), Dial: e.dial, MaxConns: maxConnections, MaxIdleConnDuration: idleConnection,
 			MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			NoDefaultUserAgentHeader: true,
 		}
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -85,8 +85,11 @@
 	return g
 }
 
-// Serve answers calls that other nodes send to this one's gate.
+// Serve answers calls that other nodes send to this one's gate. The upstream
+// beside it is spoken to in plain HTTP: with the scheme of a connection under
+// TLS the client would refuse to send, and each call would end as cut.
 func (g *Gate) Serve(ctx *fasthttp.RequestCtx) {
+	ctx.Request.URI().SetScheme("http")
 	c, err := kqcall.Read(&ctx.Request, &ctx.Response, g.now())
 	if err != nil {
 		c = &kqcall.Call{Request: &ctx.Request, Response: &ctx.Response}
--- a/internal/peer/kqpeer/client.go
+++ b/internal/peer/kqpeer/client.go
@@ -20,6 +20,7 @@
 		self  kqname.Node
 		meter Meter
 		dial  Dialer
+		guard ClientGuard
 
 		mu    sync.Mutex
 		links map[kqname.Address]*link
@@ -28,6 +29,9 @@
 	// Dialer opens a connection to a peer.
 	Dialer func(ctx context.Context, to kqname.Address) (net.Conn, error)
 
+	// ClientGuard secures a connection to a peer before anything is sent on it.
+	ClientGuard func(ctx context.Context, conn net.Conn) (net.Conn, error)
+
 	// ClientOption sets up a Client.
 	ClientOption func(*Client)
 
@@ -41,6 +45,9 @@
 // WithDialer replaces plain TCP.
 func WithDialer(d Dialer) ClientOption { return func(c *Client) { c.dial = d } }
 
+// WithClientGuard sends requests only on connections that g accepts.
+func WithClientGuard(g ClientGuard) ClientOption { return func(c *Client) { c.guard = g } }
+
 // NewClient returns a client that speaks as self; meter may be nil.
 func NewClient(self kqname.Node, meter Meter, options ...ClientOption) *Client {
 	c := &Client{self: self, meter: meter, links: make(map[kqname.Address]*link), dial: dialTCP}
@@ -117,7 +124,14 @@
 	if err != nil {
 		return err
 	}
-	l.conn = drpcconn.NewWithOptions(meteredConn{Conn: raw, meter: c.meter}, drpcconn.Options{Manager: managerOptions()})
+	var secured net.Conn = meteredConn{Conn: raw, meter: c.meter}
+	if c.guard != nil {
+		if secured, err = c.guard(ctx, secured); err != nil {
+			_ = raw.Close()
+			return err
+		}
+	}
+	l.conn = drpcconn.NewWithOptions(secured, drpcconn.Options{Manager: managerOptions()})
 	return nil
 }
 
--- a/internal/peer/kqpeer/meter.go
+++ b/internal/peer/kqpeer/meter.go
@@ -1,29 +1,10 @@
 package kqpeer
 
-import (
-	"fmt"
-	"net"
-)
+import "net"
 
-type (
-	meteredListener struct {
-		net.Listener
-		meter Meter
-	}
-
-	meteredConn struct {
-		net.Conn
-		meter Meter
-	}
-)
-
-// Accept implements net.Listener.
-func (l meteredListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, fmt.Errorf("accept peer: %w", err)
-	}
-	return meteredConn{Conn: conn, meter: l.meter}, nil
+type meteredConn struct {
+	net.Conn
+	meter Meter
 }
 
 // Read implements net.Conn. Its errors stay bare, as readers compare them.
--- a/internal/peer/kqpeer/server.go
+++ b/internal/peer/kqpeer/server.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
@@ -20,6 +22,16 @@
 	ErrFrame = errors.New("message is too large")
 	// ErrMethod tells that the peer does not know the method.
 	ErrMethod = errors.New("unknown method")
+	// ErrSender tells that a request names another sender than its
+	// connection's certificate does.
+	ErrSender = errors.New("sender is not the certificate's node")
+)
+
+const (
+	// guardTimeout bounds what a peer may take to prove who it is.
+	guardTimeout = 5 * time.Second
+	// acceptPause keeps a server that cannot accept from spinning.
+	acceptPause = 100 * time.Millisecond
 )
 
 type (
@@ -28,8 +40,18 @@
 		mu      sync.RWMutex
 		methods map[string]method
 		meter   Meter
+		guard   Guard
 	}
 
+	// Guard secures an accepted connection and returns the node that the
+	// other end has proved to be; the error closes the connection.
+	Guard func(ctx context.Context, conn net.Conn) (net.Conn, kqname.Node, error)
+
+	// ServerOption sets up a Server.
+	ServerOption func(*Server)
+
+	senderKey struct{}
+
 	// Meter is told how many bytes control traffic puts on the wire.
 	Meter interface {
 		Sent(bytes int)
@@ -44,9 +66,16 @@
 	method func(stream drpc.Stream) error
 )
 
+// WithGuard lets only those connections in that g accepts.
+func WithGuard(g Guard) ServerOption { return func(s *Server) { s.guard = g } }
+
 // NewServer returns a server without methods; meter may be nil.
-func NewServer(meter Meter) *Server {
-	return &Server{methods: make(map[string]method), meter: meter}
+func NewServer(meter Meter, options ...ServerOption) *Server {
+	s := &Server{methods: make(map[string]method), meter: meter}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
 // Handle answers a method's requests with f. Requests and answers travel as
@@ -59,6 +88,9 @@
 		if err := stream.MsgRecv(&q, codec{}); err != nil {
 			return fmt.Errorf("receive %s: %w", name, err)
 		}
+		if proved, ok := stream.Context().Value(senderKey{}).(kqname.Node); ok && proved != q.From {
+			return fmt.Errorf("%s from %q, proved %q: %w", name, q.From, proved, ErrSender)
+		}
 		a, err := f(stream.Context(), q.From, q.Body)
 		if err != nil {
 			return fmt.Errorf("answer %s: %w", name, err)
@@ -84,10 +116,51 @@
 // Serve answers peers on the listener until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	server := drpcserver.NewWithOptions(s, drpcserver.Options{Manager: managerOptions()})
-	if err := server.Serve(ctx, meteredListener{Listener: l, meter: s.meter}); err != nil && ctx.Err() == nil {
-		return fmt.Errorf("serve peers on %s: %w", l.Addr(), err)
+	tracker := drpcctx.NewTracker(ctx)
+	defer tracker.Wait()
+	defer tracker.Cancel()
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case isTemporary(err):
+			time.Sleep(acceptPause)
+			continue
+		case err != nil:
+			return fmt.Errorf("serve peers on %s: %w", l.Addr(), err)
+		}
+		tracker.Run(func(ctx context.Context) { s.serveOne(ctx, server, conn) })
+	}
+}
+
+// serveOne answers one peer. What it sends before it has proved who it is
+// reaches no method.
+func (s *Server) serveOne(ctx context.Context, server *drpcserver.Server, conn net.Conn) {
+	var secured net.Conn = meteredConn{Conn: conn, meter: s.meter}
+	if s.guard != nil {
+		limited, cancel := context.WithTimeout(ctx, guardTimeout)
+		guarded, sender, err := s.guard(limited, secured)
+		cancel()
+		if err != nil {
+			_ = conn.Close()
+			return
+		}
+		secured = guarded
+		ctx = context.WithValue(ctx, senderKey{}, sender)
 	}
-	return nil
+	// The error tells only that the peer has gone; its requests have ended.
+	_ = server.ServeOne(ctx, secured)
+}
+
+// isTemporary reports whether accepting may succeed later: a node that stopped
+// listening because it was out of file descriptors for a moment would stay out
+// of the fleet for good.
+func isTemporary(err error) bool {
+	var t interface{ Temporary() bool }
+	return errors.As(err, &t) && t.Temporary()
 }
 
 func managerOptions() drpcmanager.Options {
--- /dev/null
+++ b/internal/run/kqmetric/security.go
@@ -0,0 +1,56 @@
+package kqmetric
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Security counts what the node's certificate and tokens turned away.
+type Security struct {
+	peerRefused  prometheus.Counter
+	reloadFailed *prometheus.CounterVec
+	adminRefused *prometheus.CounterVec
+	adminDone    *prometheus.CounterVec
+}
+
+// NewSecurity registers the counters; expires returns when the certificate in
+// use lapses, or the zero time where there is none.
+func NewSecurity(registry *prometheus.Registry, expires func() time.Time) *Security {
+	s := &Security{
+		peerRefused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "kumquatgw_peer_refused_total", Help: "Connections refused for a certificate that is not of this fleet.",
+		}),
+		reloadFailed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatgw_reload_failures_total", Help: "Files that changed and could not be taken in, by what they hold.",
+		}, []string{"what"}),
+		adminRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatgw_admin_refused_total", Help: "Operators' requests refused, by reason.",
+		}, []string{"reason"}),
+		adminDone: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatgw_admin_changes_total", Help: "Operators' changes committed, by the way they came.",
+		}, []string{"way"}),
+	}
+	registry.MustRegister(s.peerRefused, s.reloadFailed, s.adminRefused, s.adminDone,
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "kumquatgw_certificate_expiry_timestamp_seconds", Help: "When the certificate in use lapses, in seconds since 1970; 0 without TLS.",
+		}, func() float64 {
+			if at := expires(); !at.IsZero() {
+				return float64(at.Unix())
+			}
+			return 0
+		}))
+	return s
+}
+
+// PeerRefused counts a connection whose certificate was refused.
+func (s *Security) PeerRefused() { s.peerRefused.Inc() }
+
+// ReloadFailed counts a changed file that could not be taken in.
+func (s *Security) ReloadFailed(what string) { s.reloadFailed.WithLabelValues(what).Inc() }
+
+// AdminRefused counts an operator's request that was refused.
+func (s *Security) AdminRefused(reason string) { s.adminRefused.WithLabelValues(reason).Inc() }
+
+// AdminDone counts a committed change.
+func (s *Security) AdminDone(way string) { s.adminDone.WithLabelValues(way).Inc() }
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
@@ -25,9 +26,18 @@
 	serverIdle = time.Minute
 )
 
-type callServers struct {
-	entry, local, gate *fasthttp.Server
-}
+type (
+	callServers struct {
+		entry, local, gate *fasthttp.Server
+	}
+
+	// quiet logs the library's remarks on broken connections, which anybody
+	// can cause at any rate, at the lowest level.
+	quiet struct{ log *logrus.Entry }
+)
+
+// Printf implements fasthttp.Logger.
+func (q quiet) Printf(format string, args ...any) { q.log.Debugf(format, args...) }
 
 // joinCalls joins the call flow: match, admit, pick, send, judge and answer.
 func (n *Node) joinCalls() {
@@ -35,7 +45,8 @@
 		n.table.Update(func(m *kqmember.Member) { m.Upstreams = list })
 	})
 	n.gate = kqgate.New(n.local)
-	n.entry = kqentry.New(n.settings.Node.Name, n.replica, n.table, n.gate, kqentry.WithCounter(n.metrics))
+	n.entry = kqentry.New(n.settings.Node.Name, n.replica, n.table, n.gate,
+		append(n.entryTLSOptions(), kqentry.WithCounter(n.metrics))...)
 	n.servers = callServers{
 		entry: n.server(n.entry.ServeOutside),
 		local: n.server(n.serveLocal),
@@ -47,6 +58,7 @@
 	return &fasthttp.Server{
 		Handler: handler, Name: "kumquatgw", ReadTimeout: readTimeout, IdleTimeout: serverIdle,
 		MaxRequestBodySize: n.settings.Call.MaxBody, NoDefaultServerHeader: true, CloseOnShutdown: true,
+		Logger: quiet{n.logger.Part("call")},
 	}
 }
 
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -26,6 +26,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqmetric"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
+	"github.com/kumquatgw/kumquatgw/internal/security/kqidentity"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -57,6 +58,8 @@
 		entry     *kqentry.Entry
 		servers   callServers
 		admin     *kqadmin.Admin
+		identity  *kqidentity.Identity
+		security  *kqmetric.Security
 		leaving   atomic.Bool
 		started   time.Time
 	}
@@ -83,6 +86,10 @@
 		n.listeners.close()
 		return nil, fmt.Errorf("start node %s: %w", settings.Node.Name, err)
 	}
+	if err := n.joinTLS(); err != nil {
+		n.listeners.close()
+		return nil, fmt.Errorf("start node %s: %w", settings.Node.Name, err)
+	}
 	n.table = kqmember.NewTable(kqmember.Member{
 		Node: settings.Node.Name, Domain: settings.Node.Domain, Region: settings.Node.Region,
 		Control: advertised(settings.Node.ControlAddress, n.listeners.control),
@@ -91,8 +98,8 @@
 		// and it keeps nothing: its start time does.
 		Incarnation: uint64(n.started.UnixMilli()),
 	})
-	n.peers = kqpeer.NewServer(n.metrics)
-	n.client = kqpeer.NewClient(settings.Node.Name, n.metrics)
+	n.peers = kqpeer.NewServer(n.metrics, n.peerServerOptions()...)
+	n.client = kqpeer.NewClient(settings.Node.Name, n.metrics, n.peerClientOptions()...)
 	n.joinConfig()
 	n.joinCalls()
 	n.joinAdmin()
@@ -109,6 +116,7 @@
 	group.Go(func() { n.watcher.Run(background) })
 	group.Go(func() { n.exchange.Run(background) })
 	group.Go(func() { n.sweep(background) })
+	group.Go(func() { n.runTLS(background) })
 	failed := make(chan error, 8)
 	serve := func(f func() error) {
 		group.Go(func() {
@@ -167,6 +175,9 @@
 // LocalAddress returns where the local upstream connects.
 func (n *Node) LocalAddress() kqname.Address { return address(n.listeners.local) }
 
+// GateAddress returns where other nodes send calls.
+func (n *Node) GateAddress() kqname.Address { return address(n.listeners.gate) }
+
 // ControlAddress returns where peers connect.
 func (n *Node) ControlAddress() kqname.Address { return address(n.listeners.control) }
 
--- /dev/null
+++ b/internal/run/kqnode/tls.go
@@ -0,0 +1,77 @@
+package kqnode
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqmetric"
+	"github.com/kumquatgw/kumquatgw/internal/security/kqidentity"
+	"github.com/kumquatgw/kumquatgw/internal/security/kqreload"
+)
+
+// joinTLS loads the node's identity, where the settings name one, and puts the
+// gate's and the admin server's listeners behind it.
+func (n *Node) joinTLS() error {
+	n.security = kqmetric.NewSecurity(n.metrics.Registry(), n.certificateExpires)
+	if !n.settings.TLS.On() {
+		return nil
+	}
+	log := n.logger.Part("tls")
+	files := kqidentity.Files{CA: n.settings.TLS.CA, Certificate: n.settings.TLS.Certificate, Key: n.settings.TLS.Key}
+	identity, err := kqidentity.New(n.settings.Node.Name, files,
+		kqidentity.WithRefused(func(err error) {
+			n.security.PeerRefused()
+			log.WithError(err).Warn("Refused a peer's certificate.")
+		}),
+		kqidentity.WithReload(kqreload.WithEvery(n.settings.TLS.ReloadEvery), kqreload.WithFailed(func(err error) {
+			n.security.ReloadFailed("certificate")
+			log.WithError(err).Warn("Kept the certificate in use: its files cannot be taken in.")
+		})))
+	if err != nil {
+		return fmt.Errorf("join tls: %w", err)
+	}
+	n.identity = identity
+	n.listeners.gate = tls.NewListener(n.listeners.gate, identity.Mutual())
+	if n.listeners.admin != nil {
+		n.listeners.admin = tls.NewListener(n.listeners.admin, identity.Public())
+	}
+	return nil
+}
+
+func (n *Node) peerServerOptions() []kqpeer.ServerOption {
+	if n.identity == nil {
+		return nil
+	}
+	return []kqpeer.ServerOption{kqpeer.WithGuard(n.identity.Accept)}
+}
+
+func (n *Node) peerClientOptions() []kqpeer.ClientOption {
+	if n.identity == nil {
+		return nil
+	}
+	return []kqpeer.ClientOption{kqpeer.WithClientGuard(n.identity.Connect)}
+}
+
+func (n *Node) entryTLSOptions() []kqentry.Option {
+	if n.identity == nil {
+		return nil
+	}
+	return []kqentry.Option{kqentry.WithDialer(n.identity.Dial)}
+}
+
+func (n *Node) runTLS(ctx context.Context) {
+	if n.identity != nil {
+		n.identity.Run(ctx)
+	}
+}
+
+func (n *Node) certificateExpires() time.Time {
+	if n.identity == nil {
+		return time.Time{}
+	}
+	return n.identity.Expires()
+}
--- a/internal/run/kqsettings/read.go
+++ b/internal/run/kqsettings/read.go
@@ -129,6 +129,9 @@
 	if s.Member.UpstreamTTL < 2*s.Member.Heartbeat {
 		r.fault("member", "upstream_ttl", "must be at least twice heartbeat, or upstreams come and go")
 	}
+	if n := s.TLS.set(); n != 0 && n != tlsFiles {
+		r.fault("tls", "certificate", "ca, certificate and key go together")
+	}
 	used := make(map[string]string)
 	for _, a := range []struct{ section, key, address string }{
 		{"node", "entry_listen", string(s.Node.EntryListen)},
@@ -145,6 +148,9 @@
 			r.fault(a.section, a.key, "%q is not an address like 10.0.0.1:8080", a.address)
 			continue
 		}
+		if !s.TLS.On() && tlsGuarded[a.key] && !net.ParseIP(host).IsLoopback() {
+			r.fault(a.section, a.key, "%q is not a loopback address, so [tls] must be set", a.address)
+		}
 		if a.key == "local_listen" && !net.ParseIP(host).IsLoopback() {
 			r.fault(a.section, a.key, "%q is not a loopback address, so anybody could announce upstreams", a.address)
 		}
--- a/internal/run/kqsettings/settings.go
+++ b/internal/run/kqsettings/settings.go
@@ -17,6 +17,7 @@
 		Config   Config   `section:"config"`
 		Call     Call     `section:"call"`
 		Admin    Admin    `section:"admin"`
+		TLS      TLS      `section:"tls"`
 		Log      Log      `section:"log"`
 	}
 
@@ -62,6 +63,16 @@
 	// Admin tells where operators connect.
 	Admin struct {
 		Listen kqname.Address `key:"listen" doc:"Where the console, the API and the metrics are served; empty switches them off."`
+		Tokens string         `key:"tokens" doc:"File of operators' hashed tokens, one a line as kumquatgw keys token prints them; read again when it changes. Empty lets nobody use the console and the API."`
+	}
+
+	// TLS tells how the node proves who it is. All empty switches TLS off,
+	// which is allowed on loopback addresses only.
+	TLS struct {
+		CA          string        `key:"ca" doc:"PEM file with the certificate of the fleet's CA; read again when it changes."`
+		Certificate string        `key:"certificate" doc:"PEM file with this node's certificate, which names it; read again when it changes."`
+		Key         string        `key:"key" doc:"PEM file with the certificate's private key; read again when it changes."`
+		ReloadEvery time.Duration `key:"reload_every" default:"2s" min:"10ms" max:"10m" doc:"Time between two looks at the files of [tls] and at the tokens."`
 	}
 
 	// Log tells how the node logs.
