Move traffic between upstream versions on evidence

Cause: a rollout stood in the document and nothing carried it out. Change: gates count evidence per version and route, every node weighs it by betting tests and rolls back on its own, one leased owner steps along the schedule, and one compare-and-swap on the platform settles the final state; nodes, admin API, log and "rollout status" tell it. Ruled out: a control tier, and steps that wait for the platform.

--- a/internal/admin/kqadmin/admin.go
+++ b/internal/admin/kqadmin/admin.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqboard"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -21,6 +22,7 @@
 		Ready() bool
 		Version() kqname.ConfigVersion
 		Members() []kqmember.Member
+		Rollouts() []kqboard.Status
 	}
 
 	// Admin is the admin server.
@@ -39,6 +41,7 @@
 		}
 		return c.SendString("ready\n")
 	})
+	app.Get("/v1/rollouts", func(c *fiber.Ctx) error { return c.JSON(node.Rollouts()) })
 	app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})))
 	return &Admin{app: app}
 }
--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -29,6 +29,8 @@
 	QueueFull Reason = "queue_full"
 	// Late tells that the call's deadline passed, or would pass, before it began.
 	Late Reason = "late"
+	// RolledBack tells that the upstream's version was taken back.
+	RolledBack Reason = "rolled_back"
 	// Draining tells that the upstream takes no new work.
 	Draining Reason = "draining"
 	// Shed tells that the upstream refused with 503 and its service's
--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -156,6 +156,11 @@
 	last := kqcall.Refuse(kqcall.NoUpstream)
 	for range maxTries {
 		to, ok := e.pick(c, target, tried)
+		if !ok && target.Fallback != "" {
+			target = target.Next()
+			c.Version = target.Version
+			to, ok = e.pick(c, target, tried)
+		}
 		if !ok {
 			return last
 		}
@@ -165,6 +170,8 @@
 			return last
 		}
 		e.counter.Retried(last.Reason)
+		target = target.Next()
+		c.Version = target.Version
 	}
 	return last
 }
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -34,6 +34,11 @@
 		Observe(o Observation)
 	}
 
+	// Guard says which upstream versions get no calls.
+	Guard interface {
+		Refuses(service kqname.Service, version kqname.UpstreamVersion) bool
+	}
+
 	// Observation is one call as its gate saw it.
 	Observation struct {
 		Service kqname.Service
@@ -52,6 +57,7 @@
 	Gate struct {
 		local    Finder
 		observer Observer
+		guard    Guard
 		now      func() time.Time
 
 		mu        sync.Mutex
@@ -73,12 +79,18 @@
 // Observe implements Observer.
 func (nobody) Observe(Observation) {}
 
+// Refuses implements Guard.
+func (nobody) Refuses(kqname.Service, kqname.UpstreamVersion) bool { return false }
+
+// WithGuard refuses calls to the versions that guard names.
+func WithGuard(guard Guard) Option { return func(g *Gate) { g.guard = guard } }
+
 // WithObserver tells o of each call.
 func WithObserver(o Observer) Option { return func(g *Gate) { g.observer = o } }
 
 // New returns a gate to the upstreams that local finds.
 func New(local Finder, options ...Option) *Gate {
-	g := &Gate{local: local, observer: nobody{}, now: time.Now, upstreams: make(map[kqname.Address]*upstream)}
+	g := &Gate{local: local, observer: nobody{}, guard: nobody{}, now: time.Now, upstreams: make(map[kqname.Address]*upstream)}
 	for _, o := range options {
 		o(g)
 	}
@@ -110,6 +122,9 @@
 	if a.Draining {
 		return kqcall.Refuse(kqcall.Draining)
 	}
+	if g.guard.Refuses(c.Service, a.Version) {
+		return kqcall.Refuse(kqcall.RolledBack)
+	}
 	u := g.upstream(a)
 	if o := g.admit(u, c); o.Result != kqcall.Answered {
 		return o
--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -18,6 +18,9 @@
 		Version kqname.UpstreamVersion
 		// Nodes limits the choice to these nodes' upstreams; nil accepts all.
 		Nodes map[kqname.Node]bool
+		// Fallback is the version to turn to once the target has refused a
+		// call or has nobody to take it; empty leaves no other.
+		Fallback kqname.UpstreamVersion
 	}
 )
 
@@ -39,6 +42,14 @@
 	return fit[random.IntN(len(fit))], true
 }
 
+// Next returns the target for a call that this one did not take.
+func (t Target) Next() Target {
+	if t.Fallback == "" {
+		return t
+	}
+	return Target{Version: t.Fallback}
+}
+
 func (t Target) allows(c kqmember.Candidate) bool {
 	return (t.Version == "" || c.Version == t.Version) && (t.Nodes == nil || t.Nodes[c.Node])
 }
--- /dev/null
+++ b/internal/rollout/kqboard/board.go
@@ -0,0 +1,179 @@
+// Package kqboard holds what one node knows of the rollouts in its
+// configuration, and applies it to calls: which version each may go to, and
+// which the gate still lets in. Any node that sees a version fail stops sending
+// to it at once, whoever owns the rollout and whether or not the platform
+// answers.
+package kqboard
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqledger"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqplan"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqprogress"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqstep"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const removed = "an operator removed or replaced the plan"
+
+type (
+	// Directory gives the upstreams of a service that take new work.
+	Directory interface {
+		Upstreams(service kqname.Service) []kqmember.Candidate
+	}
+
+	// Board is one node's view of the rollouts. It is safe for concurrent use.
+	Board struct {
+		self      kqledger.Source
+		directory Directory
+
+		mu       sync.RWMutex
+		entries  map[kqplan.ID]*entry
+		services map[kqname.Service]service
+	}
+
+	service struct {
+		version kqname.UpstreamVersion
+		entries []*entry
+	}
+)
+
+// New returns a board that knows no rollout.
+func New(self kqledger.Source, directory Directory) *Board {
+	return &Board{
+		self: self, directory: directory,
+		entries: make(map[kqplan.ID]*entry), services: make(map[kqname.Service]service),
+	}
+}
+
+// Adopt takes in the services of the configuration in force. A plan that has
+// gone from a service, or was replaced, is rolled back unless it has ended.
+func (b *Board) Adopt(all map[kqname.Service]kqresource.Service, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, s := range all {
+		next := service{version: s.Service.Version}
+		for _, p := range kqplan.Of(s) {
+			next.entries = append(next.entries, b.adopt(p, now))
+		}
+		slices.SortStableFunc(next.entries, func(x, y *entry) int {
+			return cmp.Or(x.plan.Start.Compare(y.plan.Start), cmp.Compare(x.plan.Name, y.plan.Name))
+		})
+		for _, e := range b.services[name].entries {
+			if !slices.Contains(next.entries, e) {
+				e.remove()
+			}
+		}
+		b.services[name] = next
+	}
+}
+
+func (b *Board) adopt(p kqplan.Plan, now time.Time) *entry {
+	e, ok := b.entries[p.ID]
+	if !ok {
+		e = newEntry(p, b.self, now)
+		b.entries[p.ID] = e
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.plan = p
+	return e
+}
+
+func (e *entry) remove() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.progress.Open() && !e.progress.RolledBack {
+		e.rollback(removed)
+	}
+}
+
+// Weigh takes in the evidence that has come together for every plan.
+func (b *Board) Weigh(now time.Time) {
+	for _, e := range b.all() {
+		e.mu.Lock()
+		if e.started(now) {
+			e.weigh(now)
+		}
+		e.mu.Unlock()
+	}
+}
+
+// Step decides a plan's next step and applies it.
+func (b *Board) Step(id kqplan.ID, now time.Time) kqstep.Decision {
+	e, ok := b.entry(id)
+	if !ok {
+		return kqstep.Decision{Action: kqstep.Hold, Why: "the plan is not known"}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := kqstep.State{Plan: e.plan, Progress: e.progress, Finding: e.finding}
+	for _, c := range b.directory.Upstreams(e.plan.Service) {
+		switch {
+		case c.Version == e.plan.From:
+			s.OldSlots += c.Slots
+		case c.Version == e.plan.To && now.Sub(c.Started) >= e.cold():
+			s.NewSlots += c.Slots
+		}
+	}
+	d := kqstep.Decide(now, s)
+	e.apply(d)
+	return d
+}
+
+// Join takes in progress heard of from a peer or the platform, and reports
+// whether it was news and whether the sender lacks something.
+func (b *Board) Join(id kqplan.ID, p kqprogress.Progress) (news, stale bool) {
+	e, ok := b.entry(id)
+	if !ok {
+		return false, false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	joined := kqprogress.Join(e.progress, p)
+	news, stale = joined != e.progress, joined != p
+	e.progress = joined
+	if joined.RolledBack {
+		e.wish = kqprogress.TakenBack
+	}
+	return news, stale
+}
+
+// Merge takes in another gate's report.
+func (b *Board) Merge(id kqplan.ID, r kqledger.Report) {
+	if e, ok := b.entry(id); ok {
+		e.ledger.Merge(r)
+	}
+}
+
+// Owned notes that a node said to own the plan.
+func (b *Board) Owned(id kqplan.ID, owner kqname.Node, now time.Time) {
+	if e, ok := b.entry(id); ok {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.owner, e.heard = owner, now
+	}
+}
+
+func (b *Board) entry(id kqplan.ID) (*entry, bool) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	e, ok := b.entries[id]
+	return e, ok
+}
+
+func (b *Board) all() []*entry {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	list := make([]*entry, 0, len(b.entries))
+	for _, e := range b.entries {
+		list = append(list, e)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/rollout/kqboard/entry.go
@@ -0,0 +1,105 @@
+package kqboard
+
+import (
+	"sync"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqledger"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqplan"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqprogress"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqstep"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqverdict"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	shortestTick = 100 * time.Millisecond
+	longestTick  = time.Second
+	// ticks is how many ticks a short window is cut into at least.
+	ticks = 100
+	// longestCold is how long an upstream's slowness is put down to its
+	// start; short windows give less.
+	longestCold = 30 * time.Second
+	coldPart    = 20
+)
+
+// entry is one plan as this node knows it.
+type entry struct {
+	ledger *kqledger.Ledger
+
+	mu       sync.Mutex
+	plan     kqplan.Plan
+	progress kqprogress.Progress
+	judge    *kqverdict.Judge
+	finding  kqverdict.Finding
+	totals   Evidence
+	seen     time.Time
+	ticked   time.Time
+	reported time.Time
+	// owner is who last said to own the rollout, and heard when.
+	owner kqname.Node
+	heard time.Time
+	last  kqstep.Decision
+	wish  kqprogress.Final
+	// told is the last event that was logged, so that each is told once.
+	told string
+}
+
+func newEntry(p kqplan.Plan, self kqledger.Source, now time.Time) *entry {
+	return &entry{plan: p, ledger: kqledger.New(self), judge: kqverdict.New(), seen: now}
+}
+
+func (e *entry) tick() time.Duration {
+	return min(max(e.plan.Window()/ticks, shortestTick), longestTick)
+}
+
+func (e *entry) cold() time.Duration { return min(e.plan.Window()/coldPart, longestCold) }
+
+// weigh takes in a tick's evidence and rolls back at once on bad evidence,
+// whoever owns the rollout: waiting for the owner would let a bad version have
+// its share for as long as the owner is away.
+func (e *entry) weigh(now time.Time) {
+	if now.Sub(e.ticked) < e.tick() {
+		return
+	}
+	e.ticked = now
+	sample := e.ledger.Take()
+	e.judge.Observe(sample)
+	e.finding = e.judge.Finding()
+	for i := range sample {
+		e.totals.add(&sample[i])
+	}
+	if e.progress.Open() && !e.progress.RolledBack && kqstep.Bad(e.plan, e.finding) {
+		e.rollback(kqstep.Words(e.finding))
+	}
+}
+
+func (e *entry) rollback(why string) {
+	e.progress = kqprogress.Join(e.progress, kqprogress.Progress{RolledBack: true, Why: why})
+	e.wish = kqprogress.TakenBack
+}
+
+func (e *entry) apply(d kqstep.Decision) {
+	e.last = d
+	switch d.Action {
+	case kqstep.Advance:
+		e.progress.Step++
+	case kqstep.TakeBack:
+		e.rollback(d.Why)
+	case kqstep.Done:
+		e.wish = kqprogress.Done
+	}
+}
+
+// due reports whether it is time for this gate's next report.
+func (e *entry) due(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now.Sub(e.reported) < e.tick() {
+		return false
+	}
+	e.reported = now
+	return true
+}
+
+func (e *entry) started(now time.Time) bool { return !now.Before(e.plan.Start) }
--- /dev/null
+++ b/internal/rollout/kqboard/status.go
@@ -0,0 +1,107 @@
+package kqboard
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqevidence"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqprogress"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqstep"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	// Pending rollouts wait for their start.
+	Pending State = "pending"
+	// Running rollouts have no final state yet.
+	Running State = "running"
+	// Done rollouts have moved all traffic to the new version.
+	Done State = "done"
+	// TakenBack rollouts have given all traffic back to the old version.
+	TakenBack State = "taken back"
+)
+
+type (
+	// State is what operators read of a rollout.
+	State string
+
+	// Evidence sums up the calls that a rollout is judged by.
+	Evidence struct {
+		OldCalls  uint64 `json:"old_calls"`
+		OldFailed uint64 `json:"old_failed"`
+		NewCalls  uint64 `json:"new_calls"`
+		NewFailed uint64 `json:"new_failed"`
+		// Nats is the most evidence against the new version, as a logarithm
+		// of odds; Metric and Where tell of what and on which route.
+		Nats   float64 `json:"nats"`
+		Metric string  `json:"metric"`
+		Where  string  `json:"where"`
+	}
+
+	// Status is one rollout as operators read it.
+	Status struct {
+		Rollout  kqname.Rollout         `json:"rollout"`
+		Service  kqname.Service         `json:"service"`
+		From     kqname.UpstreamVersion `json:"from"`
+		To       kqname.UpstreamVersion `json:"to"`
+		Policy   kqname.Policy          `json:"policy"`
+		Start    time.Time              `json:"start"`
+		Deadline time.Time              `json:"deadline"`
+		State    State                  `json:"state"`
+		Step     int                    `json:"step"`
+		// Share is the share of traffic, from 0 to 1, of the new version.
+		Share float64 `json:"share"`
+		// Why tells why the rollout is where it is.
+		Why      string      `json:"why"`
+		Evidence Evidence    `json:"evidence"`
+		Owner    kqname.Node `json:"owner,omitempty"`
+	}
+)
+
+// Statuses returns every rollout that the node knows, by start and name.
+func (b *Board) Statuses(now time.Time) []Status {
+	list := []Status{}
+	for _, e := range b.all() {
+		list = append(list, e.status(now))
+	}
+	slices.SortFunc(list, func(a, b Status) int {
+		return cmp.Or(a.Start.Compare(b.Start), cmp.Compare(a.Rollout, b.Rollout))
+	})
+	return list
+}
+
+func (e *entry) status(now time.Time) Status {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.plan
+	s := Status{
+		Rollout: p.Name, Service: p.Service, From: p.From, To: p.To, Policy: p.Policy, Start: p.Start,
+		Deadline: p.Deadline, State: Running, Step: e.progress.Step, Why: e.last.Why, Evidence: e.totals, Owner: e.owner,
+	}
+	s.Evidence.Metric, s.Evidence.Where = e.finding.What, e.finding.Where
+	if nats := max(e.finding.Total, e.finding.Recent); !math.IsInf(nats, 0) {
+		s.Evidence.Nats = nats
+	}
+	switch {
+	case e.progress.Final == kqprogress.Done:
+		s.State, s.Share, s.Why = Done, 1, e.progress.Why
+	case e.progress.Final == kqprogress.TakenBack:
+		s.State, s.Why = TakenBack, e.progress.Why
+	case e.progress.RolledBack:
+		s.Why = "no traffic any more, waiting for the platform to record it: " + e.progress.Why
+	case !e.started(now):
+		s.State = Pending
+	default:
+		s.Share = kqstep.Share(p, e.progress.Step)
+	}
+	return s
+}
+
+func (v *Evidence) add(p *kqevidence.Pair) {
+	v.OldCalls += uint64(p.Old.Calls)
+	v.OldFailed += uint64(p.Old.Failed)
+	v.NewCalls += uint64(p.New.Calls)
+	v.NewFailed += uint64(p.New.Failed)
+}
--- /dev/null
+++ b/internal/rollout/kqboard/traffic.go
@@ -0,0 +1,119 @@
+package kqboard
+
+import (
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqledger"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqprogress"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqshare"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqstep"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+// failureStatus is the lowest HTTP status that counts as the upstream's
+// failure; those below are the caller's doing or a success.
+const failureStatus = 500
+
+// Split returns where a call to a service may go.
+func (b *Board) Split(s kqresource.Service, now time.Time, random kqshare.Random) kqpick.Target {
+	base := s.Service.Version
+	for _, e := range b.of(s.Service.Name) {
+		e.mu.Lock()
+		p, from, to := e.progress, e.plan.From, e.plan.To
+		share := kqshare.Share{From: from, To: to, Of: kqstep.Share(e.plan, p.Step), Small: p.Step <= kqstep.Small}
+		e.mu.Unlock()
+		if base == "" {
+			base = from
+		}
+		if base != from {
+			continue
+		}
+		if p.Final == kqprogress.Done {
+			base = to
+			continue
+		}
+		if p.Serves() {
+			return split(share, b.directory.Upstreams(s.Service.Name), now, random)
+		}
+	}
+	return kqpick.Target{Version: base}
+}
+
+// split keeps calls off a version that has no upstream left, as when a herd of
+// them died: the other version serves until they are back.
+func split(share kqshare.Share, all []kqmember.Candidate, now time.Time, random kqshare.Random) kqpick.Target {
+	old, next := false, false
+	for _, c := range all {
+		old = old || c.Version == share.From
+		next = next || c.Version == share.To
+	}
+	switch {
+	case !next:
+		return kqpick.Target{Version: share.From}
+	case !old:
+		return kqpick.Target{Version: share.To}
+	default:
+		return share.Split(now, all, random)
+	}
+}
+
+// Refuses reports whether the gate must not let calls reach a version: it was
+// taken back, and nothing else has brought it back into service.
+func (b *Board) Refuses(name kqname.Service, version kqname.UpstreamVersion) bool {
+	b.mu.RLock()
+	base := b.services[name].version
+	b.mu.RUnlock()
+	refused := false
+	for _, e := range b.of(name) {
+		e.mu.Lock()
+		p, to, from := e.progress, e.plan.To, e.plan.From
+		e.mu.Unlock()
+		if to == version {
+			refused = p.RolledBack && p.Final != kqprogress.Done || p.Final == kqprogress.TakenBack
+		}
+		if from == version && p.Open() {
+			refused = false
+		}
+	}
+	return refused && version != base
+}
+
+// Observe counts a call that this node's gate sent to its upstream, for every
+// rollout that the call tells of. started is when the upstream started.
+func (b *Board) Observe(o kqgate.Observation, started time.Time) {
+	for _, e := range b.of(o.Service) {
+		e.mu.Lock()
+		open := e.progress.Open() && !o.Began.Before(e.plan.Start)
+		from, to, cold := e.plan.From, e.plan.To, o.Began.Sub(started) < e.cold()
+		e.mu.Unlock()
+		if !open || o.Version != from && o.Version != to {
+			continue
+		}
+		e.ledger.Count(o.Route, func(r *kqledger.Row) {
+			cell := &r.Old
+			if o.Version == to {
+				cell = &r.New
+			}
+			if cold {
+				cell.CountCold(failed(o))
+				return
+			}
+			cell.Count(o.Took, failed(o))
+		})
+	}
+}
+
+func (b *Board) of(name kqname.Service) []*entry {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.services[name].entries
+}
+
+func failed(o kqgate.Observation) bool {
+	return o.Outcome.Result == kqcall.Unknown || o.Status >= failureStatus || o.Outcome.Reason == kqcall.ConnectFailed
+}
--- /dev/null
+++ b/internal/rollout/kqevidence/evidence.go
@@ -0,0 +1,118 @@
+// Package kqevidence counts how calls of an old and a new upstream version
+// went, in cells that can be added up over nodes and are of bounded size.
+package kqevidence
+
+import (
+	"math"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	// Buckets is the number of latency buckets of a cell.
+	Buckets = 48
+	// MaxRoutes bounds the routes that are told apart; calls of further ones
+	// count under Others.
+	MaxRoutes = 16
+	// Others stands for all routes over MaxRoutes.
+	Others kqname.Route = "others"
+
+	// first is the upper edge of the lowest bucket, in seconds. Growth steps
+	// of a quarter tell 1.3 times slower from as fast, and 48 of them reach
+	// 9 s, near a call's default timeout.
+	first  = 250e-6
+	growth = 1.25
+)
+
+var logGrowth = math.Log(growth)
+
+type (
+	// Cell counts the calls of one version on one route.
+	Cell struct {
+		Calls  uint32
+		Failed uint32
+		// Latency counts calls by how long the upstream had them.
+		Latency [Buckets]uint32
+	}
+
+	// Pair holds both versions' cells of one route over the same seconds.
+	Pair struct {
+		Route    kqname.Route
+		Old, New Cell
+	}
+
+	// Sample holds the pairs of one span of time.
+	Sample []Pair
+)
+
+// Bucket returns the latency bucket of a duration.
+func Bucket(took time.Duration) int {
+	s := took.Seconds()
+	if s <= first {
+		return 0
+	}
+	return min(int(math.Ceil(math.Log(s/first)/logGrowth)), Buckets-1)
+}
+
+// Edge returns the upper edge of a latency bucket.
+func Edge(bucket int) time.Duration {
+	return time.Duration(first * math.Pow(growth, float64(bucket)) * float64(time.Second))
+}
+
+// Shift returns by how many buckets latencies move that grow by factor.
+func Shift(factor float64) float64 { return math.Log(factor) / logGrowth }
+
+// Count adds one call.
+func (c *Cell) Count(took time.Duration, failed bool) {
+	c.Calls++
+	if failed {
+		c.Failed++
+	}
+	c.Latency[Bucket(took)]++
+}
+
+// Add adds another cell's counts.
+func (c *Cell) Add(o *Cell) {
+	c.Calls += o.Calls
+	c.Failed += o.Failed
+	for i, n := range o.Latency {
+		c.Latency[i] += n
+	}
+}
+
+// CountCold adds one call of an upstream that has only just started: its
+// failure counts, its slowness does not.
+func (c *Cell) CountCold(failed bool) {
+	c.Calls++
+	if failed {
+		c.Failed++
+	}
+}
+
+// Timed returns how many calls have their latency counted.
+func (c *Cell) Timed() uint32 {
+	sum := uint32(0)
+	for _, n := range c.Latency {
+		sum += n
+	}
+	return sum
+}
+
+// Since returns what was counted after an earlier state of the same cell.
+func (c *Cell) Since(earlier *Cell) Cell {
+	d := Cell{Calls: c.Calls - earlier.Calls, Failed: c.Failed - earlier.Failed}
+	for i, n := range c.Latency {
+		d.Latency[i] = n - earlier.Latency[i]
+	}
+	return d
+}
+
+// Calls returns how many calls of each version the sample holds.
+func (s Sample) Calls() (old, next uint64) {
+	for i := range s {
+		old += uint64(s[i].Old.Calls)
+		next += uint64(s[i].New.Calls)
+	}
+	return old, next
+}
--- /dev/null
+++ b/internal/rollout/kqplan/plan.go
@@ -0,0 +1,68 @@
+// Package kqplan names the plans of rollouts and tells what a plan says of a
+// point in time. It reads no clock.
+package kqplan
+
+import (
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const defaultSmallShare = 0.05
+
+type (
+	// ID names one plan: a rollout that is planned anew under the same name is
+	// another plan, so that its predecessor's progress and evidence never
+	// count for it. Cancelling keeps the ID.
+	ID string
+
+	// Plan is one rollout of the document with its policy.
+	Plan struct {
+		ID         ID
+		Name       kqname.Rollout
+		Service    kqname.Service
+		From, To   kqname.UpstreamVersion
+		Start      time.Time
+		Deadline   time.Time
+		Policy     kqname.Policy
+		Prefer     kqdocument.Preference
+		SmallShare float64
+		Cancelled  bool
+	}
+)
+
+// Of returns the plans of a service in the document's order.
+func Of(s kqresource.Service) []Plan {
+	policies := make(map[kqname.Policy]kqdocument.Policy, len(s.Policies))
+	for _, p := range s.Policies {
+		policies[p.Name] = p
+	}
+	plans := make([]Plan, 0, len(s.Rollouts))
+	for _, r := range s.Rollouts {
+		plans = append(plans, plan(r, policies[r.Policy]))
+	}
+	return plans
+}
+
+// Window returns the time that the plan gives the rollout.
+func (p Plan) Window() time.Duration { return p.Deadline.Sub(p.Start) }
+
+func plan(r kqdocument.Rollout, policy kqdocument.Policy) Plan {
+	p := Plan{
+		Name: r.Name, Service: r.Service, From: r.From, To: r.To, Start: r.Start, Deadline: r.Deadline,
+		Policy: r.Policy, Prefer: policy.Prefer, SmallShare: policy.SmallShare, Cancelled: r.Cancelled,
+	}
+	if p.SmallShare <= 0 || p.SmallShare > defaultSmallShare {
+		p.SmallShare = defaultSmallShare
+	}
+	h := xxhash.New()
+	fmt.Fprintf(h, "%q %q %q %q %d %d %q", r.Name, r.Service, r.From, r.To, r.Start.UnixNano(), r.Deadline.UnixNano(), r.Policy)
+	p.ID = ID(string(r.Name) + "-" + hex.EncodeToString(h.Sum(nil)))
+	return p
+}
--- /dev/null
+++ b/internal/rollout/kqstep/step.go
@@ -0,0 +1,189 @@
+// Package kqstep decides the next step of a rollout: hold, advance, done or
+// take back.
+//
+// The load pattern is a new version that turns out bad: at once, later, or
+// only under load. Without the decision, a fixed timer would give it all
+// traffic before its badness can show. Most of the time goes to the small
+// share, since every call of a bad version there harms one caller in twenty;
+// the rest moves quickly and half of the old version's traffic stays as the
+// measure of the new one for most of that.
+package kqstep
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqplan"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqprogress"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqverdict"
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+)
+
+const (
+	// Hold leaves the share as it is.
+	Hold Action = "hold"
+	// Advance goes to the next step.
+	Advance Action = "advance"
+	// Done ends the rollout with the new version.
+	Done Action = "done"
+	// TakeBack ends the rollout with the old version.
+	TakeBack Action = "take back"
+
+	// Small is the step of the small share.
+	Small = 1
+	// Last is the step before done.
+	Last = 4
+)
+
+type (
+	// Action is what to do next.
+	Action string
+
+	// Decision is an action and what it rests on, in words.
+	Decision struct {
+		Action Action
+		Why    string
+	}
+
+	// State is what a decision is made from.
+	State struct {
+		Plan     kqplan.Plan
+		Progress kqprogress.Progress
+		Finding  kqverdict.Finding
+		// OldSlots and NewSlots are the slots of the upstreams that take new
+		// work; NewSlots leaves out upstreams that are still cold.
+		OldSlots, NewSlots int
+	}
+
+	// stage is a step of the schedule: its share, and when it is due as a
+	// part of the plan's window.
+	stage struct {
+		share, due float64
+	}
+
+	// weights are what a preference makes of evidence, in nats.
+	weights struct {
+		// alarm is the evidence that takes a version back at any time; it
+		// holds for all tests together.
+		alarm float64
+		// lean is the evidence that keeps a version from its second step.
+		lean float64
+	}
+)
+
+var (
+	// schedule spends 7 parts in 10 at the small share. Done is due a little
+	// before the deadline, so that the platform's answer fits in.
+	schedule = [...]stage{{0, 0}, {0, 0}, {0.25, 0.70}, {0.5, 0.78}, {0.9, 0.92}, {1, 0.97}}
+
+	finishing  = weights{alarm: math.Log(1 / 0.001), lean: math.Log(1 / 0.01)}
+	takingBack = weights{alarm: math.Log(1 / 0.01), lean: math.Log(1 / 0.05)}
+)
+
+// Share returns the share of traffic, from 0 to 1, that goes to the new
+// version at a step of the plan.
+func Share(p kqplan.Plan, step int) float64 {
+	if step <= Small {
+		return float64(max(step, 0)) * p.SmallShare
+	}
+	return schedule[min(step, Last)].share
+}
+
+// Decide returns what to do at the time now. It never undoes a step.
+func Decide(now time.Time, s State) Decision {
+	switch {
+	case !s.Progress.Open():
+		return Decision{Hold, "it has ended"}
+	case s.Progress.RolledBack:
+		return Decision{TakeBack, s.Progress.Why}
+	case s.Plan.Cancelled:
+		return Decision{TakeBack, "an operator cancelled it"}
+	case Bad(s.Plan, s.Finding):
+		return Decision{TakeBack, Words(s.Finding)}
+	case now.Before(s.Plan.Start):
+		return Decision{Hold, "its start has not come"}
+	case s.Progress.Step == 0:
+		return begin(now, s)
+	}
+	return next(now, s)
+}
+
+// Bad reports whether the evidence alone takes the version back. The evidence
+// since the start is shared out among the tests, the recent one among tests
+// and ticks, each to half of the stated false-alarm rate.
+func Bad(p kqplan.Plan, f kqverdict.Finding) bool {
+	if f.Tests == 0 {
+		return false
+	}
+	tests := math.Log(2 * float64(f.Tests))
+	alarm := weightsOf(p).alarm
+	return f.Total >= alarm+tests || f.Recent >= alarm+tests+math.Log(float64(max(f.Ticks, 1)))
+}
+
+// Words tells a finding in a sentence's part.
+func Words(f kqverdict.Finding) string {
+	return fmt.Sprintf("%s on %s, odds e^%.1f after %d calls", f.What, f.Where, max(f.Total, f.Recent), f.Calls)
+}
+
+func begin(now time.Time, s State) Decision {
+	if !now.Before(s.Plan.Deadline) {
+		return Decision{TakeBack, "its deadline passed before it began"}
+	}
+	if s.NewSlots == 0 {
+		return Decision{Hold, "no upstream of the new version is ready"}
+	}
+	return Decision{Advance, "its start has come"}
+}
+
+func next(now time.Time, s State) Decision {
+	elapsed := float64(now.Sub(s.Plan.Start)) / float64(s.Plan.Window())
+	if !now.Before(s.Plan.Deadline) && s.Progress.Step < Last {
+		return overdue(s)
+	}
+	to := s.Progress.Step + 1
+	switch {
+	case elapsed < schedule[to].due:
+		return Decision{Hold, "the next step is not due"}
+	case leans(s):
+		return hesitate(now, s)
+	case to > Last:
+		return Decision{Done, fmt.Sprintf("no evidence against it after %d calls", s.Finding.Calls)}
+	case !fits(s, schedule[to].share):
+		return Decision{Hold, fmt.Sprintf("%d warm slots of the new version are too few for a share of %.2f", s.NewSlots, schedule[to].share)}
+	}
+	return Decision{Advance, "the next step is due and nothing speaks against it"}
+}
+
+// overdue settles a rollout whose deadline came before its last step, such as
+// after an outage of all who could have owned it.
+func overdue(s State) Decision {
+	if s.Plan.Prefer == kqdocument.PreferFinishing && s.Finding.Calls > 0 && !leans(s) && fits(s, 1) {
+		return Decision{Done, "the deadline came and nothing speaks against it"}
+	}
+	return Decision{TakeBack, "the deadline came without enough evidence for it"}
+}
+
+func hesitate(now time.Time, s State) Decision {
+	if now.Before(s.Plan.Deadline) && s.Progress.Step < Last {
+		return Decision{Hold, "the evidence leans against it: " + Words(s.Finding)}
+	}
+	return Decision{TakeBack, "the time is up and the evidence leans against it: " + Words(s.Finding)}
+}
+
+func leans(s State) bool {
+	return s.Finding.Total >= weightsOf(s.Plan).lean+math.Log(float64(max(s.Finding.Tests, 1)))
+}
+
+// fits reports whether the warm upstreams of the new version can carry the
+// share. Without the old version's slots nothing is known to compare with.
+func fits(s State, share float64) bool {
+	return float64(s.NewSlots) >= 0.8*share*float64(s.OldSlots)
+}
+
+func weightsOf(p kqplan.Plan) weights {
+	if p.Prefer == kqdocument.PreferTakingBack {
+		return takingBack
+	}
+	return finishing
+}
--- a/internal/run/kqcommand/command.go
+++ b/internal/run/kqcommand/command.go
@@ -37,6 +37,7 @@
 	c.addSettings()
 	c.addDemo()
 	c.addMeasure()
+	c.addRollout()
 	c.addReplay()
 	c.addMeasureNodes()
 	return c
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -44,9 +44,9 @@
 	n.local = kqlocal.New(n.settings.Member.UpstreamTTL, func(list []kqmember.Upstream) {
 		n.table.Update(func(m *kqmember.Member) { m.Upstreams = list })
 	})
-	n.gate = kqgate.New(n.local)
+	n.gate = kqgate.New(n.local, kqgate.WithObserver(n.rollouts), kqgate.WithGuard(n.rollouts))
 	n.entry = kqentry.New(n.settings.Node.Name, n.replica, n.table, n.gate,
-		append(n.entryTLSOptions(), kqentry.WithCounter(n.metrics))...)
+		append(n.entryTLSOptions(), kqentry.WithCounter(n.metrics), kqentry.WithSplitter(n.rollouts))...)
 	n.servers = callServers{
 		entry: n.server(n.entry.ServeOutside),
 		local: n.server(n.serveLocal),
--- a/internal/run/kqnode/config.go
+++ b/internal/run/kqnode/config.go
@@ -23,6 +23,7 @@
 		kqreplica.WithChanged(func(s *kqsnapshot.Snapshot) {
 			n.metrics.Version(s.Version())
 			n.table.Update(func(m *kqmember.Member) { m.Config = s.Version() })
+			n.rollouts.adopt(s)
 		}),
 	}
 	if own := n.settings.Node.Service; own != "" {
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -57,6 +57,7 @@
 		gate      *kqgate.Gate
 		entry     *kqentry.Entry
 		servers   callServers
+		rollouts  *rollouts
 		admin     *kqadmin.Admin
 		identity  *kqidentity.Identity
 		security  *kqmetric.Security
@@ -101,6 +102,7 @@
 	n.peers = kqpeer.NewServer(n.metrics, n.peerServerOptions()...)
 	n.client = kqpeer.NewClient(settings.Node.Name, n.metrics, n.peerClientOptions()...)
 	n.joinConfig()
+	n.rollouts = n.joinRollouts()
 	n.joinCalls()
 	n.joinAdmin()
 	return n, nil
@@ -117,6 +119,7 @@
 	group.Go(func() { n.exchange.Run(background) })
 	group.Go(func() { n.sweep(background) })
 	group.Go(func() { n.runTLS(background) })
+	group.Go(func() { n.rollouts.run(background) })
 	failed := make(chan error, 8)
 	serve := func(f func() error) {
 		group.Go(func() {
--- /dev/null
+++ b/internal/run/kqnode/rollout.go
@@ -0,0 +1,263 @@
+package kqnode
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqspread"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqboard"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqledger"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqowner"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqplan"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqprogress"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	topicEvidence kqspread.Topic = "rollout.evidence"
+	topicProgress kqspread.Topic = "rollout.progress"
+
+	rolloutTick = 100 * time.Millisecond
+	// tellEvery is how often an owner repeats its progress, for whoever missed
+	// it or has just started.
+	tellEvery = time.Second
+	// answerEvery bounds how often a node answers a peer that lacks progress.
+	answerEvery = time.Second
+	// settle is how long a node that has just met a plan listens before it may
+	// step it without the platform.
+	settle = 3 * time.Second
+)
+
+type (
+	rollouts struct {
+		node   *Node
+		board  *kqboard.Board
+		owner  *kqowner.Owner
+		outbox chan outgoing
+
+		told     map[kqplan.ID]time.Time
+		answered atomic.Int64
+	}
+
+	outgoing struct {
+		topic   kqspread.Topic
+		payload []byte
+	}
+
+	evidenceMessage struct {
+		Plan   kqplan.ID       `cbor:"1,keyasint"`
+		Report kqledger.Report `cbor:"2,keyasint"`
+	}
+
+	progressMessage struct {
+		Plan     kqplan.ID           `cbor:"1,keyasint"`
+		Progress kqprogress.Progress `cbor:"2,keyasint"`
+		// Owner tells that the sender owns the rollout.
+		Owner bool `cbor:"3,keyasint,omitempty"`
+	}
+)
+
+// joinRollouts joins the rollout flow: count, collect, weigh, step and tell.
+func (n *Node) joinRollouts() *rollouts {
+	self := kqledger.Source{Node: n.settings.Node.Name, Boot: uint64(n.started.UnixNano())}
+	r := &rollouts{node: n, board: kqboard.New(self, n.table), outbox: make(chan outgoing, 64), told: make(map[kqplan.ID]time.Time)}
+	r.owner = kqowner.New(n.settings.Node.Name, n.store, r.board)
+	n.spreader.Subscribe(topicEvidence, r.hearEvidence)
+	n.spreader.Subscribe(topicProgress, r.hearProgress)
+	return r
+}
+
+// Rollouts returns the node's view of the rollouts.
+func (n *Node) Rollouts() []kqboard.Status { return n.rollouts.board.Statuses(time.Now()) }
+
+// Split implements kqentry.Splitter.
+func (r *rollouts) Split(s kqresource.Service, _ *kqcall.Call) kqpick.Target {
+	return r.board.Split(s, time.Now(), random{})
+}
+
+// Refuses implements kqgate.Guard.
+func (r *rollouts) Refuses(s kqname.Service, v kqname.UpstreamVersion) bool {
+	return r.board.Refuses(s, v)
+}
+
+// Observe implements kqgate.Observer.
+func (r *rollouts) Observe(o kqgate.Observation) {
+	var started time.Time
+	for _, u := range r.node.table.Self().Upstreams {
+		if u.Service == o.Service && u.Version == o.Version {
+			started = u.Started
+		}
+	}
+	r.board.Observe(o, started)
+}
+
+func (r *rollouts) adopt(s *kqsnapshot.Snapshot) { r.board.Adopt(s.Services(), time.Now()) }
+
+func (r *rollouts) run(ctx context.Context) {
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() { r.send(ctx) })
+	group.Go(func() { every(ctx, rolloutTick, r.tick) })
+	group.Go(func() { every(ctx, rolloutTick, func(now time.Time) { r.work(ctx, now) }) })
+}
+
+// tick weighs the evidence and, on plans that this node owns, decides.
+func (r *rollouts) tick(now time.Time) {
+	r.board.Weigh(now)
+	for _, v := range r.board.Views(now) {
+		id := v.Plan.ID
+		if report, ok := r.board.Report(id, now); ok {
+			r.publish(topicEvidence, evidenceMessage{id, report})
+		}
+		owner := r.owns(v, now)
+		if owner {
+			r.board.Step(id, now)
+			r.board.Owned(id, r.node.settings.Node.Name, now)
+		}
+		text, changed := r.board.Event(id)
+		if changed {
+			r.node.logger.Part("rollout").Info(text)
+		}
+		if changed || owner && now.Sub(r.told[id]) >= tellEvery {
+			r.told[id] = now
+			r.tell(id, owner)
+		}
+	}
+}
+
+// owns reports whether this node may step a plan: it holds the lease or, while
+// the platform is away, it is the first by name of those that could.
+func (r *rollouts) owns(v kqboard.View, now time.Time) bool {
+	holds, down := r.owner.Holds(v.Plan.ID, now)
+	if holds {
+		return true
+	}
+	if !down || now.Sub(v.Seen) < settle {
+		return false
+	}
+	self := r.node.settings.Node.Name
+	if v.Owner != self && now.Sub(v.Heard) < kqowner.TTL {
+		return false
+	}
+	return v.Owner == self || r.rank(v.Plan.Service) == 0
+}
+
+// rank returns how many live nodes beside upstreams of the service come before
+// this one, or -1 where no upstream of it stands beside this node.
+func (r *rollouts) rank(service kqname.Service) int {
+	before, beside := 0, false
+	for _, m := range r.node.table.Members() {
+		serves := false
+		for _, u := range m.Upstreams {
+			serves = serves || u.Service == service
+		}
+		switch {
+		case !serves || m.State != kqmember.Alive:
+		case m.Node == r.node.settings.Node.Name:
+			beside = true
+		case m.Node < r.node.settings.Node.Name:
+			before++
+		}
+	}
+	if !beside {
+		return -1
+	}
+	return before
+}
+
+// work does each plan's calls to the platform, in a goroutine of its own: the
+// platform may be slow, and the reflex must not wait for it.
+func (r *rollouts) work(ctx context.Context, now time.Time) {
+	for _, v := range r.board.Views(now) {
+		rank := r.rank(v.Plan.Service)
+		quiet := now.Sub(v.Heard) >= kqowner.TTL || v.Owner == r.node.settings.Node.Name
+		candidate := rank >= 0 && quiet && now.Sub(v.Seen) >= time.Duration(min(rank, 20))*rolloutTick*3
+		if err := r.owner.Work(ctx, v, candidate, now); err != nil {
+			r.node.logger.Part("rollout").WithError(err).Debug("Platform did not settle.")
+		}
+	}
+}
+
+func (r *rollouts) tell(id kqplan.ID, owner bool) {
+	if p, ok := r.board.Progress(id); ok {
+		r.publish(topicProgress, progressMessage{Plan: id, Progress: p, Owner: owner})
+	}
+}
+
+func (r *rollouts) hearEvidence(_ kqname.Node, payload []byte) {
+	var m evidenceMessage
+	if cbor.Unmarshal(payload, &m) == nil {
+		r.board.Merge(m.Plan, m.Report)
+	}
+}
+
+// hearProgress joins what a peer knows, and answers one that lacks something:
+// a restarted node must not send to a version that was taken back.
+func (r *rollouts) hearProgress(from kqname.Node, payload []byte) {
+	var m progressMessage
+	if cbor.Unmarshal(payload, &m) != nil {
+		return
+	}
+	now := time.Now()
+	if m.Owner {
+		r.board.Owned(m.Plan, from, now)
+	}
+	_, stale := r.board.Join(m.Plan, m.Progress)
+	last := r.answered.Load()
+	if stale && now.UnixNano()-last >= int64(answerEvery) && r.answered.CompareAndSwap(last, now.UnixNano()) {
+		r.tell(m.Plan, false)
+	}
+}
+
+// publish hands a message to the sender. A full outbox drops it: every message
+// tells the whole state and the next one makes up for it.
+func (r *rollouts) publish(topic kqspread.Topic, message any) {
+	payload, err := cbor.Marshal(message)
+	if err != nil {
+		return
+	}
+	select {
+	case r.outbox <- outgoing{topic, payload}:
+	default:
+	}
+}
+
+func (r *rollouts) send(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case o := <-r.outbox:
+			r.node.spreader.Publish(ctx, o.topic, o.payload)
+		}
+	}
+}
+
+func every(ctx context.Context, period time.Duration, f func(now time.Time)) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			f(now)
+		}
+	}
+}
+
+type random struct{}
+
+// Float64 implements kqshare.Random.
+func (random) Float64() float64 { return rand.Float64() }
