Measure what a call costs and what callers receive under load

Cause: nothing showed what a node adds to a call, or what callers get when the upstreams are full, so no decision could be weighed against another. The setting [call] policy is there to switch decisions off; both its values still run the same plain code, the decisions follow.

--- a/internal/lab/kqupstream/upstream.go
+++ b/internal/lab/kqupstream/upstream.go
@@ -46,6 +46,10 @@
 		// Shed answers 503 without running the call once more than the slots
 		// are taken.
 		Shed bool `json:"shed"`
+		// LongPath is the prefix of paths whose calls take LongWork instead of
+		// Work; an empty one fits none.
+		LongPath string        `json:"long_path"`
+		LongWork time.Duration `json:"long_work"`
 	}
 
 	// Upstream is a fake upstream. It is safe for concurrent use.
@@ -86,6 +90,9 @@
 	return u, nil
 }
 
+// Address returns where the upstream takes calls.
+func (u *Upstream) Address() kqname.Address { return u.announcement.Address }
+
 // SetBehaviour changes how calls are answered from now on.
 func (u *Upstream) SetBehaviour(b Behaviour) { u.behaviour.Store(&b) }
 
@@ -141,7 +148,7 @@
 	u.mu.Lock()
 	u.runs[work]++
 	u.mu.Unlock()
-	time.Sleep(u.duration(b, running))
+	time.Sleep(u.duration(b, running, ctx.Path()))
 	ctx.Response.Header.Set(HeaderWork, work)
 	if bytes.HasPrefix(ctx.Path(), []byte(b.FailPath)) && rand.Float64() < b.FailShare {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
@@ -150,8 +157,11 @@
 	fmt.Fprintf(ctx, "%s %s %s\n", u.announcement.Service, u.announcement.Version, work)
 }
 
-func (u *Upstream) duration(b Behaviour, running int64) time.Duration {
+func (u *Upstream) duration(b Behaviour, running int64, path []byte) time.Duration {
 	d := b.Work
+	if b.LongPath != "" && bytes.HasPrefix(path, []byte(b.LongPath)) {
+		d = b.LongWork
+	}
 	if b.SlowFactor > 0 && running > int64(b.SlowAbove) {
 		d = time.Duration(float64(d) * b.SlowFactor)
 	}
--- a/internal/run/kqcommand/command.go
+++ b/internal/run/kqcommand/command.go
@@ -40,6 +40,7 @@
 	c.addRollout()
 	c.addReplay()
 	c.addMeasureNodes()
+	c.addMeasureCalls()
 	return c
 }
 
--- a/internal/run/kqsettings/settings.go
+++ b/internal/run/kqsettings/settings.go
@@ -57,7 +57,8 @@
 
 	// Call bounds the calls that the node serves.
 	Call struct {
-		MaxBody int `key:"max_body" default:"4MB" min:"1KB" max:"64MB" unit:"bytes" doc:"Largest request body that is taken."`
+		MaxBody int    `key:"max_body" default:"4MB" min:"1KB" max:"64MB" unit:"bytes" doc:"Largest request body that is taken."`
+		Policy  string `key:"policy" default:"kumquatgw" one_of:"kumquatgw,baseline" doc:"Decisions under load; baseline (first-come queue, random choice, plain retries) is for comparison only."`
 	}
 
 	// Admin tells where operators connect.
