Switch the stand-in's faults by command and hold both clients to one contract

Cause: faults could be set only by a hand-written request, in which a slip in a name switched every fault off; nothing compared the stand-in in memory with the one over HTTP. A fault that cuts the connection instead of answering was ruled out: callers see the same error for both.

--- a/internal/platform/kqstandin/serve.go
+++ b/internal/platform/kqstandin/serve.go
@@ -11,7 +11,12 @@
 	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
 )
 
-const maxRequestBytes = 2*kqstore.MaxValueBytes + 4096
+const (
+	maxRequestBytes = 2*kqstore.MaxValueBytes + 4096
+	// maxWait bounds one watch, as the platform does; a longer wait would hold
+	// a connection through many outages.
+	maxWait = 5 * time.Minute
+)
 
 type (
 	// Call is the JSON body of POST /v1/VERB; each verb reads its own fields.
@@ -52,19 +57,28 @@
 	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, s.Faults()) })
 	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
 		var f Faults
-		if err := json.NewDecoder(io.LimitReader(r.Body, maxRequestBytes)).Decode(&f); err != nil {
+		dec := json.NewDecoder(io.LimitReader(r.Body, maxRequestBytes))
+		// A mistyped fault would otherwise switch every fault off without a word.
+		dec.DisallowUnknownFields()
+		if err := dec.Decode(&f); err != nil {
 			http.Error(w, "read faults: "+err.Error(), http.StatusBadRequest)
 			return
 		}
 		s.SetFaults(f)
-		reply(w, http.StatusOK, f)
+		reply(w, http.StatusOK, s.Faults())
 	})
 	return mux
 }
 
 func (s *Standin) serveVerb(w http.ResponseWriter, r *http.Request) {
 	var c Call
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&c); err != nil {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&c)
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		reply(w, http.StatusRequestEntityTooLarge, Answer{Error: "too_large"})
+		return
+	}
+	if err != nil {
 		http.Error(w, "read call: "+err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -83,7 +97,7 @@
 }
 
 func (s *Standin) serve(ctx context.Context, verb string, c Call) (a Answer, err error) {
-	wait := time.Duration(c.WaitMS) * time.Millisecond
+	wait := min(time.Duration(max(c.WaitMS, 0))*time.Millisecond, maxWait)
 	switch verb {
 	case "get":
 		a.Entry, err = s.Get(ctx, c.Key)
--- a/internal/platform/kqstandin/standin.go
+++ b/internal/platform/kqstandin/standin.go
@@ -34,8 +34,8 @@
 		LoseAnswers int `json:"lose_answers"`
 		// SilentWatch keeps watches waiting although their key changed.
 		SilentWatch bool `json:"silent_watch"`
-		// StaleReads answers reads with each key's value of before its last
-		// write.
+		// StaleReads answers reads and watches with each key's value of before
+		// its last write.
 		StaleReads bool `json:"stale_reads"`
 		// LapseLeases lets every lease lapse at once, as if its holder had
 		// been paused for longer than its time.
--- a/internal/platform/kqstoreclient/client.go
+++ b/internal/platform/kqstoreclient/client.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -97,11 +96,11 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return a, fmt.Errorf("%s %s: %w", verb, call.Key, errors.Join(kqstore.ErrUnavailable, err))
+		return a, fmt.Errorf("%s %s: %w: %w", verb, call.Key, kqstore.ErrUnavailable, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
-		return a, fmt.Errorf("%s %s, status %d: %w", verb, call.Key, resp.StatusCode, errors.Join(kqstore.ErrUnavailable, err))
+		return a, fmt.Errorf("%s %s, status %d: %w: %w", verb, call.Key, resp.StatusCode, kqstore.ErrUnavailable, err)
 	}
 	if a.Error == "" {
 		return a, nil
--- /dev/null
+++ b/internal/platform/kqstoreclient/fault.go
@@ -0,0 +1,64 @@
+package kqstoreclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
+)
+
+const maxAnswer = 64 << 10
+
+var errRefused = errors.New("stand-in refused")
+
+// SetFaults replaces the faults of a stand-in and returns those in force.
+func (c *Client) SetFaults(ctx context.Context, f kqstandin.Faults) (kqstandin.Faults, error) {
+	var set kqstandin.Faults
+	body, err := json.Marshal(f)
+	if err != nil {
+		return set, fmt.Errorf("set faults: %w", err)
+	}
+	if err := c.control(ctx, http.MethodPut, "/faults", body, &set); err != nil {
+		return set, fmt.Errorf("set faults: %w", err)
+	}
+	return set, nil
+}
+
+// Counts returns the calls that a stand-in has taken.
+func (c *Client) Counts(ctx context.Context) (kqstandin.Counts, error) {
+	var counts kqstandin.Counts
+	if err := c.control(ctx, http.MethodGet, "/counts", nil, &counts); err != nil {
+		return counts, fmt.Errorf("read counts: %w", err)
+	}
+	return counts, nil
+}
+
+func (c *Client) control(ctx context.Context, method, path string, body []byte, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.url+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("make request: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("ask stand-in: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%w with status %d: %s", errRefused, resp.StatusCode, bytes.TrimSpace(data))
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	return nil
+}
