Check documents completely and drive them from the command line

Cause: a document could hold two routes for the same calls, header names that no call can have, rollouts from versions that never serve, fields that stand twice, and any number of bytes; there was no diff, history or schema. Change: validation by kind of item in files of its own; Parse bounds the size at 1 MB and refuses fields that stand twice; document diff, settle, history, collect and schema; the schema is generated from the types, committed, embedded and compared by a test; testscript runs the commands. Conclusion: what reaches a commit can be applied. A service with rollouts must state its version, since otherwise the new version would serve before the start; leaving that to the nodes was ruled out.

--- a/cmd/kumquatgw/main_test.go
+++ b/cmd/kumquatgw/main_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/rogpeppe/go-internal/testscript"
+
 	"github.com/kumquatgw/kumquatgw/internal/run/kqcommand"
 )
 
@@ -24,10 +26,11 @@
 // TestMain lets the test's own program serve as kumquatgw, so that each role
 // runs as a process of its own without a build beside the test's.
 func TestMain(m *testing.M) {
+	run := func() { os.Exit(kqcommand.New(os.Stdout, os.Stderr).Run(os.Args[1:])) }
 	if os.Getenv(runVariable) != "" {
-		os.Exit(kqcommand.New(os.Stdout, os.Stderr).Run(os.Args[1:]))
+		run()
 	}
-	os.Exit(m.Run())
+	testscript.Main(m, map[string]func(){"kumquatgw": run})
 }
 
 // A caller asks one node for a service whose upstream stands beside another.
--- /dev/null
+++ b/cmd/kumquatgw/script_test.go
@@ -0,0 +1,23 @@
+package main_test
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
+)
+
+// Each script has a platform of its own at $PLATFORM.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(e *testscript.Env) error {
+			server := httptest.NewServer(kqstandin.New().Handler())
+			e.Defer(server.Close)
+			e.Setenv("PLATFORM", server.URL)
+			return nil
+		},
+	})
+}
--- a/internal/lab/kqreplay/trace.go
+++ b/internal/lab/kqreplay/trace.go
@@ -120,6 +120,8 @@
 
 func (t *Trace) step(number int, l line) error {
 	switch {
+	case l.Kind != kindInput && l.Kind != kindOutcome:
+		return fmt.Errorf("unknown kind %q", l.Kind)
 	case l.Decision != nil || l.Seed != nil || l.Settings != nil:
 		return errors.New("a field of the head stands in a later line")
 	case l.AtMS == nil:
@@ -130,8 +132,6 @@
 		return errors.New("an input needs input and no expect")
 	case l.Kind == kindOutcome && (l.Expect == nil || l.Input != nil):
 		return errors.New("an outcome needs expect and no input")
-	case l.Kind != kindInput && l.Kind != kindOutcome:
-		return fmt.Errorf("unknown kind %q", l.Kind)
 	}
 	s := Step{Line: number, At: time.Duration(*l.AtMS * float64(time.Millisecond)), Input: l.Input, Expect: l.Expect}
 	if n := len(t.Steps); n > 0 && s.At < t.Steps[n-1].At {
--- a/internal/run/kqcommand/document.go
+++ b/internal/run/kqcommand/document.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
-	"time"
 
-	"github.com/google/uuid"
+	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/platform/kqstoreclient"
@@ -23,43 +23,81 @@
 func (c *Command) addDocument() {
 	parent := c.app.Command("document", "Check, commit and show the operators' document.")
 	url := parent.Flag("platform", "URL of the platform's key-value service.").Default(platformFlag).String()
+	c.addValidate(parent)
+	c.addSchema(parent)
+	c.addDiff(parent, url)
+	c.addCommit(parent, url)
+	c.addSettle(parent, url)
+	c.addShow(parent, url)
+	c.addHistory(parent, url)
+	c.addCollect(parent, url)
+}
 
-	validate := parent.Command("validate", "Tell every problem of a document.")
-	validateFile := validate.Arg("file", "JSON file.").Required().String()
-	c.add(validate, func(context.Context) error {
-		_, err := c.readDocument(*validateFile)
-		return err
+func (c *Command) addValidate(parent *kingpin.CmdClause) {
+	clause := parent.Command("validate", "Tell every problem of a document.")
+	file := clause.Arg("file", "JSON file.").Required().String()
+	c.add(clause, func(context.Context) error {
+		if _, err := c.readDocument(*file); err != nil {
+			return err
+		}
+		fmt.Fprintf(c.out, "%s is sound.\n", *file)
+		return nil
 	})
+}
 
-	commit := parent.Command("commit", "Put a document in force.")
-	commitFile := commit.Arg("file", "JSON file.").Required().String()
-	base := commit.Flag("base", "Version that was edited; the commit fails if another is in force.").Required().Uint64()
-	author := commit.Flag("author", "Who commits.").Default(os.Getenv("USER")).String()
-	reason := commit.Flag("reason", "Why.").Required().String()
-	id := commit.Flag("request-id", "Name of this change; the same name is committed once.").Default(uuid.NewString()).String()
-	c.add(commit, func(ctx context.Context) error {
-		d, err := c.readDocument(*commitFile)
+func (c *Command) addSchema(parent *kingpin.CmdClause) {
+	clause := parent.Command("schema", "Print the JSON schema of a document.")
+	c.add(clause, func(context.Context) error {
+		if _, err := c.out.Write(kqdocument.Schema()); err != nil {
+			return fmt.Errorf("print schema: %w", err)
+		}
+		return nil
+	})
+}
+
+func (c *Command) addDiff(parent *kingpin.CmdClause, url *string) {
+	clause := parent.Command("diff", "Tell what a document would change; exit 1 if anything.")
+	file := clause.Arg("file", "JSON file.").Required().String()
+	base := clause.Arg("base", "JSON file to compare with; without one, the document in force.").String()
+	c.add(clause, func(ctx context.Context) error {
+		d, err := c.readDocument(*file)
 		if err != nil {
 			return err
 		}
-		o, err := kqcommit.New(kqstoreclient.New(*url)).Commit(ctx, kqcommit.Request{
-			ID: *id, Base: kqname.ConfigVersion(*base), Author: *author, Reason: *reason, At: time.Now(), Document: d,
-		})
+		before, err := c.baseDocument(ctx, *base, *url)
 		if err != nil {
 			return err
 		}
-		if err := c.print(o); err != nil {
-			return err
+		changes := kqdocument.Diff(before, d)
+		for _, ch := range changes {
+			fmt.Fprintf(c.out, "%s %s\n", ch.Kind, ch.Item)
+			printItem(c.out, "-", ch.Before)
+			printItem(c.out, "+", ch.After)
 		}
-		if o.Status != kqcommit.Committed {
-			return fmt.Errorf("commit %s ended as %s", o.RequestID, o.Status)
+		if len(changes) > 0 {
+			return fmt.Errorf("%s: %d items differ", *file, len(changes))
 		}
 		return nil
 	})
+}
+
+func (c *Command) baseDocument(ctx context.Context, file, url string) (kqdocument.Document, error) {
+	if file != "" {
+		return c.readDocument(file)
+	}
+	d, _, err := committer(url).Document(ctx)
+	return d, err
+}
 
-	show := parent.Command("show", "Print the document in force.")
-	c.add(show, func(ctx context.Context) error {
-		d, root, err := kqcommit.New(kqstoreclient.New(*url)).Document(ctx)
+func (c *Command) addShow(parent *kingpin.CmdClause, url *string) {
+	clause := parent.Command("show", "Print the document in force, or one of the past.")
+	version := clause.Flag("version", "Version to print; 0 prints the one in force.").Default("0").Uint64()
+	c.add(clause, func(ctx context.Context) error {
+		d, root, err := committer(*url).Document(ctx)
+		if *version != 0 {
+			root.Version = kqname.ConfigVersion(*version)
+			d, err = committer(*url).DocumentAt(ctx, root.Version)
+		}
 		if err != nil {
 			return err
 		}
@@ -70,8 +108,14 @@
 	})
 }
 
+// readDocument reads and validates a file and prints each of its problems.
 func (c *Command) readDocument(file string) (kqdocument.Document, error) {
-	data, err := os.ReadFile(file)
+	f, err := os.Open(file)
+	if err != nil {
+		return kqdocument.Document{}, fmt.Errorf("read document: %w", err)
+	}
+	defer func() { _ = f.Close() }()
+	data, err := io.ReadAll(io.LimitReader(f, kqdocument.MaxBytes+1))
 	if err != nil {
 		return kqdocument.Document{}, fmt.Errorf("read document: %w", err)
 	}
@@ -79,14 +123,18 @@
 	if err != nil {
 		return d, fmt.Errorf("%s: %w", file, err)
 	}
-	problems := kqdocument.Validate(d)
+	return d, c.tell(file, kqdocument.Validate(d))
+}
+
+// tell prints a document's problems and returns an error if there are any.
+func (c *Command) tell(file string, problems []kqdocument.Problem) error {
 	for _, p := range problems {
 		fmt.Fprintf(c.errors, "%s: %v\n", file, p)
 	}
 	if len(problems) > 0 {
-		return d, fmt.Errorf("%s, %d: %w", file, len(problems), errProblems)
+		return fmt.Errorf("%s, %d: %w", file, len(problems), errProblems)
 	}
-	return d, nil
+	return nil
 }
 
 func (c *Command) print(value any) error {
@@ -97,3 +145,11 @@
 	}
 	return nil
 }
+
+func printItem(w io.Writer, sign string, item json.RawMessage) {
+	if item != nil {
+		fmt.Fprintf(w, "%s %s\n", sign, item)
+	}
+}
+
+func committer(url string) *kqcommit.Committer { return kqcommit.New(kqstoreclient.New(url)) }
--- a/pkg/kqdocument/document.go
+++ b/pkg/kqdocument/document.go
@@ -1,10 +1,6 @@
 package kqdocument
 
 import (
-	"bytes"
-	"encoding/json"
-	"fmt"
-	"io"
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -103,17 +99,3 @@
 		Cancelled bool `json:"cancelled,omitempty"`
 	}
 )
-
-// Parse reads one JSON document and refuses unknown fields and trailing data.
-func Parse(data []byte) (Document, error) {
-	var d Document
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&d); err != nil {
-		return Document{}, fmt.Errorf("read document: %w", err)
-	}
-	if _, err := dec.Token(); err != io.EOF {
-		return Document{}, fmt.Errorf("read document: %w", errTrailing)
-	}
-	return d, nil
-}
--- /dev/null
+++ b/pkg/kqdocument/schema_test.go
@@ -0,0 +1,59 @@
+package kqdocument_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/invopop/jsonschema"
+
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+var update = flag.Bool("update", false, "write document.schema.json anew")
+
+// Somebody adds a field to a type and forgets the published schema; editors
+// then mark a sound document as wrong.
+func TestSchemaMatchesTheTypes(t *testing.T) {
+	r := &jsonschema.Reflector{ExpandedStruct: true, Mapper: names, Namer: namer}
+	if err := r.AddGoComments("github.com/kumquatgw/kumquatgw/pkg/kqdocument", "./"); err != nil {
+		t.Fatal(err)
+	}
+	want, err := json.MarshalIndent(r.Reflect(&kqdocument.Document{}), "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want = append(want, '\n')
+	if *update {
+		if err := os.WriteFile("document.schema.json", want, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !bytes.Equal(kqdocument.Schema(), want) {
+		t.Error("document.schema.json is not what the types give; run this test with -update and build again")
+	}
+}
+
+// namer keeps the name of a service apart from the service.
+func namer(t reflect.Type) string {
+	if t.PkgPath() == reflect.TypeFor[kqname.Service]().PkgPath() {
+		return t.Name() + "Name"
+	}
+	return t.Name()
+}
+
+func names(t reflect.Type) *jsonschema.Schema {
+	if t.PkgPath() != reflect.TypeFor[kqname.Service]().PkgPath() || t.Kind() != reflect.String {
+		return nil
+	}
+	pattern := `^[a-z0-9]([a-z0-9._-]{0,62}[a-z0-9])?$`
+	if t == reflect.TypeFor[kqname.UpstreamVersion]() {
+		pattern = strings.Replace(pattern, "^", "^$|^", 1)
+	}
+	return &jsonschema.Schema{Type: "string", Pattern: pattern}
+}
