Serve an administration API for many teams

Cause: operators could only commit whole documents by the command line, under any name and for any team. Change: /v1/ serves the document, its items, history, fleet, convergence, rollouts' states, platform and audit; each change is an edit of the one document through the committer, judged by what differs against the operator's role and team, quotas included; refusals are problem JSON with stable codes and pointers, each counted; OpenAPI at /v1/openapi.json; operators by hashed token with a bound on failures; bounds on body, headers and time; connections linger so that an early refusal arrives; commands keys init, issue, show and token; the rollout command asks with a token. Figures: TestRefused tries 21 refusals: right status, code and pointer, one count each, version 1 still in force; TestRepeatedRequest: the same request three times makes one version. Before connections lingered the 2 MB document ended as a reset connection in place of 413: that case failed first.

--- a/internal/admin/kqadmin/admin.go
+++ b/internal/admin/kqadmin/admin.go
@@ -1,54 +1,123 @@
-// Package kqadmin serves operators: probes, metrics, and a view of the node.
+// Package kqadmin serves operators: probes, metrics, the administration API and
+// the console.
 package kqadmin
 
 import (
+	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/gofiber/fiber/v2/middleware/adaptor"
+	"github.com/gofiber/fiber/v2/middleware/recover"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
 
-	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/admin/kqapi"
+	"github.com/kumquatgw/kumquatgw/internal/admin/kqaudit"
+	"github.com/kumquatgw/kumquatgw/internal/admin/kqauth"
+	"github.com/kumquatgw/kumquatgw/internal/admin/kqchange"
+	"github.com/kumquatgw/kumquatgw/internal/admin/kqlinger"
+	"github.com/kumquatgw/kumquatgw/internal/admin/kqproblem"
+	"github.com/kumquatgw/kumquatgw/internal/admin/kqview"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqboard"
-	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	// MaxBody bounds a request's body, in bytes: a document of two years'
+	// growth is a few hundred kilobytes.
+	MaxBody = 1 << 20
+	// MaxHeaders bounds a request's headers, in bytes.
+	MaxHeaders = 8 << 10
+
+	defaultReadTimeout = 10 * time.Second
+	idleTimeout        = time.Minute
+	maxConnections     = 1024
 )
 
 type (
 	// Node is what the admin server shows of its node.
 	Node interface {
-		Ready() bool
-		Version() kqname.ConfigVersion
-		Members() []kqmember.Member
+		kqview.Node
 		Rollouts() []kqboard.Status
 	}
 
+	// Counter counts what operators' requests came to.
+	Counter interface {
+		kqapi.Counter
+		kqchange.Counter
+	}
+
+	// Parts are what the admin server joins.
+	Parts struct {
+		Node      Node
+		Store     kqcommit.Store
+		Operators kqauth.Operators
+		Registry  *prometheus.Registry
+		Counter   Counter
+		Log       *logrus.Entry
+	}
+
 	// Admin is the admin server.
 	Admin struct {
 		app *fiber.App
+		api *kqapi.API
+	}
+
+	// Option sets up an Admin.
+	Option func(*options)
+
+	options struct {
+		readTimeout time.Duration
+		now         func() time.Time
 	}
 )
 
+// WithReadTimeout bounds how long a request may take to arrive whole.
+func WithReadTimeout(d time.Duration) Option { return func(o *options) { o.readTimeout = d } }
+
+// WithNow makes the server read the time from now.
+func WithNow(now func() time.Time) Option { return func(o *options) { o.now = now } }
+
 // New returns the admin server of a node.
-func New(node Node, registry *prometheus.Registry) *Admin {
-	app := fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: 2 << 20})
-	app.Get("/live", func(c *fiber.Ctx) error { return c.SendString("live\n") })
-	app.Get("/ready", func(c *fiber.Ctx) error {
-		if !node.Ready() {
-			return c.Status(http.StatusServiceUnavailable).SendString("not ready\n")
-		}
-		return c.SendString("ready\n")
+func New(parts Parts, opts ...Option) *Admin {
+	o := options{readTimeout: defaultReadTimeout, now: time.Now}
+	for _, set := range opts {
+		set(&o)
+	}
+	a := &Admin{}
+	a.app = fiber.New(fiber.Config{
+		DisableStartupMessage: true, ErrorHandler: a.failed,
+		// Without its own copies, what is kept of a request, such as an audit
+		// record's text, would change under it with the next request.
+		Immutable: true,
+		BodyLimit: MaxBody, ReadBufferSize: MaxHeaders, Concurrency: maxConnections,
+		ReadTimeout: o.readTimeout, IdleTimeout: idleTimeout,
 	})
-	app.Get("/v1/rollouts", func(c *fiber.Ctx) error { return c.JSON(node.Rollouts()) })
-	app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})))
-	return &Admin{app: app}
+	committer := kqcommit.New(parts.Store)
+	audit := kqaudit.New(parts.Log)
+	a.api = kqapi.New(kqapi.Parts{
+		Committer: committer, Changer: kqchange.New(committer, audit, parts.Counter),
+		View: kqview.New(parts.Node, committer), Audit: audit, Auth: kqauth.New(parts.Operators),
+		Counter: parts.Counter, Rollouts: parts.Node.Rollouts, Now: o.now,
+	})
+	a.routes(parts)
+	return a
 }
 
-// Serve answers on the listener until Shutdown.
-func (a *Admin) Serve(l net.Listener) error {
-	if err := a.app.Listener(l); err != nil {
+// Serve answers on the listener until Shutdown, under TLS unless config is nil.
+func (a *Admin) Serve(l net.Listener, config *tls.Config) error {
+	var served net.Listener = kqlinger.Listener{Listener: l}
+	if config != nil {
+		served = tls.NewListener(served, config)
+	}
+	if err := a.app.Listener(served); err != nil {
 		return fmt.Errorf("serve admin on %s: %w", l.Addr(), err)
 	}
 	return nil
@@ -61,3 +130,63 @@
 	}
 	return nil
 }
+
+func (a *Admin) routes(parts Parts) {
+	a.app.Use(recover.New())
+	a.app.Use(secure)
+	a.app.Get("/live", func(c *fiber.Ctx) error { return c.SendString("live\n") })
+	a.app.Get("/ready", func(c *fiber.Ctx) error {
+		if !parts.Node.Ready() {
+			return c.Status(http.StatusServiceUnavailable).SendString("not ready\n")
+		}
+		return c.SendString("ready\n")
+	})
+	a.app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(parts.Registry, promhttp.HandlerOpts{})))
+	a.api.Register(a.app)
+}
+
+// secure sets the headers that keep a browser from being turned against its
+// operator: no frames, no scripts, no guessing of types, no referrer.
+func secure(c *fiber.Ctx) error {
+	c.Set("X-Content-Type-Options", "nosniff")
+	c.Set("X-Frame-Options", "DENY")
+	c.Set("Referrer-Policy", "no-referrer")
+	c.Set("Content-Security-Policy", "default-src 'none'; style-src 'self'; img-src 'self' data:; form-action 'self'; frame-ancestors 'none'; base-uri 'none'")
+	return c.Next()
+}
+
+// failed answers requests that no handler answered: they are refused by the
+// library for their size or slowness, or have no route.
+func (a *Admin) failed(c *fiber.Ctx, err error) error {
+	return a.api.Refuse(c, kqproblem.New(codeOf(err), err.Error()))
+}
+
+func codeOf(err error) kqproblem.Code {
+	var f *fiber.Error
+	var small *fasthttp.ErrSmallBuffer
+	var network net.Error
+	switch {
+	case errors.As(err, &small):
+		return kqproblem.HeadersTooLarge
+	case errors.As(err, &network) && network.Timeout():
+		return kqproblem.TooSlow
+	case !errors.As(err, &f):
+		return kqproblem.Internal
+	}
+	switch f.Code {
+	case fiber.StatusRequestEntityTooLarge:
+		return kqproblem.TooLarge
+	case fiber.StatusRequestHeaderFieldsTooLarge:
+		return kqproblem.HeadersTooLarge
+	case fiber.StatusRequestTimeout:
+		return kqproblem.TooSlow
+	case fiber.StatusNotFound:
+		return kqproblem.NotFound
+	case fiber.StatusMethodNotAllowed:
+		return kqproblem.BadMethod
+	case fiber.StatusInternalServerError:
+		return kqproblem.Internal
+	default:
+		return kqproblem.Malformed
+	}
+}
--- /dev/null
+++ b/internal/admin/kqaudit/audit.go
@@ -0,0 +1,78 @@
+// Package kqaudit keeps the latest changes that operators tried, accepted and
+// refused. Accepted ones last in the document's history on the platform;
+// refused ones last in the log and, bounded, here.
+package kqaudit
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/kumquatgw/kumquatgw/internal/admin/kqproblem"
+	"github.com/kumquatgw/kumquatgw/internal/security/kqoperator"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const most = 500
+
+type (
+	// Record is one change that was tried. It never holds a token.
+	Record struct {
+		At       time.Time            `json:"at"`
+		Operator string               `json:"operator,omitempty"`
+		Team     kqname.Team          `json:"team,omitempty"`
+		Source   string               `json:"source"`
+		Way      string               `json:"way"`
+		What     string               `json:"what"`
+		Request  string               `json:"request_id,omitempty"`
+		Reason   string               `json:"reason,omitempty"`
+		Version  kqname.ConfigVersion `json:"version,omitempty"`
+		// Refused is the code of the refusal, "" for accepted changes.
+		Refused kqproblem.Code `json:"refused,omitempty"`
+	}
+
+	// Audit is a bounded list of records. It is safe for concurrent use.
+	Audit struct {
+		log *logrus.Entry
+
+		mu      sync.Mutex
+		records []Record
+	}
+)
+
+// New returns an empty list that also logs.
+func New(log *logrus.Entry) *Audit { return &Audit{log: log} }
+
+// Add records a change that was tried.
+func (a *Audit) Add(r Record) {
+	entry := a.log.WithFields(logrus.Fields{
+		"operator": r.Operator, "source": r.Source, "way": r.Way, "request_id": r.Request, "reason": r.Reason,
+	})
+	if r.Refused != "" {
+		entry.Warnf("Refused %s: %s.", r.What, r.Refused)
+	} else {
+		entry.Infof("Accepted %s as version %d.", r.What, r.Version)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.records = append(a.records, r)
+	if len(a.records) > most {
+		a.records = slices.Delete(a.records, 0, len(a.records)-most)
+	}
+}
+
+// Records returns what the operator may see, the newest first: all for admins,
+// their team's for members.
+func (a *Audit) Records(o kqoperator.Operator) []Record {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	list := make([]Record, 0, len(a.records))
+	for _, r := range slices.Backward(a.records) {
+		if o.Role == kqoperator.Admin || r.Team == o.Team {
+			list = append(list, r)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/admin/kqchange/pointer.go
@@ -0,0 +1,52 @@
+package kqchange
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/kumquatgw/kumquatgw/internal/admin/kqproblem"
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+)
+
+// place takes a problem's path, as "routes[3].service", apart.
+var place = regexp.MustCompile(`^([a-z_]+)\[(\d+)\]\.?(.*)$`)
+
+// invalid turns a document's problems into pointers to the fields of what was
+// sent: of the item where the fault is in it, else of the document.
+func invalid(e Edit, d kqdocument.Document, problems []kqdocument.Problem) *kqproblem.Problem {
+	code := kqproblem.Quota
+	fields := make([]kqproblem.Field, 0, len(problems))
+	for _, p := range problems {
+		if !strings.HasSuffix(p.Path, ".max_routes") && !strings.HasSuffix(p.Path, ".max_rollouts") {
+			code = kqproblem.Invalid
+		}
+		fields = append(fields, pointer(e, d, p))
+	}
+	problem := kqproblem.New(code, fmt.Sprintf("%d faults; the first: %s %s", len(problems), fields[0].Pointer, fields[0].Detail))
+	problem.Errors = fields
+	return problem
+}
+
+func pointer(e Edit, d kqdocument.Document, p kqdocument.Problem) kqproblem.Field {
+	parts := place.FindStringSubmatch(p.Path)
+	if parts == nil {
+		return kqproblem.Field{Pointer: "/document/" + p.Path, Detail: p.Message}
+	}
+	kind, field := parts[1], strings.ReplaceAll(parts[3], ".", "/")
+	index, err := strconv.Atoi(parts[2])
+	k, known := Kinds[kind]
+	if err != nil || !known {
+		return kqproblem.Field{Pointer: "/document/" + kind, Detail: p.Message}
+	}
+	name := k.NameAt(d, index)
+	if e.Kind == kind && e.Name == name {
+		return kqproblem.Field{Pointer: "/item/" + field, Detail: p.Message}
+	}
+	detail := p.Message
+	if e.Kind != "" {
+		detail = fmt.Sprintf("%s.%s: %s", kind, name, p.Message)
+	}
+	return kqproblem.Field{Pointer: fmt.Sprintf("/document/%s/%d/%s", kind, index, field), Detail: detail}
+}
--- a/internal/run/kqcommand/command.go
+++ b/internal/run/kqcommand/command.go
@@ -35,6 +35,7 @@
 	c.addUpstream()
 	c.addDocument()
 	c.addSettings()
+	c.addKeys()
 	c.addDemo()
 	c.addMeasure()
 	c.addRollout()
--- a/internal/run/kqcommand/rollout.go
+++ b/internal/run/kqcommand/rollout.go
@@ -2,30 +2,30 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"time"
 
+	"github.com/kumquatgw/kumquatgw/internal/admin/kqapi"
+	"github.com/kumquatgw/kumquatgw/internal/admin/kqclient"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqboard"
 )
 
-const (
-	adminFlag    = "http://127.0.0.1:8084"
-	adminTimeout = 5 * time.Second
-	watchEvery   = time.Second
-)
+const watchEvery = time.Second
 
 func (c *Command) addRollout() {
 	parent := c.app.Command("rollout", "Show moves of traffic between upstream versions.")
 	status := parent.Command("status", "Tell each move's state, why, and on which evidence.")
-	url := status.Flag("admin", "URL of a node's admin server.").Default(adminFlag).String()
+	access := accessFlags(status)
 	watch := status.Flag("watch", "Print each change until all moves have ended.").Bool()
 	asJSON := status.Flag("json", "Print JSON.").Bool()
 	c.add(status, func(ctx context.Context) error {
+		client, err := kqclient.New(*access)
+		if err != nil {
+			return fmt.Errorf("show rollouts: %w", err)
+		}
 		last := ""
 		for {
-			list, err := rollouts(ctx, *url)
+			list, err := rollouts(ctx, client)
 			if err != nil {
 				return err
 			}
@@ -47,23 +47,12 @@
 	})
 }
 
-func rollouts(ctx context.Context, url string) ([]kqboard.Status, error) {
-	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/v1/rollouts", nil)
-	if err != nil {
+func rollouts(ctx context.Context, client *kqclient.Client) ([]kqboard.Status, error) {
+	var answer kqapi.RolloutStates
+	if err := client.Get(ctx, kqapi.Prefix+"/rollout-states", &answer); err != nil {
 		return nil, fmt.Errorf("ask for rollouts: %w", err)
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, fmt.Errorf("ask for rollouts: %w", err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var list []kqboard.Status
-	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
-		return nil, fmt.Errorf("read rollouts, status %d: %w", resp.StatusCode, err)
-	}
-	return list, nil
+	return answer.Rollouts, nil
 }
 
 func (c *Command) printRollouts(list []kqboard.Status, asJSON bool) error {
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -27,6 +27,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/run/kqmetric"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqidentity"
+	"github.com/kumquatgw/kumquatgw/internal/security/kqreload"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -61,6 +62,7 @@
 		admin     *kqadmin.Admin
 		identity  *kqidentity.Identity
 		security  *kqmetric.Security
+		tokens    *kqreload.Reloader
 		leaving   atomic.Bool
 		started   time.Time
 	}
@@ -104,7 +106,10 @@
 	n.joinConfig()
 	n.rollouts = n.joinRollouts()
 	n.joinCalls()
-	n.joinAdmin()
+	if err := n.joinAdmin(); err != nil {
+		n.listeners.close()
+		return nil, fmt.Errorf("start node %s: %w", settings.Node.Name, err)
+	}
 	return n, nil
 }
 
@@ -119,6 +124,7 @@
 	group.Go(func() { n.exchange.Run(background) })
 	group.Go(func() { n.sweep(background) })
 	group.Go(func() { n.runTLS(background) })
+	group.Go(func() { n.runAdmin(background) })
 	group.Go(func() { n.rollouts.run(background) })
 	failed := make(chan error, 8)
 	serve := func(f func() error) {
@@ -131,7 +137,7 @@
 	serve(func() error { return n.peers.Serve(background, n.listeners.control) })
 	n.servers.serve(serve, n.listeners)
 	if n.admin != nil {
-		serve(func() error { return n.admin.Serve(n.listeners.admin) })
+		serve(func() error { return n.admin.Serve(n.listeners.admin, n.adminTLS()) })
 	}
 	var err error
 	select {
--- a/internal/run/kqnode/tls.go
+++ b/internal/run/kqnode/tls.go
@@ -14,7 +14,7 @@
 )
 
 // joinTLS loads the node's identity, where the settings name one, and puts the
-// gate's and the admin server's listeners behind it.
+// gate's listener behind it.
 func (n *Node) joinTLS() error {
 	n.security = kqmetric.NewSecurity(n.metrics.Registry(), n.certificateExpires)
 	if !n.settings.TLS.On() {
@@ -36,9 +36,6 @@
 	}
 	n.identity = identity
 	n.listeners.gate = tls.NewListener(n.listeners.gate, identity.Mutual())
-	if n.listeners.admin != nil {
-		n.listeners.admin = tls.NewListener(n.listeners.admin, identity.Public())
-	}
 	return nil
 }
 
@@ -69,6 +66,14 @@
 	}
 }
 
+// adminTLS returns what the admin server proves itself by, nil without TLS.
+func (n *Node) adminTLS() *tls.Config {
+	if n.identity == nil {
+		return nil
+	}
+	return n.identity.Public()
+}
+
 func (n *Node) certificateExpires() time.Time {
 	if n.identity == nil {
 		return time.Time{}
