Let a lab server die abruptly, and let an upstream stand beside another

Cause: a lab server could only leave gracefully, so nothing could show what callers get when a VM is lost; one server had one upstream version. Change: kqcut's listener resets its connections and counts their bytes; a node's listeners can be wrapped; kqfleet kills, restarts and starts upstreams beside others; a fake upstream tells each run. Conclusion: the demo can count what callers receive through deaths.

--- /dev/null
+++ b/internal/lab/kqcut/listener.go
@@ -0,0 +1,92 @@
+// Package kqcut makes a server die the way a lost VM does: every connection
+// breaks at once, whatever is on its way. It also counts the bytes that the
+// connections carry, apart from the code under test.
+package kqcut
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+type (
+	// Listener is a listener whose connections can be cut together. It is safe
+	// for concurrent use.
+	Listener struct {
+		net.Listener
+		bytes *atomic.Int64
+
+		mu    sync.Mutex
+		cut   bool
+		conns map[*conn]struct{}
+	}
+
+	conn struct {
+		net.Conn
+		listener *Listener
+	}
+)
+
+// New returns a listener over l that adds what its connections carry, in both
+// directions, to bytes.
+func New(l net.Listener, bytes *atomic.Int64) *Listener {
+	return &Listener{Listener: l, bytes: bytes, conns: make(map[*conn]struct{})}
+}
+
+// Accept implements net.Listener. Its errors stay bare, as servers compare them.
+func (l *Listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: raw, listener: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut {
+		c.reset()
+		return c, nil
+	}
+	l.conns[c] = struct{}{}
+	return c, nil
+}
+
+// Cut closes the listener and resets every connection.
+func (l *Listener) Cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = true
+	_ = l.Close()
+	for c := range l.conns {
+		c.reset()
+	}
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.listener.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.listener.bytes.Add(int64(n))
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// reset drops what is still to be sent, as a lost server would.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Conn.Close()
+}
--- a/internal/lab/kqfleet/fleet.go
+++ b/internal/lab/kqfleet/fleet.go
@@ -3,10 +3,11 @@
 package kqfleet
 
 import (
-	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/sourcegraph/conc"
 
@@ -35,6 +36,7 @@
 		mu      sync.Mutex
 		servers []*Server
 		group   conc.WaitGroup
+		control atomic.Int64
 	}
 
 	// Spec says what a server runs.
@@ -50,17 +52,6 @@
 		Admin bool
 	}
 
-	// Server is one VM: a node and its upstream.
-	Server struct {
-		Spec     Spec
-		Node     *kqnode.Node
-		Upstream *kqupstream.Upstream
-
-		stopNode, stopUpstream context.CancelFunc
-		nodeDone, upstreamDone chan struct{}
-		err                    error
-	}
-
 	// Option sets up a Fleet.
 	Option func(*Fleet)
 )
@@ -92,25 +83,40 @@
 	}
 	s.Member.Seeds = f.seeds()
 	f.adapt(&s)
-	n, err := kqnode.New(s, f.store, kqnode.WithLogger(f.logger))
+	server := &Server{Spec: spec, fleet: f, nodeDone: make(chan struct{})}
+	var err error
+	server.Node, err = kqnode.New(s, f.store, kqnode.WithLogger(f.logger), kqnode.WithListener(server.wrap))
 	if err != nil {
 		return nil, fmt.Errorf("start server %s: %w", spec.Node, err)
 	}
-	server := &Server{Spec: spec, Node: n, nodeDone: make(chan struct{}), upstreamDone: make(chan struct{})}
+	server.runNode()
 	if spec.Service != "" {
-		server.Upstream, err = kqupstream.New(spec.Service, spec.Version, spec.Slots, n.LocalAddress(), spec.Behaviour)
+		server.Upstream, err = server.StartBeside(spec.Version, spec.Slots, spec.Behaviour)
 		if err != nil {
 			return nil, fmt.Errorf("start server %s: %w", spec.Node, err)
 		}
 	}
-	f.run(server)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.servers = append(f.servers, server)
 	return server, nil
 }
 
-// Servers returns the servers that were started, stopped ones included.
+// Restart puts a new server in the place of one that was stopped or killed. It
+// has the same name and nothing else of it.
+func (f *Fleet) Restart(old *Server) (*Server, error) {
+	f.mu.Lock()
+	f.servers = slices.DeleteFunc(f.servers, func(s *Server) bool { return s == old })
+	f.mu.Unlock()
+	return f.Start(old.Spec)
+}
+
+// ControlBytes returns the bytes that nodes have exchanged on their control
+// listeners, each counted once, where it was received.
+func (f *Fleet) ControlBytes() int64 { return f.control.Load() }
+
+// Servers returns the servers that were started, stopped ones included unless
+// they were restarted.
 func (f *Fleet) Servers() []*Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -133,37 +139,14 @@
 	return errors.Join(errs...)
 }
 
-// Stop drains the upstream and then the node, and waits for both.
-func (s *Server) Stop() {
-	s.stopUpstream()
-	<-s.upstreamDone
-	s.stopNode()
-	<-s.nodeDone
-}
-
-func (f *Fleet) run(s *Server) {
-	var nodeContext, upstreamContext context.Context
-	nodeContext, s.stopNode = context.WithCancel(context.Background())
-	upstreamContext, s.stopUpstream = context.WithCancel(context.Background())
-	f.group.Go(func() {
-		defer close(s.nodeDone)
-		s.err = s.Node.Run(nodeContext)
-	})
-	f.group.Go(func() {
-		defer close(s.upstreamDone)
-		if s.Upstream != nil {
-			// A fake upstream that cannot drain has calls cut; its callers count those.
-			_ = s.Upstream.Run(upstreamContext)
-		}
-	})
-}
-
 func (f *Fleet) seeds() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []string
-	for _, s := range f.servers[:min(seeds, len(f.servers))] {
-		list = append(list, string(s.Node.ControlAddress()))
+	for _, s := range f.servers {
+		if len(list) < seeds && !s.ended() {
+			list = append(list, string(s.Node.ControlAddress()))
+		}
 	}
 	return list
 }
--- a/internal/lab/kqupstream/upstream.go
+++ b/internal/lab/kqupstream/upstream.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqcut"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -52,16 +53,26 @@
 		LongWork time.Duration `json:"long_work"`
 	}
 
+	// Run is one call that an upstream began to run.
+	Run struct {
+		Work    string
+		Service kqname.Service
+		Version kqname.UpstreamVersion
+		At      time.Time
+	}
+
 	// Upstream is a fake upstream. It is safe for concurrent use.
 	Upstream struct {
 		announcement kqlocal.Announcement
 		node         kqname.Address
 		server       *fasthttp.Server
-		listener     net.Listener
+		listener     *kqcut.Listener
 		http         *http.Client
 		started      time.Time
 
 		behaviour atomic.Pointer[Behaviour]
+		watcher   atomic.Pointer[func(Run)]
+		killed    chan struct{}
 		draining  atomic.Bool
 		running   atomic.Int64
 
@@ -80,7 +91,8 @@
 	u := &Upstream{
 		announcement: kqlocal.Announcement{Service: service, Version: version, Address: kqname.Address(l.Addr().String()), Slots: slots},
 		node:         node,
-		listener:     l,
+		listener:     kqcut.New(l, new(atomic.Int64)),
+		killed:       make(chan struct{}),
 		http:         &http.Client{Timeout: time.Second},
 		started:      time.Now(),
 		runs:         make(map[string]int),
@@ -96,6 +108,16 @@
 // SetBehaviour changes how calls are answered from now on.
 func (u *Upstream) SetBehaviour(b Behaviour) { u.behaviour.Store(&b) }
 
+// OnRun calls f with each call that begins to run from now on.
+func (u *Upstream) OnRun(f func(Run)) { u.watcher.Store(&f) }
+
+// Kill breaks every connection at once and ends Run without draining, the way
+// a lost server does. It may be called once.
+func (u *Upstream) Kill() {
+	close(u.killed)
+	u.listener.Cut()
+}
+
 // Run serves and announces until ctx ends, and then drains.
 func (u *Upstream) Run(ctx context.Context) error {
 	failed := make(chan error, 1)
@@ -105,6 +127,8 @@
 	for {
 		u.announce()
 		select {
+		case <-u.killed:
+			return nil
 		case err := <-failed:
 			return fmt.Errorf("serve upstream of %s: %w", u.announcement.Service, err)
 		case <-ctx.Done():
@@ -148,6 +172,9 @@
 	u.mu.Lock()
 	u.runs[work]++
 	u.mu.Unlock()
+	if f := u.watcher.Load(); f != nil {
+		(*f)(Run{Work: work, Service: u.announcement.Service, Version: u.announcement.Version, At: time.Now()})
+	}
 	time.Sleep(u.duration(b, running, ctx.Path()))
 	ctx.Response.Header.Set(HeaderWork, work)
 	if bytes.HasPrefix(ctx.Path(), []byte(b.FailPath)) && rand.Float64() < b.FailShare {
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -31,7 +31,20 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
-const sweepEvery = 250 * time.Millisecond
+const (
+	// RoleControl is where peers connect.
+	RoleControl Role = "control"
+	// RoleGate is where other nodes send calls.
+	RoleGate Role = "gate"
+	// RoleEntry is where callers connect.
+	RoleEntry Role = "entry"
+	// RoleLocal is where the local upstream connects.
+	RoleLocal Role = "local"
+	// RoleAdmin is where operators connect.
+	RoleAdmin Role = "admin"
+
+	sweepEvery = 250 * time.Millisecond
+)
 
 // ErrKilled is the cause of Run's context that ends a node without a goodbye,
 // the way a lost server does.
@@ -65,8 +78,12 @@
 		tokens    *kqreload.Reloader
 		leaving   atomic.Bool
 		started   time.Time
+		wrap      func(Role, net.Listener) net.Listener
 	}
 
+	// Role names what a listener is for.
+	Role string
+
 	// Option sets up a Node.
 	Option func(*Node)
 
@@ -78,9 +95,18 @@
 // WithLogger sets where the node logs.
 func WithLogger(l *kqlog.Logger) Option { return func(n *Node) { n.logger = l } }
 
+// WithListener lets wrap replace each listener that the node opens, so that a
+// test can break its connections.
+func WithListener(wrap func(Role, net.Listener) net.Listener) Option {
+	return func(n *Node) { n.wrap = wrap }
+}
+
 // New opens the node's listeners and joins its parts; Run starts it.
 func New(settings kqsettings.Settings, store kqstore.Store, options ...Option) (*Node, error) {
-	n := &Node{settings: settings, store: store, logger: kqlog.Discard(), metrics: kqmetric.New(), started: time.Now()}
+	n := &Node{
+		settings: settings, store: store, logger: kqlog.Discard(), metrics: kqmetric.New(), started: time.Now(),
+		wrap: func(_ Role, l net.Listener) net.Listener { return l },
+	}
 	for _, o := range options {
 		o(n)
 	}
@@ -231,14 +257,15 @@
 func (n *Node) listen() error {
 	s := n.settings.Node
 	for _, l := range []struct {
-		to *net.Listener
-		at kqname.Address
+		role Role
+		to   *net.Listener
+		at   kqname.Address
 	}{
-		{&n.listeners.control, s.ControlListen},
-		{&n.listeners.gate, s.GateListen},
-		{&n.listeners.entry, s.EntryListen},
-		{&n.listeners.local, s.LocalListen},
-		{&n.listeners.admin, n.settings.Admin.Listen},
+		{RoleControl, &n.listeners.control, s.ControlListen},
+		{RoleGate, &n.listeners.gate, s.GateListen},
+		{RoleEntry, &n.listeners.entry, s.EntryListen},
+		{RoleLocal, &n.listeners.local, s.LocalListen},
+		{RoleAdmin, &n.listeners.admin, n.settings.Admin.Listen},
 	} {
 		if l.at == "" {
 			continue
@@ -247,7 +274,7 @@
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", l.at, err)
 		}
-		*l.to = opened
+		*l.to = n.wrap(l.role, opened)
 	}
 	return nil
 }
