Measure rollouts in virtual time

Cause: nobody could say how often good versions finish and bad ones are taken back. Change: "measure rollouts" plays 1,000 seeded rollouts a policy over 16 kinds of versions through the decision packages, beside a timer with an error threshold and a test that knows the true distributions, on the same calls. Nothing was measured before.

--- a/internal/rollout/kqshare/share.go
+++ b/internal/rollout/kqshare/share.go
@@ -30,6 +30,15 @@
 		Small bool
 	}
 
+	// Burst is a share laid over each second and over upstreams.
+	Burst struct {
+		// Nodes limits the new version's calls to these; nil accepts all.
+		Nodes map[kqname.Node]bool
+		// Within is the share of calls for the new version while the burst is
+		// on, and Duty the part of each second for which it is.
+		Within, Duty float64
+	}
+
 	// Random gives a number in [0, 1).
 	Random interface {
 		Float64() float64
@@ -42,41 +51,38 @@
 	if s.Of <= 0 {
 		return old
 	}
-	if s.Of >= 1 {
-		return kqpick.Target{Version: s.To}
-	}
-	few, within, open := s.burst(now, all)
-	if !open || random.Float64() >= within {
+	b := s.Burst(all)
+	phase := time.Duration(now.UnixNano() % int64(period))
+	if float64(phase) >= b.Duty*float64(period) || random.Float64() >= b.Within {
 		return old
 	}
-	return kqpick.Target{Version: s.To, Nodes: few, Fallback: s.From}
+	return kqpick.Target{Version: s.To, Nodes: b.Nodes, Fallback: s.From}
 }
 
-// burst returns the upstreams for the small share, the part of calls that go
-// there while a burst is on, and whether one is on.
-func (s Share) burst(now time.Time, all []kqmember.Candidate) (map[kqname.Node]bool, float64, bool) {
+// Burst returns how the share is laid over a second and over upstreams.
+func (s Share) Burst(all []kqmember.Candidate) Burst {
+	whole := Burst{Within: s.Of, Duty: 1}
 	if !s.Small {
-		return nil, s.Of, true
+		return whole
 	}
-	var oldSlots, newSlots int
-	few := make(map[kqname.Node]bool)
+	oldSlots, newSlots := 0, 0
 	for _, c := range all {
 		if c.Version == s.From {
 			oldSlots += c.Slots
 		}
 	}
+	few := make(map[kqname.Node]bool)
 	for _, c := range all {
-		if c.Version == s.To && (len(few) == 0 || float64(newSlots+c.Slots) <= s.Of*float64(oldSlots)) {
+		if c.Version == s.To && (newSlots == 0 || float64(newSlots+c.Slots) <= s.Of*float64(oldSlots)) {
 			few[c.Node] = true
 			newSlots += c.Slots
 		}
 	}
 	if newSlots == 0 || oldSlots == 0 {
-		return nil, s.Of, true
+		return whole
 	}
-	// A call of the burst goes to the new upstreams by their part of the slots.
+	// In a burst, an upstream of the few gets calls as an old one does: by its
+	// part of the old version's slots.
 	within := max(s.Of, min(float64(newSlots)/float64(oldSlots), 1))
-	duty := s.Of / within
-	phase := time.Duration(now.UnixNano() % int64(period))
-	return few, within, float64(phase) < duty*float64(period)
+	return Burst{Nodes: few, Within: within, Duty: s.Of / within}
 }
--- a/internal/run/kqcommand/command.go
+++ b/internal/run/kqcommand/command.go
@@ -39,6 +39,7 @@
 	c.addDemo()
 	c.addMeasure()
 	c.addRollout()
+	c.addMeasureRollouts()
 	c.addReplay()
 	c.addMeasureNodes()
 	c.addMeasureCalls()
