--- /dev/null
+++ b/internal/config/kqfetch/fetch.go
@@ -0,0 +1,307 @@
+// Package kqfetch brings objects to a node: from the readers, from peers of the
+// same service, and from the platform as the last resort.
+package kqfetch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
+	"golang.org/x/time/rate"
+
+	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	methodObjects = "c.o"
+
+	peerTimeout = 2 * time.Second
+	readTimeout = 5 * time.Second
+	// passes is how often the list of peers is gone through while some of them
+	// are busy, before the platform is asked.
+	passes = 3
+	// answerBytes bounds the objects of one answer; the rest is asked for again.
+	answerBytes = 256 << 10
+	// burst is how many objects a node may take from the platform at once.
+	burst = 8
+	// recent is how many objects that were just read from the platform are kept
+	// for others who are about to ask, until the replica holds them.
+	recent = 32
+	// peersOfService is how many peers beside the readers are asked.
+	peersOfService = 2
+)
+
+// errMissing tells that nobody asked had an object.
+var errMissing = errors.New("object is nowhere to be had")
+
+type (
+	// Platform reads objects from the platform's service.
+	Platform interface {
+		Fetch(ctx context.Context, wanted []kqresource.Digest) (kqresource.Objects, error)
+	}
+
+	// Held gives the objects that this node holds.
+	Held interface {
+		Object(d kqresource.Digest) ([]byte, bool)
+	}
+
+	// Budget says how long bulk must wait; 0 sends it now.
+	Budget interface {
+		Allow(now time.Time) time.Duration
+	}
+
+	// Fetcher brings objects. It is safe for concurrent use.
+	//
+	// The platform's rate is bounded for the fleet and not for a node: readers
+	// share out half of the rate by their number, all others the other half by
+	// the number of members, so that neither a storm of new nodes nor a growing
+	// fleet can go over it.
+	Fetcher struct {
+		client   *kqpeer.Client
+		table    *kqmember.Table
+		platform Platform
+		budget   Budget
+		total    float64
+		expected int
+		limiter  *rate.Limiter
+
+		mu      sync.Mutex
+		held    Held
+		flights map[kqresource.Digest]*flight
+		recent  map[kqresource.Digest][]byte
+		order   []kqresource.Digest
+	}
+
+	// flight is a fetch that others wait for too.
+	flight struct {
+		done chan struct{}
+		data []byte
+		err  error
+	}
+
+	request struct {
+		Digests []kqresource.Digest `cbor:"1,keyasint"`
+	}
+
+	answer struct {
+		// Objects are found ones; their digests name them.
+		Objects [][]byte `cbor:"1,keyasint"`
+		// Busy is how long to stay away, in milliseconds; nothing else is set.
+		Busy int64 `cbor:"2,keyasint,omitempty"`
+	}
+)
+
+// New returns a fetcher that answers on server. The platform is read at most
+// perSecond times a second by the whole fleet, which is taken to have expected
+// nodes until more are known.
+func New(server *kqpeer.Server, client *kqpeer.Client, table *kqmember.Table, platform Platform, budget Budget, perSecond, expected int) *Fetcher {
+	f := &Fetcher{
+		client: client, table: table, platform: platform, budget: budget,
+		total: float64(perSecond), expected: expected,
+		limiter: rate.NewLimiter(1, burst), flights: make(map[kqresource.Digest]*flight),
+		recent: make(map[kqresource.Digest][]byte),
+	}
+	kqpeer.Handle(server, methodObjects, f.answer)
+	return f
+}
+
+// Serve sets what is given to peers.
+func (f *Fetcher) Serve(h Held) { f.held = h }
+
+// Fetch returns the objects, all of them, or an error.
+func (f *Fetcher) Fetch(ctx context.Context, wanted []kqresource.Digest) (kqresource.Objects, error) {
+	found := make(kqresource.Objects, len(wanted))
+	self := f.table.Self()
+	if self.Reader {
+		return found, f.fetchAsReader(ctx, self.Node, wanted, found)
+	}
+	for pass := range passes {
+		wait := time.Duration(0)
+		for _, to := range f.peers(self) {
+			if wanted = missing(wanted, found); len(wanted) == 0 {
+				return found, nil
+			}
+			wait = max(wait, f.ask(ctx, to, wanted, found))
+		}
+		if wait == 0 || pass == passes-1 {
+			break
+		}
+		sleep(ctx, rand.N(wait)+time.Millisecond)
+	}
+	return found, f.fromPlatform(ctx, missing(wanted, found), found)
+}
+
+// fetchAsReader asks the reader that owns each object, by a hash of both, so
+// that all readers together take each object from the platform about once.
+func (f *Fetcher) fetchAsReader(ctx context.Context, self kqname.Node, wanted []kqresource.Digest, found kqresource.Objects) error {
+	readers := f.readers()
+	owned := make(map[kqname.Address][]kqresource.Digest)
+	for _, d := range wanted {
+		owner := kqmember.Member{Node: self}
+		var best uint64
+		for _, m := range readers {
+			if h := xxhash.Sum64String(string(m.Node) + string(d[:])); h >= best {
+				owner, best = m, h
+			}
+		}
+		if owner.Node != self {
+			owned[owner.Control] = append(owned[owner.Control], d)
+		}
+	}
+	var group conc.WaitGroup
+	var mu sync.Mutex
+	for to, digests := range owned {
+		group.Go(func() {
+			part := make(kqresource.Objects)
+			f.ask(ctx, to, digests, part)
+			mu.Lock()
+			defer mu.Unlock()
+			for d, data := range part {
+				found[d] = data
+			}
+		})
+	}
+	group.Wait()
+	return f.fromPlatform(ctx, missing(wanted, found), found)
+}
+
+// ask takes from one peer what it has, and returns how long it is busy.
+func (f *Fetcher) ask(ctx context.Context, to kqname.Address, wanted []kqresource.Digest, found kqresource.Objects) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	for len(wanted) > 0 {
+		a, err := kqpeer.Call[request, answer](ctx, f.client, to, methodObjects, request{Digests: wanted})
+		if err != nil {
+			return 0
+		}
+		if a.Busy > 0 {
+			return time.Duration(a.Busy) * time.Millisecond
+		}
+		before := len(wanted)
+		for _, data := range a.Objects {
+			found[kqresource.DigestOf(data)] = data
+		}
+		if wanted = missing(wanted, found); len(wanted) == before {
+			return 0
+		}
+	}
+	return 0
+}
+
+// answer gives a peer the objects held; a reader fetches those that it lacks.
+func (f *Fetcher) answer(ctx context.Context, _ kqname.Node, q request) (answer, error) {
+	if wait := f.budget.Allow(time.Now()); wait > 0 {
+		return answer{Busy: wait.Milliseconds() + 1}, nil
+	}
+	var a answer
+	var lacking []kqresource.Digest
+	bytes := 0
+	for _, d := range q.Digests {
+		data, ok := f.held.Object(d)
+		if !ok {
+			lacking = append(lacking, d)
+			continue
+		}
+		if bytes += len(data); bytes > answerBytes && len(a.Objects) > 0 {
+			return a, nil
+		}
+		a.Objects = append(a.Objects, data)
+	}
+	if len(lacking) == 0 || !f.table.Self().Reader {
+		return a, nil
+	}
+	found := make(kqresource.Objects)
+	// What the platform does not have either is missing from the answer.
+	_ = f.fromPlatform(ctx, lacking, found)
+	for _, data := range found {
+		if bytes += len(data); bytes > answerBytes && len(a.Objects) > 0 {
+			break
+		}
+		a.Objects = append(a.Objects, data)
+	}
+	return a, nil
+}
+
+func (f *Fetcher) fromPlatform(ctx context.Context, wanted []kqresource.Digest, found kqresource.Objects) error {
+	for _, d := range wanted {
+		data, err := f.one(ctx, d)
+		if err != nil {
+			return fmt.Errorf("fetch %d objects: %w", len(wanted), err)
+		}
+		found[d] = data
+	}
+	return nil
+}
+
+// one reads an object from the platform, once for all who want it now.
+func (f *Fetcher) one(ctx context.Context, d kqresource.Digest) ([]byte, error) {
+	f.mu.Lock()
+	if data, ok := f.recent[d]; ok {
+		f.mu.Unlock()
+		return data, nil
+	}
+	if other, ok := f.flights[d]; ok {
+		f.mu.Unlock()
+		select {
+		case <-other.done:
+			return other.data, other.err
+		case <-ctx.Done():
+			return nil, fmt.Errorf("wait for object %s: %w", d, ctx.Err())
+		}
+	}
+	own := &flight{done: make(chan struct{})}
+	f.flights[d] = own
+	f.mu.Unlock()
+	// Whoever came first may give up; the others still wait for this.
+	reading, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
+	defer cancel()
+	own.data, own.err = f.read(reading, d)
+	f.mu.Lock()
+	delete(f.flights, d)
+	if own.err == nil {
+		f.keep(d, own.data)
+	}
+	f.mu.Unlock()
+	close(own.done)
+	return own.data, own.err
+}
+
+func (f *Fetcher) keep(d kqresource.Digest, data []byte) {
+	f.recent[d] = data
+	if f.order = append(f.order, d); len(f.order) > recent {
+		delete(f.recent, f.order[0])
+		f.order = f.order[1:]
+	}
+}
+
+func (f *Fetcher) read(ctx context.Context, d kqresource.Digest) ([]byte, error) {
+	f.limiter.SetLimit(rate.Limit(f.share()))
+	if err := f.limiter.Wait(ctx); err != nil {
+		return nil, fmt.Errorf("keep to the platform's rate: %w", err)
+	}
+	objects, err := f.platform.Fetch(ctx, []kqresource.Digest{d})
+	if err != nil {
+		return nil, err
+	}
+	data, ok := objects[d]
+	if !ok {
+		return nil, fmt.Errorf("object %s: %w", d, errMissing)
+	}
+	return data, nil
+}
+
+// share is this node's part of the platform's rate, in calls per second.
+func (f *Fetcher) share() float64 {
+	if f.table.Self().Reader {
+		return f.total / 2 / float64(max(len(f.readers()), 1))
+	}
+	return f.total / 2 / float64(max(len(f.table.Members()), f.expected))
+}
--- /dev/null
+++ b/internal/config/kqreader/reader.go
@@ -0,0 +1,237 @@
+// Package kqreader makes a few nodes the readers of the platform's service for
+// all others, by leases on two slots in each failure domain.
+//
+// The platform's load in the steady state is, per second, with d failure
+// domains, 2 slots each, a renewal every 2 s, a waiting watch of 20 s and a poll
+// every 10 s:
+//
+//	2*d * (1/2 + 1/20 + 1/10) = 1.3*d calls, and 2*d watch answers a change
+//
+// The number of nodes does not occur in it. A starting node reads the slots of
+// its own domain, 2 calls, once or until it has found a peer.
+package kqreader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqlease"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	slotPrefix = "kumquatgw/reader/"
+	stepEvery  = 200 * time.Millisecond
+	// strangers is how many looks a node that knows nobody may make before it
+	// takes the slot of a holder that does not answer.
+	strangers    = 2
+	lonelyPause  = 2 * time.Second
+	closeTimeout = time.Second
+)
+
+type (
+	// Store is the part of the platform's service that readers use.
+	Store interface {
+		Get(ctx context.Context, key string) (kqstore.Entry, error)
+		Swap(ctx context.Context, key string, expected kqstore.Revision, value []byte, lease kqstore.Lease) (kqstore.Revision, error)
+		Delete(ctx context.Context, key string, expected kqstore.Revision) error
+		Grant(ctx context.Context, ttl time.Duration) (kqstore.Lease, error)
+		Renew(ctx context.Context, lease kqstore.Lease) error
+	}
+
+	// Watcher follows the root while this node is a reader.
+	Watcher interface {
+		Run(ctx context.Context)
+	}
+
+	// Reader takes, keeps and gives up a slot.
+	Reader struct {
+		store   Store
+		table   *kqmember.Table
+		watcher Watcher
+		// contact is given the control address of each reader that is found.
+		contact func(ctx context.Context, to kqname.Address)
+		// reads is told when this node starts and stops reading.
+		reads  func(bool)
+		failed func(error)
+		spread time.Duration
+
+		holder   kqlease.Holder
+		lease    kqstore.Lease
+		key      string
+		revision kqstore.Revision
+		stop     context.CancelFunc
+		lonely   map[string]int
+		group    conc.WaitGroup
+	}
+)
+
+// New returns a reader. Its first look is at random within spread, so that a
+// herd of starting nodes does not ask the platform all at once.
+func New(store Store, table *kqmember.Table, watcher Watcher, spread time.Duration,
+	contact func(context.Context, kqname.Address), reads func(bool), failed func(error),
+) *Reader {
+	return &Reader{
+		store: store, table: table, watcher: watcher, spread: spread, contact: contact, reads: reads, failed: failed,
+		lonely: make(map[string]int), stop: func() {},
+	}
+}
+
+// SlotKey returns the platform's key of a reader slot; its value is the control
+// address of the reader.
+func SlotKey(d kqname.Domain, slot int) string { return fmt.Sprintf("%s%s/%d", slotPrefix, d, slot) }
+
+// Run takes part until ctx ends, and then frees its slot.
+func (r *Reader) Run(ctx context.Context) {
+	defer r.group.Wait()
+	pause(ctx, rand.N(r.spread+1))
+	for ctx.Err() == nil {
+		r.step(ctx)
+		pause(ctx, stepEvery/2+rand.N(stepEvery))
+	}
+	if r.holder.Holds() && !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		free, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer cancel()
+		// A slot that is not freed lapses.
+		_ = r.store.Delete(free, r.key, r.revision)
+	}
+	r.stop()
+}
+
+func (r *Reader) step(ctx context.Context) {
+	situation, known := r.situation()
+	switch r.holder.Next(situation, time.Now()) {
+	case kqlease.Look:
+		if !known {
+			// Everybody who knows nobody ranks first; chance ranks them instead.
+			pause(ctx, rand.N(lonelyPause))
+		}
+		r.look(ctx)
+	case kqlease.Renew:
+		r.renew(ctx)
+	case kqlease.GiveUp:
+		r.giveUp()
+	}
+}
+
+// situation tells how many readers the own domain has, this node's rank among
+// those that may become one, and whether any other member is known.
+func (r *Reader) situation() (kqlease.Situation, bool) {
+	var s kqlease.Situation
+	self := r.table.Self()
+	members := r.table.Members()
+	known := false
+	for _, m := range members {
+		if m.Node == self.Node || m.State == kqmember.Dead {
+			continue
+		}
+		known = true
+		switch {
+		case m.Domain != self.Domain || m.State != kqmember.Alive:
+		case m.Reader:
+			s.Readers++
+		case m.Incarnation < self.Incarnation:
+			// The longest running members come first: they have the connections.
+			s.Rank++
+		}
+	}
+	return s, known
+}
+
+// look reads the slots and takes the first that is free.
+func (r *Reader) look(ctx context.Context) {
+	self := r.table.Self()
+	first := rand.IntN(kqlease.Slots)
+	for i := range kqlease.Slots {
+		key := SlotKey(self.Domain, (first+i)%kqlease.Slots)
+		e, err := r.store.Get(ctx, key)
+		switch {
+		case errors.Is(err, kqstore.ErrNotFound):
+			if r.take(ctx, key, kqstore.Absent) {
+				return
+			}
+		case err != nil:
+			r.failed(err)
+			return
+		case r.answers(kqname.Address(e.Value)):
+			delete(r.lonely, key)
+		default:
+			r.contact(ctx, kqname.Address(e.Value))
+			r.lonely[key+string(e.Value)]++
+			if r.lonely[key+string(e.Value)] > strangers && r.take(ctx, key, e.Revision) {
+				return
+			}
+		}
+	}
+}
+
+// answers reports whether the holder of a slot is a member that is alive.
+func (r *Reader) answers(holder kqname.Address) bool {
+	for _, m := range r.table.Members() {
+		if m.Control == holder && m.State != kqmember.Dead {
+			return true
+		}
+	}
+	return false
+}
+
+// take takes a slot. A slot whose holder does not answer is taken before its
+// lease has lapsed: two readers at once do no harm, but a herd that lost all its
+// readers together would wait for the leases.
+func (r *Reader) take(ctx context.Context, key string, expected kqstore.Revision) bool {
+	sent := time.Now()
+	lease, err := r.store.Grant(ctx, kqlease.TTL)
+	if err != nil {
+		r.failed(err)
+		return false
+	}
+	revision, err := r.store.Swap(ctx, key, expected, []byte(r.table.Self().Control), lease)
+	if err != nil {
+		if !errors.Is(err, kqstore.ErrConflict) {
+			r.failed(err)
+		}
+		return false
+	}
+	r.holder.Renewed(sent)
+	r.lease, r.key, r.revision = lease, key, revision
+	clear(r.lonely)
+	reading, stop := context.WithCancel(ctx)
+	r.stop = stop
+	r.reads(true)
+	r.group.Go(func() { r.watcher.Run(reading) })
+	return true
+}
+
+func (r *Reader) renew(ctx context.Context) {
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, kqlease.TTL/3)
+	defer cancel()
+	switch err := r.store.Renew(ctx, r.lease); {
+	case err == nil:
+		r.holder.Renewed(sent)
+	case errors.Is(err, kqstore.ErrLeaseLapsed):
+		r.giveUp()
+	default:
+		r.failed(err)
+	}
+}
+
+func (r *Reader) giveUp() {
+	r.stop()
+	r.holder.Lost()
+	r.reads(false)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/internal/config/kqreplica/replica.go
+++ b/internal/config/kqreplica/replica.go
@@ -118,6 +118,14 @@
 	return r.Current(), nil
 }
 
+// HoldAll lets the replica hold the whole document, from the next version on,
+// whatever the node's own traffic needs; readers do so for the others.
+func (r *Replica) HoldAll(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.whole = on
+}
+
 // Sweep drops interests that have been idle since before.
 func (r *Replica) Sweep(before time.Time) int {
 	r.mu.Lock()
@@ -153,7 +161,7 @@
 // pointer, so that no call ever sees a part of it.
 func (r *Replica) swap(ctx context.Context, root kqresource.Root) error {
 	hosts, services, objects := r.needs()
-	if r.whole {
+	if r.holdsAll() {
 		hosts, services = slices.Collect(maps.Keys(root.Hosts)), slices.Collect(maps.Keys(root.Services))
 	}
 	if r.fresh {
@@ -190,6 +198,12 @@
 	return fmt.Errorf("apply version %d: %w", root.Version, kqsnapshot.ErrIncomplete)
 }
 
+func (r *Replica) holdsAll() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.whole
+}
+
 func (r *Replica) needs() ([]kqname.Host, []kqname.Service, kqresource.Objects) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
--- a/internal/config/kqwatch/watch.go
+++ b/internal/config/kqwatch/watch.go
@@ -17,7 +17,7 @@
 
 const (
 	watchWait   = 20 * time.Second
-	pollEvery   = 3 * time.Second
+	pollEvery   = 10 * time.Second
 	backoffBase = 100 * time.Millisecond
 	backoffMost = 5 * time.Second
 )
--- /dev/null
+++ b/internal/decide/kqlease/lease_test.go
@@ -0,0 +1,50 @@
+package kqlease_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqlease"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestHolderRenewsAndGivesUpByItsOwnClock(t *testing.T) {
+	var h kqlease.Holder
+	if step := h.Next(kqlease.Situation{}, start); step != kqlease.Look {
+		t.Fatalf("vacant slot: %s", step)
+	}
+	h.Renewed(start)
+	for _, c := range []struct {
+		after time.Duration
+		want  kqlease.Step
+	}{
+		{time.Second, kqlease.Wait},
+		{kqlease.TTL / 3, kqlease.Renew},
+		{kqlease.TTL/3 + time.Millisecond, kqlease.Wait},
+		{kqlease.TTL - kqlease.TTL/4, kqlease.GiveUp},
+		{time.Hour, kqlease.GiveUp},
+		{-time.Second, kqlease.GiveUp},
+	} {
+		if got := h.Next(kqlease.Situation{}, start.Add(c.after)); got != c.want {
+			t.Errorf("after %s: %s, want %s", c.after, got, c.want)
+		}
+	}
+}
+
+// Both readers of a domain of 80 servers die together. If every server asked
+// the platform for the free slots, its load would grow with the fleet.
+func TestOnlyTheFirstMembersLookAtAVacantSlot(t *testing.T) {
+	looks := 0
+	for rank := range 80 {
+		var h kqlease.Holder
+		for at := time.Duration(0); at < 3*time.Second; at += 100 * time.Millisecond {
+			if h.Next(kqlease.Situation{Rank: rank}, start.Add(at)) == kqlease.Look {
+				looks++
+			}
+		}
+	}
+	if looks == 0 || looks > 4 {
+		t.Fatalf("%d looks in 3 s", looks)
+	}
+}
--- /dev/null
+++ b/internal/decide/kqneighbour/neighbour_test.go
@@ -0,0 +1,88 @@
+package kqneighbour_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqneighbour"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const most = 6 + 2
+
+func fleet(n int) []kqneighbour.Member {
+	var members []kqneighbour.Member
+	for i := range n {
+		members = append(members, kqneighbour.Member{
+			Node:   kqname.Node(fmt.Sprintf("node-%03d", i)),
+			Domain: kqname.Domain(fmt.Sprintf("domain-%d", i%7)), Region: kqname.Region(fmt.Sprintf("region-%d", i%7%3)),
+		})
+	}
+	return members
+}
+
+// reached returns how many members a push from the first one reaches, and over
+// how many links at most.
+func reached(members []kqneighbour.Member) (count, hops int) {
+	byName := make(map[kqname.Node]kqneighbour.Member)
+	for _, m := range members {
+		byName[m.Node] = m
+	}
+	seen := map[kqname.Node]bool{members[0].Node: true}
+	front := []kqneighbour.Member{members[0]}
+	for len(front) > 0 {
+		var next []kqneighbour.Member
+		for _, m := range front {
+			for _, n := range (kqneighbour.Chooser{}).Choose(m, members) {
+				if !seen[n] {
+					seen[n] = true
+					next = append(next, byName[n])
+				}
+			}
+		}
+		if front = next; len(next) > 0 {
+			hops++
+		}
+	}
+	return len(seen), hops
+}
+
+func TestPushReachesEveryNodeOverFewLinks(t *testing.T) {
+	for _, n := range []int{2, 7, 25, 200, 550} {
+		members := fleet(n)
+		if count, hops := reached(members); count != n || hops > 6 {
+			t.Errorf("%d nodes: reached %d over %d links", n, count, hops)
+		}
+		for _, m := range members {
+			if got := (kqneighbour.Chooser{}).Choose(m, members); len(got) > most || slices.Contains(got, m.Node) {
+				t.Errorf("%d nodes: %s has neighbours %v", n, m.Node, got)
+			}
+		}
+	}
+}
+
+// A failure domain is lost and the others relink at the same moment. If every
+// node dropped its old links, the fleet would reconnect all at once.
+func TestLossOfADomainKeepsTheOtherLinks(t *testing.T) {
+	members := fleet(550)
+	left := slices.DeleteFunc(slices.Clone(members), func(m kqneighbour.Member) bool { return m.Domain == "domain-3" })
+	kept, all := 0, 0
+	for _, m := range left {
+		after := (kqneighbour.Chooser{}).Choose(m, left)
+		for _, n := range (kqneighbour.Chooser{}).Choose(m, members) {
+			if slices.ContainsFunc(left, func(l kqneighbour.Member) bool { return l.Node == n }) {
+				all++
+				if slices.Contains(after, n) {
+					kept++
+				}
+			}
+		}
+	}
+	if kept*10 < all*9 {
+		t.Fatalf("kept %d of %d links to live nodes", kept, all)
+	}
+	if count, _ := reached(left); count != len(left) {
+		t.Fatalf("reached %d of %d", count, len(left))
+	}
+}
--- a/internal/peer/kqexchange/exchange.go
+++ b/internal/peer/kqexchange/exchange.go
@@ -1,54 +1,105 @@
-// Package kqexchange keeps the member tables of nodes alike: every heartbeat a
-// node swaps tables with one random peer.
+// Package kqexchange keeps the member tables of nodes alike: heartbeats on the
+// overlay's links, news that floods over them, and a comparison with a random
+// peer that repairs what the flood lost.
 package kqexchange
 
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqsuspicion"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqoverlay"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
 const (
-	method          = "member.exchange"
-	exchangeTimeout = time.Second
+	callTimeout = time.Second
+	// reconcileBeats is the least pause between two comparisons, in heartbeats.
+	reconcileBeats = 2
+	// probeBeats is the pause between two probes of a lost member, and wanderBeats
+	// between two of any dead member or seed, in heartbeats.
+	probeBeats  = 10
+	wanderBeats = 20
+	// rememberDead is how long a dead member is probed: a server that comes back
+	// within a day during an outage of the platform is found again.
+	rememberDead = 24 * time.Hour
+	// idleLink is when a connection that is not a neighbour's is closed.
+	idleBeats = 10
 )
 
 type (
-	// Exchanger swaps member tables with peers.
-	Exchanger struct {
-		client *kqpeer.Client
-		table  *kqmember.Table
-		seeds  []kqname.Address
-		every  time.Duration
+	// Versions is the configuration flow as heartbeats see it.
+	Versions interface {
+		// Newest is the highest version whose root this node holds.
+		Newest() kqname.ConfigVersion
+		// Heard is told of every version that a peer says it holds.
+		Heard(v kqname.ConfigVersion, from kqname.Address)
+		// Answered is told of each peer that answered a heartbeat.
+		Answered(n kqname.Node, v kqname.ConfigVersion)
+	}
+
+	// Budget says how long bulk must wait; 0 sends it now.
+	Budget interface {
+		Allow(now time.Time) time.Duration
 	}
 
-	records struct {
-		Members []kqmember.Member `cbor:"1,keyasint"`
+	// Exchanger keeps this node's table. It is safe for concurrent use.
+	Exchanger struct {
+		client   *kqpeer.Client
+		table    *kqmember.Table
+		overlay  *kqoverlay.Overlay
+		versions Versions
+		budget   Budget
+		every    time.Duration
+		group    conc.WaitGroup
+
+		mu         sync.Mutex
+		contacts   []kqname.Address
+		detector   *kqsuspicion.Detector
+		busy       map[kqname.Address]bool
+		reconciled time.Time
+		queue      map[kqname.Node]kqmember.Member
+		wake       chan struct{}
 	}
 )
 
 // New returns an exchanger that answers on server and sends through client.
-func New(server *kqpeer.Server, client *kqpeer.Client, table *kqmember.Table, seeds []kqname.Address, every time.Duration) *Exchanger {
-	e := &Exchanger{client: client, table: table, seeds: seeds, every: every}
-	kqpeer.Handle(server, method, func(_ context.Context, _ kqname.Node, q records) (records, error) {
-		e.merge(q)
-		return records{Members: table.Members()}, nil
+// Contacts are addresses to ask while no member is known, and from time to time
+// later on, so that two halves of a fleet that forgot each other join again.
+func New(server *kqpeer.Server, client *kqpeer.Client, table *kqmember.Table, overlay *kqoverlay.Overlay,
+	versions Versions, budget Budget, contacts []kqname.Address, every time.Duration,
+) *Exchanger {
+	e := &Exchanger{
+		client: client, table: table, overlay: overlay, versions: versions, budget: budget, every: every,
+		contacts: contacts, detector: kqsuspicion.New(every), busy: make(map[kqname.Address]bool),
+		queue: make(map[kqname.Node]kqmember.Member), wake: make(chan struct{}, 1),
+	}
+	self := table.Self().Node
+	table.OnNews(func(m kqmember.Member) {
+		if m.Node == self {
+			e.enqueue(m)
+		}
 	})
+	kqpeer.Handle(server, methodBeat, e.answerBeat)
+	kqpeer.Handle(server, methodCompare, e.answerCompare)
+	kqpeer.Handle(server, methodNews, e.takeNews)
 	return e
 }
 
-// Run exchanges with a random peer every heartbeat until ctx ends.
+// Run exchanges until ctx ends.
 func (e *Exchanger) Run(ctx context.Context) {
+	defer e.group.Wait()
+	e.group.Go(func() { e.flush(ctx) })
 	ticker := time.NewTicker(e.every)
 	defer ticker.Stop()
-	for {
-		e.once(ctx, e.choose())
+	for beat := 0; ; beat++ {
+		e.tick(ctx, beat, time.Now())
 		select {
 		case <-ctx.Done():
 			return
@@ -57,47 +108,88 @@
 	}
 }
 
-// Announce tells every member that is not dead at once; a leaving node and a
-// changed upstream cannot wait for the next heartbeats.
-func (e *Exchanger) Announce(ctx context.Context) {
-	var group conc.WaitGroup
-	defer group.Wait()
-	self := e.table.Self().Node
-	for _, m := range e.table.Members() {
-		if m.Node != self && m.State != kqmember.Dead {
-			group.Go(func() { e.once(ctx, m.Control) })
-		}
+// Contact adds an address to ask, such as a reader's found on the platform.
+func (e *Exchanger) Contact(ctx context.Context, to kqname.Address) {
+	if to != e.table.Self().Control {
+		e.start(ctx, to)
 	}
 }
 
-func (e *Exchanger) once(ctx context.Context, to kqname.Address) {
-	if to == "" {
-		return
+// Announce tells the neighbours what is news now, and returns once each has it
+// or has failed; a leaving node cannot wait for the next flush.
+func (e *Exchanger) Announce(ctx context.Context) { e.send(ctx, e.take(maxQueue)) }
+
+func (e *Exchanger) tick(ctx context.Context, beat int, now time.Time) {
+	neighbours := e.overlay.Neighbours()
+	e.judge(neighbours, now)
+	for _, m := range neighbours {
+		e.start(ctx, m.Control)
+	}
+	if to, ok := e.random(func(m kqmember.Member) bool { return m.State != kqmember.Dead }); ok {
+		e.start(ctx, to)
+	} else {
+		for _, to := range e.contacts {
+			e.start(ctx, to)
+		}
+	}
+	if beat%probeBeats == probeBeats-1 {
+		for _, m := range e.overlay.Lost() {
+			e.start(ctx, m.Control)
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	a, err := kqpeer.Call[records, records](ctx, e.client, to, method, records{Members: e.table.Members()})
-	if err == nil {
-		e.merge(a)
+	if beat%wanderBeats == wanderBeats-1 {
+		if to, ok := e.random(func(m kqmember.Member) bool { return m.State == kqmember.Dead }); ok {
+			e.start(ctx, to)
+		}
+		if len(e.contacts) > 0 {
+			e.start(ctx, e.contacts[rand.IntN(len(e.contacts))])
+		}
+		e.table.Forget(now.Add(-rememberDead), now)
 	}
+	e.client.Sweep(now.Add(-idleBeats * e.every))
 }
 
-func (e *Exchanger) merge(r records) {
-	for _, m := range r.Members {
-		e.table.Merge(m)
+// judge turns missed heartbeats into suspicions and deaths, which are news.
+func (e *Exchanger) judge(neighbours []kqmember.Member, now time.Time) {
+	var watched, suspects []kqname.Node
+	for _, m := range neighbours {
+		watched = append(watched, m.Node)
+	}
+	for _, m := range e.table.Members() {
+		if m.State == kqmember.Suspect {
+			suspects = append(suspects, m.Node)
+		}
+	}
+	e.mu.Lock()
+	e.detector.Watch(watched, now)
+	e.detector.Suspects(suspects, now)
+	verdicts := e.detector.Judge(now)
+	e.mu.Unlock()
+	for _, v := range verdicts {
+		m, ok := e.table.Find(v.Node)
+		if !ok {
+			continue
+		}
+		m.State = kqmember.Suspect
+		if old, _ := e.table.Find(v.Node); v.Judgement == kqsuspicion.Dead || old.State == kqmember.Leaving {
+			m.State = kqmember.Dead
+		}
+		if e.table.Merge(m) {
+			e.enqueue(m)
+		}
 	}
 }
 
-func (e *Exchanger) choose() kqname.Address {
+func (e *Exchanger) random(fits func(kqmember.Member) bool) (kqname.Address, bool) {
 	self := e.table.Self().Node
-	known := append([]kqname.Address(nil), e.seeds...)
+	var list []kqname.Address
 	for _, m := range e.table.Members() {
-		if m.Node != self && m.State != kqmember.Dead {
-			known = append(known, m.Control)
+		if m.Node != self && fits(m) {
+			list = append(list, m.Control)
 		}
 	}
-	if len(known) == 0 {
-		return ""
+	if len(list) == 0 {
+		return "", false
 	}
-	return known[rand.IntN(len(known))]
+	return list[rand.IntN(len(list))], true
 }
--- a/internal/peer/kqmember/member.go
+++ b/internal/peer/kqmember/member.go
@@ -48,6 +48,8 @@
 		State       State                `cbor:"7,keyasint"`
 		Config      kqname.ConfigVersion `cbor:"8,keyasint"`
 		Upstreams   []Upstream           `cbor:"9,keyasint,omitempty"`
+		// Reader tells that the node watches the platform for the others.
+		Reader bool `cbor:"10,keyasint,omitempty"`
 	}
 
 	// Candidate is an upstream that a call may be sent to.
@@ -66,6 +68,8 @@
 		mu         sync.RWMutex
 		members    map[kqname.Node]Member
 		candidates map[kqname.Service][]Candidate
+		gone       map[kqname.Node]time.Time
+		news       []func(Member)
 	}
 )
 
@@ -76,12 +80,16 @@
 
 // NewTable returns a table that holds only the node itself.
 func NewTable(self Member) *Table {
-	t := &Table{self: self.Node, members: make(map[kqname.Node]Member)}
+	t := &Table{self: self.Node, members: make(map[kqname.Node]Member), gone: make(map[kqname.Node]time.Time)}
 	t.members[self.Node] = self
 	t.index()
 	return t
 }
 
+// OnNews calls f with each record that changed, this node's own included. It
+// must be called before the table is shared, and f must not block.
+func (t *Table) OnNews(f func(Member)) { t.news = append(t.news, f) }
+
 // Self returns the node's own record.
 func (t *Table) Self() Member {
 	t.mu.RLock()
@@ -89,40 +97,102 @@
 	return t.members[t.self]
 }
 
+// Find returns a member's record.
+func (t *Table) Find(n kqname.Node) (Member, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	m, ok := t.members[n]
+	return m, ok
+}
+
 // Update changes the node's own record under a new incarnation.
 func (t *Table) Update(change func(*Member)) Member {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	m := t.members[t.self]
 	m.Upstreams = slices.Clone(m.Upstreams)
 	change(&m)
 	m.Incarnation++
 	t.members[t.self] = m
 	t.index()
+	t.mu.Unlock()
+	t.tell(m)
 	return m
 }
 
+// SetConfig notes the configuration version that a member holds. It is no news:
+// it travels on heartbeats, as a record for each node and version would cost
+// the fleet its square in messages at each change.
+func (t *Table) SetConfig(n kqname.Node, v kqname.ConfigVersion) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m, ok := t.members[n]; ok && v > m.Config {
+		m.Config = v
+		t.members[n] = m
+	}
+}
+
 // Merge takes in a record heard from a peer and reports whether it was news.
 // A record that holds this node itself to be gone is refuted by an incarnation
 // over its own: a node that was only slow would otherwise stay out for ever.
 func (t *Table) Merge(m Member) bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	merged, news := t.merge(m)
+	t.mu.Unlock()
+	if news {
+		t.tell(merged)
+	}
+	return news
+}
+
+func (t *Table) merge(m Member) (Member, bool) {
 	old, ok := t.members[m.Node]
 	if m.Node == t.self {
 		if m.Incarnation < old.Incarnation || m.Incarnation == old.Incarnation && m.State <= old.State {
-			return false
+			return old, false
 		}
 		old.Incarnation = m.Incarnation + 1
 		t.members[t.self] = old
-		return true
+		return old, true
 	}
 	if ok && cmp.Or(cmp.Compare(m.Incarnation, old.Incarnation), cmp.Compare(m.State, old.State)) <= 0 {
-		return false
+		return old, false
+	}
+	if ok && m.State == Dead && old.State == Alive && m.Incarnation == old.Incarnation {
+		// Nodes that were cut off hold everybody beyond the cut to be dead. When
+		// the cut heals, their word must not take healthy upstreams out of
+		// service: whoever holds a member to be alive gives it time to refute.
+		m.State = Suspect
 	}
 	t.members[m.Node] = m
+	if m.State != Dead {
+		delete(t.gone, m.Node)
+	}
 	t.index()
-	return true
+	return m, true
+}
+
+// Forget drops the members that have been dead since before the given time;
+// now is when newly dead ones are taken to have died.
+func (t *Table) Forget(before, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for n, m := range t.members {
+		if m.State != Dead || n == t.self {
+			continue
+		}
+		if died, ok := t.gone[n]; !ok {
+			t.gone[n] = now
+		} else if died.Before(before) {
+			delete(t.members, n)
+			delete(t.gone, n)
+		}
+	}
+}
+
+func (t *Table) tell(m Member) {
+	for _, f := range t.news {
+		f(m)
+	}
 }
 
 // Members returns all records, in the order of their nodes' names.
--- a/internal/peer/kqpeer/client.go
+++ b/internal/peer/kqpeer/client.go
@@ -36,9 +36,12 @@
 	ClientOption func(*Client)
 
 	link struct {
-		// mu is held for one exchange: a drpc connection takes one at a time.
-		mu   sync.Mutex
+		// turn is held for one exchange: a drpc connection takes one at a time.
+		// It is a channel so that whoever waits for a slow exchange to end can
+		// stop waiting at its own deadline.
+		turn chan struct{}
 		conn *drpcconn.Conn
+		used time.Time
 	}
 )
 
@@ -63,8 +66,13 @@
 func Call[Q, A any](ctx context.Context, c *Client, to kqname.Address, method string, q Q) (A, error) {
 	var a A
 	l := c.link(to)
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	select {
+	case l.turn <- struct{}{}:
+	case <-ctx.Done():
+		return a, fmt.Errorf("wait for the link to %s: %w", to, ctx.Err())
+	}
+	defer func() { <-l.turn }()
+	l.used = time.Now()
 	if err := c.connect(ctx, l, to); err != nil {
 		return a, fmt.Errorf("connect to %s: %w", to, err)
 	}
@@ -87,6 +95,29 @@
 	}
 }
 
+// Sweep closes the connections that have been idle since before the given time.
+// Without it, a node that exchanges with one random peer after the other would
+// end up with a connection to each.
+func (c *Client) Sweep(before time.Time) {
+	c.mu.Lock()
+	var idle []*link
+	for to, l := range c.links {
+		select {
+		case l.turn <- struct{}{}:
+			if l.used.Before(before) {
+				delete(c.links, to)
+				idle = append(idle, l)
+			}
+			<-l.turn
+		default:
+		}
+	}
+	c.mu.Unlock()
+	for _, l := range idle {
+		l.close()
+	}
+}
+
 // Close closes every connection.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -103,7 +134,7 @@
 	defer c.mu.Unlock()
 	l, ok := c.links[to]
 	if !ok {
-		l = &link{}
+		l = &link{turn: make(chan struct{}, 1)}
 		c.links[to] = l
 	}
 	return l
@@ -136,8 +167,8 @@
 }
 
 func (l *link) close() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.turn <- struct{}{}
+	defer func() { <-l.turn }()
 	if l.conn != nil {
 		_ = l.conn.Close()
 		l.conn = nil
--- a/internal/run/kqmetric/metric.go
+++ b/internal/run/kqmetric/metric.go
@@ -18,6 +18,8 @@
 	retried        *prometheus.CounterVec
 	configRefused  *prometheus.CounterVec
 	platformFailed prometheus.Counter
+	budgetBound    *prometheus.CounterVec
+	spreadDropped  prometheus.Counter
 	version        prometheus.Gauge
 	sent, received atomic.Uint64
 }
@@ -38,11 +40,17 @@
 		platformFailed: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "kumquatgw_platform_failures_total", Help: "Calls to the platform's service that failed.",
 		}),
+		budgetBound: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatgw_control_budget_bound_total", Help: "Times that a control budget held something back, by budget.",
+		}, []string{"budget"}),
+		spreadDropped: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "kumquatgw_spread_dropped_total", Help: "Messages to all nodes that there was no room to pass on.",
+		}),
 		version: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "kumquatgw_config_version", Help: "Configuration version in force on this node.",
 		}),
 	}
-	m.registry.MustRegister(m.ended, m.retried, m.configRefused, m.platformFailed, m.version,
+	m.registry.MustRegister(m.ended, m.retried, m.configRefused, m.platformFailed, m.budgetBound, m.spreadDropped, m.version,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "kumquatgw_control_sent_bytes_total", Help: "Bytes of control traffic sent to peers.",
 		}, func() float64 { return float64(m.sent.Load()) }),
@@ -70,6 +78,13 @@
 // PlatformFailed counts a call to the platform's service that failed.
 func (m *Metrics) PlatformFailed() { m.platformFailed.Inc() }
 
+// BudgetBound counts that a control budget ("send" or "memory") held something
+// back.
+func (m *Metrics) BudgetBound(budget string) { m.budgetBound.WithLabelValues(budget).Inc() }
+
+// SpreadDropped counts a message to all nodes that could not be passed on.
+func (m *Metrics) SpreadDropped() { m.spreadDropped.Inc() }
+
 // Version records the configuration version in force.
 func (m *Metrics) Version(v kqname.ConfigVersion) { m.version.Set(float64(v)) }
 
--- a/internal/run/kqnode/config.go
+++ b/internal/run/kqnode/config.go
@@ -3,48 +3,115 @@
 import (
 	"context"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqdistribute"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqfetch"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqreader"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqreplica"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqwatch"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqexchange"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqoverlay"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqspread"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
+// strategyDirect lets every node watch the platform and take the whole document.
+const strategyDirect = "direct"
+
+// distribution is how versions reach this node and go on to others.
+type distribution struct {
+	distributor *kqdistribute.Distributor
+	reader      *kqreader.Reader
+	watcher     *kqwatch.Watcher
+	direct      bool
+}
+
 // joinConfig joins the configuration flow: receive, verify, resolve, stage and
 // swap; and the membership beside it.
 func (n *Node) joinConfig() {
 	log := n.logger.Part("config")
+	c := n.settings.Config
+	direct := c.Strategy == strategyDirect
+	store := kqcommit.New(n.store)
+	fetcher := kqfetch.New(n.peers, n.client, n.table, store, n.budget, c.PlatformRate, c.ExpectedNodes)
+	n.replica = kqreplica.New(n.source(direct, store, fetcher), n.replicaOptions(direct)...)
+	fetcher.Serve(n.replica)
+	overlay := kqoverlay.New(n.table)
+	d := kqdistribute.New(n.peers, n.client, n.table, overlay, n.budget, n.replica, func(v kqname.ConfigVersion, err error) {
+		log.WithError(err).Warnf("Refused version %d.", v)
+	})
+	platformFailed := func(err error) {
+		n.metrics.PlatformFailed()
+		log.WithError(err).Debug("Platform did not answer.")
+	}
+	receive := d.Take
+	if direct {
+		receive = func(ctx context.Context, root kqresource.Root) {
+			if err := n.replica.Offer(ctx, root); err != nil {
+				log.WithError(err).Warnf("Refused version %d.", root.Version)
+			}
+		}
+	}
+	watcher := kqwatch.New(n.store, receive, platformFailed)
+	n.exchange = kqexchange.New(n.peers, n.client, n.table, overlay, d, n.budget, n.contacts(), n.settings.Member.Heartbeat)
+	n.spreader = kqspread.New(n.peers, n.client, n.settings.Node.Name, overlay, n.metrics.SpreadDropped)
+	reader := kqreader.New(n.store, n.table, watcher, c.StartSpread, n.exchange.Contact, n.reads, platformFailed)
+	n.distribution = distribution{distributor: d, reader: reader, watcher: watcher, direct: direct}
+}
+
+func (n *Node) replicaOptions(direct bool) []kqreplica.Option {
 	options := []kqreplica.Option{
 		kqreplica.WithRefused(n.metrics.ConfigRefused),
 		kqreplica.WithChanged(func(s *kqsnapshot.Snapshot) {
 			n.metrics.Version(s.Version())
-			n.table.Update(func(m *kqmember.Member) { m.Config = s.Version() })
+			n.table.SetConfig(n.settings.Node.Name, s.Version())
 			n.rollouts.adopt(s)
 		}),
 	}
 	if own := n.settings.Node.Service; own != "" {
 		options = append(options, kqreplica.WithService(own))
 	}
-	if n.settings.Config.Strategy == "direct" {
+	if direct {
 		options = append(options, kqreplica.WithWholeDocument())
 	}
-	n.replica = kqreplica.New(kqcommit.New(n.store), options...)
-	n.watcher = kqwatch.New(n.store, func(ctx context.Context, root kqresource.Root) {
-		if err := n.replica.Offer(ctx, root); err != nil {
-			log.WithError(err).Warnf("Refused version %d.", root.Version)
-		}
-	}, func(err error) {
-		n.metrics.PlatformFailed()
-		log.WithError(err).Debug("Platform did not answer.")
-	})
-	seeds := make([]kqname.Address, 0, len(n.settings.Member.Seeds))
+	return options
+}
+
+func (n *Node) source(direct bool, store *kqcommit.Committer, fetcher *kqfetch.Fetcher) kqreplica.Source {
+	if direct {
+		return store
+	}
+	return fetcher
+}
+
+// reads lets the node hold the whole document while it reads for the others.
+func (n *Node) reads(on bool) {
+	n.replica.HoldAll(on)
+	n.table.Update(func(m *kqmember.Member) { m.Reader = on })
+}
+
+func (n *Node) contacts() []kqname.Address {
+	list := make([]kqname.Address, 0, len(n.settings.Member.Seeds))
 	for _, s := range n.settings.Member.Seeds {
-		seeds = append(seeds, kqname.Address(s))
+		list = append(list, kqname.Address(s))
+	}
+	return list
+}
+
+func (n *Node) runConfig(ctx context.Context) {
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() { n.exchange.Run(ctx) })
+	group.Go(func() { n.spreader.Run(ctx) })
+	if n.distribution.direct {
+		group.Go(func() { n.distribution.watcher.Run(ctx) })
+		return
 	}
-	n.exchange = kqexchange.New(n.peers, n.client, n.table, seeds, n.settings.Member.Heartbeat)
-	n.spreader = kqspread.New(n.peers, n.client, n.table)
+	group.Go(func() { n.distribution.distributor.Run(ctx) })
+	group.Go(func() { n.distribution.reader.Run(ctx) })
 }
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -17,7 +17,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqreplica"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
-	"github.com/kumquatgw/kumquatgw/internal/config/kqwatch"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqbudget"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqexchange"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
@@ -59,26 +59,28 @@
 		log      *logrus.Entry
 		metrics  *kqmetric.Metrics
 
-		listeners listeners
-		table     *kqmember.Table
-		peers     *kqpeer.Server
-		client    *kqpeer.Client
-		spreader  *kqspread.Spreader
-		exchange  *kqexchange.Exchanger
-		replica   *kqreplica.Replica
-		watcher   *kqwatch.Watcher
-		local     *kqlocal.Upstreams
-		gate      *kqgate.Gate
-		entry     *kqentry.Entry
-		servers   callServers
-		rollouts  *rollouts
-		admin     *kqadmin.Admin
-		identity  *kqidentity.Identity
-		security  *kqmetric.Security
-		tokens    *kqreload.Reloader
-		leaving   atomic.Bool
-		started   time.Time
-		wrap      func(Role, net.Listener) net.Listener
+		listeners    listeners
+		table        *kqmember.Table
+		peers        *kqpeer.Server
+		client       *kqpeer.Client
+		spreader     *kqspread.Spreader
+		exchange     *kqexchange.Exchanger
+		replica      *kqreplica.Replica
+		budget       *kqbudget.Budget
+		distribution distribution
+		peerOptions  []kqpeer.ClientOption
+		local        *kqlocal.Upstreams
+		gate         *kqgate.Gate
+		entry        *kqentry.Entry
+		servers      callServers
+		rollouts     *rollouts
+		admin        *kqadmin.Admin
+		identity     *kqidentity.Identity
+		security     *kqmetric.Security
+		tokens       *kqreload.Reloader
+		leaving      atomic.Bool
+		started      time.Time
+		wrap         func(Role, net.Listener) net.Listener
 	}
 
 	// Role names what a listener is for.
@@ -101,6 +103,11 @@
 	return func(n *Node) { n.wrap = wrap }
 }
 
+// WithPeerOptions sets up how the node connects to its peers.
+func WithPeerOptions(options ...kqpeer.ClientOption) Option {
+	return func(n *Node) { n.peerOptions = options }
+}
+
 // New opens the node's listeners and joins its parts; Run starts it.
 func New(settings kqsettings.Settings, store kqstore.Store, options ...Option) (*Node, error) {
 	n := &Node{
@@ -127,8 +134,9 @@
 		// and it keeps nothing: its start time does.
 		Incarnation: uint64(n.started.UnixMilli()),
 	})
-	n.peers = kqpeer.NewServer(n.metrics, n.peerServerOptions()...)
-	n.client = kqpeer.NewClient(settings.Node.Name, n.metrics, n.peerClientOptions()...)
+	n.budget = kqbudget.New(settings.Member.SendBudget, n.metrics, func() { n.metrics.BudgetBound("send") })
+	n.peers = kqpeer.NewServer(n.budget, n.peerServerOptions()...)
+	n.client = kqpeer.NewClient(settings.Node.Name, n.budget, append(n.peerClientOptions(), n.peerOptions...)...)
 	n.joinConfig()
 	n.rollouts = n.joinRollouts()
 	n.joinCalls()
@@ -146,8 +154,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group conc.WaitGroup
-	group.Go(func() { n.watcher.Run(background) })
-	group.Go(func() { n.exchange.Run(background) })
+	group.Go(func() { n.runConfig(background) })
 	group.Go(func() { n.sweep(background) })
 	group.Go(func() { n.runTLS(background) })
 	group.Go(func() { n.runAdmin(background) })
@@ -237,6 +244,9 @@
 	if n.admin != nil {
 		err = errors.Join(err, n.admin.Shutdown())
 	}
+	// A goodbye spares the others the suspicion.
+	n.table.Update(func(m *kqmember.Member) { m.State = kqmember.Dead })
+	n.exchange.Announce(ctx)
 	return err
 }
 
--- a/internal/run/kqsettings/settings.go
+++ b/internal/run/kqsettings/settings.go
@@ -44,15 +44,20 @@
 
 	// Member tells how nodes keep track of each other.
 	Member struct {
-		Seeds       []string      `key:"seeds" doc:"Control addresses of nodes to ask at the start, parted by commas."`
-		Heartbeat   time.Duration `key:"heartbeat" default:"500ms" min:"10ms" max:"1m" doc:"Time between two heartbeats to a peer."`
-		UpstreamTTL time.Duration `key:"upstream_ttl" default:"3s" min:"100ms" max:"1m" doc:"How long an upstream's announcement lasts unless renewed."`
+		Seeds        []string      `key:"seeds" doc:"Control addresses of nodes to ask at the start, parted by commas."`
+		Heartbeat    time.Duration `key:"heartbeat" default:"1s" min:"10ms" max:"1m" doc:"Time between two heartbeats to a peer."`
+		UpstreamTTL  time.Duration `key:"upstream_ttl" default:"3s" min:"100ms" max:"1m" doc:"How long an upstream's announcement lasts unless renewed."`
+		SendBudget   int           `key:"send_budget" default:"16KB" min:"1KB" max:"64MB" unit:"bytes" doc:"Control bytes that the node may send a second, over half a minute; bulk waits beyond it."`
+		MemoryBudget int           `key:"memory_budget" default:"64MB" min:"1MB" max:"16GB" unit:"bytes" doc:"Bytes of configuration that the node may hold; hosts that were used least go beyond it."`
 	}
 
 	// Config tells how configuration reaches the node.
 	Config struct {
-		Strategy     string        `key:"strategy" default:"direct" one_of:"direct" doc:"How new versions reach the node: direct watches the platform."`
-		InterestIdle time.Duration `key:"interest_idle" default:"30m" min:"1s" max:"24h" doc:"How long the routes of a host stay without a call for it."`
+		Strategy      string        `key:"strategy" default:"overlay" one_of:"overlay,direct" doc:"How new versions reach the node: overlay takes them from peers, direct watches the platform and takes the whole document."`
+		InterestIdle  time.Duration `key:"interest_idle" default:"30m" min:"1s" max:"24h" doc:"How long the routes of a host stay without a call for it."`
+		StartSpread   time.Duration `key:"start_spread" default:"1s" min:"0s" max:"1m" doc:"Starting nodes put off their first call to the platform by up to that long."`
+		PlatformRate  int           `key:"platform_rate" default:"1000" min:"10" max:"100000" doc:"Objects that all nodes together may read from the platform a second."`
+		ExpectedNodes int           `key:"expected_nodes" default:"550" min:"1" max:"100000" doc:"Size of the fleet that a node assumes until it knows better."`
 	}
 
 	// Call bounds the calls that the node serves.
