--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -27,6 +27,8 @@
 	NoUpstream Reason = "no_upstream"
 	// QueueFull tells that the gate's queue had no place.
 	QueueFull Reason = "queue_full"
+	// Overload tells that the service as a whole is full, by what its gates said.
+	Overload Reason = "overload"
 	// Late tells that the call's deadline passed, or would pass, before it began.
 	Late Reason = "late"
 	// RolledBack tells that the upstream's version was taken back.
@@ -46,6 +48,8 @@
 	Timeout Reason = "timeout"
 	// Cut tells that the connection broke after the call was sent.
 	Cut Reason = "cut"
+	// Cancelled tells that the caller went away.
+	Cancelled Reason = "cancelled"
 	// Crossed tells that the answer carried another call's id.
 	Crossed Reason = "crossed"
 )
@@ -68,6 +72,13 @@
 		RetryAfter time.Duration
 	}
 
+	// Load is what a gate tells of its upstream with each response.
+	Load struct {
+		Running, Waiting, Slots int
+		// Work is what the upstream's short calls took lately.
+		Work time.Duration
+	}
+
 	// Call is one request on its way from caller to upstream. Request and
 	// Response belong to whoever serves the call.
 	Call struct {
@@ -84,6 +95,8 @@
 		Depth    int
 		Arrived  time.Time
 		Deadline time.Time
+		// Cancel ends the call when its caller goes away; nil where nobody can.
+		Cancel   *Cancel
 		Request  *fasthttp.Request
 		Response *fasthttp.Response
 	}
--- a/internal/call/kqcall/header.go
+++ b/internal/call/kqcall/header.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -13,81 +14,102 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
-// Headers of our own. Those of a request are taken from nodes and from the
-// local upstream only; from outsiders they are stripped.
+// Headers of our own, all of which begin with "Kq-". From outsiders' requests
+// and from upstreams' responses every such header is stripped, whoever made it up.
 const (
-	HeaderID         = "Kq-Call-Id"
-	HeaderResult     = "Kq-Result"
-	HeaderReason     = "Kq-Reason"
-	HeaderCaller     = "Kq-Caller"
-	HeaderRoute      = "Kq-Route"
-	HeaderService    = "Kq-Service"
-	HeaderVersion    = "Kq-Version"
-	HeaderClass      = "Kq-Class"
-	HeaderIdempotent = "Kq-Idempotent"
-	HeaderRefusal    = "Kq-Refusal-Not-Run"
-	HeaderTimeout    = "Kq-Timeout-Ms"
-	HeaderDepth      = "Kq-Depth"
-
-	maxDepth = 32
+	// HeaderID, HeaderTimeout (in milliseconds) and HeaderDepth go to the
+	// upstream, which may pass them on with calls of its own.
+	HeaderID      = "Kq-Call-Id"
+	HeaderTimeout = "Kq-Timeout-Ms"
+	HeaderDepth   = "Kq-Depth"
+	// HeaderResult and HeaderReason tell the caller how its call ended.
+	HeaderResult = "Kq-Result"
+	HeaderReason = "Kq-Reason"
+
+	// headerCall takes a call's fields from the entry to the gate, headerLoad
+	// the upstream's load back.
+	headerCall = "Kq-Call"
+	headerLoad = "Kq-Load"
+
+	// MaxDepth bounds how deep calls may go; a loop of calls ends there.
+	MaxDepth = 32
+
+	callFields = 10
+	loadFields = 4
+	separator  = ';'
+	idempotent = "i"
+	refusal    = "r"
 )
 
 var (
 	// ErrMalformed tells that one of our headers cannot be read.
 	ErrMalformed = errors.New("malformed internal header")
 
-	prefix = []byte("kq-")
+	prefix = []byte("Kq-")
 )
 
 // Strip removes every header of ours from a request.
 func Strip(h *fasthttp.RequestHeader) {
-	for _, key := range h.PeekKeys() {
-		if len(key) >= len(prefix) && bytes.EqualFold(key[:len(prefix)], prefix) {
-			h.DelBytes(bytes.Clone(key))
+	var found [][]byte
+	for key := range h.All() {
+		if ours(key) {
+			found = append(found, bytes.Clone(key))
 		}
 	}
+	for _, key := range found {
+		h.DelBytes(key)
+	}
+}
+
+// StripResponse removes every header of ours from a response. An upstream that
+// could set them would have its own failure taken for a call that did not run.
+func StripResponse(h *fasthttp.ResponseHeader) {
+	var found [][]byte
+	for key := range h.All() {
+		if ours(key) {
+			found = append(found, bytes.Clone(key))
+		}
+	}
+	for _, key := range found {
+		h.DelBytes(key)
+	}
 }
 
 // Write puts the call's fields into its request, for the gate of another node.
 func (c *Call) Write(now time.Time) {
-	h := &c.Request.Header
-	h.Set(HeaderID, string(c.ID))
-	h.Set(HeaderCaller, string(c.Caller))
-	h.Set(HeaderRoute, string(c.Route))
-	h.Set(HeaderService, string(c.Service))
-	h.Set(HeaderVersion, string(c.Version))
-	h.Set(HeaderClass, string(c.Class))
-	h.Set(HeaderIdempotent, strconv.FormatBool(c.Idempotent))
-	h.Set(HeaderRefusal, strconv.FormatBool(c.RefusalMeansNotRun))
-	h.Set(HeaderTimeout, strconv.FormatInt(c.Deadline.Sub(now).Milliseconds(), 10))
-	h.Set(HeaderDepth, strconv.Itoa(c.Depth))
+	var space [256]byte
+	b := space[:0]
+	for _, field := range []string{
+		string(c.ID), string(c.Caller), string(c.Route), string(c.Service), string(c.Version), string(c.Class),
+		flag(c.Idempotent, idempotent), flag(c.RefusalMeansNotRun, refusal),
+	} {
+		b = append(append(b, field...), separator)
+	}
+	b = append(strconv.AppendInt(b, c.Deadline.Sub(now).Microseconds(), 10), separator)
+	b = strconv.AppendInt(b, int64(c.Depth), 10)
+	c.Request.Header.SetBytesV(headerCall, b)
 }
 
 // Read makes a call from what Write put into a request.
 func Read(req *fasthttp.Request, resp *fasthttp.Response, now time.Time) (*Call, error) {
-	h := &req.Header
-	timeout, err := strconv.ParseInt(string(h.Peek(HeaderTimeout)), 10, 32)
+	fields := strings.Split(string(req.Header.Peek(headerCall)), string(separator))
+	if len(fields) != callFields {
+		return nil, fmt.Errorf("read %s of %d fields: %w", headerCall, len(fields), ErrMalformed)
+	}
+	timeout, err := strconv.ParseInt(fields[8], 10, 64)
 	if err != nil {
-		return nil, fmt.Errorf("read %s: %w", HeaderTimeout, errors.Join(ErrMalformed, err))
+		return nil, fmt.Errorf("read remaining time: %w", errors.Join(ErrMalformed, err))
 	}
-	depth, err := strconv.Atoi(string(h.Peek(HeaderDepth)))
-	if err != nil || depth < 0 || depth > maxDepth {
-		return nil, fmt.Errorf("read %s: %w", HeaderDepth, errors.Join(ErrMalformed, err))
+	depth, err := strconv.Atoi(fields[9])
+	if err != nil || depth < 0 || depth > MaxDepth {
+		return nil, fmt.Errorf("read depth: %w", errors.Join(ErrMalformed, err))
 	}
 	c := &Call{
-		ID:                 ID(h.Peek(HeaderID)),
-		Caller:             kqname.Caller(h.Peek(HeaderCaller)),
-		Route:              kqname.Route(h.Peek(HeaderRoute)),
-		Service:            kqname.Service(h.Peek(HeaderService)),
-		Version:            kqname.UpstreamVersion(h.Peek(HeaderVersion)),
-		Class:              kqdocument.Class(h.Peek(HeaderClass)),
-		Idempotent:         string(h.Peek(HeaderIdempotent)) == "true",
-		RefusalMeansNotRun: string(h.Peek(HeaderRefusal)) == "true",
-		Depth:              depth,
-		Arrived:            now,
-		Deadline:           now.Add(time.Duration(timeout) * time.Millisecond),
-		Request:            req,
-		Response:           resp,
+		ID: ID(fields[0]), Caller: kqname.Caller(fields[1]), Route: kqname.Route(fields[2]),
+		Service: kqname.Service(fields[3]), Version: kqname.UpstreamVersion(fields[4]), Class: kqdocument.Class(fields[5]),
+		Idempotent: fields[6] == idempotent, RefusalMeansNotRun: fields[7] == refusal,
+		Depth: depth, Arrived: now, Deadline: now.Add(time.Duration(timeout) * time.Microsecond),
+		Request: req, Response: resp,
 	}
 	if c.ID == "" || c.Service == "" {
 		return nil, fmt.Errorf("read call id and service: %w", ErrMalformed)
@@ -95,6 +117,30 @@
 	return c, nil
 }
 
+// Context reads what a local upstream passed on of the call that it works on:
+// the depth, 0 where it passed none on, and the time left, 0 likewise.
+func Context(h *fasthttp.RequestHeader) (depth int, left time.Duration) {
+	depth, err := strconv.Atoi(string(h.Peek(HeaderDepth)))
+	if err != nil || depth < 0 {
+		depth = 0
+	}
+	ms, err := strconv.Atoi(string(h.Peek(HeaderTimeout)))
+	if err != nil || ms <= 0 {
+		return depth, 0
+	}
+	return depth, time.Duration(ms) * time.Millisecond
+}
+
+// Tell puts into the request what the upstream is to know, in place of what
+// nodes tell each other.
+func (c *Call) Tell(now time.Time) {
+	h := &c.Request.Header
+	h.Del(headerCall)
+	h.Set(HeaderID, string(c.ID))
+	h.Set(HeaderTimeout, strconv.FormatInt(max(c.Deadline.Sub(now).Milliseconds(), 1), 10))
+	h.Set(HeaderDepth, strconv.Itoa(c.Depth))
+}
+
 // Answer puts the outcome into the call's response; unless it is an answer, it
 // becomes the whole response.
 func (c *Call) Answer(o Outcome) {
@@ -104,6 +150,7 @@
 		c.Response.SetBodyString(string(o.Result) + ": " + string(o.Reason) + "\n")
 	}
 	h := &c.Response.Header
+	h.Del(headerLoad)
 	h.Set(HeaderID, string(c.ID))
 	h.Set(HeaderResult, string(o.Result))
 	if o.Reason != NoReason {
@@ -114,3 +161,52 @@
 		h.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(int64(seconds), 10))
 	}
 }
+
+// Outcome reads what Answer put into a response.
+func (c *Call) Outcome() Outcome {
+	h := &c.Response.Header
+	o := Outcome{Result: Result(h.Peek(HeaderResult)), Reason: Reason(h.Peek(HeaderReason))}
+	if o.Result == Answered {
+		return o
+	}
+	if seconds, err := strconv.Atoi(string(h.Peek(fasthttp.HeaderRetryAfter))); err == nil {
+		o.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return o
+}
+
+// Write puts the load into a response.
+func (l Load) Write(h *fasthttp.ResponseHeader) {
+	var space [64]byte
+	b := space[:0]
+	for _, n := range [...]int64{int64(l.Running), int64(l.Waiting), int64(l.Slots)} {
+		b = append(strconv.AppendInt(b, n, 10), separator)
+	}
+	h.SetBytesV(headerLoad, strconv.AppendInt(b, l.Work.Microseconds(), 10))
+}
+
+// ReadLoad reads what Write put into a response, and reports whether it did.
+func ReadLoad(h *fasthttp.ResponseHeader) (Load, bool) {
+	rest := h.Peek(headerLoad)
+	var numbers [loadFields]int
+	for i := range numbers {
+		field, after, _ := bytes.Cut(rest, []byte{separator})
+		n, err := strconv.Atoi(string(field))
+		if err != nil || n < 0 {
+			return Load{}, false
+		}
+		numbers[i], rest = n, after
+	}
+	return Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2], Work: time.Duration(numbers[3]) * time.Microsecond}, true
+}
+
+func ours(key []byte) bool {
+	return len(key) >= len(prefix) && bytes.EqualFold(key[:len(prefix)], prefix)
+}
+
+func flag(set bool, text string) string {
+	if set {
+		return text
+	}
+	return ""
+}
--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -6,20 +6,17 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
-	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
-	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
-	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -27,8 +24,6 @@
 	defaultTimeout = 10 * time.Second
 	configWait     = 2 * time.Second
 	maxTries       = 3
-	maxConnections = 512
-	idleConnection = 10 * time.Second
 )
 
 type (
@@ -49,7 +44,7 @@
 
 	// Local runs calls at this node's own upstream.
 	Local interface {
-		Do(c *kqcall.Call) kqcall.Outcome
+		Do(c *kqcall.Call) (kqcall.Outcome, kqcall.Load)
 	}
 
 	// Counter counts how calls ended and why calls were sent again.
@@ -61,17 +56,20 @@
 	// Entry serves calls. It is safe for concurrent use.
 	Entry struct {
 		self      kqname.Node
+		domain    kqname.Domain
 		config    Configuration
 		directory Directory
 		local     Local
 		splitter  Splitter
 		counter   Counter
-		picker    *kqpick.Picker
+		hangup    *kqhangup.Watch
+		baseline  bool
 		now       func() time.Time
-		dial      fasthttp.DialFunc
 
-		mu      sync.Mutex
-		clients map[kqname.Address]*fasthttp.HostClient
+		prefix  string
+		number  atomic.Uint64
+		shards  [shardCount]shard
+		clients clients
 	}
 
 	// Option sets up an Entry.
@@ -98,155 +96,151 @@
 // WithCounter counts ends and retries.
 func WithCounter(c Counter) Option { return func(e *Entry) { e.counter = c } }
 
+// WithDomain tells the entry's failure domain, whose upstreams it prefers.
+func WithDomain(d kqname.Domain) Option { return func(e *Entry) { e.domain = d } }
+
+// WithHangup has w look after the connections that calls come on.
+func WithHangup(w *kqhangup.Watch) Option { return func(e *Entry) { e.hangup = w } }
+
 // WithDialer replaces plain TCP to other nodes' gates. Its errors must come
-// before a byte of a call is sent, and be net.OpErrors of "dial".
-func WithDialer(dial fasthttp.DialFunc) Option { return func(e *Entry) { e.dial = dial } }
+// before a byte of a call is sent.
+func WithDialer(dial fasthttp.DialFunc) Option { return func(e *Entry) { e.clients.dial = dial } }
+
+// WithBaseline chooses at random and retries without a budget, for measurements.
+func WithBaseline() Option { return func(e *Entry) { e.baseline = true } }
 
 // New returns an entry of the node self.
 func New(self kqname.Node, config Configuration, directory Directory, local Local, options ...Option) *Entry {
 	e := &Entry{
 		self: self, config: config, directory: directory, local: local,
-		splitter: stable{}, counter: silent{}, picker: kqpick.New(), now: time.Now,
-		clients: make(map[kqname.Address]*fasthttp.HostClient),
+		splitter: stable{}, counter: silent{}, hangup: kqhangup.New(), now: time.Now,
+		// Two nodes, or one before and after a restart, never give out the same id.
+		prefix: strconv.FormatUint(rand.Uint64(), 36) + "-",
 	}
 	for _, o := range options {
 		o(e)
 	}
+	for i := range e.shards {
+		e.shards[i].services = make(map[kqname.Service]*service)
+	}
+	e.clients.held = make(map[kqname.Address]*client)
 	return e
 }
 
 // ServeOutside answers callers from outside the mesh: headers of ours are not
 // theirs to set.
 func (e *Entry) ServeOutside(ctx *fasthttp.RequestCtx) {
-	kqcall.Strip(&ctx.Request.Header)
-	e.serve(ctx, kqname.Caller(ctx.RemoteIP().String()), 0)
+	e.serve(ctx, kqname.Caller(ctx.RemoteIP().String()), 0, 0)
 }
 
 // ServeLocal answers calls from the node's own upstream, which may pass on the
-// depth and the remaining time of the call that it works on.
+// depth and the remaining time of the call that it works on, and nothing else.
 func (e *Entry) ServeLocal(ctx *fasthttp.RequestCtx, caller kqname.Caller) {
-	depth, err := strconv.Atoi(string(ctx.Request.Header.Peek(kqcall.HeaderDepth)))
-	if err != nil || depth < 0 {
-		depth = 0
-	}
-	e.serve(ctx, caller, depth+1)
+	depth, left := kqcall.Context(&ctx.Request.Header)
+	e.serve(ctx, caller, depth+1, left)
 }
 
-func (e *Entry) serve(ctx *fasthttp.RequestCtx, caller kqname.Caller, depth int) {
+// Sweep closes what has been idle and forgets gates that are gone.
+func (e *Entry) Sweep(now time.Time) { e.clients.sweep(now) }
+
+func (e *Entry) serve(ctx *fasthttp.RequestCtx, caller kqname.Caller, depth int, left time.Duration) {
 	now := e.now()
+	kqcall.Strip(&ctx.Request.Header)
+	ctx.Request.Header.ResetConnectionClose()
+	number := e.number.Add(1)
+	var cancel kqcall.Cancel
 	c := &kqcall.Call{
-		ID: kqcall.ID(uuid.NewString()), Caller: caller, Depth: depth, Arrived: now,
-		Request: &ctx.Request, Response: &ctx.Response,
+		ID: e.id(number), Caller: caller, Depth: depth, Arrived: now,
+		Cancel: &cancel, Request: &ctx.Request, Response: &ctx.Response,
+	}
+	if left > 0 {
+		c.Deadline = now.Add(left)
 	}
+	var line kqhangup.Line
+	e.hangup.Begin(&line, number, ctx.Conn(), &cancel, now)
 	o := e.do(c, now)
+	e.hangup.End(&line)
 	e.counter.Ended(o)
 	c.Answer(o)
 }
 
 func (e *Entry) do(c *kqcall.Call, now time.Time) kqcall.Outcome {
+	if c.Depth > kqcall.MaxDepth {
+		return kqcall.Refuse(kqcall.Malformed)
+	}
 	snapshot, route, refusal := e.match(c, now)
 	if refusal != kqcall.NoReason {
 		return kqcall.Refuse(refusal)
 	}
-	service, _ := snapshot.Service(route.Service)
-	fill(c, route, service, now)
-	target := e.splitter.Split(service, c)
-	c.Version = target.Version
-	tried := make(map[kqname.Node]bool)
+	found, _ := snapshot.Service(route.Service)
+	fill(c, route, found, now)
+	if !now.Before(c.Deadline) {
+		return kqcall.Refuse(kqcall.Late)
+	}
+	target := e.splitter.Split(found, c)
+	s := e.service(c.Service)
+	if !s.begin(c, e.baseline, now) {
+		o := kqcall.Refuse(kqcall.Overload)
+		o.RetryAfter = time.Second
+		return o
+	}
+	return e.tries(c, s, target, now)
+}
+
+// tries sends the call until it has an answer, may have run, or may not be sent
+// again.
+func (e *Entry) tries(c *kqcall.Call, s *service, target kqpick.Target, now time.Time) kqcall.Outcome {
+	var space [maxTries]kqname.Node
+	tried := space[:0]
 	last := kqcall.Refuse(kqcall.NoUpstream)
-	for range maxTries {
-		to, ok := e.pick(c, target, tried)
-		if !ok && target.Fallback != "" {
+	last.RetryAfter = time.Second
+	for {
+		c.Version = target.Version
+		to, gate := s.pick(e.directory.Upstreams(c.Service), target, tried, now)
+		if to == nil && target.Fallback != "" {
 			target = target.Next()
-			c.Version = target.Version
-			to, ok = e.pick(c, target, tried)
+			continue
 		}
-		if !ok {
+		if to == nil {
 			return last
 		}
-		tried[to.Node] = true
-		last = e.send(c, to)
-		if last.Result != kqcall.NotRun || last.Reason == kqcall.Late {
+		tried = append(tried, gate.Node)
+		var load kqcall.Load
+		var told bool
+		last, load, told = e.send(c, gate)
+		now = e.now()
+		again := s.done(c, to, last, load, told, now)
+		if len(tried) == maxTries || !again && !e.plainRetry(c, last) || !now.Before(c.Deadline) || c.Cancel.Done() {
 			return last
 		}
 		e.counter.Retried(last.Reason)
 		target = target.Next()
-		c.Version = target.Version
 	}
-	return last
-}
-
-func (e *Entry) match(c *kqcall.Call, now time.Time) (*kqsnapshot.Snapshot, kqdocument.Route, kqcall.Reason) {
-	host, _, _ := strings.Cut(strings.ToLower(string(c.Request.Host())), ":")
-	ctx, cancel := context.WithTimeout(context.Background(), configWait)
-	defer cancel()
-	snapshot, err := e.config.Want(ctx, kqname.Host(host), now)
-	if err != nil {
-		return nil, kqdocument.Route{}, kqcall.NoConfig
-	}
-	route, ok := snapshot.Match(kqsnapshot.Request{
-		Host: kqname.Host(host), Path: string(c.Request.URI().Path()), Method: string(c.Request.Header.Method()),
-		Header: func(name string) string { return string(c.Request.Header.Peek(name)) },
-	})
-	if !ok {
-		return nil, route, kqcall.NoRoute
-	}
-	return snapshot, route, kqcall.NoReason
 }
 
-func (e *Entry) pick(c *kqcall.Call, target kqpick.Target, tried map[kqname.Node]bool) (kqmember.Candidate, bool) {
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return e.picker.Pick(e.directory.Upstreams(c.Service), target, tried, random)
+// plainRetry is the baseline's rule: again whatever did not run.
+func (e *Entry) plainRetry(_ *kqcall.Call, o kqcall.Outcome) bool {
+	return e.baseline && o.Result == kqcall.NotRun && o.Reason != kqcall.Late
 }
 
-func (e *Entry) send(c *kqcall.Call, to kqmember.Candidate) kqcall.Outcome {
+func (e *Entry) send(c *kqcall.Call, to kqmember.Candidate) (kqcall.Outcome, kqcall.Load, bool) {
 	if to.Node == e.self {
-		return e.local.Do(c)
+		o, load := e.local.Do(c)
+		return o, load, load.Slots > 0
 	}
 	c.Write(e.now())
-	err := e.client(to.Gate).DoDeadline(c.Request, c.Response, c.Deadline)
-	if err != nil {
-		return kqgate.Judge(c, err)
+	o := e.clients.get(to.Gate).Do(c)
+	if o.Result != kqcall.Answered {
+		return o, kqcall.Load{}, false
 	}
-	h := &c.Response.Header
-	if string(h.Peek(kqcall.HeaderID)) != string(c.ID) {
-		return kqcall.Lose(kqcall.Crossed)
+	if string(c.Response.Header.Peek(kqcall.HeaderID)) != string(c.ID) {
+		return kqcall.Lose(kqcall.Crossed), kqcall.Load{}, false
 	}
-	return kqcall.Outcome{
-		Result: kqcall.Result(h.Peek(kqcall.HeaderResult)),
-		Reason: kqcall.Reason(h.Peek(kqcall.HeaderReason)),
-	}
-}
-
-func (e *Entry) client(to kqname.Address) *fasthttp.HostClient {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	client, ok := e.clients[to]
-	if !ok {
-		client = &fasthttp.HostClient{
-			Addr: string(to), Dial: e.dial, MaxConns: maxConnections, MaxIdleConnDuration: idleConnection,
-			MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			NoDefaultUserAgentHeader: true,
-		}
-		e.clients[to] = client
-	}
-	return client
+	load, told := kqcall.ReadLoad(&c.Response.Header)
+	return c.Outcome(), load, told && load.Slots > 0
 }
 
-func fill(c *kqcall.Call, route kqdocument.Route, service kqresource.Service, now time.Time) {
-	timeout := defaultTimeout
-	if ms := max(route.TimeoutMS, 0); ms > 0 {
-		timeout = time.Duration(ms) * time.Millisecond
-	} else if ms := service.Service.TimeoutMS; ms > 0 {
-		timeout = time.Duration(ms) * time.Millisecond
-	}
-	c.Route, c.Service, c.Class = route.Name, route.Service, route.Class
-	c.RefusalMeansNotRun = service.Service.RefusalMeansNotRun
-	c.Deadline = now.Add(timeout)
-	switch string(c.Request.Header.Method()) {
-	case fasthttp.MethodGet, fasthttp.MethodHead, fasthttp.MethodOptions, fasthttp.MethodTrace:
-		c.Idempotent = true
-	default:
-		c.Idempotent = route.Idempotent
-	}
+func (e *Entry) id(number uint64) kqcall.ID {
+	var space [32]byte
+	return kqcall.ID(strconv.AppendUint(append(space[:0], e.prefix...), number, 36))
 }
--- /dev/null
+++ b/internal/call/kqentry/match.go
@@ -0,0 +1,65 @@
+package kqentry
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+func (e *Entry) match(c *kqcall.Call, now time.Time) (*kqsnapshot.Snapshot, kqdocument.Route, kqcall.Reason) {
+	host := hostOf(c.Request)
+	snapshot, err := e.want(host, now)
+	if err != nil {
+		return nil, kqdocument.Route{}, kqcall.NoConfig
+	}
+	route, ok := snapshot.Match(kqsnapshot.Request{
+		Host: host, Path: string(c.Request.URI().Path()), Method: string(c.Request.Header.Method()),
+		Header: func(name string) string { return string(c.Request.Header.Peek(name)) },
+	})
+	if !ok {
+		return nil, route, kqcall.NoRoute
+	}
+	return snapshot, route, kqcall.NoReason
+}
+
+func (e *Entry) want(host kqname.Host, now time.Time) (*kqsnapshot.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), configWait)
+	defer cancel()
+	return e.config.Want(ctx, host, now)
+}
+
+// hostOf returns the host that a request names, in lower case without the port.
+func hostOf(r *fasthttp.Request) kqname.Host {
+	host, _, _ := bytes.Cut(r.Host(), []byte{':'})
+	return kqname.Host(bytes.ToLower(host))
+}
+
+// fill takes over what the configuration says of the call. A deadline that was
+// passed on stays unless the route's own is earlier.
+func fill(c *kqcall.Call, route kqdocument.Route, service kqresource.Service, now time.Time) {
+	timeout := defaultTimeout
+	if ms := max(route.TimeoutMS, 0); ms > 0 {
+		timeout = time.Duration(ms) * time.Millisecond
+	} else if ms := service.Service.TimeoutMS; ms > 0 {
+		timeout = time.Duration(ms) * time.Millisecond
+	}
+	c.Route, c.Service, c.Class = route.Name, route.Service, route.Class
+	c.RefusalMeansNotRun = service.Service.RefusalMeansNotRun
+	if own := now.Add(timeout); c.Deadline.IsZero() || own.Before(c.Deadline) {
+		c.Deadline = own
+	}
+	switch string(c.Request.Header.Method()) {
+	case fasthttp.MethodGet, fasthttp.MethodHead, fasthttp.MethodOptions, fasthttp.MethodTrace:
+		c.Idempotent = true
+	default:
+		c.Idempotent = route.Idempotent
+	}
+}
--- /dev/null
+++ b/internal/call/kqentry/service.go
@@ -0,0 +1,148 @@
+package kqentry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqsend"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqretry"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqshed"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	shardCount = 16
+	// clientIdle is how long a client without connections is kept.
+	clientIdle = time.Minute
+)
+
+type (
+	shard struct {
+		mu       sync.RWMutex
+		services map[kqname.Service]*service
+	}
+
+	// service is what the entry has learnt of one service, under its own lock.
+	service struct {
+		mu      sync.Mutex
+		random  *rand.Rand
+		pool    *kqpick.Pool
+		shedder *kqshed.Shedder
+		budgets [kqcall.MaxDepth + 1]*kqretry.Budget
+	}
+
+	clients struct {
+		dial fasthttp.DialFunc
+		mu   sync.RWMutex
+		held map[kqname.Address]*client
+	}
+
+	client struct {
+		*kqsend.Client
+		used time.Time
+	}
+)
+
+// service returns what is known of a service. Services come from the
+// configuration alone, so their number is bounded by it.
+func (e *Entry) service(name kqname.Service) *service {
+	s := &e.shards[xxhash.Sum64String(string(name))%shardCount]
+	s.mu.RLock()
+	found, ok := s.services[name]
+	s.mu.RUnlock()
+	if ok {
+		return found
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if found, ok = s.services[name]; !ok {
+		found = &service{
+			random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			pool:    kqpick.New(e.domain, kqpick.WithPlain(e.baseline)),
+			shedder: kqshed.New(),
+		}
+		s.services[name] = found
+	}
+	return found
+}
+
+// begin counts a call, and reports false if it is refused for overload.
+func (s *service) begin(c *kqcall.Call, baseline bool, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget(c.Depth).Earn()
+	return baseline || !s.shedder.Refuse(c.Class, now, s.random)
+}
+
+func (s *service) pick(all []kqmember.Candidate, target kqpick.Target, tried []kqname.Node, now time.Time) (*kqpick.Peer, kqmember.Candidate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Set(all, now)
+	p := s.pool.Pick(target, tried, now, s.random)
+	if p == nil {
+		return nil, kqmember.Candidate{}
+	}
+	return p, p.Candidate
+}
+
+// done takes in how a try ended and reports whether there may be another.
+func (s *service) done(c *kqcall.Call, to *kqpick.Peer, o kqcall.Outcome, load kqcall.Load, told bool, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o.Reason == kqcall.QueueFull {
+		s.shedder.Refused(c.Class)
+	}
+	var known *kqcall.Load
+	if told {
+		known = &load
+	}
+	s.pool.Done(to, o, o.Result == kqcall.Answered && c.Response.StatusCode() >= 500, known, now)
+	return s.budget(c.Depth).Spend(o, c.Idempotent)
+}
+
+func (s *service) budget(depth int) *kqretry.Budget {
+	b := s.budgets[depth]
+	if b == nil {
+		b = kqretry.New(depth == 0)
+		s.budgets[depth] = b
+	}
+	return b
+}
+
+func (c *clients) get(to kqname.Address) *kqsend.Client {
+	c.mu.RLock()
+	found, ok := c.held[to]
+	c.mu.RUnlock()
+	if ok {
+		return found.Client
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if found, ok = c.held[to]; !ok {
+		found = &client{Client: kqsend.New(to, kqsend.WithDialer(c.dial)), used: time.Now()}
+		c.held[to] = found
+	}
+	return found.Client
+}
+
+// sweep closes idle connections. A gate without any for a while is forgotten:
+// addresses come and go with the fleet.
+func (c *clients) sweep(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for to, one := range c.held {
+		if one.Sweep(now) > 0 {
+			one.used = now
+		}
+		if now.Sub(one.used) > clientIdle {
+			delete(c.held, to)
+		}
+	}
+}
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -4,25 +4,20 @@
 package kqgate
 
 import (
-	"errors"
-	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqfifo"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqslots"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
-const (
-	queuePerSlot   = 10
-	maxConnections = 100
-	idleConnection = 10 * time.Second
-)
-
 type (
 	// Finder finds the local upstream of a service and version.
 	Finder interface {
@@ -58,7 +53,11 @@
 		local    Finder
 		observer Observer
 		guard    Guard
+		queue    func(slots int, address kqname.Address) queue
+		hangup   *kqhangup.Watch
 		now      func() time.Time
+		number   atomic.Uint64
+		leaving  atomic.Bool
 
 		mu        sync.Mutex
 		upstreams map[kqname.Address]*upstream
@@ -68,11 +67,6 @@
 	// Option sets up a Gate.
 	Option func(*Gate)
 
-	upstream struct {
-		slots  *kqslots.Slots
-		client *fasthttp.HostClient
-	}
-
 	nobody struct{}
 )
 
@@ -88,112 +82,144 @@
 // WithObserver tells o of each call.
 func WithObserver(o Observer) Option { return func(g *Gate) { g.observer = o } }
 
+// WithBaseline queues calls first come, first served, for measurements.
+func WithBaseline() Option {
+	return func(g *Gate) { g.queue = func(slots int, _ kqname.Address) queue { return kqfifo.New(slots) } }
+}
+
+// WithHangup has w look after the connections that calls come on.
+func WithHangup(w *kqhangup.Watch) Option { return func(g *Gate) { g.hangup = w } }
+
 // New returns a gate to the upstreams that local finds.
 func New(local Finder, options ...Option) *Gate {
-	g := &Gate{local: local, observer: nobody{}, guard: nobody{}, now: time.Now, upstreams: make(map[kqname.Address]*upstream)}
+	g := &Gate{
+		local: local, observer: nobody{}, guard: nobody{}, now: time.Now, hangup: kqhangup.New(),
+		upstreams: make(map[kqname.Address]*upstream),
+		queue: func(slots int, address kqname.Address) queue {
+			return kqslots.New(slots, saltOf(address))
+		},
+	}
 	for _, o := range options {
 		o(g)
 	}
 	return g
 }
 
-// Serve answers calls that other nodes send to this one's gate. The upstream
-// beside it is spoken to in plain HTTP: with the scheme of a connection under
-// TLS the client would refuse to send, and each call would end as cut.
+// Serve answers calls that other nodes send to this one's gate.
 func (g *Gate) Serve(ctx *fasthttp.RequestCtx) {
-	ctx.Request.URI().SetScheme("http")
-	c, err := kqcall.Read(&ctx.Request, &ctx.Response, g.now())
+	now := g.now()
+	c, err := kqcall.Read(&ctx.Request, &ctx.Response, now)
 	if err != nil {
 		c = &kqcall.Call{Request: &ctx.Request, Response: &ctx.Response}
 		c.Answer(kqcall.Refuse(kqcall.Malformed))
 		return
 	}
-	c.Answer(g.Do(c))
+	var cancel kqcall.Cancel
+	var line kqhangup.Line
+	c.Cancel = &cancel
+	g.hangup.Begin(&line, g.number.Add(1), ctx.Conn(), &cancel, now)
+	o, load := g.run(c, now)
+	g.hangup.End(&line)
+	c.Answer(o)
+	load.Write(&ctx.Response.Header)
+	if g.leaving.Load() {
+		// The node that calls closes the connection itself; the server's own
+		// close could meet a call that is on its way.
+		ctx.SetConnectionClose()
+	}
+}
+
+// Do runs a call of this node's own entry at the local upstream, fills in its
+// response, and returns the upstream's load.
+func (g *Gate) Do(c *kqcall.Call) (kqcall.Outcome, kqcall.Load) { return g.run(c, g.now()) }
+
+// Leave refuses all that come from now on: the node is going. Calls that wait
+// are refused, calls that run are finished.
+func (g *Gate) Leave() {
+	g.leaving.Store(true)
+	g.Sweep(g.now())
+}
+
+// Sweep follows what became of the local upstreams: whoever drains takes no new
+// work, and whoever is gone is forgotten once its last call has ended.
+func (g *Gate) Sweep(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for address, u := range g.upstreams {
+		a, ok := g.local.Find(u.service, u.version)
+		if !ok || a.Address != address || a.Draining || g.leaving.Load() {
+			u.close()
+		}
+		if u.client.Sweep(now) == 0 && (!ok || a.Address != address) && u.idle() {
+			delete(g.upstreams, address)
+		}
+	}
 }
 
-// Do runs a call at the local upstream and fills in its response.
-func (g *Gate) Do(c *kqcall.Call) kqcall.Outcome {
+// Wait returns once no call is running.
+func (g *Gate) Wait() { g.running.Wait() }
+
+func (g *Gate) run(c *kqcall.Call, now time.Time) (kqcall.Outcome, kqcall.Load) {
 	g.running.Add(1)
 	defer g.running.Done()
+	if g.leaving.Load() {
+		return kqcall.Refuse(kqcall.Draining), kqcall.Load{}
+	}
 	a, ok := g.local.Find(c.Service, c.Version)
 	if !ok {
-		return kqcall.Refuse(kqcall.NoUpstream)
+		return kqcall.Refuse(kqcall.NoUpstream), kqcall.Load{}
 	}
 	if a.Draining {
-		return kqcall.Refuse(kqcall.Draining)
+		return kqcall.Refuse(kqcall.Draining), kqcall.Load{}
 	}
 	if g.guard.Refuses(c.Service, a.Version) {
-		return kqcall.Refuse(kqcall.RolledBack)
+		return kqcall.Refuse(kqcall.RolledBack), kqcall.Load{}
 	}
-	u := g.upstream(a)
-	if o := g.admit(u, c); o.Result != kqcall.Answered {
-		return o
+	u := g.upstream(a, now)
+	t := u.ticket(c)
+	defer u.recycle(t)
+	if o := u.admit(t, c, now); o.Result != kqcall.Answered {
+		return o, u.load()
 	}
-	defer func() { u.slots.Leave(g.now()) }()
 	began := g.now()
-	o := send(u.client, c)
+	o := send(u, c, began)
+	ended := g.now()
+	took := ended.Sub(began)
 	g.observer.Observe(Observation{
 		Service: c.Service, Version: a.Version, Route: c.Route, Outcome: o,
-		Status: c.Response.StatusCode(), Began: began, Took: g.now().Sub(began),
+		Status: status(c, o), Began: began, Took: took,
 	})
-	return o
+	return o, u.leave(t, o, took, ended)
 }
 
-// Wait returns once no call is running.
-func (g *Gate) Wait() { g.running.Wait() }
-
-func (g *Gate) admit(u *upstream, c *kqcall.Call) kqcall.Outcome {
-	t := u.slots.Enter(g.now(), c.Deadline)
-	timer := time.NewTimer(c.Deadline.Sub(g.now()))
-	defer timer.Stop()
-	select {
-	case <-t.Ready:
-	case <-timer.C:
-		if !u.slots.Abandon(t) {
-			<-t.Ready
-		}
-	}
-	return t.Outcome
-}
-
-func (g *Gate) upstream(a kqlocal.Announcement) *upstream {
+func (g *Gate) upstream(a kqlocal.Announcement, now time.Time) *upstream {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	u, ok := g.upstreams[a.Address]
 	if !ok {
-		u = &upstream{
-			slots: kqslots.New(a.Slots, a.Slots*queuePerSlot),
-			client: &fasthttp.HostClient{
-				Addr: string(a.Address), MaxConns: maxConnections, MaxIdleConnDuration: idleConnection,
-				// The library would send an idempotent call again by itself;
-				// sending again is the retry budget's decision.
-				MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-				NoDefaultUserAgentHeader: true,
-			},
-		}
+		u = newUpstream(a, g.queue(a.Slots, a.Address))
 		g.upstreams[a.Address] = u
 	}
+	u.follow(a, now)
 	return u
 }
 
-func send(client *fasthttp.HostClient, c *kqcall.Call) kqcall.Outcome {
-	err := client.DoDeadline(c.Request, c.Response, c.Deadline)
-	return Judge(c, err)
+func send(u *upstream, c *kqcall.Call, now time.Time) kqcall.Outcome {
+	c.Tell(now)
+	o := u.client.Do(c)
+	if o.Result != kqcall.Answered {
+		return o
+	}
+	kqcall.StripResponse(&c.Response.Header)
+	if c.RefusalMeansNotRun && c.Response.StatusCode() == fasthttp.StatusServiceUnavailable {
+		return kqcall.Refuse(kqcall.Shed)
+	}
+	return o
 }
 
-// Judge tells how an exchange that returned err ended.
-func Judge(c *kqcall.Call, err error) kqcall.Outcome {
-	var op *net.OpError
-	switch {
-	case err == nil && c.RefusalMeansNotRun && c.Response.StatusCode() == fasthttp.StatusServiceUnavailable:
-		return kqcall.Refuse(kqcall.Shed)
-	case err == nil:
-		return kqcall.OK()
-	case errors.As(err, &op) && op.Op == "dial", errors.Is(err, fasthttp.ErrDialTimeout), errors.Is(err, fasthttp.ErrNoFreeConns):
-		return kqcall.Refuse(kqcall.ConnectFailed)
-	case errors.Is(err, fasthttp.ErrTimeout):
-		return kqcall.Lose(kqcall.Timeout)
-	default:
-		return kqcall.Lose(kqcall.Cut)
+func status(c *kqcall.Call, o kqcall.Outcome) int {
+	if o.Result != kqcall.Answered && o.Reason != kqcall.Shed {
+		return 0
 	}
+	return c.Response.StatusCode()
 }
--- /dev/null
+++ b/internal/call/kqgate/upstream.go
@@ -0,0 +1,167 @@
+package kqgate
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqsend"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqslots"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+// maxConnections is what an upstream takes, by the users' figures.
+const maxConnections = 100
+
+type (
+	// queue decides who gets a slot.
+	queue interface {
+		Enter(t *kqslots.Ticket, now time.Time)
+		Leave(t *kqslots.Ticket, took time.Duration, now time.Time) []*kqslots.Ticket
+		Expire(t *kqslots.Ticket) bool
+		Resize(count int, now time.Time) []*kqslots.Ticket
+		Close() []*kqslots.Ticket
+		Reopen()
+		Load() kqcall.Load
+	}
+
+	// upstream is one local upstream, its queue and its connections.
+	upstream struct {
+		service kqname.Service
+		version kqname.UpstreamVersion
+		client  *kqsend.Client
+
+		mu     sync.Mutex
+		queue  queue
+		slots  int
+		closed bool
+	}
+)
+
+var (
+	tickets = sync.Pool{New: func() any { return &kqslots.Ticket{Ready: make(chan struct{}, 1)} }}
+	timers  = sync.Pool{New: func() any { return time.NewTimer(time.Hour) }}
+)
+
+func newUpstream(a kqlocal.Announcement, q queue) *upstream {
+	return &upstream{
+		service: a.Service, version: a.Version, slots: a.Slots, queue: q,
+		client: kqsend.New(a.Address, kqsend.WithMost(max(maxConnections, a.Slots))),
+	}
+}
+
+// follow takes over what the upstream announced: its slots may change while it
+// runs, and one that drained may come back.
+func (u *upstream) follow(a kqlocal.Announcement, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.closed {
+		u.closed = false
+		u.queue.Reopen()
+	}
+	if u.slots != a.Slots {
+		u.slots = a.Slots
+		wake(u.queue.Resize(a.Slots, now))
+	}
+}
+
+// ticket returns a ticket for the call; recycle takes it back.
+func (u *upstream) ticket(c *kqcall.Call) *kqslots.Ticket {
+	// The pool holds tickets only.
+	t, _ := tickets.Get().(*kqslots.Ticket)
+	*t = kqslots.Ticket{Caller: c.Caller, Route: c.Route, Class: c.Class, Deadline: c.Deadline, Ready: t.Ready}
+	return t
+}
+
+func (u *upstream) recycle(t *kqslots.Ticket) { tickets.Put(t) }
+
+// admit waits until the ticket has a slot, is refused, is given up, or its
+// caller goes away.
+func (u *upstream) admit(t *kqslots.Ticket, c *kqcall.Call, now time.Time) kqcall.Outcome {
+	u.mu.Lock()
+	u.queue.Enter(t, now)
+	verdict, giveUp := t.Verdict, t.GiveUp
+	u.mu.Unlock()
+	switch verdict {
+	case kqslots.Run:
+		return kqcall.OK()
+	case kqslots.Refuse:
+		return t.Refusal
+	}
+	// The pool holds timers only.
+	timer, _ := timers.Get().(*time.Timer)
+	timer.Reset(giveUp.Sub(now))
+	defer func() {
+		timer.Stop()
+		timers.Put(timer)
+	}()
+	gone := false
+	select {
+	case <-t.Ready:
+		return settled(t)
+	case <-timer.C:
+	case <-c.Cancel.Wake():
+		gone = true
+	}
+	u.mu.Lock()
+	waited := u.queue.Expire(t)
+	u.mu.Unlock()
+	switch {
+	case !waited:
+		// Somebody settled it in the meantime, and that stands.
+		<-t.Ready
+		return settled(t)
+	case gone:
+		return kqcall.Refuse(kqcall.Cancelled)
+	default:
+		return t.Refusal
+	}
+}
+
+// leave gives the slot back and returns the load. How long a call took counts
+// only where the upstream answered it: a cut says nothing of its work.
+func (u *upstream) leave(t *kqslots.Ticket, o kqcall.Outcome, took time.Duration, now time.Time) kqcall.Load {
+	if o.Result != kqcall.Answered && o.Reason != kqcall.Timeout {
+		took = 0
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	wake(u.queue.Leave(t, took, now))
+	return u.queue.Load()
+}
+
+func (u *upstream) close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.closed = true
+	wake(u.queue.Close())
+}
+
+func (u *upstream) idle() bool {
+	l := u.load()
+	return l.Running == 0 && l.Waiting == 0
+}
+
+func (u *upstream) load() kqcall.Load {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.queue.Load()
+}
+
+func settled(t *kqslots.Ticket) kqcall.Outcome {
+	if t.Verdict == kqslots.Run {
+		return kqcall.OK()
+	}
+	return t.Refusal
+}
+
+func wake(list []*kqslots.Ticket) {
+	for _, t := range list {
+		t.Ready <- struct{}{}
+	}
+}
+
+func saltOf(a kqname.Address) uint64 { return xxhash.Sum64String(string(a)) }
--- /dev/null
+++ b/internal/call/kqhangup/hangup.go
@@ -0,0 +1,101 @@
+// Package kqhangup notices callers that went away while their call waits or
+// runs, and cancels the call.
+//
+// The server's library reads nothing from a connection while a call is served,
+// so a caller's disconnect would go unseen: the call would hold its place in a
+// queue and a slot for nobody, which is most of the work in an overload whose
+// callers have given up. Looking at each connection every 25 ms costs one
+// system call for each call that has lasted that long, and none for the others.
+package kqhangup
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+)
+
+const (
+	every  = 25 * time.Millisecond
+	shards = 16
+)
+
+type (
+	// Watch looks after the calls under way. It is safe for concurrent use.
+	Watch struct {
+		shards [shards]shard
+	}
+
+	// Line is one call's connection to its caller.
+	Line struct {
+		caller net.Conn
+		call   *kqcall.Cancel
+		since  time.Time
+		shard  *shard
+		index  int
+	}
+
+	shard struct {
+		mu    sync.Mutex
+		lines []*Line
+	}
+)
+
+// New returns a watch without calls.
+func New() *Watch { return &Watch{} }
+
+// Begin watches a caller's connection until End. The line's memory is the
+// caller's.
+func (w *Watch) Begin(l *Line, number uint64, caller net.Conn, call *kqcall.Cancel, now time.Time) {
+	s := &w.shards[number%shards]
+	*l = Line{caller: caller, call: call, since: now, shard: s}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.index = len(s.lines)
+	s.lines = append(s.lines, l)
+}
+
+// End stops watching.
+func (w *Watch) End(l *Line) {
+	s := l.shard
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := len(s.lines) - 1
+	s.lines[l.index] = s.lines[last]
+	s.lines[l.index].index = l.index
+	s.lines[last] = nil
+	s.lines = s.lines[:last]
+}
+
+// Run looks at the connections until ctx ends.
+func (w *Watch) Run(ctx context.Context) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for i := range w.shards {
+				w.shards[i].sweep(now.Add(-every))
+			}
+		}
+	}
+}
+
+// sweep holds the lock while it looks: a line that ended must not be looked at,
+// since its connection may serve another call by then.
+func (s *shard) sweep(before time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.lines {
+		if l.since.After(before) {
+			continue
+		}
+		if closed, _ := Closed(l.caller); closed {
+			l.call.Now()
+		}
+	}
+}
--- a/internal/call/kqlocal/local.go
+++ b/internal/call/kqlocal/local.go
@@ -84,16 +84,25 @@
 }
 
 // Find returns the upstream for a service and version; an empty version
-// accepts any.
+// accepts any. Of several, one that does not drain and came last is returned: a
+// replaced upstream's record lasts until its time has run out.
 func (u *Upstreams) Find(service kqname.Service, version kqname.UpstreamVersion) (Announcement, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	var best entry
 	for _, e := range u.held {
-		if e.Service == service && (version == "" || e.Version == version) {
-			return e.Announcement, true
+		if e.Service == service && (version == "" || e.Version == version) && (best.Slots == 0 || e.before(best)) {
+			best = e
 		}
 	}
-	return Announcement{}, false
+	return best.Announcement, best.Slots > 0
+}
+
+func (e entry) before(other entry) bool {
+	if e.Draining != other.Draining {
+		return other.Draining
+	}
+	return e.first.After(other.first)
 }
 
 func (u *Upstreams) tell() {
--- /dev/null
+++ b/internal/call/kqsend/client.go
@@ -0,0 +1,190 @@
+// Package kqsend sends calls over kept connections and tells how each exchange
+// ended.
+//
+// A library's client sends some calls again by itself and does not say whether
+// a byte had been written. Whether a call certainly did not run hangs on just
+// that, so connections are kept here and each exchange is written and read in
+// one place: certain is only what failed before its first byte. A connection
+// whose exchange was cut, timed out or cancelled is closed, since the late
+// answer would otherwise be read as the next call's.
+package kqsend
+
+import (
+	"bufio"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	// IdleFor is how long a connection is kept without a call. Servers keep
+	// theirs for longer, so that the client is the one to close: one that the
+	// server closes may have a call on its way already.
+	IdleFor = 2 * time.Second
+
+	defaultMost = 512
+	dialTimeout = time.Second
+	bufferSize  = 4096
+)
+
+// errFull tells that all connections are in use.
+var errFull = errors.New("no free connection")
+
+type (
+	// Client sends calls to one address. It is safe for concurrent use.
+	Client struct {
+		to     kqname.Address
+		dialer func(address string) (net.Conn, error)
+		most   int
+
+		mu   sync.Mutex
+		idle []*connection
+		open int
+	}
+
+	// Option sets up a Client.
+	Option func(*Client)
+
+	connection struct {
+		net.Conn
+		reader  *bufio.Reader
+		writer  *bufio.Writer
+		raw     *net.TCPConn
+		written int
+		since   time.Time
+	}
+)
+
+// WithDialer replaces plain TCP; nil does not. It must have finished its
+// handshake, so that its failure is certain not to have run a call.
+func WithDialer(dial func(address string) (net.Conn, error)) Option {
+	return func(c *Client) {
+		if dial != nil {
+			c.dialer = dial
+		}
+	}
+}
+
+// WithMost bounds the connections that are open at once.
+func WithMost(n int) Option { return func(s *Client) { s.most = n } }
+
+// New returns a client that sends to an address.
+func New(to kqname.Address, options ...Option) *Client {
+	c := &Client{to: to, most: defaultMost, dialer: plain}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+// Close ends the connections that no call uses; those in use end with their
+// call.
+func (c *Client) Close() { c.sweep(time.Time{}) }
+
+// Sweep ends the connections that no call has used for IdleFor, and reports how
+// many are left.
+func (c *Client) Sweep(now time.Time) int { return c.sweep(now.Add(-IdleFor)) }
+
+func (c *Client) sweep(before time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.idle[:0]
+	for _, n := range c.idle {
+		if !before.IsZero() && n.since.After(before) {
+			kept = append(kept, n)
+			continue
+		}
+		_ = n.Close()
+		c.open--
+	}
+	clear(c.idle[len(kept):])
+	c.idle = kept
+	return c.open
+}
+
+// acquire returns an idle connection that its peer has not closed, the one used
+// last first, or else a new one.
+func (c *Client) acquire() (*connection, error) {
+	for {
+		n, err := c.take()
+		if err != nil {
+			return nil, err
+		}
+		if n == nil {
+			return c.dial()
+		}
+		if n.alive() {
+			n.written = 0
+			return n, nil
+		}
+		c.drop(n)
+	}
+}
+
+// take returns an idle connection, or nil with leave to open one.
+func (c *Client) take() (*connection, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if last := len(c.idle) - 1; last >= 0 {
+		n := c.idle[last]
+		c.idle[last] = nil
+		c.idle = c.idle[:last]
+		return n, nil
+	}
+	if c.open >= c.most {
+		return nil, fmt.Errorf("connect to %s, %d are open: %w", c.to, c.open, errFull)
+	}
+	c.open++
+	return nil, nil
+}
+
+func (c *Client) dial() (*connection, error) {
+	dialed, err := c.dialer(string(c.to))
+	if err != nil {
+		c.mu.Lock()
+		c.open--
+		c.mu.Unlock()
+		return nil, fmt.Errorf("connect to %s: %w", c.to, err)
+	}
+	n := &connection{Conn: dialed}
+	n.raw = tcp(dialed)
+	n.reader = bufio.NewReaderSize(n.Conn, bufferSize)
+	n.writer = bufio.NewWriterSize(n, bufferSize)
+	return n, nil
+}
+
+func plain(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, dialTimeout) }
+
+func (c *Client) release(n *connection) {
+	n.since = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = append(c.idle, n)
+}
+
+func (c *Client) drop(n *connection) {
+	_ = n.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open--
+}
+
+// Write counts what reached the connection.
+func (n *connection) Write(data []byte) (int, error) {
+	count, err := n.Conn.Write(data)
+	n.written += count
+	return count, err
+}
+
+func tcp(c net.Conn) *net.TCPConn {
+	if s, ok := c.(*tls.Conn); ok {
+		c = s.NetConn()
+	}
+	t, _ := c.(*net.TCPConn)
+	return t
+}
--- /dev/null
+++ b/internal/config/kqsnapshot/index.go
@@ -0,0 +1,55 @@
+package kqsnapshot
+
+import (
+	"slices"
+
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+)
+
+// index finds a host's routes by their path prefix. A host with hundreds of
+// routes would otherwise have each call compared with all of them; here a call
+// costs one look-up for each length that a prefix of the host has.
+type index struct {
+	// lengths are those of the prefixes, longest first.
+	lengths  []int
+	prefixes map[string][]kqdocument.Route
+}
+
+// newIndex makes the index of routes in the order of their precedence.
+func newIndex(routes []kqdocument.Route) *index {
+	x := &index{prefixes: make(map[string][]kqdocument.Route)}
+	for _, r := range routes {
+		x.prefixes[r.PathPrefix] = append(x.prefixes[r.PathPrefix], r)
+		if !slices.Contains(x.lengths, len(r.PathPrefix)) {
+			x.lengths = append(x.lengths, len(r.PathPrefix))
+		}
+	}
+	slices.SortFunc(x.lengths, func(a, b int) int { return b - a })
+	return x
+}
+
+func (x *index) match(r Request) (kqdocument.Route, bool) {
+	for _, n := range x.lengths {
+		if n > len(r.Path) {
+			continue
+		}
+		for i := range x.prefixes[r.Path[:n]] {
+			if route := &x.prefixes[r.Path[:n]][i]; fits(route, r) {
+				return *route, true
+			}
+		}
+	}
+	return kqdocument.Route{}, false
+}
+
+func fits(route *kqdocument.Route, r Request) bool {
+	if route.Method != "" && route.Method != r.Method {
+		return false
+	}
+	for name, want := range route.Headers {
+		if r.Header(name) != want {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/config/kqsnapshot/snapshot.go
+++ b/internal/config/kqsnapshot/snapshot.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strings"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
@@ -26,7 +25,7 @@
 	// Snapshot is one whole configuration version, cut to some hosts.
 	Snapshot struct {
 		root     kqresource.Root
-		hosts    map[kqname.Host][]kqdocument.Route
+		hosts    map[kqname.Host]*index
 		services map[kqname.Service]kqresource.Service
 	}
 
@@ -48,7 +47,7 @@
 		objects: objects,
 		snapshot: &Snapshot{
 			root:     root,
-			hosts:    make(map[kqname.Host][]kqdocument.Route),
+			hosts:    make(map[kqname.Host]*index),
 			services: make(map[kqname.Service]kqresource.Service),
 		},
 	}
@@ -96,24 +95,11 @@
 
 // Match returns the first route that fits the request.
 func (s *Snapshot) Match(r Request) (kqdocument.Route, bool) {
-	for _, route := range s.hosts[r.Host] {
-		if fits(route, r) {
-			return route, true
-		}
-	}
-	return kqdocument.Route{}, false
-}
-
-func fits(route kqdocument.Route, r Request) bool {
-	if route.Method != "" && route.Method != r.Method || !strings.HasPrefix(r.Path, route.PathPrefix) {
-		return false
-	}
-	for name, want := range route.Headers {
-		if r.Header(name) != want {
-			return false
-		}
+	x, ok := s.hosts[r.Host]
+	if !ok {
+		return kqdocument.Route{}, false
 	}
-	return true
+	return x.match(r)
 }
 
 type builder struct {
@@ -145,7 +131,7 @@
 			return fmt.Errorf("route %s: %w", r.Name, err)
 		}
 	}
-	b.snapshot.hosts[name] = h.Routes
+	b.snapshot.hosts[name] = newIndex(h.Routes)
 	return nil
 }
 
--- /dev/null
+++ b/internal/decide/kqeject/eject.go
@@ -0,0 +1,121 @@
+// Package kqeject decides which upstreams are left out for a while.
+//
+// Load pattern: a slow or failing upstream, and one whose reports mislead. An
+// upstream that fails at once looks idle and so draws work; without ejection a
+// choice by load sends it more and more. One that is slow gets no second report
+// in as long as nobody asks it, so that a choice by load alone would either
+// leave it out for ever or go by an old figure.
+//
+// An upstream is ejected when it could not be reached, after 5 failures in a
+// row, or when its typical work is over 3 times the median of its service's
+// upstreams. It comes back by a probe: after the ejection's time one call, and
+// no other until that is answered; a good answer readmits it, a bad one doubles
+// the time.
+//
+// Grounds for the figures: 3 times the median is beyond what a cold start or a
+// neighbour on the host does to a healthy upstream's typical call. The first
+// ejection lasts 2 s, the time in which a restart or a drain is heard of from
+// peers; doubling up to 30 s holds the probes of many entries to a small share of
+// the calls. At most a third of a service's upstreams, rounded down, is ejected
+// for being slow or failing: if more look bad, the load or the network is the
+// cause, and sending the rest all the work would make them fail next. One that
+// cannot be reached or drains is ejected beyond that cap, since a call sent there
+// cannot be answered.
+package kqeject
+
+import "time"
+
+const (
+	// SlowFactor is how many times the median makes an upstream slow.
+	SlowFactor = 3
+
+	failuresInRow = 5
+	firstTime     = 2 * time.Second
+	longestTime   = 30 * time.Second
+	capDivisor    = 3
+)
+
+type (
+	// State is what is known of one upstream. Its zero value is a healthy one.
+	State struct {
+		until    time.Time
+		lasts    time.Duration
+		failures int
+		ejected  bool
+		// hard ejections do not count towards the cap.
+		hard    bool
+		probing bool
+	}
+
+	// Ejector keeps count for one service's upstreams. It is not safe for
+	// concurrent use.
+	Ejector struct{ soft int }
+)
+
+// Ejected reports whether the upstream is left out, other than for a probe.
+func (s *State) Ejected() bool { return s.ejected }
+
+// ProbeDue reports whether an ejected upstream is to be tried by one call.
+func (s *State) ProbeDue(now time.Time) bool {
+	return s.ejected && !s.probing && !now.Before(s.until)
+}
+
+// Probe notes that the one call is under way.
+func (s *State) Probe() { s.probing = true }
+
+// Unreachable ejects an upstream that cannot be sent work, whatever the cap.
+func (e *Ejector) Unreachable(s *State, now time.Time) {
+	if s.ejected && !s.hard {
+		e.soft--
+	}
+	s.hard = true
+	s.eject(now)
+}
+
+// Failed takes in a call that failed; of is the number of upstreams.
+func (e *Ejector) Failed(s *State, of int, now time.Time) {
+	s.failures++
+	if s.ejected || s.failures >= failuresInRow {
+		e.eject(s, of, now)
+	}
+}
+
+// Answered takes in a good answer of an upstream whose typical work is work,
+// beside the median of its service's upstreams.
+func (e *Ejector) Answered(s *State, of int, work, median time.Duration, now time.Time) {
+	s.failures = 0
+	switch {
+	case median > 0 && work > SlowFactor*median:
+		e.eject(s, of, now)
+	case s.ejected && s.probing:
+		e.Forget(s)
+		s.ejected, s.probing, s.hard, s.lasts = false, false, false, 0
+	}
+}
+
+// Forget tells that the upstream is gone or healthy again.
+func (e *Ejector) Forget(s *State) {
+	if s.ejected && !s.hard {
+		e.soft--
+	}
+}
+
+func (e *Ejector) eject(s *State, of int, now time.Time) {
+	if !s.ejected {
+		if e.soft >= of/capDivisor {
+			return
+		}
+		e.soft++
+	}
+	s.eject(now)
+}
+
+func (s *State) eject(now time.Time) {
+	// Answers of calls that were sent before the ejection say nothing new.
+	if s.ejected && !s.probing {
+		return
+	}
+	s.ejected, s.probing, s.failures = true, false, 0
+	s.lasts = min(max(2*s.lasts, firstTime), longestTime)
+	s.until = now.Add(s.lasts)
+}
--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -1,16 +1,58 @@
 // Package kqpick chooses the upstream that a call is sent to.
+//
+// Load patterns: slow upstream, churn, loss of a failure domain. A random choice
+// gives each upstream the same number of calls, whatever it can take: one that
+// is 20 times slower holds a sixth of the calls of six, and each waits there. A
+// choice of the best by reports that are a moment old sends every entry's calls
+// to the same one. Here the better of two random choices is taken, which evens
+// the load out and never herds.
+//
+// The better one has the lower (running + waiting + on the way from here + 1) /
+// slots × its calls' recent time. Upstreams of the entry's own failure domain
+// go first while they have room, as that saves the way between domains; once
+// they are busy, all are equal, so that losing a domain only makes the choice
+// smaller. New upstreams are eased in, since their first calls pay for the cold
+// start and for 1 ms a connection.
+//
+// Grounds for the figures: room is up to 70% of the slots without a queue, below
+// which a call hardly waits; a new upstream looks 4 times as loaded as it is at
+// first and less so over 10 s, which a cold start lasts; a report older than 1 s
+// says nothing of the queue any more.
 package kqpick
 
 import (
 	"math/rand/v2"
+	"slices"
+	"time"
 
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqeject"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
+const (
+	room        = 0.7
+	coldFactor  = 4.0
+	coldFor     = 10 * time.Second
+	reportLasts = time.Second
+	medianLasts = 100 * time.Millisecond
+)
+
 type (
-	// Picker chooses at random among the candidates that a target allows.
-	Picker struct{}
+	// Pool holds what one entry knows of one service's upstreams. It is not safe
+	// for concurrent use.
+	Pool struct {
+		domain  kqname.Domain
+		plain   bool
+		source  []kqmember.Candidate
+		peers   []*Peer
+		fit     []*Peer
+		ejector kqeject.Ejector
+		median  time.Duration
+		judged  time.Time
+		started bool
+	}
 
 	// Target says which upstreams of a service a call may go to.
 	Target struct {
@@ -22,24 +64,165 @@
 		// call or has nobody to take it; empty leaves no other.
 		Fallback kqname.UpstreamVersion
 	}
+
+	// Option sets up a Pool.
+	Option func(*Pool)
 )
 
-// New returns a picker.
-func New() *Picker { return &Picker{} }
+// WithPlain makes the pool choose at random, as a baseline for measurements.
+func WithPlain(plain bool) Option { return func(p *Pool) { p.plain = plain } }
 
-// Pick returns a candidate that the target allows and that is not among the
-// tried nodes.
-func (p *Picker) Pick(all []kqmember.Candidate, target Target, tried map[kqname.Node]bool, random *rand.Rand) (kqmember.Candidate, bool) {
-	var fit []kqmember.Candidate
+// New returns the pool of an entry in the failure domain.
+func New(domain kqname.Domain, options ...Option) *Pool {
+	p := &Pool{domain: domain}
+	for _, o := range options {
+		o(p)
+	}
+	return p
+}
+
+// Set takes in the service's upstreams. What is known of those that stay is
+// kept. The pool's first upstreams count as warm: a starting entry knows no
+// better, and they were there before it.
+func (p *Pool) Set(all []kqmember.Candidate, now time.Time) {
+	if p.started && len(all) == len(p.source) && (len(all) == 0 || &all[0] == &p.source[0]) {
+		return
+	}
+	old := p.peers
+	p.source, p.peers = all, make([]*Peer, 0, len(all))
 	for _, c := range all {
-		if target.allows(c) && !tried[c.Node] {
-			fit = append(fit, c)
+		i := slices.IndexFunc(old, func(o *Peer) bool { return o.Node == c.Node && o.Version == c.Version && o.Gate == c.Gate })
+		if i < 0 {
+			p.peers = append(p.peers, p.admit(c, now))
+			continue
 		}
+		o := old[i]
+		old = slices.Delete(slices.Clone(old), i, i+1)
+		o.Candidate = c
+		p.peers = append(p.peers, o)
+	}
+	for _, o := range old {
+		p.ejector.Forget(&o.state)
+	}
+	p.started = true
+}
+
+// Pick returns an upstream that the target allows and whose node was not tried
+// before; nil if there is none. Done must follow.
+func (p *Pool) Pick(target Target, tried []kqname.Node, now time.Time, random *rand.Rand) *Peer {
+	chosen := p.choose(target, tried, now, random)
+	if chosen == nil {
+		return nil
+	}
+	if chosen.state.Ejected() {
+		chosen.state.Probe()
+	}
+	chosen.sent++
+	return chosen
+}
+
+// Done takes in how a call ended that Pick chose the upstream for, and the load
+// that the gate told, if it did. A failed answer is one with a status of 5xx.
+func (p *Pool) Done(o *Peer, end kqcall.Outcome, failed bool, load *kqcall.Load, now time.Time) {
+	o.sent--
+	if load != nil {
+		o.load, o.reported = *load, now
+	}
+	if p.plain {
+		return
 	}
-	if len(fit) == 0 {
-		return kqmember.Candidate{}, false
+	switch {
+	case gone(end.Reason):
+		p.ejector.Unreachable(&o.state, now)
+	case end.Result == kqcall.Unknown, failed:
+		p.ejector.Failed(&o.state, len(p.peers), now)
+	default:
+		p.ejector.Answered(&o.state, len(p.peers), o.load.Work, p.typical(now), now)
+	}
+}
+
+func (p *Pool) choose(target Target, tried []kqname.Node, now time.Time, random *rand.Rand) *Peer {
+	p.fit = p.fit[:0]
+	near, last := 0, 0
+	for _, o := range p.peers {
+		if !target.allows(o.Candidate) || slices.Contains(tried, o.Node) {
+			continue
+		}
+		if o.state.Ejected() {
+			if o.state.ProbeDue(now) {
+				return o
+			}
+			last++
+			continue
+		}
+		p.fit = append(p.fit, o)
+		if !p.plain && o.Domain == p.domain && o.hasRoom(p.median, now) {
+			last := len(p.fit) - 1
+			p.fit[near], p.fit[last] = p.fit[last], p.fit[near]
+			near++
+		}
+	}
+	if near > 0 {
+		return p.better(p.fit[:near], now, random)
+	}
+	if len(p.fit) == 0 && last > 0 {
+		p.lastResort(target, tried)
+	}
+	if len(p.fit) == 0 {
+		return nil
+	}
+	if p.plain {
+		return p.fit[random.IntN(len(p.fit))]
+	}
+	return p.better(p.fit, now, random)
+}
+
+// lastResort takes the ejected ones in: where all that a call may go to look
+// bad, a bad one may still answer, and refusing would answer nobody.
+func (p *Pool) lastResort(target Target, tried []kqname.Node) {
+	for _, o := range p.peers {
+		if target.allows(o.Candidate) && !slices.Contains(tried, o.Node) {
+			p.fit = append(p.fit, o)
+		}
+	}
+}
+
+func (p *Pool) admit(c kqmember.Candidate, now time.Time) *Peer {
+	o := &Peer{Candidate: c, first: now}
+	if !p.started {
+		o.first = now.Add(-coldFor)
+	}
+	return o
+}
+
+// typical returns the median of what the upstreams' calls took lately.
+func (p *Pool) typical(now time.Time) time.Duration {
+	if now.Sub(p.judged) < medianLasts {
+		return p.median
+	}
+	p.judged, p.median = now, 0
+	var works []time.Duration
+	for _, o := range p.peers {
+		if o.load.Work > 0 {
+			works = append(works, o.load.Work)
+		}
+	}
+	// The median of two would be one of them: neither tells which is off.
+	if len(works) > 2 {
+		slices.Sort(works)
+		p.median = works[len(works)/2]
+	}
+	return p.median
+}
+
+// gone reports whether the reason tells that the upstream takes no calls at all.
+func gone(r kqcall.Reason) bool {
+	switch r {
+	case kqcall.Draining, kqcall.NoUpstream, kqcall.ConnectFailed, kqcall.RolledBack:
+		return true
+	default:
+		return false
 	}
-	return fit[random.IntN(len(fit))], true
 }
 
 // Next returns the target for a call that this one did not take.
--- /dev/null
+++ b/internal/decide/kqshed/shed.go
@@ -0,0 +1,91 @@
+// Package kqshed decides at the entry which calls of a service are refused
+// before they are sent, because the service as a whole is full.
+//
+// Load pattern: overload of a whole service. Without it each refused call costs
+// a trip to a gate, and at several times the capacity the nodes are busy with
+// refusing; important calls stand in line with the others to be refused.
+//
+// The entry counts, for each class, calls and those that were refused for load,
+// with older ones counting less; the rest is taken in, or on its way. It refuses
+// a call with the chance (calls - factor × taken in) / calls. The load that reaches the gates
+// settles at factor times what they take in, so that they stay full and a
+// change for the better is seen at once.
+//
+// Grounds for the figures: at factor 2 every second call that is sent is still
+// refused by a gate, which keeps the gates' queues full through chance lulls;
+// background calls get 1.2, since they are to make room first; critical ones 4.
+// Counts halve every second, so that the entry follows a change within two.
+package kqshed
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+)
+
+const (
+	halfLife = time.Second
+	// fewest calls in the window make a judgement.
+	fewest = 20
+)
+
+type (
+	// Shedder decides for one service. It is not safe for concurrent use.
+	Shedder struct {
+		classes [3]window
+	}
+
+	window struct {
+		calls, refused float64
+		since          time.Time
+	}
+)
+
+var factors = [3]float64{4, 2, 1.2}
+
+// New returns a shedder that has seen no call.
+func New() *Shedder { return &Shedder{} }
+
+// Refuse reports whether a call of the class is to be refused, and counts it.
+func (s *Shedder) Refuse(c kqdocument.Class, now time.Time, random *rand.Rand) bool {
+	i := index(c)
+	w := &s.classes[i]
+	w.age(now)
+	w.calls++
+	if w.calls < fewest {
+		return false
+	}
+	taken := w.calls - w.refused
+	if random.Float64() >= (w.calls-factors[i]*taken)/w.calls {
+		return false
+	}
+	w.refused++
+	return true
+}
+
+// Refused counts a call that a gate refused for load.
+func (s *Shedder) Refused(c kqdocument.Class) { s.classes[index(c)].refused++ }
+
+func (w *window) age(now time.Time) {
+	if w.since.IsZero() {
+		w.since = now
+	}
+	for now.Sub(w.since) >= halfLife && w.calls > 0.5 {
+		w.calls, w.refused, w.since = w.calls/2, w.refused/2, w.since.Add(halfLife)
+	}
+	if now.Sub(w.since) >= halfLife {
+		w.calls, w.refused, w.since = 0, 0, now
+	}
+}
+
+func index(c kqdocument.Class) int {
+	switch c {
+	case kqdocument.ClassCritical:
+		return 0
+	case kqdocument.ClassBackground:
+		return 2
+	default:
+		return 1
+	}
+}
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -1,102 +1,185 @@
-// Package kqslots decides which call gets one of an upstream's slots.
+// Package kqslots decides at a gate which call gets one of the upstream's
+// slots, which waits and which is refused.
+//
+// Load patterns: burst, overload, hot caller, long jobs among short ones.
+//
+// A call is taken in only if, by the work of those who would be served before
+// it, it will begin within a share of the time that it has left; otherwise it is
+// refused at once, while its caller can still go elsewhere. Without that the
+// queue fills with calls that are served when nobody waits for them any more,
+// and goodput falls while the upstream is fully busy. While the queue is calm
+// the oldest goes first, since all will be served and first come is fair. Once
+// calls wait beyond what they were promised, because the upstream has become
+// slower, the newest go first and whoever waited too long is refused there and
+// then: served oldest first, each would be reached just as it becomes late.
+//
+// Short calls and long jobs wait apart, and half of the slots never go to long
+// jobs: otherwise a few long jobs take every slot and each short call waits for
+// as long as a long job lasts. Callers within a line share by kqfair; a class
+// is served before the less important ones, and those are promised less, so
+// that background calls are refused first.
+//
+// Grounds for the figures: a normal call may wait for 0.6 of its time, which
+// leaves two thirds as much again for the work, for a mistaken expectation and
+// for the network; background calls for an eighth. A burst of 2 s at 1.5 times
+// the capacity leaves 1 s of work; calls with 2 s ride it out, with a fifth to
+// spare for gates that got more than others. A caller whose line has stood for
+// 4 s is in no burst: from then on a tenth of that is allowed, since waiting
+// would no longer save a call but only make all of them slow.
 package kqslots
 
 import (
-	"sync"
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqfair"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqwork"
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	// Run tells that the call has a slot; Leave gives it back.
+	Run Verdict = iota + 1
+	// Wait tells that the call is in the queue.
+	Wait
+	// Refuse tells that the call does not run; its Refusal says why.
+	Refuse
+
+	classes = 3
+	// shares of the time left that a class's call may wait.
+	criticalWait, normalWait, backgroundWait = 0.6, 0.6, 0.125
+	// standing is when a line is in no burst any more; standingWait then divides
+	// the shares further.
+	standing     = 4 * time.Second
+	standingWait = 10
+	// slack is how many calls' work a short wait may be mistaken by.
+	slack = 8
+	// shortIdle is how long after the last short call slots are kept for short
+	// ones; without an end, an upstream whose every route has become slow would
+	// use half of its slots.
+	shortIdle = time.Second
+	// minRetryAfter is the least that a refused caller is told to stay away.
+	minRetryAfter = time.Second
 )
 
 type (
-	// Slots hands out an upstream's slots, oldest call first, and queues calls
-	// within a bound. It is safe for concurrent use.
-	Slots struct {
-		mu      sync.Mutex
-		free    int
-		most    int
-		waiting []*Ticket
-		closed  bool
-	}
+	// Verdict is what becomes of a call for now.
+	Verdict uint8
 
-	// Ticket is one call's place. Ready is closed once Outcome is settled.
+	// Ticket is one call at the gate. The gate fills in the first fields.
 	Ticket struct {
-		Ready    chan struct{}
-		Outcome  kqcall.Outcome
-		deadline time.Time
+		Caller   kqname.Caller
+		Route    kqname.Route
+		Class    kqdocument.Class
+		Deadline time.Time
+
+		// Verdict and, for Refuse, Refusal are settled by Slots.
+		Verdict Verdict
+		Refusal kqcall.Outcome
+		// GiveUp is when a waiting call is to be given up by Expire.
+		GiveUp time.Time
+		// Ready belongs to the gate, which wakes a waiting call through it.
+		Ready chan struct{}
+
+		place kqfair.Place
+		level int
+		long  bool
+	}
+
+	// Slots decides for one upstream. It is not safe for concurrent use.
+	Slots struct {
+		count       int
+		work        *kqwork.Work
+		short, long [classes]*kqfair.Queue
+		running     int
+		runningLong int
+		closed      bool
+		// shortSeen is when a short call came last.
+		shortSeen time.Time
 	}
 )
 
-// New returns slots for an upstream that runs count calls at once, with a queue
-// of at most queue calls.
-func New(count, queue int) *Slots { return &Slots{free: count, most: queue} }
+// New returns slots for an upstream that runs count calls at once; salt parts
+// callers that another gate's hash brought together.
+func New(count int, salt uint64) *Slots {
+	s := &Slots{count: count, work: kqwork.New()}
+	for i := range classes {
+		s.short[i], s.long[i] = kqfair.New(salt+uint64(i)), kqfair.New(salt+classes+uint64(i))
+	}
+	return s
+}
 
-// Enter asks for a slot. The ticket's Outcome, once Ready, is either OK, and
-// then Leave must be called, or a refusal.
-func (s *Slots) Enter(now, deadline time.Time) *Ticket {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := &Ticket{Ready: make(chan struct{}), deadline: deadline}
+// Enter settles the ticket's verdict.
+func (s *Slots) Enter(t *Ticket, now time.Time) {
+	t.level, t.long = level(t.Class), s.work.Long(t.Route)
+	if !t.long {
+		s.shortSeen = now
+	}
+	expected := s.work.Expect(t.Route)
+	left := t.Deadline.Sub(now)
 	switch {
 	case s.closed:
-		t.settle(kqcall.Refuse(kqcall.Draining))
-	case !now.Before(deadline):
-		t.settle(kqcall.Refuse(kqcall.Late))
-	case s.free > 0:
-		s.free--
-		t.settle(kqcall.OK())
-	case len(s.waiting) >= s.most:
-		t.settle(kqcall.Refuse(kqcall.QueueFull))
+		t.refuse(kqcall.Draining, minRetryAfter)
+	case left <= 0:
+		t.refuse(kqcall.Late, 0)
+	case s.room(t.long, now) && lengthOf(s.lanes(t)) == 0:
+		s.lane(t).Passed(t.Caller, expected)
+		s.start(t)
 	default:
-		s.waiting = append(s.waiting, t)
+		s.enqueue(t, expected, left, now)
 	}
-	return t
 }
 
-// Leave gives a slot back to the first waiting call that is still in time.
-func (s *Slots) Leave(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.free++
-	for s.free > 0 && len(s.waiting) > 0 {
-		t := s.waiting[0]
-		s.waiting = s.waiting[1:]
-		if !now.Before(t.deadline) {
-			t.settle(kqcall.Refuse(kqcall.Late))
-			continue
-		}
-		s.free--
-		t.settle(kqcall.OK())
+// Leave gives back the slot of a ticket whose call took so long at the
+// upstream, and returns the tickets that this settles.
+func (s *Slots) Leave(t *Ticket, took time.Duration, now time.Time) []*Ticket {
+	s.running--
+	if t.long {
+		s.runningLong--
+	}
+	if took > 0 {
+		s.work.Learn(t.Route, took)
 	}
+	return s.serve(now)
 }
 
-// Abandon takes a waiting call out of the queue. It reports false when the
-// call has been settled in the meantime; its outcome then stands.
-func (s *Slots) Abandon(t *Ticket) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i, w := range s.waiting {
-		if w == t {
-			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
-			t.settle(kqcall.Refuse(kqcall.Late))
-			return true
-		}
+// Expire refuses a waiting call whose time to give up has come, or whose caller
+// is gone, and reports whether it did still wait.
+func (s *Slots) Expire(t *Ticket) bool {
+	if t.Verdict != Wait {
+		return false
 	}
-	return false
+	s.lane(t).Remove(&t.place)
+	t.refuse(kqcall.Late, s.retryAfter())
+	return true
+}
+
+// Resize follows a change of the upstream's slots and returns the tickets that
+// this settles. Calls that run stay.
+func (s *Slots) Resize(count int, now time.Time) []*Ticket {
+	s.count = count
+	return s.serve(now)
 }
 
-// Close refuses all calls that wait and all that come.
-func (s *Slots) Close() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// Close refuses all that come and returns those that waited, now refused.
+func (s *Slots) Close() []*Ticket {
 	s.closed = true
-	for _, t := range s.waiting {
-		t.settle(kqcall.Refuse(kqcall.Draining))
+	var settled []*Ticket
+	for _, lanes := range []*[classes]*kqfair.Queue{&s.short, &s.long} {
+		for lengthOf(lanes) > 0 {
+			t := s.pop(lanes, time.Time{})
+			t.refuse(kqcall.Draining, minRetryAfter)
+			settled = append(settled, t)
+		}
 	}
-	s.waiting = nil
+	return settled
 }
 
-func (t *Ticket) settle(o kqcall.Outcome) {
-	t.Outcome = o
-	close(t.Ready)
+// Reopen lets calls in again, of an upstream that took its leave back.
+func (s *Slots) Reopen() { s.closed = false }
+
+// Load returns what callers are to know.
+func (s *Slots) Load() kqcall.Load {
+	return kqcall.Load{Running: s.running, Waiting: s.waiting(), Slots: s.count, Work: s.work.Pace()}
 }
--- /dev/null
+++ b/internal/decide/kqwork/work.go
@@ -0,0 +1,109 @@
+// Package kqwork expects how long an upstream will need for a call of a route,
+// and tells short routes from long ones.
+//
+// Load pattern: long jobs among short calls, and any queue that must be told in
+// time rather than in calls. Without it a gate takes each call for the same and
+// promises a place to calls that cannot be done by their deadline.
+//
+// Grounds for the figures: the average moves by an eighth with each call, so
+// that some 20 calls forget a change and one straggler moves it little. A route
+// is long from 4 times the work of the typical call: below that, a short call
+// that waits behind one loses no more than it does behind a short queue. At
+// most 256 routes are told apart at one gate (2,000 routes over 89 services are
+// 23 a service); the others share one entry, so that no caller can make the
+// table grow.
+package kqwork
+
+import (
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	// LongFactor is how many times the typical call's work makes a long route.
+	LongFactor = 4
+
+	maxRoutes = 256
+	step      = 8
+	paceStep  = 4
+	// first is expected of a route before its first call ended.
+	first = 10 * time.Millisecond
+	other = kqname.Route("")
+)
+
+// Work learns routes' work. It is not safe for concurrent use.
+type Work struct {
+	routes map[kqname.Route]time.Duration
+	// typical follows the median: it moves by a share of itself towards each
+	// call, however far off that call was, so that a few long ones do not lift it.
+	typical time.Duration
+	// pace follows the calls of routes that are not long, fast enough that one
+	// call of an upstream that became many times slower shows.
+	pace time.Duration
+}
+
+// New returns a Work that has seen no call.
+func New() *Work { return &Work{routes: make(map[kqname.Route]time.Duration)} }
+
+// Learn takes in how long a call of the route took at the upstream.
+func (w *Work) Learn(r kqname.Route, took time.Duration) {
+	took = max(took, time.Microsecond)
+	if w.typical == 0 {
+		w.typical = took
+	}
+	shift := max(w.typical/8, time.Microsecond)
+	if took > w.typical {
+		w.typical += min(shift, took-w.typical)
+	} else {
+		w.typical -= min(shift, w.typical-took)
+	}
+	old, ok := w.routes[r]
+	if !ok {
+		if len(w.routes) >= maxRoutes {
+			r = other
+		}
+		if old, ok = w.routes[r]; !ok {
+			old = took
+		}
+	}
+	w.routes[r] = old + (took-old)/step
+	if w.pace == 0 {
+		w.pace = took
+	}
+	if !w.Long(r) || took < w.pace {
+		w.pace += (took - w.pace) / paceStep
+	}
+}
+
+// Pace returns what the upstream's short calls took lately.
+func (w *Work) Pace() time.Duration {
+	if w.pace == 0 {
+		return first
+	}
+	return w.pace
+}
+
+// Expect returns how long a call of the route is expected to take.
+func (w *Work) Expect(r kqname.Route) time.Duration {
+	if d, ok := w.routes[r]; ok {
+		return d
+	}
+	if d, ok := w.routes[other]; ok {
+		return d
+	}
+	return w.Typical()
+}
+
+// Long reports whether calls of the route are long jobs.
+func (w *Work) Long(r kqname.Route) bool {
+	return w.typical > 0 && w.Expect(r) >= LongFactor*w.typical
+}
+
+// Typical returns the typical call's work.
+func (w *Work) Typical() time.Duration {
+	if w.typical == 0 {
+		return first
+	}
+	return w.typical
+}
--- a/internal/lab/kqplayers/slots.go
+++ b/internal/lab/kqplayers/slots.go
@@ -3,12 +3,15 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqslots"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqreplay"
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
 type (
@@ -21,17 +24,21 @@
 
 	slotsSettings struct {
 		Slots int `json:"slots"`
-		Queue int `json:"queue"`
 	}
 
-	// slotsInput names one call that enters, leaves its slot or abandons its
-	// place; or it closes the gate.
+	// slotsInput names one call that enters, leaves its slot after took_ms or
+	// has used up its time; or it changes the slots or closes the gate.
 	slotsInput struct {
-		Enter      int     `json:"enter"`
-		DeadlineMS float64 `json:"deadline_ms"`
-		Leave      int     `json:"leave"`
-		Abandon    int     `json:"abandon"`
-		Close      bool    `json:"close"`
+		Enter      int              `json:"enter"`
+		Caller     kqname.Caller    `json:"caller"`
+		Route      kqname.Route     `json:"route"`
+		Class      kqdocument.Class `json:"class"`
+		DeadlineMS float64          `json:"deadline_ms"`
+		Leave      int              `json:"leave"`
+		TookMS     float64          `json:"took_ms"`
+		Expire     int              `json:"expire"`
+		Slots      int              `json:"slots"`
+		Close      bool             `json:"close"`
 	}
 
 	slotsState struct {
@@ -41,16 +48,16 @@
 	}
 )
 
-func newSlots(settings json.RawMessage, _ uint64) (kqreplay.Player, error) {
-	s := slotsSettings{Slots: 6, Queue: 60}
+func newSlots(settings json.RawMessage, seed uint64) (kqreplay.Player, error) {
+	s := slotsSettings{Slots: 6}
 	if err := read(settings, &s); err != nil {
 		return nil, err
 	}
-	if s.Slots < 1 || s.Queue < 0 {
-		return nil, fmt.Errorf("slots %d and queue %d must be at least 1 and 0", s.Slots, s.Queue)
+	if s.Slots < 1 {
+		return nil, fmt.Errorf("slots %d must be at least 1", s.Slots)
 	}
 	return &slots{
-		decide:  kqslots.New(s.Slots, s.Queue),
+		decide:  kqslots.New(s.Slots, seed),
 		tickets: make(map[int]*kqslots.Ticket),
 		state:   slotsState{Running: []int{}, Waiting: []int{}, Refused: make(map[int]kqcall.Reason)},
 	}, nil
@@ -65,53 +72,57 @@
 	now := time.UnixMilli(0).Add(at)
 	switch {
 	case in.Enter > 0 && s.tickets[in.Enter] == nil:
-		deadline := time.UnixMilli(0).Add(time.Duration(in.DeadlineMS * float64(time.Millisecond)))
-		s.tickets[in.Enter] = s.decide.Enter(now, deadline)
-		s.state.Waiting = append(s.state.Waiting, in.Enter)
+		t := &kqslots.Ticket{
+			Caller: in.Caller, Route: in.Route, Class: in.Class,
+			Deadline: time.UnixMilli(0).Add(milliseconds(in.DeadlineMS)),
+		}
+		s.tickets[in.Enter] = t
+		s.decide.Enter(t, now)
 	case in.Leave > 0 && slices.Contains(s.state.Running, in.Leave):
-		s.state.Running = without(s.state.Running, in.Leave)
-		s.decide.Leave(now)
-	case in.Abandon > 0 && slices.Contains(s.state.Waiting, in.Abandon):
-		s.decide.Abandon(s.tickets[in.Abandon])
+		t := s.tickets[in.Leave]
+		delete(s.tickets, in.Leave)
+		s.decide.Leave(t, milliseconds(in.TookMS), now)
+	case in.Expire > 0 && slices.Contains(s.state.Waiting, in.Expire):
+		s.decide.Expire(s.tickets[in.Expire])
+	case in.Slots > 0:
+		s.decide.Resize(in.Slots, now)
 	case in.Close:
 		s.decide.Close()
 	default:
-		return nil, fmt.Errorf("input %s names no new call to enter, no running call to leave and no waiting call to abandon", input)
-	}
-	decisions := s.settle()
-	if in.Enter > 0 && slices.Contains(s.state.Waiting, in.Enter) {
-		decisions = append(decisions, kqreplay.Decision{
-			Text: fmt.Sprintf("call %d waits", in.Enter), Reason: fmt.Sprintf("%d calls run", len(s.state.Running)),
-		})
+		return nil, fmt.Errorf("input %s names no new call to enter, no running call to leave and no waiting call to expire", input)
 	}
-	return decisions, nil
+	return s.settle(), nil
 }
 
 // State implements kqreplay.Player.
 func (s *slots) State(time.Duration) (any, error) { return s.state, nil }
 
-// settle moves the calls whose tickets have been settled since the last input.
+// settle takes over the tickets' verdicts and tells those that are new.
 func (s *slots) settle() []kqreplay.Decision {
 	var decisions []kqreplay.Decision
-	for _, call := range slices.Clone(s.state.Waiting) {
-		t := s.tickets[call]
-		select {
-		case <-t.Ready:
-		default:
-			continue
+	before := s.state
+	s.state = slotsState{Running: []int{}, Waiting: []int{}, Refused: before.Refused}
+	tell := func(known bool, text, reason string) {
+		if !known {
+			decisions = append(decisions, kqreplay.Decision{Text: text, Reason: reason})
 		}
-		s.state.Waiting = without(s.state.Waiting, call)
-		if t.Outcome.Result == kqcall.Answered {
+	}
+	for _, call := range slices.Sorted(maps.Keys(s.tickets)) {
+		t := s.tickets[call]
+		switch t.Verdict {
+		case kqslots.Run:
 			s.state.Running = append(s.state.Running, call)
-			decisions = append(decisions, kqreplay.Decision{Text: fmt.Sprintf("call %d runs", call), Reason: "a slot is free"})
-			continue
+			tell(slices.Contains(before.Running, call), fmt.Sprintf("call %d runs", call), "a slot is free")
+		case kqslots.Wait:
+			s.state.Waiting = append(s.state.Waiting, call)
+			tell(slices.Contains(before.Waiting, call), fmt.Sprintf("call %d waits", call), fmt.Sprintf("%d calls run", s.decide.Load().Running))
+		case kqslots.Refuse:
+			_, known := before.Refused[call]
+			s.state.Refused[call] = t.Refusal.Reason
+			tell(known, fmt.Sprintf("call %d is refused", call), string(t.Refusal.Reason))
 		}
-		s.state.Refused[call] = t.Outcome.Reason
-		decisions = append(decisions, kqreplay.Decision{Text: fmt.Sprintf("call %d is refused", call), Reason: string(t.Outcome.Reason)})
 	}
 	return decisions
 }
 
-func without(list []int, item int) []int {
-	return slices.DeleteFunc(slices.Clone(list), func(i int) bool { return i == item })
-}
+func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -19,6 +20,7 @@
 
 const (
 	announcePath = "/kq/announce"
+	baseline     = "baseline"
 	readTimeout  = 10 * time.Second
 	// serverIdle is longer than the clients keep idle connections, so that the
 	// client is the one to close: a server that closes first could cut a call
@@ -44,9 +46,15 @@
 	n.local = kqlocal.New(n.settings.Member.UpstreamTTL, func(list []kqmember.Upstream) {
 		n.table.Update(func(m *kqmember.Member) { m.Upstreams = list })
 	})
-	n.gate = kqgate.New(n.local, kqgate.WithObserver(n.rollouts), kqgate.WithGuard(n.rollouts))
-	n.entry = kqentry.New(n.settings.Node.Name, n.replica, n.table, n.gate,
-		append(n.entryTLSOptions(), kqentry.WithCounter(n.metrics), kqentry.WithSplitter(n.rollouts))...)
+	n.hangup = kqhangup.New()
+	gate := []kqgate.Option{kqgate.WithObserver(n.rollouts), kqgate.WithGuard(n.rollouts), kqgate.WithHangup(n.hangup)}
+	entry := append(n.entryTLSOptions(), kqentry.WithCounter(n.metrics), kqentry.WithSplitter(n.rollouts),
+		kqentry.WithDomain(n.settings.Node.Domain), kqentry.WithHangup(n.hangup))
+	if n.settings.Call.Policy == baseline {
+		gate, entry = append(gate, kqgate.WithBaseline()), append(entry, kqentry.WithBaseline())
+	}
+	n.gate = kqgate.New(n.local, gate...)
+	n.entry = kqentry.New(n.settings.Node.Name, n.replica, n.table, n.gate, entry...)
 	n.servers = callServers{
 		entry: n.server(n.entry.ServeOutside),
 		local: n.server(n.serveLocal),
@@ -71,7 +79,10 @@
 	var a kqlocal.Announcement
 	err := json.Unmarshal(ctx.PostBody(), &a)
 	if err == nil {
-		err = n.local.Announce(a, time.Now())
+		now := time.Now()
+		err = n.local.Announce(a, now)
+		// A drain takes effect before the upstream has its answer.
+		n.gate.Sweep(now)
 	}
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -14,6 +14,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqadmin"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqreplica"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
@@ -72,6 +73,7 @@
 		local        *kqlocal.Upstreams
 		gate         *kqgate.Gate
 		entry        *kqentry.Entry
+		hangup       *kqhangup.Watch
 		servers      callServers
 		rollouts     *rollouts
 		admin        *kqadmin.Admin
@@ -156,6 +158,7 @@
 	var group conc.WaitGroup
 	group.Go(func() { n.runConfig(background) })
 	group.Go(func() { n.sweep(background) })
+	group.Go(func() { n.hangup.Run(background) })
 	group.Go(func() { n.runTLS(background) })
 	group.Go(func() { n.runAdmin(background) })
 	group.Go(func() { n.rollouts.run(background) })
@@ -259,6 +262,8 @@
 			return
 		case now := <-ticker.C:
 			n.local.Sweep(now)
+			n.gate.Sweep(now)
+			n.entry.Sweep(now)
 			n.replica.Sweep(now.Add(-n.settings.Config.InterestIdle))
 		}
 	}
