Drive the fleet from a console of plain forms

Change: kqconsole serves login, lists, forms, difference before commit, conflicts with both sides, fleet, moves with their course, history, platform and audit, without scripts; sessions with CSRF marks, SameSite and a content policy; kqtrail keeps a rollout's course; the demo runs under TLS with tokens; the two flags are renamed, in one script of the tests too. Charts are server-drawn SVG, as the content policy allows no inline style.

--- a/internal/admin/kqadmin/admin.go
+++ b/internal/admin/kqadmin/admin.go
@@ -3,6 +3,7 @@
 package kqadmin
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -22,8 +23,10 @@
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqaudit"
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqauth"
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqchange"
+	"github.com/kumquatgw/kumquatgw/internal/admin/kqconsole"
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqlinger"
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqproblem"
+	"github.com/kumquatgw/kumquatgw/internal/admin/kqtrail"
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqview"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqboard"
@@ -66,8 +69,11 @@
 
 	// Admin is the admin server.
 	Admin struct {
-		app *fiber.App
-		api *kqapi.API
+		app      *fiber.App
+		api      *kqapi.API
+		console  *kqconsole.Console
+		trail    *kqtrail.Trail
+		rollouts func() []kqboard.Status
 	}
 
 	// Option sets up an Admin.
@@ -86,12 +92,12 @@
 func WithNow(now func() time.Time) Option { return func(o *options) { o.now = now } }
 
 // New returns the admin server of a node.
-func New(parts Parts, opts ...Option) *Admin {
+func New(parts Parts, opts ...Option) (*Admin, error) {
 	o := options{readTimeout: defaultReadTimeout, now: time.Now}
 	for _, set := range opts {
 		set(&o)
 	}
-	a := &Admin{}
+	a := &Admin{trail: kqtrail.New(), rollouts: parts.Node.Rollouts}
 	a.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true, ErrorHandler: a.failed,
 		// Without its own copies, what is kept of a request, such as an audit
@@ -102,15 +108,26 @@
 	})
 	committer := kqcommit.New(parts.Store)
 	audit := kqaudit.New(parts.Log)
+	changer, view, auth := kqchange.New(committer, audit, parts.Counter), kqview.New(parts.Node, committer), kqauth.New(parts.Operators)
 	a.api = kqapi.New(kqapi.Parts{
-		Committer: committer, Changer: kqchange.New(committer, audit, parts.Counter),
-		View: kqview.New(parts.Node, committer), Audit: audit, Auth: kqauth.New(parts.Operators),
-		Counter: parts.Counter, Rollouts: parts.Node.Rollouts, Now: o.now,
+		Committer: committer, Changer: changer, View: view, Audit: audit, Auth: auth,
+		Counter: parts.Counter, Rollouts: a.rollouts, Now: o.now,
 	})
+	var err error
+	a.console, err = kqconsole.New(kqconsole.Parts{
+		Committer: committer, Changer: changer, View: view, Audit: audit, Auth: auth,
+		Counter: parts.Counter, Rollouts: a.rollouts, Trail: a.trail, Now: o.now,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("make admin: %w", err)
+	}
 	a.routes(parts)
-	return a
+	return a, nil
 }
 
+// Run follows the rollouts' course until ctx ends.
+func (a *Admin) Run(ctx context.Context) { a.trail.Run(ctx, a.rollouts) }
+
 // Serve answers on the listener until Shutdown, under TLS unless config is nil.
 func (a *Admin) Serve(l net.Listener, config *tls.Config) error {
 	var served net.Listener = kqlinger.Listener{Listener: l}
@@ -143,6 +160,7 @@
 	})
 	a.app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(parts.Registry, promhttp.HandlerOpts{})))
 	a.api.Register(a.app)
+	a.console.Register(a.app)
 }
 
 // secure sets the headers that keep a browser from being turned against its
--- a/internal/admin/kqadmin/harness_test.go
+++ b/internal/admin/kqadmin/harness_test.go
@@ -100,10 +100,13 @@
 	}
 	logger := logrus.New()
 	logger.SetOutput(d.log)
-	admin := kqadmin.New(kqadmin.Parts{
+	admin, err := kqadmin.New(kqadmin.Parts{
 		Node: fakeNode{d.platform}, Store: d.platform, Operators: operators,
 		Registry: prometheus.NewRegistry(), Counter: d.counts, Log: logrus.NewEntry(logger),
 	}, options...)
+	if err != nil {
+		t.Fatal(err)
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/admin/kqconsole/show.go
@@ -0,0 +1,122 @@
+package kqconsole
+
+import (
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+)
+
+type (
+	// difference is one item that differs, field by field.
+	difference struct {
+		Kind   kqdocument.ChangeKind
+		Item   string
+		Fields []fieldChange
+	}
+
+	fieldChange struct {
+		Name, Before, After string
+	}
+
+	// row is one item of a list.
+	row struct {
+		Name  string
+		Cells []cell
+	}
+
+	cell struct{ Label, Value string }
+
+	// tab is one entry of the navigation.
+	tab struct {
+		Href, Text string
+		Here       bool
+	}
+)
+
+// unlisted are the fields that lists leave out, for their width.
+var unlisted = []string{"headers", "refusal_means_not_run", "idempotent", "timeout_ms", "cancelled"}
+
+var functions = template.FuncMap{
+	"clock": func(t time.Time) string {
+		if t.IsZero() {
+			return "–"
+		}
+		return t.UTC().Format("2006-01-02 15:04:05 UTC")
+	},
+	"hour":    func(t time.Time) string { return t.UTC().Format("15:04:05") },
+	"percent": func(f float64) string { return fmt.Sprintf("%.1f %%", f*100) },
+	"seconds": func(ms int64) string { return (time.Duration(ms) * time.Millisecond).Truncate(time.Second).String() },
+	"title":   title,
+	"tab": func(p page, name, href, text string) tab {
+		return tab{Href: href, Text: text, Here: p.Active == name}
+	},
+}
+
+func title(s string) string {
+	if s == "" {
+		return ""
+	}
+	return strings.ToUpper(s[:1]) + s[1:]
+}
+
+func differences(changes []kqdocument.Change) []difference {
+	list := make([]difference, 0, len(changes))
+	for _, c := range changes {
+		before, after := flat(c.Before), flat(c.After)
+		names := maps.Clone(before)
+		maps.Copy(names, after)
+		d := difference{Kind: c.Kind, Item: c.Item}
+		for _, name := range slices.Sorted(maps.Keys(names)) {
+			if before[name] != after[name] {
+				d.Fields = append(d.Fields, fieldChange{Name: name, Before: before[name], After: after[name]})
+			}
+		}
+		list = append(list, d)
+	}
+	return list
+}
+
+// flat gives an item's fields as text.
+func flat(data json.RawMessage) map[string]string {
+	all := make(map[string]json.RawMessage)
+	if len(data) == 0 || json.Unmarshal(data, &all) != nil {
+		return map[string]string{}
+	}
+	texts := make(map[string]string, len(all))
+	for name, value := range all {
+		var text string
+		if json.Unmarshal(value, &text) != nil {
+			text = string(value)
+		}
+		texts[name] = text
+	}
+	return texts
+}
+
+func rowsOf(f form, items any) ([]row, error) {
+	data, err := json.Marshal(items)
+	if err != nil {
+		return nil, fmt.Errorf("list %s: %w", f.Kind, err)
+	}
+	var list []map[string]any
+	if err := json.Unmarshal(data, &list); err != nil {
+		return nil, fmt.Errorf("list %s: %w", f.Kind, err)
+	}
+	rows := make([]row, 0, len(list))
+	for _, item := range list {
+		r := row{Name: fmt.Sprint(item["name"])}
+		for _, one := range f.Fields {
+			if one.Name != "name" && !slices.Contains(unlisted, one.Name) {
+				r.Cells = append(r.Cells, cell{Label: one.Label, Value: one.show(item[one.Name])})
+			}
+		}
+		rows = append(rows, r)
+	}
+	return rows, nil
+}
--- a/internal/lab/kqdemo/demo.go
+++ b/internal/lab/kqdemo/demo.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -24,6 +25,7 @@
 	// Demo is the embedded deployment.
 	Demo struct {
 		fleet *kqfleet.Fleet
+		keys  *keys
 		out   io.Writer
 	}
 
@@ -45,15 +47,27 @@
 }
 
 // New returns a demo that prints to out.
-func New(out io.Writer) *Demo { return &Demo{fleet: kqfleet.New(), out: out} }
+func New(out io.Writer) *Demo { return &Demo{out: out} }
 
 // Run starts everything, prints how to try it, and runs until ctx ends.
 func (d *Demo) Run(ctx context.Context) error {
+	var err error
+	if d.keys, err = newKeys(); err != nil {
+		return fmt.Errorf("start demo: %w", err)
+	}
+	defer d.keys.remove()
+	d.fleet = kqfleet.New(kqfleet.WithSettings(d.keys.adapt))
 	if err := d.start(ctx); err != nil {
-		return err
+		return errors.Join(err, d.keys.err, d.fleet.Close())
 	}
 	first := d.fleet.Servers()[0]
-	fmt.Fprintf(d.out, "console  http://%s/\n", first.Node.AdminAddress())
+	fmt.Fprintf(d.out, "console  https://%s/ (its certificate is of the demo's own CA)\n", first.Node.AdminAddress())
+	for _, t := range d.keys.tokens {
+		fmt.Fprintf(d.out, "token    %s %s\n", t.name, t.secret)
+	}
+	fmt.Fprintf(d.out, "api      curl --cacert %s -H \"Authorization: Bearer $KUMQUATGW_TOKEN\" https://%s/v1/fleet\n",
+		d.keys.ca(), first.Node.AdminAddress())
+	fmt.Fprintf(d.out, "upstream kumquatgw upstream --service NAME --upstream-version v2 --node %s\n", first.Node.LocalAddress())
 	fmt.Fprintf(d.out, "try      curl -H 'Host: storefront' http://%s/catalogue\n", first.Node.EntryAddress())
 	<-ctx.Done()
 	if err := d.fleet.Close(); err != nil {
--- a/internal/run/kqcommand/document.go
+++ b/internal/run/kqcommand/document.go
@@ -91,7 +91,7 @@
 
 func (c *Command) addShow(parent *kingpin.CmdClause, url *string) {
 	clause := parent.Command("show", "Print the document in force, or one of the past.")
-	version := clause.Flag("version", "Version to print; 0 prints the one in force.").Default("0").Uint64()
+	version := clause.Flag("config-version", "Version to print; 0 prints the one in force.").Default("0").Uint64()
 	c.add(clause, func(ctx context.Context) error {
 		d, root, err := committer(*url).Document(ctx)
 		if *version != 0 {
--- a/internal/run/kqcommand/upstream.go
+++ b/internal/run/kqcommand/upstream.go
@@ -10,7 +10,7 @@
 func (c *Command) addUpstream() {
 	clause := c.app.Command("upstream", "Run a fake upstream that announces itself to its node.")
 	service := clause.Flag("service", "Service that it answers for.").Required().String()
-	version := clause.Flag("version", "Its upstream version.").Default("v1").String()
+	version := clause.Flag("upstream-version", "Its upstream version.").Default("v1").String()
 	slots := clause.Flag("slots", "Calls that it runs at once.").Default("6").Int()
 	node := clause.Flag("node", "The node's local address.").Default("127.0.0.1:8081").String()
 	work := clause.Flag("work", "How long a call takes.").Default("5ms").Duration()
--- a/internal/run/kqnode/admin.go
+++ b/internal/run/kqnode/admin.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqadmin"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqoperator"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqreload"
@@ -27,14 +29,23 @@
 		}
 		n.tokens = reloader
 	}
-	n.admin = kqadmin.New(kqadmin.Parts{
+	var err error
+	n.admin, err = kqadmin.New(kqadmin.Parts{
 		Node: n, Store: n.store, Operators: operators, Registry: n.metrics.Registry(), Counter: n.security, Log: log,
 	})
+	if err != nil {
+		return fmt.Errorf("join admin: %w", err)
+	}
 	return nil
 }
 
 func (n *Node) runAdmin(ctx context.Context) {
+	var group conc.WaitGroup
+	defer group.Wait()
 	if n.tokens != nil {
-		n.tokens.Run(ctx)
+		group.Go(func() { n.tokens.Run(ctx) })
+	}
+	if n.admin != nil {
+		group.Go(func() { n.admin.Run(ctx) })
 	}
 }
