Count calls from outside that forge internal headers

Cause: headers of ours in an outsider's call were removed in silence; nobody saw that somebody tried. Change: the entry tells of each such call, and kumquatgw_forged_headers_total counts it. Figures: TestForgedHeaders: seven forged headers, the upstream sees the same as without, one count; with the removal taken out the test failed. Conclusion: such calls are served as if the headers were not there; refusing them was ruled out, since a proxy in front may pass on a stranger's headers and its callers would pay for it.

--- a/internal/call/kqcall/header.go
+++ b/internal/call/kqcall/header.go
@@ -48,8 +48,8 @@
 	prefix = []byte("Kq-")
 )
 
-// Strip removes every header of ours from a request.
-func Strip(h *fasthttp.RequestHeader) {
+// Strip removes every header of ours from a request, and returns how many.
+func Strip(h *fasthttp.RequestHeader) int {
 	var found [][]byte
 	for key := range h.All() {
 		if ours(key) {
@@ -59,6 +59,7 @@
 	for _, key := range found {
 		h.DelBytes(key)
 	}
+	return len(found)
 }
 
 // StripResponse removes every header of ours from a response. An upstream that
--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -63,6 +63,7 @@
 		splitter  Splitter
 		counter   Counter
 		hangup    *kqhangup.Watch
+		forged    func()
 		baseline  bool
 		now       func() time.Time
 
@@ -102,6 +103,9 @@
 // WithHangup has w look after the connections that calls come on.
 func WithHangup(w *kqhangup.Watch) Option { return func(e *Entry) { e.hangup = w } }
 
+// WithForged is told of each call from outside that carried headers of ours.
+func WithForged(f func()) Option { return func(e *Entry) { e.forged = f } }
+
 // WithDialer replaces plain TCP to other nodes' gates. Its errors must come
 // before a byte of a call is sent.
 func WithDialer(dial fasthttp.DialFunc) Option { return func(e *Entry) { e.clients.dial = dial } }
@@ -113,7 +117,7 @@
 func New(self kqname.Node, config Configuration, directory Directory, local Local, options ...Option) *Entry {
 	e := &Entry{
 		self: self, config: config, directory: directory, local: local,
-		splitter: stable{}, counter: silent{}, hangup: kqhangup.New(), now: time.Now,
+		splitter: stable{}, counter: silent{}, hangup: kqhangup.New(), forged: func() {}, now: time.Now,
 		// Two nodes, or one before and after a restart, never give out the same id.
 		prefix: strconv.FormatUint(rand.Uint64(), 36) + "-",
 	}
@@ -130,6 +134,9 @@
 // ServeOutside answers callers from outside the mesh: headers of ours are not
 // theirs to set.
 func (e *Entry) ServeOutside(ctx *fasthttp.RequestCtx) {
+	if kqcall.Strip(&ctx.Request.Header) > 0 {
+		e.forged()
+	}
 	e.serve(ctx, kqname.Caller(ctx.RemoteIP().String()), 0, 0)
 }
 
--- a/internal/run/kqmetric/security.go
+++ b/internal/run/kqmetric/security.go
@@ -12,6 +12,7 @@
 	reloadFailed *prometheus.CounterVec
 	adminRefused *prometheus.CounterVec
 	adminDone    *prometheus.CounterVec
+	forged       prometheus.Counter
 }
 
 // NewSecurity registers the counters; expires returns when the certificate in
@@ -30,8 +31,11 @@
 		adminDone: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kumquatgw_admin_changes_total", Help: "Operators' changes committed, by the way they came.",
 		}, []string{"way"}),
+		forged: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "kumquatgw_forged_headers_total", Help: "Calls from outside that carried internal headers; these were removed.",
+		}),
 	}
-	registry.MustRegister(s.peerRefused, s.reloadFailed, s.adminRefused, s.adminDone,
+	registry.MustRegister(s.peerRefused, s.reloadFailed, s.adminRefused, s.adminDone, s.forged,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "kumquatgw_certificate_expiry_timestamp_seconds", Help: "When the certificate in use lapses, in seconds since 1970; 0 without TLS.",
 		}, func() float64 {
@@ -46,6 +50,9 @@
 // PeerRefused counts a connection whose certificate was refused.
 func (s *Security) PeerRefused() { s.peerRefused.Inc() }
 
+// Forged counts a call from outside that carried internal headers.
+func (s *Security) Forged() { s.forged.Inc() }
+
 // ReloadFailed counts a changed file that could not be taken in.
 func (s *Security) ReloadFailed(what string) { s.reloadFailed.WithLabelValues(what).Inc() }
 
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -49,7 +49,8 @@
 	n.hangup = kqhangup.New()
 	gate := []kqgate.Option{kqgate.WithObserver(n.rollouts), kqgate.WithGuard(n.rollouts), kqgate.WithHangup(n.hangup)}
 	entry := append(n.entryTLSOptions(), kqentry.WithCounter(n.metrics), kqentry.WithSplitter(n.rollouts),
-		kqentry.WithDomain(n.settings.Node.Domain), kqentry.WithHangup(n.hangup))
+		kqentry.WithDomain(n.settings.Node.Domain), kqentry.WithHangup(n.hangup),
+		kqentry.WithForged(n.security.Forged))
 	if n.settings.Call.Policy == baseline {
 		gate, entry = append(gate, kqgate.WithBaseline()), append(entry, kqentry.WithBaseline())
 	}
--- /dev/null
+++ b/internal/run/kqnode/forged_test.go
@@ -0,0 +1,99 @@
+package kqnode_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+// A caller from outside sets the headers by which nodes speak to each other: it
+// wants to be served first, to seem another caller, to have no deadline or to
+// reach another service. Its call must go exactly as one without them, and be
+// counted.
+func TestForgedHeaders(t *testing.T) {
+	s := newSecured(t)
+	front, back := s.start(t, "front", ""), s.start(t, "back", "")
+	s.commit(t)
+	var mu sync.Mutex
+	var seen map[string]string
+	upstream := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		seen = make(map[string]string)
+		for name := range r.Header {
+			seen[name] = r.Header.Get(name)
+		}
+	}))
+	t.Cleanup(upstream.Close)
+	announce(t, back.Node.LocalAddress(), kqname.Address(strings.TrimPrefix(upstream.URL, "http://")))
+	call := func(forged map[string]string) (int, map[string]string) {
+		q, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+string(front.Node.EntryAddress())+"/", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		q.Host = "store"
+		for name, value := range forged {
+			q.Header[name] = []string{value}
+		}
+		a, err := http.DefaultClient.Do(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = a.Body.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		got := maps.Clone(seen)
+		// These two differ from call to call.
+		delete(got, kqcall.HeaderID)
+		delete(got, kqcall.HeaderTimeout)
+		return a.StatusCode, got
+	}
+	await(t, "plain calls are answered", func() bool { status, _ := call(nil); return status == http.StatusOK })
+	_, want := call(nil)
+	status, got := call(map[string]string{
+		"Kq-Call-Id": "mine", "kq-call": "a;b;c;d;e;f;g;h;i;j", "KQ-DEPTH": "31", "Kq-Timeout-Ms": "1",
+		"Kq-Result": "answered", "Kq-Class": "critical", "Kq-Made-Up": "x",
+	})
+	if status != http.StatusOK || !maps.Equal(got, want) {
+		t.Errorf("status %d, the upstream sees %v with forged headers and %v without", status, got, want)
+	}
+	if n := counter(t, front, "kumquatgw_forged_headers_total"); n != 1 {
+		t.Errorf("counted %v times, want 1", n)
+	}
+}
+
+// announce keeps an upstream of the service store known to a node.
+func announce(t *testing.T, node, upstream kqname.Address) {
+	t.Helper()
+	body, err := json.Marshal(kqlocal.Announcement{Service: "store", Version: "v1", Address: upstream, Slots: 4})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	var group conc.WaitGroup
+	group.Go(func() {
+		for ctx.Err() == nil {
+			if a, err := http.Post("http://"+string(node)+"/kq/announce", "application/json", bytes.NewReader(body)); err == nil {
+				_ = a.Body.Close()
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(200 * time.Millisecond):
+			}
+		}
+	})
+	t.Cleanup(func() { stop(); group.Wait() })
+}
