--- a/internal/config/kqfetch/fetch.go
+++ b/internal/config/kqfetch/fetch.go
@@ -30,8 +30,14 @@
 	passes = 3
 	// answerBytes bounds the objects of one answer; the rest is asked for again.
 	answerBytes = 256 << 10
-	// burst is how many objects a node may take from the platform at once.
-	burst = 8
+	// readerBurst and burst are how many objects a reader and any other node may
+	// take from the platform at once.
+	readerBurst = 32
+	burst       = 4
+	// assumedReaders is the number of readers that a reader reckons with until
+	// it knows more: after a herd has restarted, none knows any other, and each
+	// would otherwise take the whole rate for itself.
+	assumedReaders = 8
 	// recent is how many objects that were just read from the platform are kept
 	// for others who are about to ask, until the replica holds them.
 	recent = 32
@@ -283,7 +289,9 @@
 }
 
 func (f *Fetcher) read(ctx context.Context, d kqresource.Digest) ([]byte, error) {
-	f.limiter.SetLimit(rate.Limit(f.share()))
+	perSecond, most := f.share()
+	f.limiter.SetLimit(rate.Limit(perSecond))
+	f.limiter.SetBurst(most)
 	if err := f.limiter.Wait(ctx); err != nil {
 		return nil, fmt.Errorf("keep to the platform's rate: %w", err)
 	}
@@ -298,10 +306,11 @@
 	return data, nil
 }
 
-// share is this node's part of the platform's rate, in calls per second.
-func (f *Fetcher) share() float64 {
+// share is this node's part of the platform's rate, in calls per second, and how
+// many calls it may save up.
+func (f *Fetcher) share() (perSecond float64, most int) {
 	if f.table.Self().Reader {
-		return f.total / 2 / float64(max(len(f.readers()), 1))
+		return f.total / 2 / float64(max(len(f.readers()), assumedReaders)), readerBurst
 	}
-	return f.total / 2 / float64(max(len(f.table.Members()), f.expected))
+	return f.total / 2 / float64(max(len(f.table.Members()), f.expected)), burst
 }
--- a/internal/config/kqreader/reader.go
+++ b/internal/config/kqreader/reader.go
@@ -16,6 +16,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -59,10 +60,12 @@
 		// contact is given the control address of each reader that is found.
 		contact func(ctx context.Context, to kqname.Address)
 		// reads is told when this node starts and stops reading.
-		reads  func(bool)
+		reads  func(ctx context.Context, on bool)
 		failed func(error)
 		spread time.Duration
 
+		mu       sync.Mutex
+		closed   bool
 		holder   kqlease.Holder
 		lease    kqstore.Lease
 		key      string
@@ -76,7 +79,7 @@
 // New returns a reader. Its first look is at random within spread, so that a
 // herd of starting nodes does not ask the platform all at once.
 func New(store Store, table *kqmember.Table, watcher Watcher, spread time.Duration,
-	contact func(context.Context, kqname.Address), reads func(bool), failed func(error),
+	contact func(context.Context, kqname.Address), reads func(context.Context, bool), failed func(error),
 ) *Reader {
 	return &Reader{
 		store: store, table: table, watcher: watcher, spread: spread, contact: contact, reads: reads, failed: failed,
@@ -88,7 +91,7 @@
 // address of the reader.
 func SlotKey(d kqname.Domain, slot int) string { return fmt.Sprintf("%s%s/%d", slotPrefix, d, slot) }
 
-// Run takes part until ctx ends, and then frees its slot.
+// Run takes part until ctx ends.
 func (r *Reader) Run(ctx context.Context) {
 	defer r.group.Wait()
 	pause(ctx, rand.N(r.spread+1))
@@ -96,16 +99,32 @@
 		r.step(ctx)
 		pause(ctx, stepEvery/2+rand.N(stepEvery))
 	}
-	if r.holder.Holds() && !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		free, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
-		defer cancel()
-		// A slot that is not freed lapses.
-		_ = r.store.Delete(free, r.key, r.revision)
+	r.stop()
+}
+
+// Close frees the slot, so that the next reader need not wait for its lease to
+// lapse, and takes none again.
+func (r *Reader) Close(ctx context.Context) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	if !r.holder.Holds() {
+		return
 	}
 	r.stop()
+	r.holder.Lost()
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	// A slot that cannot be freed lapses.
+	_ = r.store.Delete(ctx, r.key, r.revision)
 }
 
 func (r *Reader) step(ctx context.Context) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return
+	}
 	situation, known := r.situation()
 	switch r.holder.Next(situation, time.Now()) {
 	case kqlease.Look:
@@ -204,7 +223,7 @@
 	clear(r.lonely)
 	reading, stop := context.WithCancel(ctx)
 	r.stop = stop
-	r.reads(true)
+	r.group.Go(func() { r.reads(reading, true) })
 	r.group.Go(func() { r.watcher.Run(reading) })
 	return true
 }
@@ -226,7 +245,7 @@
 func (r *Reader) giveUp() {
 	r.stop()
 	r.holder.Lost()
-	r.reads(false)
+	r.reads(context.Background(), false)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/config/kqreplica/replica.go
+++ b/internal/config/kqreplica/replica.go
@@ -4,22 +4,32 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquatgw/kumquatgw/internal/config/kqinterest"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
-// fetchRounds bounds how often one apply asks for missing objects: the first
-// round brings the hosts, the second the services that their routes name.
-const fetchRounds = 3
+const (
+	// fetchRounds bounds how often one version asks for missing objects: the
+	// first round brings the hosts, the second the services that their routes
+	// name, and the third what an interest that came meanwhile lacks.
+	fetchRounds = 4
+	// flightTimeout bounds the fetch of a host, whoever waits for it.
+	flightTimeout = 10 * time.Second
+	// defaultMemory is the memory budget in bytes.
+	defaultMemory = 64 << 20
+	// decodedFactor is how many bytes an object takes in memory for each byte
+	// of its canonical form, decoded and indexed beside the bytes themselves.
+	decodedFactor = 4
+)
 
 type (
 	// Source brings objects that the replica lacks.
@@ -28,22 +38,36 @@
 	}
 
 	// Replica keeps the current snapshot. It is safe for concurrent use.
+	//
+	// Fetching goes on beside the swap and holds no lock, so that a slow source
+	// cannot keep a newer version, or another host, from coming into force.
 	Replica struct {
-		source  Source
-		current atomic.Pointer[kqsnapshot.Snapshot]
+		source    Source
+		current   atomic.Pointer[kqsnapshot.Snapshot]
+		interests *kqinterest.Interests
+		changed   []func(*kqsnapshot.Snapshot)
+		refused   func(reason string)
+		bound     func()
+		memory    int
+		// fresh takes the whole document anew for each version.
+		fresh bool
+
+		// swapping is held while a snapshot whose objects are all at hand is
+		// built and put in force; the version is compared under it.
+		swapping sync.Mutex
 
-		// apply is held while a snapshot is built, so that two versions that
-		// cross are applied in turn and the lower one is then refused.
-		apply    sync.Mutex
 		mu       sync.RWMutex
 		objects  kqresource.Objects
-		hosts    map[kqname.Host]time.Time
 		services map[kqname.Service]bool
-		changed  []func(*kqsnapshot.Snapshot)
-		refused  func(reason string)
-		// whole and fresh make up the direct strategy: the whole document, taken
-		// anew for each version.
-		whole, fresh bool
+		all      bool
+		flights  map[kqname.Host]*flight
+		group    conc.WaitGroup
+	}
+
+	// flight is the fetch of a host that all who want it wait for.
+	flight struct {
+		done chan struct{}
+		err  error
 	}
 
 	// Option sets up a Replica.
@@ -62,18 +86,27 @@
 // WithRefused calls f with the reason of each version that is refused.
 func WithRefused(f func(reason string)) Option { return func(r *Replica) { r.refused = f } }
 
+// WithMemory bounds the bytes of configuration that are held; bound is told
+// each time that a host is dropped for it.
+func WithMemory(bytes int, bound func()) Option {
+	return func(r *Replica) { r.memory, r.bound = bytes, bound }
+}
+
 // WithWholeDocument takes every object anew for each version, whatever the
 // traffic needs. It is the baseline that closures are measured against.
-func WithWholeDocument() Option { return func(r *Replica) { r.whole, r.fresh = true, true } }
+func WithWholeDocument() Option { return func(r *Replica) { r.fresh = true } }
 
 // New returns a replica that holds the empty version 0.
 func New(source Source, options ...Option) *Replica {
 	r := &Replica{
-		source:   source,
-		objects:  make(kqresource.Objects),
-		hosts:    make(map[kqname.Host]time.Time),
-		services: make(map[kqname.Service]bool),
-		refused:  func(string) {},
+		source:    source,
+		interests: kqinterest.New(),
+		objects:   make(kqresource.Objects),
+		services:  make(map[kqname.Service]bool),
+		flights:   make(map[kqname.Host]*flight),
+		refused:   func(string) {},
+		bound:     func() {},
+		memory:    defaultMemory,
 	}
 	for _, o := range options {
 		o(r)
@@ -89,148 +122,78 @@
 // a version that is not above the current one, and an error, with the current
 // version kept whole, for one that cannot be fetched or is invalid.
 func (r *Replica) Offer(ctx context.Context, root kqresource.Root) error {
-	r.apply.Lock()
-	defer r.apply.Unlock()
 	if root.Version <= r.Current().Version() {
 		return nil
 	}
-	return r.swap(ctx, root)
+	if err := r.stage(ctx, root, interest{}); err != nil {
+		r.refuse(ctx, err)
+		return fmt.Errorf("apply version %d: %w", root.Version, err)
+	}
+	if r.holdsAll() && !r.fresh {
+		return r.fill(ctx, root)
+	}
+	return nil
 }
 
 // Want makes sure that the snapshot holds a host's routes, if the version in
 // force has any, and returns that snapshot. All who wait for one host share one
-// fetch. now renews the interest in the host.
+// fetch, which goes on when ctx ends the wait. now renews the interest.
 func (r *Replica) Want(ctx context.Context, host kqname.Host, now time.Time) (*kqsnapshot.Snapshot, error) {
-	if exists, held := r.Current().Knows(host); held || !exists {
-		r.touch(host, now, held)
-		return r.Current(), nil
-	}
-	r.apply.Lock()
-	defer r.apply.Unlock()
 	current := r.Current()
 	if exists, held := current.Knows(host); held || !exists {
+		if held {
+			r.interests.Renew(host, now)
+		}
 		return current, nil
 	}
-	r.touch(host, now, true)
-	if err := r.swap(ctx, current.Root()); err != nil {
-		return nil, fmt.Errorf("fetch routes of %s: %w", host, err)
+	f := r.fly(ctx, host, now)
+	select {
+	case <-f.done:
+	case <-ctx.Done():
+		return nil, fmt.Errorf("wait for routes of %s: %w", host, ctx.Err())
+	}
+	if f.err != nil {
+		return nil, fmt.Errorf("fetch routes of %s: %w", host, f.err)
 	}
 	return r.Current(), nil
 }
 
-// HoldAll lets the replica hold the whole document, from the next version on,
-// whatever the node's own traffic needs; readers do so for the others.
-func (r *Replica) HoldAll(on bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.whole = on
-}
+// Hosts returns the hosts that the node's traffic uses, the last used first.
+func (r *Replica) Hosts() []kqname.Host { return r.interests.Hosts() }
 
-// Sweep drops interests that have been idle since before.
-func (r *Replica) Sweep(before time.Time) int {
+func (r *Replica) fly(ctx context.Context, host kqname.Host, now time.Time) *flight {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	dropped := 0
-	for host, used := range r.hosts {
-		if used.Before(before) {
-			delete(r.hosts, host)
-			dropped++
-		}
-	}
-	return dropped
+	if f, ok := r.flights[host]; ok {
+		return f
+	}
+	f := &flight{done: make(chan struct{})}
+	r.flights[host] = f
+	r.group.Go(func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flightTimeout)
+		defer cancel()
+		f.err = r.land(ctx, host, now)
+		r.mu.Lock()
+		delete(r.flights, host)
+		r.mu.Unlock()
+		close(f.done)
+	})
+	return f
 }
 
-// Object returns the bytes of an object that the replica holds, for peers.
-func (r *Replica) Object(d kqresource.Digest) ([]byte, bool) {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	data, ok := r.objects[d]
-	return data, ok
-}
-
-func (r *Replica) touch(host kqname.Host, now time.Time, held bool) {
-	if !held {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.hosts[host] = now
-}
-
-// swap builds the snapshot of a root off to the side and then exchanges one
-// pointer, so that no call ever sees a part of it.
-func (r *Replica) swap(ctx context.Context, root kqresource.Root) error {
-	hosts, services, objects := r.needs()
-	if r.holdsAll() {
-		hosts, services = slices.Collect(maps.Keys(root.Hosts)), slices.Collect(maps.Keys(root.Services))
-	}
-	if r.fresh {
-		objects = make(kqresource.Objects)
-	}
-	for range fetchRounds {
-		snapshot, missing, err := kqsnapshot.Build(root, objects, hosts, services)
-		if err == nil {
-			r.keep(root, objects)
-			r.current.Store(snapshot)
-			for _, f := range r.changed {
-				f(snapshot)
-			}
-			return nil
+// land fetches a host into whichever version is in force when it is there.
+func (r *Replica) land(ctx context.Context, host kqname.Host, now time.Time) error {
+	for {
+		root := r.Current().Root()
+		err := r.stage(ctx, root, interest{host, now})
+		if _, held := r.Current().Knows(host); held || ctx.Err() != nil {
+			return err
 		}
-		if !errors.Is(err, kqsnapshot.ErrIncomplete) {
-			r.refused("invalid")
-			return fmt.Errorf("apply version %d: %w", root.Version, err)
+		if err != nil && r.Current().Version() == root.Version {
+			return err
 		}
-		fetched, err := r.source.Fetch(ctx, missing)
-		if err != nil {
-			r.refused("fetch_failed")
-			return fmt.Errorf("apply version %d: %w", root.Version, err)
-		}
-		for digest, data := range fetched {
-			if kqresource.DigestOf(data) != digest {
-				r.refused("wrong_digest")
-				return fmt.Errorf("apply version %d, object %s: %w", root.Version, digest, kqresource.ErrDigest)
-			}
-			objects[digest] = data
-		}
-	}
-	r.refused("incomplete")
-	return fmt.Errorf("apply version %d: %w", root.Version, kqsnapshot.ErrIncomplete)
-}
-
-func (r *Replica) holdsAll() bool {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.whole
-}
-
-func (r *Replica) needs() ([]kqname.Host, []kqname.Service, kqresource.Objects) {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	hosts := make([]kqname.Host, 0, len(r.hosts))
-	for h := range r.hosts {
-		hosts = append(hosts, h)
-	}
-	services := make([]kqname.Service, 0, len(r.services))
-	for s := range r.services {
-		services = append(services, s)
-	}
-	objects := make(kqresource.Objects, len(r.objects))
-	for d, data := range r.objects {
-		objects[d] = data
-	}
-	return hosts, services, objects
-}
-
-// keep stores the objects that the root still names and lets the others go.
-func (r *Replica) keep(root kqresource.Root, objects kqresource.Objects) {
-	named := make(kqresource.Objects)
-	for _, d := range root.Digests() {
-		if data, ok := objects[d]; ok {
-			named[d] = data
+		if exists, _ := r.Current().Knows(host); !exists {
+			return nil
 		}
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.objects = named
 }
--- a/internal/run/kqnode/config.go
+++ b/internal/run/kqnode/config.go
@@ -66,6 +66,7 @@
 
 func (n *Node) replicaOptions(direct bool) []kqreplica.Option {
 	options := []kqreplica.Option{
+		kqreplica.WithMemory(n.settings.Member.MemoryBudget, func() { n.metrics.BudgetBound("memory") }),
 		kqreplica.WithRefused(n.metrics.ConfigRefused),
 		kqreplica.WithChanged(func(s *kqsnapshot.Snapshot) {
 			n.metrics.Version(s.Version())
@@ -90,9 +91,13 @@
 }
 
 // reads lets the node hold the whole document while it reads for the others.
-func (n *Node) reads(on bool) {
+func (n *Node) reads(ctx context.Context, on bool) {
 	n.replica.HoldAll(on)
 	n.table.Update(func(m *kqmember.Member) { m.Reader = on })
+	if err := n.replica.Fill(ctx); err != nil {
+		// The next version tries again, and what peers ask for is read at once.
+		n.logger.Part("config").WithError(err).Debug("Does not hold the whole document yet.")
+	}
 }
 
 func (n *Node) contacts() []kqname.Address {
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -247,6 +247,7 @@
 	if n.admin != nil {
 		err = errors.Join(err, n.admin.Shutdown())
 	}
+	n.distribution.reader.Close(ctx)
 	// A goodbye spares the others the suspicion.
 	n.table.Update(func(m *kqmember.Member) { m.State = kqmember.Dead })
 	n.exchange.Announce(ctx)
