--- a/internal/run/kqcommand/command.go
+++ b/internal/run/kqcommand/command.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -39,6 +40,7 @@
 	c.addDemo()
 	c.addMeasure()
 	c.addRollout()
+	c.addStatus()
 	c.addMeasureRollouts()
 	c.addReplay()
 	c.addMeasureNodes()
@@ -49,6 +51,10 @@
 // Run runs the command that the arguments name, until it ends or the process
 // is told to stop, and returns the exit status.
 func (c *Command) Run(arguments []string) int {
+	if len(arguments) > 0 && strings.HasPrefix(arguments[0], "--completion-script-") {
+		// A shell evaluates the script from the standard output.
+		c.app.UsageWriter(c.out)
+	}
 	name, err := c.app.Parse(arguments)
 	if err != nil {
 		fmt.Fprintf(c.errors, "kumquatgw: %v\n", err)
@@ -56,7 +62,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := c.run[name](ctx); err != nil {
+	run := c.run[name]
+	if strings.HasPrefix(name, "measure ") {
+		run = func(ctx context.Context) error { return withProgress(ctx, c.errors, name, c.run[name]) }
+	}
+	if err := run(ctx); err != nil {
 		fmt.Fprintf(c.errors, "kumquatgw: %v\n", err)
 		return 1
 	}
--- a/internal/run/kqcommand/measure_nodes.go
+++ b/internal/run/kqcommand/measure_nodes.go
@@ -19,6 +19,7 @@
 	idle := clause.Flag("idle", "How long the settled fleet is watched.").Default("20s").Duration()
 	gap := clause.Flag("gap", "Pause between two changes.").Default("200ms").Duration()
 	asJSON := clause.Flag("json", "Print the result as JSON.").Bool()
+	file := plotFlag(clause)
 	c.add(clause, func(ctx context.Context) error {
 		plan := kqnodes.Plan{Strategy: *strategy, Fault: kqnodes.Fault(*fault), Changes: *changes, Idle: *idle, Gap: *gap}
 		for _, text := range strings.Split(*counts, ",") {
@@ -35,6 +36,9 @@
 		if err != nil {
 			return err
 		}
+		if err := c.draw(*file, nodesPlot(result)); err != nil {
+			return err
+		}
 		if *asJSON {
 			return c.print(result)
 		}
--- a/internal/run/kqcommand/measure_rollouts.go
+++ b/internal/run/kqcommand/measure_rollouts.go
@@ -13,8 +13,12 @@
 	count := clause.Flag("count", "Rollouts for each policy.").Default("1000").Int()
 	workers := clause.Flag("workers", "Rollouts played at a time.").Default("4").Int()
 	asJSON := clause.Flag("json", "Print JSON.").Bool()
+	file := plotFlag(clause)
 	c.add(clause, func(context.Context) error {
 		report := kqsurvey.New(*seed, kqsurvey.WithCount(*count), kqsurvey.WithWorkers(*workers)).Run()
+		if err := c.draw(*file, rolloutsPlot(report)); err != nil {
+			return err
+		}
 		if *asJSON {
 			return c.print(report)
 		}
