Weigh rollouts by likelihood within each second

Change: errors and very slow calls are weighed with the old rate of the second averaged out, latencies by the mean of their logs within the tick; tests share one starting wealth; a tick adds at most 3.5 nats. Ruled out: hits over quantiles of a fading baseline, which a common slow spell misaligns.

--- a/internal/lab/kqsurvey/trial.go
+++ b/internal/lab/kqsurvey/trial.go
@@ -90,7 +90,7 @@
 
 func (t *trial) decide(now time.Time) kqstep.Decision {
 	s := kqstep.State{Plan: t.plan, Progress: t.progress, Finding: t.judge.Finding()}
-	s.OldSlots, s.NewSlots = t.world.Warm(int(now.Sub(t.plan.Start)/tick) - 1)
+	s.OldSlots, s.NewSlots, s.ColdSlots = t.world.Slots(int(now.Sub(t.plan.Start)/tick) - 1)
 	return kqstep.Decide(now, s)
 }
 
--- a/internal/rollout/kqboard/board.go
+++ b/internal/rollout/kqboard/board.go
@@ -118,8 +118,10 @@
 		switch {
 		case c.Version == e.plan.From:
 			s.OldSlots += c.Slots
-		case c.Version == e.plan.To && now.Sub(c.Started) >= e.cold():
+		case c.Version == e.plan.To && now.Sub(c.Started) >= e.plan.Cold():
 			s.NewSlots += c.Slots
+		case c.Version == e.plan.To:
+			s.ColdSlots += c.Slots
 		}
 	}
 	d := kqstep.Decide(now, s)
--- a/internal/rollout/kqboard/entry.go
+++ b/internal/rollout/kqboard/entry.go
@@ -17,10 +17,6 @@
 	longestTick  = time.Second
 	// ticks is how many ticks a short window is cut into at least.
 	ticks = 100
-	// longestCold is how long an upstream's slowness is put down to its
-	// start; short windows give less.
-	longestCold = 30 * time.Second
-	coldPart    = 20
 )
 
 // entry is one plan as this node knows it.
@@ -53,8 +49,6 @@
 	return min(max(e.plan.Window()/ticks, shortestTick), longestTick)
 }
 
-func (e *entry) cold() time.Duration { return min(e.plan.Window()/coldPart, longestCold) }
-
 // weigh takes in a tick's evidence and rolls back at once on bad evidence,
 // whoever owns the rollout: waiting for the owner would let a bad version have
 // its share for as long as the owner is away.
--- a/internal/rollout/kqboard/traffic.go
+++ b/internal/rollout/kqboard/traffic.go
@@ -89,7 +89,7 @@
 	for _, e := range b.of(o.Service) {
 		e.mu.Lock()
 		open := e.progress.Open() && !o.Began.Before(e.plan.Start)
-		from, to, cold := e.plan.From, e.plan.To, o.Began.Sub(started) < e.cold()
+		from, to, cold := e.plan.From, e.plan.To, o.Began.Sub(started) < e.plan.Cold()
 		e.mu.Unlock()
 		if !open || o.Version != from && o.Version != to {
 			continue
--- a/internal/rollout/kqplan/plan.go
+++ b/internal/rollout/kqplan/plan.go
@@ -14,7 +14,14 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
-const defaultSmallShare = 0.05
+const (
+	defaultSmallShare = 0.05
+	// longestCold is how long an upstream's slowness is put down to its start,
+	// and coldPart the part of a short window that may be spent on it. Today's
+	// upstreams are warm after 40 s; a version that is slow for longer is slow.
+	longestCold = 45 * time.Second
+	coldPart    = 3
+)
 
 type (
 	// ID names one plan: a rollout that is planned anew under the same name is
@@ -53,6 +60,10 @@
 // Window returns the time that the plan gives the rollout.
 func (p Plan) Window() time.Duration { return p.Deadline.Sub(p.Start) }
 
+// Cold returns how long after an upstream's start its slowness is not held
+// against its version.
+func (p Plan) Cold() time.Duration { return min(p.Window()/coldPart, longestCold) }
+
 func plan(r kqdocument.Rollout, policy kqdocument.Policy) Plan {
 	p := Plan{
 		Name: r.Name, Service: r.Service, From: r.From, To: r.To, Start: r.Start, Deadline: r.Deadline,
--- a/internal/rollout/kqstep/step.go
+++ b/internal/rollout/kqstep/step.go
@@ -52,8 +52,8 @@
 		Progress kqprogress.Progress
 		Finding  kqverdict.Finding
 		// OldSlots and NewSlots are the slots of the upstreams that take new
-		// work; NewSlots leaves out upstreams that are still cold.
-		OldSlots, NewSlots int
+		// work; ColdSlots are those of new ones that have only just started.
+		OldSlots, NewSlots, ColdSlots int
 	}
 
 	// stage is a step of the schedule: its share, and when it is due as a
@@ -110,15 +110,9 @@
 }
 
 // Bad reports whether the evidence alone takes the version back. The evidence
-// since the start is shared out among the tests, the recent one among tests
-// and ticks, each to half of the stated false-alarm rate.
+// since the start and the recent one each get half of the false alarms.
 func Bad(p kqplan.Plan, f kqverdict.Finding) bool {
-	if f.Tests == 0 {
-		return false
-	}
-	tests := math.Log(2 * float64(f.Tests))
-	alarm := weightsOf(p).alarm
-	return f.Total >= alarm+tests || f.Recent >= alarm+tests+math.Log(float64(max(f.Ticks, 1)))
+	return max(f.Total, f.Recent) >= weightsOf(p).alarm+math.Ln2
 }
 
 // Words tells a finding in a sentence's part.
@@ -130,7 +124,7 @@
 	if !now.Before(s.Plan.Deadline) {
 		return Decision{TakeBack, "its deadline passed before it began"}
 	}
-	if s.NewSlots == 0 {
+	if s.NewSlots+s.ColdSlots == 0 {
 		return Decision{Hold, "no upstream of the new version is ready"}
 	}
 	return Decision{Advance, "its start has come"}
@@ -172,7 +166,7 @@
 }
 
 func leans(s State) bool {
-	return s.Finding.Total >= weightsOf(s.Plan).lean+math.Log(float64(max(s.Finding.Tests, 1)))
+	return s.Finding.Total >= weightsOf(s.Plan).lean
 }
 
 // fits reports whether the warm upstreams of the new version can carry the
--- a/internal/rollout/kqverdict/baseline.go
+++ b/internal/rollout/kqverdict/baseline.go
@@ -1,46 +1,63 @@
 package kqverdict
 
-import (
-	"math"
-
-	"github.com/kumquatgw/kumquatgw/internal/rollout/kqevidence"
-)
+import "github.com/kumquatgw/kumquatgw/internal/rollout/kqevidence"
 
 const (
 	// forget is the weight that a tick's counts keep at the next tick: they
-	// fade over about 30 ticks, so that the thresholds follow the day's load.
+	// fade over about 30 ticks, so that the threshold follows the day's load.
 	forget = 0.97
+	// soon is the same for the rates of the last seconds.
+	soon = 0.8
 	// warm is how many weighted calls the old version needs before its
-	// quantiles are used; fewer leave the 99th percentile to one call.
+	// figures are used.
 	warm = 50
 	// leastRate keeps a version that never failed from making one failure
 	// infinitely surprising.
 	leastRate = 2e-4
+	// tailQuantile parts the very slow calls from the others.
+	tailQuantile = 0.995
 )
 
-// baseline is how the old version has been doing lately.
-type baseline struct {
-	// calls are those whose latency is known.
-	calls   float64
-	latency [kqevidence.Buckets]float64
-	// everCalls and everFailed never fade: failures are too rare for 30 ticks.
-	everCalls, everFailed float64
-}
+type (
+	// baseline is how the old version has been doing.
+	baseline struct {
+		calls    float64
+		latency  [kqevidence.Buckets]float64
+		variance float64
+		// edge is the latency bucket that holds the tail's threshold.
+		edge         int
+		errors, slow rate
+	}
+
+	// rate is a rate since the start and of late.
+	rate struct {
+		calls, hits         float64
+		soonCalls, soonHits float64
+	}
+)
 
-func (b *baseline) ready() bool { return b.calls >= warm }
+func (b *baseline) ready() bool { return b.errors.calls >= warm }
 
 func (b *baseline) add(c *kqevidence.Cell) {
-	b.calls = b.calls*forget + float64(c.Timed())
-	b.everCalls += float64(c.Calls)
-	b.everFailed += float64(c.Failed)
+	b.errors.add(float64(c.Calls), float64(c.Failed))
+	m := momentsOf(c)
+	if m.calls == 0 {
+		return
+	}
+	b.slow.add(m.calls, over(c, b.edge))
+	b.calls = b.calls*forget + m.calls
+	if m.calls > 1 {
+		within := m.variance * m.calls / (m.calls - 1)
+		b.variance += (within - b.variance) * min(m.calls/b.calls, 1)
+	}
 	for i, n := range c.Latency {
 		b.latency[i] = b.latency[i]*forget + float64(n)
 	}
-}
-
-// failing returns the old version's failure rate since the start.
-func (b *baseline) failing() float64 {
-	return max(b.everFailed/b.everCalls, leastRate)
+	if edge := b.quantile(tailQuantile); edge != b.edge {
+		b.edge = edge
+		// The rate over another threshold is another rate.
+		b.slow = rate{calls: b.calls, hits: b.over(edge)}
+	}
 }
 
 // quantile returns the bucket that holds a quantile of the latencies.
@@ -55,21 +72,25 @@
 	return kqevidence.Buckets - 1
 }
 
-// tail returns the share of calls over a bucket edge, which may lie between
-// two buckets; half a call is added so that an empty tail is not taken for an
-// impossible one.
-func (b *baseline) tail(edge float64) float64 {
-	whole := int(math.Floor(edge))
-	part := edge - float64(whole)
-	if whole < 0 {
-		return 1
-	}
-	sum := 0.5
-	for i := whole + 1; i < kqevidence.Buckets; i++ {
+func (b *baseline) over(edge int) float64 {
+	sum := 0.0
+	for i := edge + 1; i < kqevidence.Buckets; i++ {
 		sum += b.latency[i]
 	}
-	if whole+1 < kqevidence.Buckets {
-		sum -= part * b.latency[whole+1]
-	}
-	return min(sum/(b.calls+1), 0.95)
+	return sum
+}
+
+func (r *rate) add(calls, hits float64) {
+	r.calls += calls
+	r.hits += hits
+	r.soonCalls = r.soonCalls*soon + calls
+	r.soonHits = r.soonHits*soon + hits
+}
+
+func (r *rate) usual() float64 { return max(r.hits/max(r.calls, 1), leastRate) }
+
+// lately is drawn towards the usual rate by the weight of a hundred calls.
+func (r *rate) lately() float64 {
+	const weight = 100
+	return (r.soonHits + weight*r.usual()) / (r.soonCalls + weight)
 }
--- /dev/null
+++ b/internal/rollout/kqverdict/lane.go
@@ -0,0 +1,104 @@
+package kqverdict
+
+import (
+	"math"
+
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqevidence"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	// leastTimed is how many of the old version's latencies a tick needs for
+	// its mean to stand for the second.
+	leastTimed = 5
+	// ownSpread is how much, as a log, one upstream's mean latency differs
+	// from another's in one second for no fault of its version.
+	ownSpread = 0.05
+)
+
+// lane holds the streams of one route, or of all routes together.
+type lane struct {
+	route    kqname.Route
+	baseline baseline
+	streams  []*stream
+}
+
+func newLane(route kqname.Route) *lane {
+	return &lane{route: route, streams: []*stream{
+		errorsUp("errors up by 0.5 points", 0.005),
+		errorsUp("errors up by 2 points", 0.02),
+		errorsUp("errors up by 20 points", 0.2),
+		slower("slower by 1.3 times", 1.3),
+		slower("slower by 2 times", 2),
+		tailUp("more very slow calls", 6),
+	}}
+}
+
+// observe takes in one tick and then lets the old version's calls of this tick
+// into the baseline, so that no call is weighed by rates that it has shaped.
+func (l *lane) observe(p *kqevidence.Pair) {
+	if l.baseline.ready() && p.Old.Calls > 0 && p.New.Calls > 0 {
+		t := l.baseline.tick(p)
+		for _, s := range l.streams {
+			s.observe(&t)
+		}
+	}
+	l.baseline.add(&p.Old)
+}
+
+func (l *lane) name() string {
+	if l.route == "" {
+		return "all routes"
+	}
+	return "route " + string(l.route)
+}
+
+// tick puts a pair beside what is known of the old version.
+func (b *baseline) tick(p *kqevidence.Pair) ticked {
+	t := ticked{errors: hits{
+		oldCalls: float64(p.Old.Calls), oldHits: float64(p.Old.Failed),
+		newCalls: float64(p.New.Calls), newHits: float64(p.New.Failed),
+		usual: b.errors.usual(), lately: b.errors.lately(),
+	}}
+	old, next := momentsOf(&p.Old), momentsOf(&p.New)
+	t.slow = hits{
+		oldCalls: old.calls, oldHits: over(&p.Old, b.edge), newCalls: next.calls, newHits: over(&p.New, b.edge),
+		usual: b.slow.usual(), lately: b.slow.lately(),
+	}
+	if old.calls < leastTimed || next.calls == 0 {
+		return t
+	}
+	t.timed = true
+	t.shift = next.mean - old.mean
+	t.variance = b.variance*(1/old.calls+1/next.calls) + ownSpread*ownSpread
+	return t
+}
+
+// moments are the mean and variance of the log of a cell's latencies.
+type moments struct{ calls, mean, variance float64 }
+
+func momentsOf(c *kqevidence.Cell) moments {
+	var m moments
+	first, second := 0.0, 0.0
+	for i, n := range c.Latency {
+		k, x := float64(n), float64(i)*logGrowth
+		m.calls += k
+		first += k * x
+		second += k * x * x
+	}
+	if m.calls > 0 {
+		m.mean = first / m.calls
+		m.variance = max(second/m.calls-m.mean*m.mean, 0)
+	}
+	return m
+}
+
+func over(c *kqevidence.Cell, edge int) float64 {
+	sum := uint32(0)
+	for i := edge + 1; i < kqevidence.Buckets; i++ {
+		sum += c.Latency[i]
+	}
+	return float64(sum)
+}
+
+var logGrowth = 1 / kqevidence.Shift(math.E)
--- a/internal/rollout/kqverdict/stream.go
+++ b/internal/rollout/kqverdict/stream.go
@@ -1,129 +1,165 @@
 package kqverdict
 
-import (
-	"fmt"
-	"math"
+import "math"
 
-	"github.com/kumquatgw/kumquatgw/internal/rollout/kqevidence"
-	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+const (
+	// clip bounds what one tick may add, in nats. A herd of upstreams that die
+	// with calls in flight fails many calls in one tick, whatever the version;
+	// three bad ticks say more than one.
+	clip = 3.5
+	// floor keeps a stream that has long spoken for the new version from
+	// having to be paid back in full.
+	floor = -30
 )
 
 type (
-	// counts are the trials of both versions over the same seconds, and how
-	// many of them were hits: failures, or calls slower than a threshold.
-	counts struct {
-		oldCalls, oldHits, newCalls, newHits float64
-	}
-
-	// rates are the hit rates that a stream weighs against each other: the
-	// old version's, the worst that a good new version has, and a bad one's.
-	rates struct {
-		old, good, bad float64
-	}
-
-	// stream is one betting test. Given how many hits both versions had
-	// together, chance alone splits them between the versions by their calls;
-	// what makes both slow or fail at once cancels out of that split.
+	// stream is one betting test on one metric of one lane. Its gain in a tick
+	// is the log of how much likelier the tick is if the version is bad in the
+	// stream's way than if it is good.
 	stream struct {
 		metric string
-		rates  func(b *baseline) (rates, int)
-		// total is the log of the test's wealth since the start, in nats, and
-		// recent the same since the best moment to have begun.
-		total, recent float64
+		gain   func(t *ticked) float64
+		// total is the log of the test's wealth since the start, in nats.
+		total float64
+		// recent is the same since the best moment to have begun, and began
+		// counts the moments at which it set out.
+		recent float64
+		began  int
+	}
+
+	// ticked is one tick of one lane with what is known of the old version.
+	ticked struct {
+		errors, slow hits
+		// shift is the mean log of the new version's latencies over the old
+		// one's in this tick, and variance its variance; timed tells that both
+		// versions have any.
+		timed           bool
+		shift, variance float64
 	}
 
-	// lane holds the streams of one route, or of all routes together.
-	lane struct {
-		route    kqname.Route
-		baseline baseline
-		streams  []*stream
+	// hits are the calls of both versions in one tick and how many of them
+	// failed, or were slower than a threshold.
+	hits struct {
+		oldCalls, oldHits, newCalls, newHits float64
+		// usual is the old version's rate until now, lately its rate of the
+		// last seconds.
+		usual, lately float64
 	}
 )
 
-// failures never reads a latency bucket.
-const failures = -1
-
-func newLane(route kqname.Route) *lane {
-	return &lane{route: route, streams: []*stream{
-		errors("errors up by 0.5 points", 0.005),
-		errors("errors up by 2 points", 0.02),
-		errors("errors up by 20 points", 0.2),
-		slower("slower by 1.3 times", 0.75, 1.3),
-		slower("slower by 1.3 times at the slow end", 0.95, 1.3),
-		slower("slower by 2 times", 0.95, 2),
-		tail("more very slow calls", 3),
-		tail("far more very slow calls", 20),
+// errorsUp bets on a failure rate that is higher by points.
+func errorsUp(metric string, points float64) *stream {
+	return &stream{metric: metric, gain: func(t *ticked) float64 {
+		return t.errors.ratio(
+			func(p float64) float64 { return p + toleratedPoints },
+			func(p float64) float64 { return p + points })
 	}}
 }
 
-func errors(metric string, points float64) *stream {
-	return &stream{metric: metric, rates: func(b *baseline) (rates, int) {
-		p := b.failing()
-		return rates{old: p, good: p + toleratedPoints, bad: p + points}, failures
+// tailUp bets on more calls over the old version's 99.5th percentile.
+func tailUp(metric string, factor float64) *stream {
+	return &stream{metric: metric, gain: func(t *ticked) float64 {
+		return t.slow.ratio(
+			func(p float64) float64 { return toleratedTail * p },
+			func(p float64) float64 { return factor * p })
 	}}
 }
 
-func slower(metric string, quantile, factor float64) *stream {
-	return &stream{metric: metric, rates: func(b *baseline) (rates, int) {
-		edge := b.quantile(quantile)
-		return rates{
-			old:  b.tail(float64(edge)),
-			good: b.tail(float64(edge) - kqevidence.Shift(toleratedFactor)),
-			bad:  b.tail(float64(edge) - kqevidence.Shift(factor)),
-		}, edge
+// slower bets on latencies that are longer by factor. The logs of latencies are
+// compared within the tick, so that what slows both versions cancels out.
+func slower(metric string, factor float64) *stream {
+	good, bad := math.Log(toleratedFactor), math.Log(factor)
+	return &stream{metric: metric, gain: func(t *ticked) float64 {
+		if !t.timed {
+			return 0
+		}
+		return (bad - good) * (t.shift - (good+bad)/2) / t.variance
 	}}
 }
 
-func tail(metric string, ratio float64) *stream {
-	return &stream{metric: metric, rates: func(b *baseline) (rates, int) {
-		edge := b.quantile(0.99)
-		p := b.tail(float64(edge))
-		return rates{old: p, good: b.tail(float64(edge) - kqevidence.Shift(toleratedFactor)), bad: min(ratio*p, 0.9)}, edge
-	}}
+func (s *stream) observe(t *ticked) {
+	gain := s.gain(t)
+	if math.IsNaN(gain) {
+		return
+	}
+	gain = min(gain, clip)
+	s.total = max(s.total+gain, floor)
+	if s.recent <= 0 && gain > 0 {
+		s.began++
+	}
+	s.recent = max(s.recent+gain, 0)
 }
 
-// observe takes in one tick and then lets the old version's calls of this tick
-// into the baseline, so that no call is weighed by rates that it has shaped.
-func (l *lane) observe(p *kqevidence.Pair) {
-	if l.baseline.ready() && p.Old.Calls > 0 && p.New.Calls > 0 {
-		for _, s := range l.streams {
-			r, edge := s.rates(&l.baseline)
-			s.bet(count(p, edge), r)
+// late returns the recent evidence less what having had many moments to set
+// out is worth: the j-th of them is given a part 1/j of the false alarms.
+func (s *stream) late() float64 { return s.recent - math.Log(float64(max(s.began, 1))) }
+
+// ratio returns the log of how much likelier the tick's hits are where the new
+// version's rate is bad(p) than where it is good(p). The old version's own rate
+// p of this second is not known; both sides are averaged over the rates that it
+// may have, so that a burst of failures that both versions share speaks for
+// neither side.
+func (h *hits) ratio(good, bad func(p float64) float64) float64 {
+	if h.newCalls == 0 || h.oldCalls == 0 {
+		return 0
+	}
+	var sumGood, sumBad sum
+	for i, factor := range burstFactors {
+		p := clamp(factor * h.usual)
+		if i == 0 {
+			p = clamp(h.lately)
 		}
+		if i >= len(burstFactors)-wholeRates {
+			p = factor
+		}
+		own := burstWeights[i] + chance(h.oldHits, h.oldCalls, p)
+		sumGood.add(own + chance(h.newHits, h.newCalls, clamp(good(p))))
+		sumBad.add(own + chance(h.newHits, h.newCalls, clamp(bad(p))))
 	}
-	l.baseline.add(&p.Old)
+	return sumBad.log() - sumGood.log()
 }
 
-func (s *stream) bet(c counts, r rates) {
-	if r.bad <= r.good {
-		return
-	}
-	good := c.newCalls * r.good
-	bad := c.newCalls * r.bad
-	old := c.oldCalls * r.old
-	pGood, pBad := good/(good+old), bad/(bad+old)
-	gain := c.newHits*math.Log(pBad/pGood) + c.oldHits*math.Log((1-pBad)/(1-pGood))
-	s.total += gain
-	s.recent = max(s.recent+gain, 0)
+// sum adds up numbers that are given by their logs.
+type sum struct {
+	top, rest float64
+	any       bool
 }
 
-func count(p *kqevidence.Pair, edge int) counts {
-	c := counts{oldCalls: float64(p.Old.Calls), newCalls: float64(p.New.Calls)}
-	if edge == failures {
-		c.oldHits, c.newHits = float64(p.Old.Failed), float64(p.New.Failed)
-		return c
-	}
-	c.oldCalls, c.newCalls = float64(p.Old.Timed()), float64(p.New.Timed())
-	for i := edge + 1; i < kqevidence.Buckets; i++ {
-		c.oldHits += float64(p.Old.Latency[i])
-		c.newHits += float64(p.New.Latency[i])
+func (s *sum) add(log float64) {
+	switch {
+	case !s.any:
+		s.top, s.rest, s.any = log, 1, true
+	case log > s.top:
+		s.rest = s.rest*math.Exp(s.top-log) + 1
+		s.top = log
+	default:
+		s.rest += math.Exp(log - s.top)
 	}
-	return c
 }
 
-func (l *lane) name() string {
-	if l.route == "" {
-		return "all routes"
+func (s *sum) log() float64 { return s.top + math.Log(s.rest) }
+
+// chance returns the log of the binomial probability without its coefficient,
+// which both sides share.
+func chance(hits, calls, p float64) float64 {
+	return hits*math.Log(p) + (calls-hits)*math.Log1p(-p)
+}
+
+func clamp(p float64) float64 { return min(max(p, 1e-6), 0.999) }
+
+const wholeRates = 4
+
+var (
+	// burstFactors are the rates that the old version may have in one second:
+	// its rate of late, its usual one, a few times that, and some rates that
+	// only a burst has. The weights, as logs, say how often.
+	burstFactors = [...]float64{0, 1, 0.4, 2.5, 6, 15, 0.02, 0.06, 0.2, 0.6}
+	burstWeights = logs([...]float64{0.35, 0.35, 0.08, 0.08, 0.04, 0.02, 0.02, 0.02, 0.02, 0.02})
+)
+
+func logs(weights [10]float64) [10]float64 {
+	for i, w := range weights {
+		weights[i] = math.Log(w)
 	}
-	return fmt.Sprintf("route %s", l.route)
+	return weights
 }
--- a/internal/rollout/kqverdict/verdict.go
+++ b/internal/rollout/kqverdict/verdict.go
@@ -2,11 +2,11 @@
 // same seconds, call by call as they come, by sequential tests that may be
 // read at any time.
 //
-// Each test bets on how the hits (failures, or calls slower than a threshold)
-// that both versions had together in one tick fall to the two. A version that
-// is at most tolerably worse makes the bets lose on average, so the wealth
-// passes 1/a with a probability of at most a, at whatever moment one looks
-// (Ville's inequality). The figures' source is docs/ROLLOUTS.md.
+// Each test bets that the new version is bad in one way: that it fails more, is
+// slower or has a longer tail, on one route or on all. If the version is good,
+// a test's wealth passes 1/a with a probability of about a at most, at whatever
+// moment one looks (Ville's inequality); the tests share the wealth that they
+// start with. The figures' grounds are in docs/ROLLOUTS.md.
 package kqverdict
 
 import (
@@ -21,7 +21,15 @@
 	// version a good one may be: upstreams differ by that much among
 	// themselves.
 	toleratedPoints = 0.001
-	toleratedFactor = 1.1
+	toleratedFactor = 1.07
+	// toleratedTail is how many times as many very slow calls a tolerated
+	// factor makes: 2 for latencies with little spread.
+	toleratedTail = 2
+
+	// pooledPart is the share of the starting wealth that the tests of all
+	// routes together have; the routes' share the rest. Most badness shows on
+	// all routes, where the calls are most.
+	pooledPart = 0.5
 )
 
 type (
@@ -31,21 +39,19 @@
 		routes []*lane
 		byName map[kqname.Route]*lane
 		calls  uint64
-		ticks  int
 	}
 
 	// Finding is what the evidence says so far.
 	Finding struct {
-		// Total is the most evidence against the new version since the start,
-		// in nats: e^Total is the odds, for one test.
+		// Total is the evidence against the new version since the start, in
+		// nats: e^Total is the wealth of all tests together.
 		Total float64
 		// Recent is the same since the best moment to have begun; it finds a
 		// version that has turned bad after a good start.
 		Recent float64
-		// Tests is how many tests were run beside each other.
-		Tests int
-		// Ticks is how many ticks were weighed.
-		Ticks int
+		// Cleared is the evidence for the new version over all routes: that
+		// none of the greater badnesses is there.
+		Cleared float64
 		// Calls is how many calls of the new version were weighed.
 		Calls uint64
 		// Where and What name the route and the metric with most evidence.
@@ -67,28 +73,45 @@
 	}
 	j.pooled.observe(&all)
 	j.calls += uint64(all.New.Calls)
-	if all.New.Calls > 0 {
-		j.ticks++
-	}
 }
 
 // Finding returns what the evidence says so far.
 func (j *Judge) Finding() Finding {
-	f := Finding{Total: math.Inf(-1), Ticks: j.ticks, Calls: j.calls}
+	f := Finding{Calls: j.calls, Cleared: math.Inf(1)}
+	if len(j.routes) == 0 {
+		return f
+	}
+	var total, recent sum
 	best := math.Inf(-1)
 	for _, l := range j.lanes() {
+		share := math.Log(j.part(l) / float64(len(l.streams)))
 		for _, s := range l.streams {
-			f.Tests++
-			f.Total = max(f.Total, s.total)
-			f.Recent = max(f.Recent, s.recent)
-			if weight := max(s.total, s.recent); weight > best {
+			total.add(share + s.total)
+			recent.add(share + s.late())
+			if weight := share + max(s.total, s.late()); weight > best {
 				best, f.Where, f.What = weight, l.name(), s.metric
 			}
 		}
 	}
+	for _, s := range j.pooled.streams {
+		f.Cleared = min(f.Cleared, -s.total)
+	}
+	f.Total, f.Recent = total.log(), recent.log()
 	return f
 }
 
+// part returns a lane's part of the starting wealth.
+func (j *Judge) part(l *lane) float64 {
+	switch {
+	case len(j.routes) < 2:
+		return 1
+	case l == j.pooled:
+		return pooledPart
+	default:
+		return (1 - pooledPart) / float64(len(j.routes))
+	}
+}
+
 func (j *Judge) lanes() []*lane {
 	// One route alone is all routes: testing it twice would only cost.
 	if len(j.routes) < 2 {
