Hold shared bursts against neither version

Cause: in a burst of errors that both versions share, the new one with most of the traffic looked worse, since the burst lay between two of the rates weighed; herds overloaded what was left of the new version; clear and unclear evidence went on alike. Change: the rate that fits both versions best stands for good; the share is bounded by the live slots; unclear evidence stays at the small share up to 0.85 of the window and then decides by the policy; cold upstreams count once the time is short; the last step is 0.8.

--- a/internal/lab/kqworld/world.go
+++ b/internal/lab/kqworld/world.go
@@ -85,7 +85,10 @@
 		w.names = append(w.names, kqname.Route(fmt.Sprintf("route-%d", i)))
 	}
 	for i := range w.Servers {
-		w.all = append(w.all, w.candidate("old", i), w.candidate("new", i))
+		w.all = append(w.all, w.candidate("old", i))
+	}
+	for i := range w.Servers {
+		w.all = append(w.all, w.candidate("new", i))
 	}
 	return w
 }
@@ -126,6 +129,15 @@
 	return s
 }
 
+// candidates returns the upstreams that live, the old ones first.
+func (w *World) candidates(old, next float64) []kqmember.Candidate {
+	if old == 1 && next == 1 {
+		return w.all
+	}
+	some := append([]kqmember.Candidate{}, w.all[:int(math.Ceil(old*float64(w.Servers)))]...)
+	return append(some, w.all[w.Servers:w.Servers+int(math.Ceil(next*float64(w.Servers)))]...)
+}
+
 // active reports whether the badness shows at the load that the new version's
 // upstreams have.
 func (w *World) active(at int, next moment) bool {
@@ -134,18 +146,18 @@
 
 func (w *World) moments(at int, of float64, small bool) (old, next moment) {
 	share := kqshare.Share{From: "old", To: "new", Of: of, Small: small}
-	b := share.Burst(w.all)
+	old, next = w.surroundings(at, true), w.surroundings(at, false)
+	b := share.Burst(w.candidates(old.alive, next.alive))
 	serving := float64(w.Servers)
 	if b.Nodes != nil {
 		serving = float64(len(b.Nodes))
 	}
-	old, next = w.surroundings(at, true), w.surroundings(at, false)
 	day := w.rate * (1 + 0.2*math.Sin(2*math.Pi*float64(at)/1800))
 	if next.alive > 0 && serving < float64(w.Servers) {
 		// The few are picked among those that live.
 		next.alive = 1
 	}
-	next.rate = day * of
+	next.rate = day * b.Within * b.Duty
 	next.use = day * b.Within * w.load / w.rate * float64(w.Servers) / serving / max(next.alive, 0.05)
 	if factor := w.slowdown(at, next); factor*next.use > 1 {
 		// What the slots cannot take is refused at the gate and goes to the
--- a/internal/rollout/kqshare/share.go
+++ b/internal/rollout/kqshare/share.go
@@ -62,15 +62,24 @@
 // Burst returns how the share is laid over a second and over upstreams.
 func (s Share) Burst(all []kqmember.Candidate) Burst {
 	whole := Burst{Within: s.Of, Duty: 1}
-	if !s.Small {
-		return whole
-	}
 	oldSlots, newSlots := 0, 0
 	for _, c := range all {
-		if c.Version == s.From {
+		switch c.Version {
+		case s.From:
 			oldSlots += c.Slots
+		case s.To:
+			newSlots += c.Slots
 		}
 	}
+	if !s.Small {
+		// When new upstreams die in a herd, the rest would get more than an old
+		// one's load, and be slow for no fault of their version.
+		if newSlots < oldSlots {
+			whole.Within = min(s.Of, float64(newSlots)/float64(oldSlots))
+		}
+		return whole
+	}
+	newSlots = 0
 	few := make(map[kqname.Node]bool)
 	for _, c := range all {
 		if c.Version == s.To && (newSlots == 0 || float64(newSlots+c.Slots) <= s.Of*float64(oldSlots)) {
--- a/internal/rollout/kqstep/step.go
+++ b/internal/rollout/kqstep/step.go
@@ -34,6 +34,12 @@
 	Small = 1
 	// Last is the step before done.
 	Last = 4
+
+	// waits is the part of the window until which a version whose evidence is
+	// not clear stays at the small share, and hurry that from which cold
+	// upstreams are taken as they are.
+	waits = 0.85
+	hurry = 0.88
 )
 
 type (
@@ -67,7 +73,7 @@
 		// alarm is the evidence that takes a version back at any time; it
 		// holds for all tests together.
 		alarm float64
-		// lean is the evidence that keeps a version from its second step.
+		// lean is the evidence that, when the time is up, is too much to go on.
 		lean float64
 	}
 )
@@ -75,10 +81,10 @@
 var (
 	// schedule spends 7 parts in 10 at the small share. Done is due a little
 	// before the deadline, so that the platform's answer fits in.
-	schedule = [...]stage{{0, 0}, {0, 0}, {0.25, 0.70}, {0.5, 0.78}, {0.9, 0.92}, {1, 0.97}}
+	schedule = [...]stage{{0, 0}, {0, 0}, {0.25, 0.70}, {0.5, 0.78}, {0.8, 0.92}, {1, 0.97}}
 
-	finishing  = weights{alarm: math.Log(1 / 0.001), lean: math.Log(1 / 0.01)}
-	takingBack = weights{alarm: math.Log(1 / 0.01), lean: math.Log(1 / 0.05)}
+	finishing  = weights{alarm: math.Log(1 / 0.001), lean: 3}
+	takingBack = weights{alarm: math.Log(1 / 0.01), lean: 1}
 )
 
 // Share returns the share of traffic, from 0 to 1, that goes to the new
@@ -139,12 +145,14 @@
 	switch {
 	case elapsed < schedule[to].due:
 		return Decision{Hold, "the next step is not due"}
-	case leans(s):
-		return hesitate(now, s)
+	case s.Progress.Step == Small && elapsed < waits && s.Finding.Total > 0:
+		return Decision{Hold, "the small share goes on, since the evidence is not clear: " + Words(s.Finding)}
+	case s.Finding.Total >= weightsOf(s.Plan).lean:
+		return Decision{TakeBack, "the time for it is up and the evidence leans against it: " + Words(s.Finding)}
 	case to > Last:
 		return Decision{Done, fmt.Sprintf("no evidence against it after %d calls", s.Finding.Calls)}
-	case !fits(s, schedule[to].share):
-		return Decision{Hold, fmt.Sprintf("%d warm slots of the new version are too few for a share of %.2f", s.NewSlots, schedule[to].share)}
+	case !fits(s, schedule[to].share, elapsed):
+		return Decision{Hold, fmt.Sprintf("%d slots of the new version are too few for a share of %.2f", s.NewSlots+s.ColdSlots, schedule[to].share)}
 	}
 	return Decision{Advance, "the next step is due and nothing speaks against it"}
 }
@@ -152,27 +160,21 @@
 // overdue settles a rollout whose deadline came before its last step, such as
 // after an outage of all who could have owned it.
 func overdue(s State) Decision {
-	if s.Plan.Prefer == kqdocument.PreferFinishing && s.Finding.Calls > 0 && !leans(s) && fits(s, 1) {
+	if s.Plan.Prefer == kqdocument.PreferFinishing && s.Finding.Calls > 0 && s.Finding.Total < weightsOf(s.Plan).lean {
 		return Decision{Done, "the deadline came and nothing speaks against it"}
 	}
 	return Decision{TakeBack, "the deadline came without enough evidence for it"}
 }
 
-func hesitate(now time.Time, s State) Decision {
-	if now.Before(s.Plan.Deadline) && s.Progress.Step < Last {
-		return Decision{Hold, "the evidence leans against it: " + Words(s.Finding)}
+// fits reports whether the upstreams of the new version can carry the share.
+// Upstreams that have just started count for half, and in full once the time
+// is short: a few slow calls weigh less than a move that is not finished.
+func fits(s State, share, elapsed float64) bool {
+	cold := 0.5
+	if elapsed >= hurry {
+		cold = 1
 	}
-	return Decision{TakeBack, "the time is up and the evidence leans against it: " + Words(s.Finding)}
-}
-
-func leans(s State) bool {
-	return s.Finding.Total >= weightsOf(s.Plan).lean
-}
-
-// fits reports whether the warm upstreams of the new version can carry the
-// share. Without the old version's slots nothing is known to compare with.
-func fits(s State, share float64) bool {
-	return float64(s.NewSlots) >= 0.8*share*float64(s.OldSlots)
+	return float64(s.NewSlots)+cold*float64(s.ColdSlots) >= 0.8*share*float64(s.OldSlots)
 }
 
 func weightsOf(p kqplan.Plan) weights {
--- a/internal/rollout/kqverdict/stream.go
+++ b/internal/rollout/kqverdict/stream.go
@@ -116,6 +116,10 @@
 		sumGood.add(own + chance(h.newHits, h.newCalls, clamp(good(p))))
 		sumBad.add(own + chance(h.newHits, h.newCalls, clamp(bad(p))))
 	}
+	// The rate that fits both versions best stands for good alone: between two
+	// of the listed rates, a burst would else look like the worse of two.
+	both := clamp((h.oldHits + h.newHits) / (h.oldCalls + h.newCalls))
+	sumGood.add(fitted + chance(h.oldHits, h.oldCalls, both) + chance(h.newHits, h.newCalls, both))
 	return sumBad.log() - sumGood.log()
 }
 
@@ -154,6 +158,7 @@
 	// its rate of late, its usual one, a few times that, and some rates that
 	// only a burst has. The weights, as logs, say how often.
 	burstFactors = [...]float64{0, 1, 0.4, 2.5, 6, 15, 0.02, 0.06, 0.2, 0.6}
+	fitted       = math.Log(0.1)
 	burstWeights = logs([...]float64{0.35, 0.35, 0.08, 0.08, 0.04, 0.02, 0.02, 0.02, 0.02, 0.02})
 )
 
