Weigh small badness over spans of seconds

Cause: in one second a small badness is within the chance of a shared burst, so its evidence was lost tick by tick. Change: errors up by 0.5 and 2 points and long tails are weighed over 20, 5 and 10 ticks; great badness still tick by tick. Ruled out: a lighter fitted rate, which brings back false alarms in bursts.

--- a/internal/rollout/kqverdict/lane.go
+++ b/internal/rollout/kqverdict/lane.go
@@ -25,12 +25,12 @@
 
 func newLane(route kqname.Route) *lane {
 	return &lane{route: route, streams: []*stream{
-		errorsUp("errors up by 0.5 points", 0.005),
-		errorsUp("errors up by 2 points", 0.02),
-		errorsUp("errors up by 20 points", 0.2),
+		errorsUp("errors up by 0.5 points", 0.005, 20),
+		errorsUp("errors up by 2 points", 0.02, 5),
+		errorsUp("errors up by 20 points", 0.2, 1),
 		slower("slower by 1.3 times", 1.3),
 		slower("slower by 2 times", 2),
-		tailUp("more very slow calls", 6),
+		tailUp("more very slow calls", 6, 10),
 	}}
 }
 
@@ -63,7 +63,7 @@
 	old, next := momentsOf(&p.Old), momentsOf(&p.New)
 	t.slow = hits{
 		oldCalls: old.calls, oldHits: over(&p.Old, b.edge), newCalls: next.calls, newHits: over(&p.New, b.edge),
-		usual: b.slow.usual(), lately: b.slow.lately(),
+		usual: b.slow.usual(), lately: b.slow.lately(), edge: b.edge,
 	}
 	if old.calls < leastTimed || next.calls == 0 {
 		return t
--- a/internal/rollout/kqverdict/stream.go
+++ b/internal/rollout/kqverdict/stream.go
@@ -19,6 +19,10 @@
 	stream struct {
 		metric string
 		gain   func(t *ticked) float64
+		// span is how many ticks are weighed together; held has those so far.
+		// Small badness is lost in one tick's chance, great badness cannot wait.
+		span, ticks int
+		held        ticked
 		// total is the log of the test's wealth since the start, in nats.
 		total float64
 		// recent is the same since the best moment to have begun, and began
@@ -44,12 +48,14 @@
 		// usual is the old version's rate until now, lately its rate of the
 		// last seconds.
 		usual, lately float64
+		// edge names the threshold.
+		edge int
 	}
 )
 
 // errorsUp bets on a failure rate that is higher by points.
-func errorsUp(metric string, points float64) *stream {
-	return &stream{metric: metric, gain: func(t *ticked) float64 {
+func errorsUp(metric string, points float64, span int) *stream {
+	return &stream{metric: metric, span: span, gain: func(t *ticked) float64 {
 		return t.errors.ratio(
 			func(p float64) float64 { return p + toleratedPoints },
 			func(p float64) float64 { return p + points })
@@ -57,8 +63,8 @@
 }
 
 // tailUp bets on more calls over the old version's 99.5th percentile.
-func tailUp(metric string, factor float64) *stream {
-	return &stream{metric: metric, gain: func(t *ticked) float64 {
+func tailUp(metric string, factor float64, span int) *stream {
+	return &stream{metric: metric, span: span, gain: func(t *ticked) float64 {
 		return t.slow.ratio(
 			func(p float64) float64 { return toleratedTail * p },
 			func(p float64) float64 { return factor * p })
@@ -69,7 +75,7 @@
 // compared within the tick, so that what slows both versions cancels out.
 func slower(metric string, factor float64) *stream {
 	good, bad := math.Log(toleratedFactor), math.Log(factor)
-	return &stream{metric: metric, gain: func(t *ticked) float64 {
+	return &stream{metric: metric, span: 1, gain: func(t *ticked) float64 {
 		if !t.timed {
 			return 0
 		}
@@ -78,7 +84,25 @@
 }
 
 func (s *stream) observe(t *ticked) {
-	gain := s.gain(t)
+	if s.ticks > 0 && s.held.slow.edge != t.slow.edge {
+		s.settle()
+	}
+	if s.ticks == 0 {
+		s.held = *t
+	} else {
+		s.held.errors.add(&t.errors)
+		s.held.slow.add(&t.slow)
+	}
+	s.ticks++
+	if s.ticks >= s.span {
+		s.settle()
+	}
+}
+
+// settle weighs the ticks that are held.
+func (s *stream) settle() {
+	s.ticks = 0
+	gain := s.gain(&s.held)
 	if math.IsNaN(gain) {
 		return
 	}
@@ -90,6 +114,14 @@
 	s.recent = max(s.recent+gain, 0)
 }
 
+// add counts another tick's hits; the rates stay those of before the span.
+func (h *hits) add(o *hits) {
+	h.oldCalls += o.oldCalls
+	h.oldHits += o.oldHits
+	h.newCalls += o.newCalls
+	h.newHits += o.newHits
+}
+
 // late returns the recent evidence less what having had many moments to set
 // out is worth: the j-th of them is given a part 1/j of the false alarms.
 func (s *stream) late() float64 { return s.recent - math.Log(float64(max(s.began, 1))) }
