Cut nothing on leave, catch crossed answers, tell unreadable calls why

Cause: a node that left closed connections that looked idle while calls were on their way; waiting at a gate had no end when the caller went away; an upstream could answer with another call's answer unnoticed; calls that the library could not read ended in a bare 400 without our result; a caller's "Connection: close" was passed on; under overload calls waited for a second throughout, since each line that ran empty by chance counted as a new burst. Change: a leaving node's gate refuses with draining, its responses ask for their connection to be closed, and the servers stay until connections are let go of. Each exchange compares call ids. A line is calm again only once a call finds hardly anybody before it. Gates count their ends too, and label values that are not known become "other". The probe of idle connections, the wait for the configuration and the reading of a call's fields no longer allocate. Conclusion: what an upstream sends unasked and late, without an id, can't be told from an answer; HTTP has no sign of it. The test of surplus answers asked for that and failed by chance: it now sends answer and surplus at once, and a second test holds crossed answers to their ids.

--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -102,6 +102,14 @@
 	}
 )
 
+// Reasons returns every reason, for counters whose labels must be bounded.
+func Reasons() []Reason {
+	return []Reason{
+		NoReason, NoRoute, NoConfig, NoUpstream, QueueFull, Overload, Late, RolledBack, Draining, Shed, ConnectFailed,
+		TooLarge, Malformed, Timeout, Cut, Cancelled, Crossed,
+	}
+}
+
 // OK is the outcome of a call that has its upstream's answer.
 func OK() Outcome { return Outcome{Result: Answered} }
 
--- a/internal/call/kqcall/header.go
+++ b/internal/call/kqcall/header.go
@@ -93,9 +93,9 @@
 
 // Read makes a call from what Write put into a request.
 func Read(req *fasthttp.Request, resp *fasthttp.Response, now time.Time) (*Call, error) {
-	fields := strings.Split(string(req.Header.Peek(headerCall)), string(separator))
-	if len(fields) != callFields {
-		return nil, fmt.Errorf("read %s of %d fields: %w", headerCall, len(fields), ErrMalformed)
+	fields, ok := split(string(req.Header.Peek(headerCall)))
+	if !ok {
+		return nil, fmt.Errorf("read %s: %w", headerCall, ErrMalformed)
 	}
 	timeout, err := strconv.ParseInt(fields[8], 10, 64)
 	if err != nil {
@@ -201,6 +201,17 @@
 	return Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2], Work: time.Duration(numbers[3]) * time.Microsecond}, true
 }
 
+// split parts a header's value into just as many fields as a call has.
+func split(text string) (fields [callFields]string, ok bool) {
+	for i := range callFields - 1 {
+		if fields[i], text, ok = strings.Cut(text, string(separator)); !ok {
+			return fields, false
+		}
+	}
+	fields[callFields-1] = text
+	return fields, !strings.ContainsRune(text, separator)
+}
+
 func ours(key []byte) bool {
 	return len(key) >= len(prefix) && bytes.EqualFold(key[:len(prefix)], prefix)
 }
--- /dev/null
+++ b/internal/call/kqentry/bench_test.go
@@ -0,0 +1,24 @@
+package kqentry_test
+
+import (
+	"testing"
+
+	"github.com/valyala/fasthttp"
+)
+
+// BenchmarkOneHop is a call through one node to the upstream beside it, with
+// the caller, the node and the upstream in one process.
+func BenchmarkOneHop(b *testing.B) {
+	s := newShop(b, 1, 64, 0)
+	client := &fasthttp.HostClient{Addr: string(s.backs[0].Node.EntryAddress()), MaxConns: 100}
+	b.ReportAllocs()
+	b.RunParallel(func(p *testing.PB) {
+		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		request.SetRequestURI("http://store/orders")
+		for p.Next() {
+			if err := client.Do(request, response); err != nil || response.StatusCode() != fasthttp.StatusOK {
+				b.Errorf("%d %v", response.StatusCode(), err)
+			}
+		}
+	})
+}
--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -65,6 +65,7 @@
 		hangup    *kqhangup.Watch
 		forged    func()
 		baseline  bool
+		leaving   atomic.Bool
 		now       func() time.Time
 
 		prefix  string
@@ -76,6 +77,13 @@
 	// Option sets up an Entry.
 	Option func(*Entry)
 
+	// flight is what one call needs beside its request, in one piece of memory.
+	flight struct {
+		call   kqcall.Call
+		cancel kqcall.Cancel
+		line   kqhangup.Line
+	}
+
 	stable struct{}
 	silent struct{}
 )
@@ -147,28 +155,37 @@
 	e.serve(ctx, caller, depth+1, left)
 }
 
+// Leave asks callers to close their connections: the node is going.
+func (e *Entry) Leave() { e.leaving.Store(true) }
+
+// Close ends the idle connections to other nodes' gates.
+func (e *Entry) Close() { e.clients.close() }
+
 // Sweep closes what has been idle and forgets gates that are gone.
 func (e *Entry) Sweep(now time.Time) { e.clients.sweep(now) }
 
 func (e *Entry) serve(ctx *fasthttp.RequestCtx, caller kqname.Caller, depth int, left time.Duration) {
 	now := e.now()
 	kqcall.Strip(&ctx.Request.Header)
-	ctx.Request.Header.ResetConnectionClose()
+	stripHop(&ctx.Request.Header)
 	number := e.number.Add(1)
-	var cancel kqcall.Cancel
-	c := &kqcall.Call{
+	f := &flight{}
+	f.call = kqcall.Call{
 		ID: e.id(number), Caller: caller, Depth: depth, Arrived: now,
-		Cancel: &cancel, Request: &ctx.Request, Response: &ctx.Response,
+		Cancel: &f.cancel, Request: &ctx.Request, Response: &ctx.Response,
 	}
+	c := &f.call
 	if left > 0 {
 		c.Deadline = now.Add(left)
 	}
-	var line kqhangup.Line
-	e.hangup.Begin(&line, number, ctx.Conn(), &cancel, now)
+	e.hangup.Begin(&f.line, number, ctx.Conn(), &f.cancel, now)
 	o := e.do(c, now)
-	e.hangup.End(&line)
+	e.hangup.End(&f.line)
 	e.counter.Ended(o)
 	c.Answer(o)
+	if e.leaving.Load() {
+		ctx.SetConnectionClose()
+	}
 }
 
 func (e *Entry) do(c *kqcall.Call, now time.Time) kqcall.Outcome {
@@ -240,9 +257,6 @@
 	if o.Result != kqcall.Answered {
 		return o, kqcall.Load{}, false
 	}
-	if string(c.Response.Header.Peek(kqcall.HeaderID)) != string(c.ID) {
-		return kqcall.Lose(kqcall.Crossed), kqcall.Load{}, false
-	}
 	load, told := kqcall.ReadLoad(&c.Response.Header)
 	return c.Outcome(), load, told && load.Slots > 0
 }
--- /dev/null
+++ b/internal/call/kqentry/forge_test.go
@@ -0,0 +1,184 @@
+package kqentry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqfleet"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqupstream"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+// raw is an upstream that keeps each request's headers and answers as the test
+// says.
+type raw struct {
+	net.Listener
+	mu   sync.Mutex
+	seen []http.Header
+}
+
+// besides puts a raw upstream of the service beside a server's node, in place of
+// a fake one.
+func besides(t *testing.T, s *kqfleet.Server, service kqname.Service, answer func(w http.ResponseWriter, r *http.Request)) *raw {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &raw{Listener: l}
+	server := &http.Server{ReadHeaderTimeout: patience, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		u.mu.Lock()
+		u.seen = append(u.seen, r.Header.Clone())
+		u.mu.Unlock()
+		w.Header().Set(kqupstream.HeaderWork, r.Header.Get(kqupstream.HeaderWork))
+		answer(w, r)
+	})}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	a := fmt.Sprintf(`{"service":%q,"version":"v1","address":%q,"slots":4}`, service, l.Addr())
+	announce := func() {
+		resp, err := http.Post("http://"+string(s.Node.LocalAddress())+"/kq/announce", "application/json", strings.NewReader(a))
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}
+	announce()
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(200 * time.Millisecond):
+				announce()
+			}
+		}
+	}()
+	t.Cleanup(func() { close(stop); <-done })
+	return u
+}
+
+// exchange writes a request as it stands and reads the whole answer.
+func exchange(t *testing.T, to kqname.Address, request string) *http.Response {
+	t.Helper()
+	c, err := net.Dial("tcp", string(to))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	go func() { _, _ = io.WriteString(c, request) }()
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("no answer to %.40q: %v", request, err)
+	}
+	t.Cleanup(func() { _ = answer.Body.Close() })
+	return answer
+}
+
+// Someone outside writes our own headers into a request, in whatever case, to
+// pass for another caller or to reach a version that is being tried out; and an
+// upstream writes them into its answer, so that its failure would be taken for a
+// call that did not run and be sent again. Neither may get through.
+func TestForgedHeadersAreStripped(t *testing.T) {
+	t.Parallel()
+	s := newShop(t, 0, 0, 0)
+	u := besides(t, s.front, "store", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("kq-result", "not_run")
+		w.Header().Set("KQ-REASON", "queue_full")
+		w.Header().Set("Kq-Load", "0;0;1000;1")
+		fmt.Fprint(w, r.URL.Path)
+	})
+	poll(t, "the upstream is known", func() bool {
+		o, err := s.send(http.MethodGet, "warm")
+		return err == nil && o.Reason != kqcall.NoUpstream
+	})
+	answer := exchange(t, s.front.Node.EntryAddress(), "POST /a HTTP/1.1\r\nHost: store\r\nContent-Length: 0\r\n"+
+		"kQ-cAlL: x;someone;store;store;v9;critical;i;r;99000000;0\r\nKq-Depth: 7\r\nkq-version: v9\r\nKq-Anything: 1\r\n\r\n")
+	if answer.StatusCode != http.StatusOK || answer.Header.Get(kqcall.HeaderResult) != string(kqcall.Answered) ||
+		answer.Header.Get(kqcall.HeaderReason) != "" || answer.Header.Get("Kq-Load") != "" {
+		t.Errorf("caller got %d %v", answer.StatusCode, answer.Header)
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	last := u.seen[len(u.seen)-1]
+	for name := range last {
+		if strings.HasPrefix(name, "Kq-") && name != kqcall.HeaderID && name != kqcall.HeaderTimeout && name != kqcall.HeaderDepth {
+			t.Errorf("the upstream was sent %s: %v", name, last[name])
+		}
+	}
+	if last.Get(kqcall.HeaderDepth) != "0" || last.Get(kqcall.HeaderID) == "x" {
+		t.Errorf("the upstream was sent %v", last)
+	}
+}
+
+// A body over the bound or a head that cannot be read reaches no upstream, so
+// its sender is told for certain, and why; a bare broken connection would leave
+// it to guess.
+func TestUnreadableCallsAreToldNotRun(t *testing.T) {
+	t.Parallel()
+	s := newShop(t, 0, 0, 0)
+	for name, c := range map[string]struct {
+		request string
+		status  int
+		reason  kqcall.Reason
+	}{
+		"large body": {"POST /a HTTP/1.1\r\nHost: store\r\nContent-Length: 99000000\r\n\r\n", http.StatusRequestEntityTooLarge, kqcall.TooLarge},
+		"large head": {"GET /a HTTP/1.1\r\nHost: store\r\nX: " + strings.Repeat("x", 40000) + "\r\n\r\n", http.StatusRequestEntityTooLarge, kqcall.TooLarge},
+		"no HTTP":    {"NONSENSE\r\n\r\n", http.StatusBadRequest, kqcall.Malformed},
+		"no route":   {"GET /a HTTP/1.1\r\nHost: nowhere\r\n\r\n", http.StatusNotFound, kqcall.NoRoute},
+	} {
+		answer := exchange(t, s.front.Node.EntryAddress(), c.request)
+		if answer.StatusCode != c.status || answer.Header.Get(kqcall.HeaderResult) != string(kqcall.NotRun) ||
+			answer.Header.Get(kqcall.HeaderReason) != string(c.reason) {
+			t.Errorf("%s: %d %v", name, answer.StatusCode, answer.Header)
+		}
+	}
+}
+
+// A caller goes away while its call waits in the queue of another node's gate.
+// The call would take a slot for nobody; its place must come free and it must
+// never run, and the one that runs must see that its caller is gone.
+func TestCallerWhoLeavesFreesItsPlace(t *testing.T) {
+	t.Parallel()
+	s := newShop(t, 0, 0, 0)
+	back := s.start(t, kqfleet.Spec{Node: "back", Domain: "one", Region: "one"})
+	gone := make(chan struct{})
+	u := besides(t, back, "store", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			<-r.Context().Done()
+			close(gone)
+			return
+		}
+		fmt.Fprint(w, r.URL.Path)
+	})
+	poll(t, "the upstream is known", func() bool {
+		o, err := s.send(http.MethodGet, "warm")
+		return err == nil && o.Result == kqcall.Answered
+	})
+	c, err := net.Dial("tcp", string(s.front.Node.EntryAddress()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(c, "POST /long HTTP/1.1\r\nHost: store\r\nContent-Length: 0\r\n\r\n")
+	poll(t, "the call runs", func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return u.seen[len(u.seen)-1].Get("Work-Id") == ""
+	})
+	_ = c.Close()
+	select {
+	case <-gone:
+	case <-time.After(patience):
+		t.Error("the upstream never saw that its caller was gone")
+	}
+}
--- a/internal/call/kqentry/match.go
+++ b/internal/call/kqentry/match.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -14,6 +15,17 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
+// patience is a context with a deadline whose timer starts when somebody first
+// waits on it, which hardly any call does.
+type patience struct {
+	context.Context
+	until time.Time
+
+	mu     sync.Mutex
+	timed  context.Context
+	cancel context.CancelFunc
+}
+
 func (e *Entry) match(c *kqcall.Call, now time.Time) (*kqsnapshot.Snapshot, kqdocument.Route, kqcall.Reason) {
 	host := hostOf(c.Request)
 	snapshot, err := e.want(host, now)
@@ -31,17 +43,59 @@
 }
 
 func (e *Entry) want(host kqname.Host, now time.Time) (*kqsnapshot.Snapshot, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), configWait)
-	defer cancel()
+	ctx := &patience{Context: context.Background(), until: now.Add(configWait)}
+	defer ctx.end()
 	return e.config.Want(ctx, host, now)
 }
 
+// Done implements context.Context.
+func (p *patience) Done() <-chan struct{} { return p.start().Done() }
+
+// Err implements context.Context.
+func (p *patience) Err() error { return p.start().Err() }
+
+// Deadline implements context.Context.
+func (p *patience) Deadline() (time.Time, bool) { return p.until, true }
+
+func (p *patience) start() context.Context {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.timed == nil {
+		p.timed, p.cancel = context.WithDeadline(p.Context, p.until)
+	}
+	return p.timed
+}
+
+func (p *patience) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.timed != nil {
+		p.cancel()
+	}
+}
+
 // hostOf returns the host that a request names, in lower case without the port.
 func hostOf(r *fasthttp.Request) kqname.Host {
 	host, _, _ := bytes.Cut(r.Host(), []byte{':'})
 	return kqname.Host(bytes.ToLower(host))
 }
 
+// stripHop removes what the caller said of its own connection. Passed on, it
+// would have the node close its connections to upstreams, or the upstream speak
+// a protocol that is not carried.
+func stripHop(h *fasthttp.RequestHeader) {
+	h.Del(fasthttp.HeaderExpect)
+	if len(h.Peek(fasthttp.HeaderConnection)) == 0 {
+		return
+	}
+	h.ResetConnectionClose()
+	for _, name := range []string{
+		fasthttp.HeaderConnection, fasthttp.HeaderKeepAlive, fasthttp.HeaderTE, fasthttp.HeaderUpgrade, "Proxy-Connection",
+	} {
+		h.Del(name)
+	}
+}
+
 // fill takes over what the configuration says of the call. A deadline that was
 // passed on stays unless the route's own is earlier.
 func fill(c *kqcall.Call, route kqdocument.Route, service kqresource.Service, now time.Time) {
--- a/internal/call/kqentry/once_test.go
+++ b/internal/call/kqentry/once_test.go
@@ -33,7 +33,7 @@
 	results map[string]kqcall.Outcome
 }
 
-func newShop(t *testing.T, backs, slots int, work time.Duration) *shop {
+func newShop(t testing.TB, backs, slots int, work time.Duration) *shop {
 	t.Helper()
 	s := &shop{Fleet: kqfleet.New(), results: make(map[string]kqcall.Outcome)}
 	t.Cleanup(func() { _ = s.Close() })
@@ -62,12 +62,12 @@
 			known += len(m.Upstreams)
 		}
 		o, err := s.send(fasthttp.MethodGet, "warm")
-		return known == backs && err == nil && o.Result == kqcall.Answered
+		return known == backs && err == nil && (o.Result == kqcall.Answered || backs == 0 && o.Reason == kqcall.NoUpstream)
 	})
 	return s
 }
 
-func (s *shop) start(t *testing.T, spec kqfleet.Spec) *kqfleet.Server {
+func (s *shop) start(t testing.TB, spec kqfleet.Spec) *kqfleet.Server {
 	t.Helper()
 	server, err := s.Start(spec)
 	if err != nil {
@@ -174,6 +174,7 @@
 // run although it did would be sent again by its caller. Each must run at most
 // once, and be told the truth.
 func TestOrdersRunAtMostOnceWhenServersDie(t *testing.T) {
+	t.Parallel()
 	s := newShop(t, 4, 4, 3*time.Millisecond)
 	s.during(t, func() {
 		s.sent(t, 100)
@@ -195,6 +196,7 @@
 // upstream drains, then its node shuts down. No order may be cut, lost or run
 // twice, and none may be refused while another server has room for it.
 func TestGracefulLeaveCutsNothing(t *testing.T) {
+	t.Parallel()
 	s := newShop(t, 3, 4, 3*time.Millisecond)
 	s.during(t, func() {
 		s.sent(t, 100)
@@ -214,6 +216,7 @@
 // came would hold it up for ever; its own gate must refuse at once, whoever
 // sends, and every order must be answered elsewhere.
 func TestDrainingUpstreamGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	s := newShop(t, 2, 4, 3*time.Millisecond)
 	s.during(t, func() {
 		s.sent(t, 100)
@@ -233,7 +236,7 @@
 	}
 }
 
-func poll(t *testing.T, what string, done func() bool) {
+func poll(t testing.TB, what string, done func() bool) {
 	t.Helper()
 	for range int(patience / (10 * time.Millisecond)) {
 		if done() {
--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -126,12 +126,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if found, ok = c.held[to]; !ok {
-		found = &client{Client: kqsend.New(to, kqsend.WithDialer(c.dial)), used: time.Now()}
+		found = &client{Client: kqsend.New(to, kqsend.WithDialer(c.dial), kqsend.WithEcho()), used: time.Now()}
 		c.held[to] = found
 	}
 	return found.Client
 }
 
+func (c *clients) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, one := range c.held {
+		one.Close()
+	}
+}
+
 // sweep closes idle connections. A gate without any for a while is forgotten:
 // addresses come and go with the fleet.
 func (c *clients) sweep(now time.Time) {
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -24,6 +24,11 @@
 		Find(service kqname.Service, version kqname.UpstreamVersion) (kqlocal.Announcement, bool)
 	}
 
+	// Counter counts how calls ended at the gate.
+	Counter interface {
+		Gated(o kqcall.Outcome)
+	}
+
 	// Observer is told how each call that reached the upstream went.
 	Observer interface {
 		Observe(o Observation)
@@ -53,6 +58,7 @@
 		local    Finder
 		observer Observer
 		guard    Guard
+		counter  Counter
 		queue    func(slots int, address kqname.Address) queue
 		hangup   *kqhangup.Watch
 		now      func() time.Time
@@ -73,6 +79,12 @@
 // Observe implements Observer.
 func (nobody) Observe(Observation) {}
 
+// Gated implements Counter.
+func (nobody) Gated(kqcall.Outcome) {}
+
+// WithCounter counts calls' ends.
+func WithCounter(c Counter) Option { return func(g *Gate) { g.counter = c } }
+
 // Refuses implements Guard.
 func (nobody) Refuses(kqname.Service, kqname.UpstreamVersion) bool { return false }
 
@@ -93,7 +105,7 @@
 // New returns a gate to the upstreams that local finds.
 func New(local Finder, options ...Option) *Gate {
 	g := &Gate{
-		local: local, observer: nobody{}, guard: nobody{}, now: time.Now, hangup: kqhangup.New(),
+		local: local, observer: nobody{}, guard: nobody{}, counter: nobody{}, now: time.Now, hangup: kqhangup.New(),
 		upstreams: make(map[kqname.Address]*upstream),
 		queue: func(slots int, address kqname.Address) queue {
 			return kqslots.New(slots, saltOf(address))
@@ -120,6 +132,7 @@
 	g.hangup.Begin(&line, g.number.Add(1), ctx.Conn(), &cancel, now)
 	o, load := g.run(c, now)
 	g.hangup.End(&line)
+	g.counter.Gated(o)
 	c.Answer(o)
 	load.Write(&ctx.Response.Header)
 	if g.leaving.Load() {
@@ -131,7 +144,11 @@
 
 // Do runs a call of this node's own entry at the local upstream, fills in its
 // response, and returns the upstream's load.
-func (g *Gate) Do(c *kqcall.Call) (kqcall.Outcome, kqcall.Load) { return g.run(c, g.now()) }
+func (g *Gate) Do(c *kqcall.Call) (kqcall.Outcome, kqcall.Load) {
+	o, load := g.run(c, g.now())
+	g.counter.Gated(o)
+	return o, load
+}
 
 // Leave refuses all that come from now on: the node is going. Calls that wait
 // are refused, calls that run are finished.
--- a/internal/call/kqhangup/hangup.go
+++ b/internal/call/kqhangup/hangup.go
@@ -31,6 +31,7 @@
 	// Line is one call's connection to its caller.
 	Line struct {
 		caller net.Conn
+		probe  *Probe
 		call   *kqcall.Cancel
 		since  time.Time
 		shard  *shard
@@ -94,7 +95,10 @@
 		if l.since.After(before) {
 			continue
 		}
-		if closed, _ := Closed(l.caller); closed {
+		if l.probe == nil {
+			l.probe = NewProbe(l.caller)
+		}
+		if closed, _ := l.probe.Look(); closed {
 			l.call.Now()
 		}
 	}
--- a/internal/call/kqhangup/peek.go
+++ b/internal/call/kqhangup/peek.go
@@ -1,39 +1,57 @@
 package kqhangup
 
 import (
-	"crypto/tls"
+	"errors"
 	"net"
 	"syscall"
 )
 
-// Closed reports whether the connection's peer has closed it, and whether bytes
-// wait to be read. It reads nothing and does not block.
-func Closed(c net.Conn) (closed, readable bool) {
-	if s, ok := c.(*tls.Conn); ok {
-		c = s.NetConn()
+// Probe looks at a connection without reading from it. It is not safe for
+// concurrent use.
+type Probe struct {
+	raw     syscall.RawConn
+	look    func(fd uintptr)
+	count   int
+	failure error
+}
+
+// NewProbe returns a probe of the connection, or of the one beneath it where it
+// is encrypted; one that sees nothing if there is no socket beneath.
+func NewProbe(c net.Conn) *Probe {
+	p := &Probe{}
+	for {
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		c = outer.NetConn()
 	}
-	t, ok := c.(syscall.Conn)
-	if !ok {
-		return false, false
+	if s, ok := c.(syscall.Conn); ok {
+		// A connection that is closed already has no raw one; Look then says so.
+		p.raw, p.failure = s.SyscallConn()
 	}
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return true, false
+	p.look = func(fd uintptr) {
+		var one [1]byte
+		p.count, _, p.failure = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}
+	return p
+}
+
+// Look reports whether the connection's peer has closed it, and whether bytes
+// wait to be read. It does not block.
+func (p *Probe) Look() (closed, readable bool) {
+	if p.raw == nil {
+		return p.failure != nil, false
 	}
-	var one [1]byte
-	var n int
-	var failure error
-	err = raw.Control(func(fd uintptr) {
-		n, _, failure = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
+	err := p.raw.Control(p.look)
 	switch {
 	case err != nil:
 		return true, false
-	case failure == syscall.EAGAIN || failure == syscall.EINTR:
+	case errors.Is(p.failure, syscall.EAGAIN), errors.Is(p.failure, syscall.EINTR):
 		return false, false
-	case failure != nil:
+	case p.failure != nil:
 		return true, false
 	default:
-		return n == 0, n > 0
+		return p.count == 0, p.count > 0
 	}
 }
--- a/internal/call/kqsend/client.go
+++ b/internal/call/kqsend/client.go
@@ -11,13 +11,13 @@
 
 import (
 	"bufio"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -29,7 +29,8 @@
 
 	defaultMost = 512
 	dialTimeout = time.Second
-	bufferSize  = 4096
+	// bufferSize bounds a response's head, in bytes.
+	bufferSize = 16 << 10
 )
 
 // errFull tells that all connections are in use.
@@ -41,6 +42,7 @@
 		to     kqname.Address
 		dialer func(address string) (net.Conn, error)
 		most   int
+		echoes bool
 
 		mu   sync.Mutex
 		idle []*connection
@@ -54,7 +56,7 @@
 		net.Conn
 		reader  *bufio.Reader
 		writer  *bufio.Writer
-		raw     *net.TCPConn
+		probe   *kqhangup.Probe
 		written int
 		since   time.Time
 	}
@@ -73,6 +75,9 @@
 // WithMost bounds the connections that are open at once.
 func WithMost(n int) Option { return func(s *Client) { s.most = n } }
 
+// WithEcho demands that each response carries its call's id, as nodes' do.
+func WithEcho() Option { return func(c *Client) { c.echoes = true } }
+
 // New returns a client that sends to an address.
 func New(to kqname.Address, options ...Option) *Client {
 	c := &Client{to: to, most: defaultMost, dialer: plain}
@@ -152,7 +157,7 @@
 		return nil, fmt.Errorf("connect to %s: %w", c.to, err)
 	}
 	n := &connection{Conn: dialed}
-	n.raw = tcp(dialed)
+	n.probe = kqhangup.NewProbe(dialed)
 	n.reader = bufio.NewReaderSize(n.Conn, bufferSize)
 	n.writer = bufio.NewWriterSize(n, bufferSize)
 	return n, nil
@@ -180,11 +185,3 @@
 	n.written += count
 	return count, err
 }
-
-func tcp(c net.Conn) *net.TCPConn {
-	if s, ok := c.(*tls.Conn); ok {
-		c = s.NetConn()
-	}
-	t, _ := c.(*net.TCPConn)
-	return t
-}
--- a/internal/call/kqsend/exchange.go
+++ b/internal/call/kqsend/exchange.go
@@ -9,7 +9,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
-	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
 )
 
 // fullRetryAfter is what callers are told when all connections are in use.
@@ -32,16 +31,37 @@
 		c.drop(n)
 		return n.judge(call, err)
 	}
+	if c.crossed(call) {
+		c.drop(n)
+		return kqcall.Lose(kqcall.Crossed)
+	}
 	// Bytes that nobody asked for would be read as the next call's answer.
-	if call.Response.ConnectionClose() || n.reader.Buffered() > 0 || call.Cancel.Done() {
+	switch {
+	case call.Response.ConnectionClose():
+		// The peer is going; kept, its other connections would be closed by it
+		// while a call is on its way.
+		c.drop(n)
+		c.Close()
+	case n.reader.Buffered() > 0, call.Cancel.Done():
 		c.drop(n)
-	} else {
+	default:
 		c.release(n)
 	}
 	call.Response.Header.ResetConnectionClose()
 	return kqcall.OK()
 }
 
+// crossed reports whether the response is another call's: one that came too
+// late or that nobody asked for. HTTP itself does not tell them apart. A peer
+// that names no call is believed unless it has to.
+func (c *Client) crossed(call *kqcall.Call) bool {
+	echo := call.Response.Header.Peek(kqcall.HeaderID)
+	if len(echo) == 0 {
+		return c.echoes
+	}
+	return string(echo) != string(call.ID)
+}
+
 func (n *connection) exchange(call *kqcall.Call) error {
 	if err := n.SetDeadline(call.Deadline); err != nil {
 		return err
@@ -98,6 +118,6 @@
 // closed it is found here, before the first byte; written into, it would leave
 // the call's end unknown.
 func (n *connection) alive() bool {
-	closed, readable := kqhangup.Closed(n.raw)
+	closed, readable := n.probe.Look()
 	return !closed && !readable
 }
--- a/internal/call/kqsend/send_test.go
+++ b/internal/call/kqsend/send_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -149,8 +148,8 @@
 	}
 }
 
-// A peer sends more than the answer, such as a second one that nobody asked
-// for. Kept, the connection would give it to the next caller.
+// A peer sends more than the answer, a second one that nobody asked for. Kept,
+// the connection would give it to the next caller.
 func TestSurplusAnswerReachesNobody(t *testing.T) {
 	p := newPeer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		for {
@@ -158,17 +157,35 @@
 			if err != nil {
 				return
 			}
-			var twice strings.Builder
-			fmt.Fprintf(&twice, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nstolen")
-			answer(c, path)
-			fmt.Fprint(c, twice.String())
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%sHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nstolen", len(path), path)
 		}
 	})
 	client := p.client()
 	for _, path := range []string{"/one", "/two", "/three"} {
 		c := call(path, patience)
-		if o := client.Do(c); o == kqcall.OK() && string(c.Response.Body()) != path {
-			t.Errorf("call %s got the answer %q", path, c.Response.Body())
+		if o := client.Do(c); o != kqcall.OK() || string(c.Response.Body()) != path {
+			t.Errorf("call %s: %v %q, want its own answer", path, o, c.Response.Body())
+		}
+	}
+}
+
+// A peer answers one call with another's answer, whole and in time: nothing in
+// HTTP shows it. The call's id does; its caller must be told unknown, and
+// nothing more may be read from that connection.
+func TestCrossedAnswerIsCaught(t *testing.T) {
+	p := newPeer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := request(r); err == nil {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nKq-Call-Id: other\r\nContent-Length: 6\r\n\r\nstolen")
+			_, _ = r.ReadByte()
+		}
+	})
+	client := p.client()
+	for n := range int32(2) {
+		if o := client.Do(call("/one", patience)); o != kqcall.Lose(kqcall.Crossed) {
+			t.Errorf("outcome is %v, want unknown: crossed", o)
+		}
+		if got := p.opened.Load(); got != n+1 {
+			t.Errorf("%d connections for %d calls, want each its own", got, n+1)
 		}
 	}
 }
--- a/internal/decide/kqfair/fair.go
+++ b/internal/decide/kqfair/fair.go
@@ -81,8 +81,8 @@
 		// each line when it became the head.
 		start time.Duration
 		work  time.Duration
-		// since is when somebody began to wait here, without a pause since.
-		since time.Time
+		// calm is when a call of the line last had next to nobody to wait for.
+		calm time.Time
 		// recent is the work that the line was lately given.
 		recent time.Duration
 	}
@@ -100,11 +100,11 @@
 
 // Push puts a call at the end of its caller's line.
 func (q *Queue) Push(p *Place) {
-	p.line, p.queued = q.claim(p.Caller), true
+	p.line, p.queued = q.claim(p.Caller, p.Since), true
 	l := &q.lines[p.line]
 	if l.head == nil {
 		l.start = max(l.start, q.served)
-		l.head, l.since = p, p.Since
+		l.head = p
 		q.busy = append(q.busy, p.line)
 	} else {
 		l.tail.next, p.prev = p, l.tail
@@ -141,10 +141,15 @@
 }
 
 // Passed notes work of a caller that was served without waiting.
-func (q *Queue) Passed(caller kqname.Caller, work time.Duration) {
-	q.note(&q.lines[q.claim(caller)], work)
+func (q *Queue) Passed(caller kqname.Caller, work time.Duration, now time.Time) {
+	l := &q.lines[q.claim(caller, now)]
+	l.calm = now
+	q.note(l, work)
 }
 
+// Calm notes that a call of the caller has next to nobody to wait for.
+func (q *Queue) Calm(caller kqname.Caller, now time.Time) { q.lines[q.claim(caller, now)].calm = now }
+
 // Remove takes a call out that no longer waits and reports whether it did.
 func (q *Queue) Remove(p *Place) bool {
 	if !p.queued {
@@ -165,14 +170,13 @@
 	return oldest
 }
 
-// Standing returns how long somebody has been waiting in the caller's line
-// without a pause.
+// Standing returns for how long the caller's calls have had to wait.
 func (q *Queue) Standing(caller kqname.Caller, now time.Time) time.Duration {
 	l := &q.lines[q.number(caller)]
-	if l.head == nil {
+	if l.owner != caller {
 		return 0
 	}
-	return now.Sub(l.since)
+	return now.Sub(l.calm)
 }
 
 // Ahead returns the expected work that will be served before a call that the
@@ -229,10 +233,10 @@
 	return first
 }
 
-func (q *Queue) claim(caller kqname.Caller) int {
+func (q *Queue) claim(caller kqname.Caller, now time.Time) int {
 	n := q.number(caller)
 	if l := &q.lines[n]; l.head == nil && l.owner != caller {
-		l.owner, l.start = caller, 0
+		l.owner, l.start, l.calm = caller, 0, now
 	}
 	return n
 }
--- a/internal/decide/kqslots/queue.go
+++ b/internal/decide/kqslots/queue.go
@@ -11,8 +11,8 @@
 // enqueue takes the call in if it is going to begin in time, and refuses it at
 // once if not.
 func (s *Slots) enqueue(t *Ticket, expected, left time.Duration, now time.Time) {
-	allowed := s.allowed(t, left, now)
 	wait := s.expectWait(t, expected, now)
+	allowed := s.allowed(t, wait, left, now)
 	if wait > allowed || wait+expected > left {
 		t.refuse(kqcall.QueueFull, s.retryAfter())
 		return
@@ -27,8 +27,11 @@
 }
 
 // allowed returns how long the call may be expected to wait.
-func (s *Slots) allowed(t *Ticket, left time.Duration, now time.Time) time.Duration {
+func (s *Slots) allowed(t *Ticket, wait, left time.Duration, now time.Time) time.Duration {
 	allowed := time.Duration(float64(left) * [classes]float64{criticalWait, normalWait, backgroundWait}[t.level])
+	if wait < allowed/standingWait/calm {
+		s.lane(t).Calm(t.Caller, now)
+	}
 	if s.lane(t).Standing(t.Caller, now) > standing {
 		allowed /= standingWait
 	}
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -23,9 +23,10 @@
 // leaves two thirds as much again for the work, for a mistaken expectation and
 // for the network; background calls for an eighth. A burst of 2 s at 1.5 times
 // the capacity leaves 1 s of work; calls with 2 s ride it out, with a fifth to
-// spare for gates that got more than others. A caller whose line has stood for
-// 4 s is in no burst: from then on a tenth of that is allowed, since waiting
-// would no longer save a call but only make all of them slow.
+// spare for gates that got more than others. A caller whose calls have had to
+// wait for 4 s is in no burst: from then on a tenth of that is allowed, until
+// they find hardly anybody before them, since waiting would no longer save a
+// call but only make all of them slow.
 package kqslots
 
 import (
@@ -50,9 +51,10 @@
 	// shares of the time left that a class's call may wait.
 	criticalWait, normalWait, backgroundWait = 0.6, 0.6, 0.125
 	// standing is when a line is in no burst any more; standingWait then divides
-	// the shares further.
+	// the shares further, until a wait is under a calm-th of what that leaves.
 	standing     = 4 * time.Second
 	standingWait = 10
+	calm         = 4
 	// slack is how many calls' work a short wait may be mistaken by.
 	slack = 8
 	// shortIdle is how long after the last short call slots are kept for short
@@ -124,7 +126,7 @@
 	case left <= 0:
 		t.refuse(kqcall.Late, 0)
 	case s.room(t.long, now) && lengthOf(s.lanes(t)) == 0:
-		s.lane(t).Passed(t.Caller, expected)
+		s.lane(t).Passed(t.Caller, expected, now)
 		s.start(t)
 	default:
 		s.enqueue(t, expected, left, now)
--- a/internal/lab/kqcut/listener.go
+++ b/internal/lab/kqcut/listener.go
@@ -61,6 +61,9 @@
 	}
 }
 
+// NetConn returns the connection beneath.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/internal/run/kqmetric/metric.go
+++ b/internal/run/kqmetric/metric.go
@@ -7,7 +7,6 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -16,6 +15,7 @@
 	registry       *prometheus.Registry
 	ended          *prometheus.CounterVec
 	retried        *prometheus.CounterVec
+	gated          *prometheus.CounterVec
 	configRefused  *prometheus.CounterVec
 	platformFailed prometheus.Counter
 	budgetBound    *prometheus.CounterVec
@@ -50,7 +50,8 @@
 			Name: "kumquatgw_config_version", Help: "Configuration version in force on this node.",
 		}),
 	}
-	m.registry.MustRegister(m.ended, m.retried, m.configRefused, m.platformFailed, m.budgetBound, m.spreadDropped, m.version,
+	m.gated = newGated()
+	m.registry.MustRegister(m.ended, m.retried, m.gated, m.configRefused, m.platformFailed, m.budgetBound, m.spreadDropped, m.version,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "kumquatgw_control_sent_bytes_total", Help: "Bytes of control traffic sent to peers.",
 		}, func() float64 { return float64(m.sent.Load()) }),
@@ -64,14 +65,6 @@
 // Registry returns the registry, to serve it or to add to it.
 func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
 
-// Ended counts a call's end.
-func (m *Metrics) Ended(o kqcall.Outcome) {
-	m.ended.WithLabelValues(string(o.Result), string(o.Reason)).Inc()
-}
-
-// Retried counts a call that is sent again.
-func (m *Metrics) Retried(r kqcall.Reason) { m.retried.WithLabelValues(string(r)).Inc() }
-
 // ConfigRefused counts a configuration version that was not applied.
 func (m *Metrics) ConfigRefused(reason string) { m.configRefused.WithLabelValues(reason).Inc() }
 
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -10,10 +10,12 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqsend"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -26,6 +28,12 @@
 	// client is the one to close: a server that closes first could cut a call
 	// that was just being sent.
 	serverIdle = time.Minute
+	// headerSize bounds a call's head, in bytes.
+	headerSize = 16 << 10
+	// callerGrace is how long callers from outside are given to close their
+	// connections when the node leaves.
+	callerGrace = time.Second
+	emptyPoll   = 10 * time.Millisecond
 )
 
 type (
@@ -47,7 +55,7 @@
 		n.table.Update(func(m *kqmember.Member) { m.Upstreams = list })
 	})
 	n.hangup = kqhangup.New()
-	gate := []kqgate.Option{kqgate.WithObserver(n.rollouts), kqgate.WithGuard(n.rollouts), kqgate.WithHangup(n.hangup)}
+	gate := []kqgate.Option{kqgate.WithObserver(n.rollouts), kqgate.WithGuard(n.rollouts), kqgate.WithHangup(n.hangup), kqgate.WithCounter(n.metrics)}
 	entry := append(n.entryTLSOptions(), kqentry.WithCounter(n.metrics), kqentry.WithSplitter(n.rollouts),
 		kqentry.WithDomain(n.settings.Node.Domain), kqentry.WithHangup(n.hangup),
 		kqentry.WithForged(n.security.Forged))
@@ -67,7 +75,7 @@
 	return &fasthttp.Server{
 		Handler: handler, Name: "kumquatgw", ReadTimeout: readTimeout, IdleTimeout: serverIdle,
 		MaxRequestBodySize: n.settings.Call.MaxBody, NoDefaultServerHeader: true, CloseOnShutdown: true,
-		Logger: quiet{n.logger.Part("call")},
+		ReadBufferSize: headerSize, ErrorHandler: refuse, Logger: quiet{n.logger.Part("call")},
 	}
 }
 
@@ -96,14 +104,54 @@
 	start(func() error { return s.gate.Serve(l.gate) })
 }
 
-// shutdown closes the listeners and waits for the calls in flight: the
-// entries' first, since they may still need the gate.
-func (s callServers) shutdown(ctx context.Context) error {
+// leaveCalls ends the call flow without cutting a call. Closing a connection
+// that looks idle may meet a call that is on its way, whose caller could not
+// tell whether it ran. So each response asks first for its connection to be
+// closed, and the servers stay until the others have let go of theirs, or have
+// had the time to: nodes keep an idle connection for kqsend.IdleFor only.
+func (n *Node) leaveCalls(ctx context.Context) error {
+	n.gate.Leave()
+	n.entry.Leave()
+	n.servers.emptied(ctx, callerGrace, n.servers.entry)
+	err := n.servers.shutdown(ctx, n.servers.entry, n.servers.local)
+	n.entry.Close()
+	n.servers.emptied(ctx, kqsend.IdleFor+sweepEvery, n.servers.gate)
+	return errors.Join(err, n.servers.shutdown(ctx, n.servers.gate))
+}
+
+// emptied returns once a server has no connections, or after at most a while.
+func (s callServers) emptied(ctx context.Context, most time.Duration, server *fasthttp.Server) {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	ticker := time.NewTicker(emptyPoll)
+	defer ticker.Stop()
+	for server.GetOpenConnectionsCount() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// shutdown closes the listeners and waits for the calls in flight.
+func (s callServers) shutdown(ctx context.Context, servers ...*fasthttp.Server) error {
 	var errs []error
-	for _, server := range []*fasthttp.Server{s.entry, s.local, s.gate} {
+	for _, server := range servers {
 		if err := server.ShutdownWithContext(ctx); err != nil {
 			errs = append(errs, fmt.Errorf("drain: %w", err))
 		}
 	}
 	return errors.Join(errs...)
 }
+
+// refuse answers what the library could not read as a call.
+func refuse(ctx *fasthttp.RequestCtx, err error) {
+	reason := kqcall.Malformed
+	var small *fasthttp.ErrSmallBuffer
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &small) {
+		reason = kqcall.TooLarge
+	}
+	c := &kqcall.Call{Request: &ctx.Request, Response: &ctx.Response}
+	c.Answer(kqcall.Refuse(reason))
+}
