End each move once, whatever fails beside it

Cause: a move whose new upstreams had all died was called done at its deadline, and its callers then refused; a policy that prefers taking back kept a version that had got three calls; doubtful evidence over all routes let a version go on under that policy. Change: done needs upstreams that can carry the traffic and, where taking back is preferred, a hundred calls; one test over all routes that speaks against the version holds it at the small share and, at the time, takes it back.

--- a/internal/rollout/kqstep/step.go
+++ b/internal/rollout/kqstep/step.go
@@ -75,6 +75,12 @@
 		alarm float64
 		// lean is the evidence that, when the time is up, is too much to go on.
 		lean float64
+		// doubt is the same for the test over all routes that speaks most
+		// against the version, taken by itself.
+		doubt float64
+		// enough is how many calls of the new version it takes to keep it: a
+		// hundred without a failure rule out 5 points more of them.
+		enough uint64
 	}
 )
 
@@ -83,8 +89,8 @@
 	// before the deadline, so that the platform's answer fits in.
 	schedule = [...]stage{{0, 0}, {0, 0}, {0.25, 0.70}, {0.5, 0.78}, {0.8, 0.92}, {1, 0.97}}
 
-	finishing  = weights{alarm: math.Log(1 / 0.001), lean: 3}
-	takingBack = weights{alarm: math.Log(1 / 0.01), lean: 1}
+	finishing  = weights{alarm: math.Log(1 / 0.001), lean: 3, doubt: 4}
+	takingBack = weights{alarm: math.Log(1 / 0.01), lean: 1, doubt: 0.5, enough: 100}
 )
 
 // Share returns the share of traffic, from 0 to 1, that goes to the new
@@ -138,18 +144,20 @@
 
 func next(now time.Time, s State) Decision {
 	elapsed := float64(now.Sub(s.Plan.Start)) / float64(s.Plan.Window())
-	if !now.Before(s.Plan.Deadline) && s.Progress.Step < Last {
+	if !now.Before(s.Plan.Deadline) && (s.Progress.Step < Last || !fits(s, 1, 1)) {
 		return overdue(s)
 	}
 	to := s.Progress.Step + 1
 	switch {
 	case elapsed < schedule[to].due:
 		return Decision{Hold, "the next step is not due"}
-	case s.Progress.Step == Small && elapsed < waits && s.Finding.Total > 0:
+	case s.Progress.Step == Small && elapsed < waits && max(s.Finding.Total, -s.Finding.Cleared) > 0:
 		return Decision{Hold, "the small share goes on, since the evidence is not clear: " + Words(s.Finding)}
-	case s.Finding.Total >= weightsOf(s.Plan).lean:
+	case leans(s):
 		return Decision{TakeBack, "the time for it is up and the evidence leans against it: " + Words(s.Finding)}
-	case to > Last:
+	case to > Last && s.Finding.Calls < weightsOf(s.Plan).enough:
+		return Decision{TakeBack, fmt.Sprintf("the time is up and %d calls are too few to judge by", s.Finding.Calls)}
+	case to > Last && fits(s, 1, elapsed):
 		return Decision{Done, fmt.Sprintf("no evidence against it after %d calls", s.Finding.Calls)}
 	case !fits(s, schedule[to].share, elapsed):
 		return Decision{Hold, fmt.Sprintf("%d slots of the new version are too few for a share of %.2f", s.NewSlots+s.ColdSlots, schedule[to].share)}
@@ -160,12 +168,20 @@
 // overdue settles a rollout whose deadline came before its last step, such as
 // after an outage of all who could have owned it.
 func overdue(s State) Decision {
-	if s.Plan.Prefer == kqdocument.PreferFinishing && s.Finding.Calls > 0 && s.Finding.Total < weightsOf(s.Plan).lean {
+	if s.Plan.Prefer == kqdocument.PreferFinishing && s.Finding.Calls > 0 && !leans(s) && fits(s, 1, 1) {
 		return Decision{Done, "the deadline came and nothing speaks against it"}
 	}
+	if !fits(s, 1, 1) {
+		return Decision{TakeBack, "the deadline came and its upstreams are too few"}
+	}
 	return Decision{TakeBack, "the deadline came without enough evidence for it"}
 }
 
+func leans(s State) bool {
+	w := weightsOf(s.Plan)
+	return s.Finding.Total >= w.lean || -s.Finding.Cleared >= w.doubt
+}
+
 // fits reports whether the upstreams of the new version can carry the share.
 // Upstreams that have just started count for half, and in full once the time
 // is short: a few slow calls weigh less than a move that is not finished.
--- a/internal/run/kqnode/rollout_test.go
+++ b/internal/run/kqnode/rollout_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,6 +27,8 @@
 	t      *testing.T
 	next   []*kqfleet.Server
 	failed atomic.Int64
+	// lost is a server that was killed.
+	lost *kqfleet.Server
 }
 
 func newTown(t *testing.T, v2 kqupstream.Behaviour) *town {
@@ -75,8 +78,8 @@
 	}
 }
 
-// load calls until the test ends, some 300 calls a second.
-func (w *town) load() {
+// ready waits until all nodes have the configuration and know each other.
+func (w *town) ready() {
 	w.t.Helper()
 	for _, s := range w.Servers() {
 		for end := time.Now().Add(rolloutPatience); s.Node.Version() == 0 || len(s.Node.Members()) < len(w.Servers()); time.Sleep(5 * time.Millisecond) {
@@ -85,6 +88,12 @@
 			}
 		}
 	}
+}
+
+// load calls until the test ends, some 300 calls a second.
+func (w *town) load() {
+	w.t.Helper()
+	w.ready()
 	ctx, stop := context.WithCancel(context.Background())
 	var group conc.WaitGroup
 	w.t.Cleanup(func() { stop(); group.Wait() })
@@ -110,18 +119,26 @@
 	}
 }
 
-func (w *town) await(want kqboard.State) kqboard.Status {
+// awaitEnd waits until every node tells the same final state.
+func (w *town) awaitEnd() kqboard.Status {
+	w.t.Helper()
+	return w.await(kqboard.Done, kqboard.TakenBack)
+}
+
+func (w *town) await(want ...kqboard.State) kqboard.Status {
 	w.t.Helper()
+	servers := slices.DeleteFunc(w.Servers(), func(s *kqfleet.Server) bool { return s == w.lost })
 	var last []kqboard.Status
 	for end := time.Now().Add(rolloutPatience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		agreed := 0
-		for _, s := range w.Servers() {
+		first := servers[0].Node.Rollouts()
+		for _, s := range servers {
 			last = s.Node.Rollouts()
-			if len(last) == 1 && last[0].State == want {
+			if len(last) == 1 && slices.Contains(want, last[0].State) && len(first) == 1 && last[0].State == first[0].State {
 				agreed++
 			}
 		}
-		if agreed == len(w.Servers()) {
+		if agreed == len(servers) {
 			return last[0]
 		}
 	}
@@ -133,6 +150,7 @@
 // the traffic is to be on it. If the move did not end by itself, operators would
 // have to watch it, and the old version's servers would stay bound.
 func TestGoodVersionGetsAllTraffic(t *testing.T) {
+	t.Parallel()
 	w := newTown(t, kqupstream.Behaviour{Work: 2 * time.Millisecond})
 	w.commit(0, plan(time.Now().Add(time.Second), 5*time.Second))
 	w.load()
@@ -145,6 +163,7 @@
 // A new version fails half of its calls. Callers notice for as long as it gets
 // any, so the move must end by itself, on all nodes, with the old version.
 func TestFailingVersionIsTakenBack(t *testing.T) {
+	t.Parallel()
 	w := newTown(t, kqupstream.Behaviour{Work: 2 * time.Millisecond, FailShare: 0.5})
 	w.commit(0, plan(time.Now(), 30*time.Second))
 	w.load()
