Hold no member to be dead by word alone, and test the recoveries

Cause: after a cut between regions healed, nodes merged the word of the other side that their own neighbours were dead, so each region's upstreams went out of service for a moment; two peers who said so were enough to pass the step of suspicion.

--- /dev/null
+++ b/internal/config/kqdelta/delta_test.go
@@ -0,0 +1,67 @@
+package kqdelta_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/kumquatgw/kumquatgw/internal/config/kqdelta"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+// root makes a root with an object for each given number.
+func root(t testing.TB, version int, marks ...int) (kqresource.Root, kqresource.Digest, []byte) {
+	t.Helper()
+	r := kqresource.Root{
+		Version: kqname.ConfigVersion(version),
+		Hosts:   make(map[kqname.Host]kqresource.Digest), Services: make(map[kqname.Service]kqresource.Digest),
+	}
+	for i, m := range marks {
+		r.Hosts[kqname.Host(fmt.Sprintf("host-%d", i))] = kqresource.DigestOf([]byte{byte(m)})
+		r.Services[kqname.Service(fmt.Sprintf("service-%d", i))] = kqresource.DigestOf([]byte{byte(m), 1})
+	}
+	data, err := kqresource.Encode(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, kqresource.DigestOf(data), data
+}
+
+func TestDeltaLeadsToTheNewerRoot(t *testing.T) {
+	old, oldDigest, _ := root(t, 3, 1, 2, 3, 4)
+	for _, marks := range [][]int{{1, 2, 3, 4}, {1, 9, 3, 4}, {1, 2}, {1, 2, 3, 4, 5, 6}, nil} {
+		next, nextDigest, want := root(t, 7, marks...)
+		got, data, err := kqdelta.Between(old, next, oldDigest, nextDigest).Apply(old, oldDigest)
+		if err != nil || string(data) != string(want) || got.Version != 7 {
+			t.Errorf("%v: version %d, %v", marks, got.Version, err)
+		}
+	}
+}
+
+// FuzzApply feeds deltas as a broken peer could send them. Whatever comes out of
+// one is the root that the delta named, or an error.
+func FuzzApply(f *testing.F) {
+	old, oldDigest, _ := root(f, 3, 1, 2, 3)
+	for _, marks := range [][]int{{1, 2}, {4, 5, 6}, {1, 2, 3, 4}} {
+		next, nextDigest, _ := root(f, 4, marks...)
+		data, err := cbor.Marshal(kqdelta.Between(old, next, oldDigest, nextDigest))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+		f.Add(data[:len(data)/2])
+		data[len(data)/3] ^= 0x55
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var d kqdelta.Delta
+		if cbor.Unmarshal(data, &d) != nil {
+			return
+		}
+		if _, got, err := d.Apply(old, oldDigest); err == nil && kqresource.DigestOf(got) != d.Result {
+			t.Fatal("applied to another root than the delta named")
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/kqreader/reader_test.go
@@ -0,0 +1,82 @@
+package kqreader_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/config/kqreader"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+// idle is a watcher that counts how many run.
+type idle struct{ running *atomic.Int64 }
+
+func (i idle) Run(ctx context.Context) {
+	i.running.Add(1)
+	defer i.running.Add(-1)
+	<-ctx.Done()
+}
+
+// A reader is paused for longer than its lease, somebody else takes its slot,
+// and it wakes. It must notice by the platform's refusal and stop watching, or
+// the platform's load would grow with every pause.
+func TestReaderThatWokeAfterItsLeaseGivesUp(t *testing.T) {
+	platform := kqstandin.New()
+	var running atomic.Int64
+	var reads atomic.Bool
+	table := kqmember.NewTable(kqmember.Member{Node: "a", Domain: "one", Control: "127.0.0.1:1"})
+	r := kqreader.New(platform, table, idle{&running}, 0, func(context.Context, kqname.Address) {},
+		func(_ context.Context, on bool) { reads.Store(on) }, func(error) {})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); r.Run(ctx) }()
+	await(t, "it reads", func() bool { return reads.Load() && running.Load() == 1 })
+
+	platform.SetFaults(kqstandin.Faults{LapseLeases: true})
+	for slot := range 2 {
+		// Others hold both slots now.
+		if _, err := platform.Swap(ctx, kqreader.SlotKey("one", slot), 0, []byte("127.0.0.1:2"), ""); err != nil {
+			t.Fatal(err)
+		}
+	}
+	table.Merge(kqmember.Member{Node: "b", Domain: "one", Control: "127.0.0.1:2", Reader: true, Incarnation: 1})
+	table.Merge(kqmember.Member{Node: "c", Domain: "one", Control: "127.0.0.1:2", Reader: true, Incarnation: 1})
+	await(t, "it gives up", func() bool { return !reads.Load() && running.Load() == 0 })
+	cancel()
+	<-done
+}
+
+// A domain's reader is shut down. It frees its slot, so that its stand-by need
+// not wait for the lease to lapse.
+func TestLeavingReaderFreesItsSlot(t *testing.T) {
+	platform := kqstandin.New()
+	var running atomic.Int64
+	table := kqmember.NewTable(kqmember.Member{Node: "a", Domain: "one", Control: "127.0.0.1:1"})
+	r := kqreader.New(platform, table, idle{&running}, 0, func(context.Context, kqname.Address) {},
+		func(context.Context, bool) {}, func(error) {})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); r.Run(ctx) }()
+	await(t, "it reads", func() bool { return running.Load() == 1 })
+	r.Close(ctx)
+	for slot := range 2 {
+		if e, err := platform.Get(ctx, kqreader.SlotKey("one", slot)); err == nil {
+			t.Errorf("slot %d is still %s's", slot, e.Value)
+		}
+	}
+	cancel()
+	<-done
+}
+
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
--- a/internal/config/kqwatch/watch.go
+++ b/internal/config/kqwatch/watch.go
@@ -31,15 +31,27 @@
 
 	// Watcher hands each root that it sees to its receiver.
 	Watcher struct {
+		poll    time.Duration
 		store   Store
 		receive func(context.Context, kqresource.Root)
 		failed  func(error)
 	}
+
+	// Option sets up a Watcher.
+	Option func(*Watcher)
 )
 
+// WithPoll sets how often the root is read beside the watch. It bounds how long
+// a watch that went silent can keep a version from the fleet.
+func WithPoll(every time.Duration) Option { return func(w *Watcher) { w.poll = every } }
+
 // New returns a watcher; failed is told of each call that went wrong.
-func New(store Store, receive func(context.Context, kqresource.Root), failed func(error)) *Watcher {
-	return &Watcher{store: store, receive: receive, failed: failed}
+func New(store Store, receive func(context.Context, kqresource.Root), failed func(error), options ...Option) *Watcher {
+	w := &Watcher{store: store, receive: receive, failed: failed, poll: pollEvery}
+	for _, o := range options {
+		o(w)
+	}
+	return w
 }
 
 // Run follows the root until ctx ends.
@@ -57,7 +69,7 @@
 		})
 	})
 	group.Go(func() {
-		w.repeat(ctx, pollEvery, func() error {
+		w.repeat(ctx, w.poll, func() error {
 			e, err := w.store.Get(ctx, kqcommit.RootKey)
 			if err != nil {
 				return err
@@ -84,7 +96,8 @@
 	backoff := backoffBase
 	for ctx.Err() == nil {
 		wait := pause
-		if err := step(); err != nil && !errors.Is(err, kqstore.ErrNotFound) {
+		err := step()
+		if err != nil && !errors.Is(err, kqstore.ErrNotFound) {
 			if ctx.Err() == nil {
 				w.failed(err)
 			}
@@ -92,6 +105,11 @@
 			backoff = min(backoff*2, backoffMost)
 		} else {
 			backoff = backoffBase
+			if err != nil {
+				// A service that answers at once that nothing changed would
+				// otherwise be asked as fast as it can answer.
+				wait = max(wait, backoffBase)
+			}
 		}
 		if wait > 0 {
 			select {
--- /dev/null
+++ b/internal/config/kqwatch/watch_test.go
@@ -0,0 +1,46 @@
+package kqwatch_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqwatch"
+	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+// The platform answers, but the waiting watch never does, though the root has
+// changed. Without the poll beside it, an operator's change would be accepted
+// and never come into force.
+func TestVersionComesThroughWhenTheWatchIsSilent(t *testing.T) {
+	platform := kqstandin.New()
+	platform.SetFaults(kqstandin.Faults{SilentWatch: true})
+	seen := make(chan kqname.ConfigVersion, 100)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	w := kqwatch.New(platform, func(_ context.Context, r kqresource.Root) { seen <- r.Version },
+		func(err error) { t.Errorf("platform failed: %v", err) }, kqwatch.WithPoll(5*time.Millisecond))
+	go func() { defer close(done); w.Run(ctx) }()
+	for v := kqname.ConfigVersion(1); v <= 3; v++ {
+		data, err := kqresource.Encode(kqresource.Root{Version: v})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := platform.Put(ctx, kqcommit.RootKey, data, kqstore.NoLease); err != nil {
+			t.Fatal(err)
+		}
+		for got := kqname.ConfigVersion(0); got < v; {
+			select {
+			case got = <-seen:
+			case <-time.After(20 * time.Second):
+				t.Fatalf("version %d never came", v)
+			}
+		}
+	}
+	cancel()
+	<-done
+}
--- a/internal/peer/kqexchange/exchange.go
+++ b/internal/peer/kqexchange/exchange.go
@@ -174,7 +174,7 @@
 		if old, _ := e.table.Find(v.Node); v.Judgement == kqsuspicion.Dead || old.State == kqmember.Leaving {
 			m.State = kqmember.Dead
 		}
-		if e.table.Merge(m) {
+		if e.table.Declare(m) {
 			e.enqueue(m)
 		}
 	}
--- a/internal/peer/kqmember/member.go
+++ b/internal/peer/kqmember/member.go
@@ -135,6 +135,35 @@
 // A record that holds this node itself to be gone is refuted by an incarnation
 // over its own: a node that was only slow would otherwise stay out for ever.
 func (t *Table) Merge(m Member) bool {
+	if !m.sound() {
+		return false
+	}
+	t.mu.Lock()
+	if old, ok := t.members[m.Node]; ok && m.State == Dead && old.State < Leaving && m.Incarnation == old.Incarnation {
+		// Nodes that were cut off hold everybody beyond the cut to be dead. When
+		// the cut heals, their word must not take healthy upstreams out of
+		// service, however many repeat it: whoever holds a member to be alive
+		// gives it the time to refute.
+		m.State = Suspect
+	}
+	merged, news := t.merge(m)
+	t.mu.Unlock()
+	if news {
+		t.tell(merged)
+	}
+	return news
+}
+
+// sound reports whether a record can stand for a member at all; one that cannot
+// comes from a broken peer, and calls must not be led by it.
+func (m Member) sound() bool {
+	return m.Node != "" && m.Control != "" && m.State <= Dead &&
+		!slices.ContainsFunc(m.Upstreams, func(u Upstream) bool { return u.Slots < 1 })
+}
+
+// Declare takes in what this node itself finds out about a member: unlike
+// Merge, it believes in a death at once.
+func (t *Table) Declare(m Member) bool {
 	t.mu.Lock()
 	merged, news := t.merge(m)
 	t.mu.Unlock()
@@ -157,12 +186,6 @@
 	if ok && cmp.Or(cmp.Compare(m.Incarnation, old.Incarnation), cmp.Compare(m.State, old.State)) <= 0 {
 		return old, false
 	}
-	if ok && m.State == Dead && old.State == Alive && m.Incarnation == old.Incarnation {
-		// Nodes that were cut off hold everybody beyond the cut to be dead. When
-		// the cut heals, their word must not take healthy upstreams out of
-		// service: whoever holds a member to be alive gives it time to refute.
-		m.State = Suspect
-	}
 	t.members[m.Node] = m
 	if m.State != Dead {
 		delete(t.gone, m.Node)
--- /dev/null
+++ b/internal/run/kqnode/fuzz_test.go
@@ -0,0 +1,76 @@
+package kqnode_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqnode"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
+)
+
+// methods are all that peers may ask a node for.
+var methods = []string{"m.b", "m.c", "m.n", "c.p", "c.r", "c.o", "s.o", "s.d"}
+
+// plain sends and receives bytes as they are.
+type plain struct{}
+
+func (plain) Marshal(m drpc.Message) ([]byte, error)      { return *m.(*[]byte), nil }
+func (plain) Unmarshal(data []byte, m drpc.Message) error { *m.(*[]byte) = data; return nil }
+
+// FuzzPeerMessages sends messages as a broken peer could. The node may refuse
+// them, and must go on: a panic would take a server's calls with it.
+func FuzzPeerMessages(f *testing.F) {
+	s := kqsettings.Default()
+	s.Node.Name, s.Node.Domain = "fuzzed", "one"
+	s.Node.EntryListen, s.Node.LocalListen, s.Node.GateListen, s.Node.ControlListen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	n, err := kqnode.New(s, kqstandin.New())
+	if err != nil {
+		f.Fatal(err)
+	}
+	ctx, kill := context.WithCancelCause(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = n.Run(ctx) }()
+	f.Cleanup(func() { kill(kqnode.ErrKilled); <-done })
+
+	for method := range methods {
+		for _, body := range []any{
+			map[int]any{1: "peer", 2: map[int]any{1: 1, 2: []int{1, 2}, 3: 9, 4: 1}},
+			map[int]any{1: "peer", 2: map[int]any{1: []uint64{1, 2, 3}}},
+			map[int]any{1: "peer", 2: map[int]any{1: []any{map[int]any{1: "x", 6: 1, 7: 200, 9: []any{map[int]any{1: "s", 3: -1}}}}}},
+			map[int]any{1: "peer", 2: map[int]any{1: 1 << 62, 2: make([]byte, 32)}},
+			[]any{},
+			"text",
+		} {
+			data, err := cbor.Marshal(body)
+			if err != nil {
+				f.Fatal(err)
+			}
+			f.Add(byte(method), data)
+		}
+		f.Add(byte(method), []byte{0x28, 0xb5, 0x2f, 0xfd, 0, 1, 2})
+		f.Add(byte(method), []byte{0xbf})
+	}
+	f.Fuzz(func(t *testing.T, method byte, data []byte) {
+		raw, err := net.Dial("tcp", string(n.ControlAddress()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn := drpcconn.New(raw)
+		defer func() { _ = conn.Close() }()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		var answer []byte
+		// An error is an answer too; what matters is the node's next one.
+		_ = conn.Invoke(ctx, methods[int(method)%len(methods)], plain{}, &data, &answer)
+		if n.Ready() {
+			t.Fatal("a message made an empty node ready")
+		}
+	})
+}
