--- a/internal/lab/kqplayers/players.go
+++ b/internal/lab/kqplayers/players.go
@@ -11,8 +11,9 @@
 // All returns the players by the name that a trace's head gives.
 func All() map[string]kqreplay.Maker {
 	return map[string]kqreplay.Maker{
-		"load":  newLoad,
-		"slots": newSlots,
+		"load":    newLoad,
+		"rollout": newRollout,
+		"slots":   newSlots,
 	}
 }
 
--- /dev/null
+++ b/internal/lab/kqsurvey/record.go
@@ -0,0 +1,87 @@
+package kqsurvey
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqtick"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqworld"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqplan"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqstep"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqverdict"
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+)
+
+type (
+	head struct {
+		Kind     string   `json:"kind"`
+		Decision string   `json:"decision"`
+		Seed     uint64   `json:"seed"`
+		Settings settings `json:"settings"`
+	}
+
+	settings struct {
+		Prefer     kqdocument.Preference `json:"prefer"`
+		WindowMS   int64                 `json:"window_ms"`
+		SmallShare float64               `json:"small_share"`
+	}
+
+	line struct {
+		Kind  string `json:"kind"`
+		AtMS  int64  `json:"at_ms"`
+		Input any    `json:"input,omitempty"`
+		// Expect is what the recorded run came to.
+		Expect any `json:"expect,omitempty"`
+	}
+
+	expectation struct {
+		State string `json:"state"`
+		Step  int    `json:"step"`
+	}
+)
+
+// Record plays one rollout of a kind and writes it as a trace that states how
+// it ended. It returns the last second played.
+func Record(out io.Writer, kind kqworld.Kind, seed, index uint64, prefer kqdocument.Preference) (bool, error) {
+	w := kqworld.New(kind, seed, index)
+	start := time.UnixMilli(0)
+	t := &trial{world: w, judge: kqverdict.New(), shown: -1, plan: kqplan.Plan{
+		Name: "move", Start: start, Deadline: start.Add(w.Window), Prefer: prefer, SmallShare: 0.05,
+	}}
+	e := json.NewEncoder(out)
+	err := e.Encode(head{"trace", "rollout", seed, settings{prefer, w.Window.Milliseconds(), 0.05}})
+	end := expectation{State: "running"}
+	for at := 0; err == nil && at < int(w.Window/tick) && end.State == "running"; at++ {
+		s := w.Tick(at, kqstep.Share(t.plan, t.progress.Step), t.progress.Step <= kqstep.Small)
+		t.judge.Observe(s.Sample)
+		d := t.decide(start.Add(time.Duration(at+1) * tick))
+		input := kqtick.Tick{Sample: s.Sample}
+		input.OldSlots, input.NewSlots, input.ColdSlots = w.Slots(at)
+		ms := int64(at+1) * tick.Milliseconds()
+		err = e.Encode(line{Kind: "input", AtMS: ms, Input: input})
+		end.note(d, t)
+		if end.State != "running" && err == nil {
+			err = e.Encode(line{Kind: "outcome", AtMS: ms, Expect: end})
+		}
+	}
+	if err != nil {
+		return false, fmt.Errorf("record %s: %w", kind, err)
+	}
+	return (end.State == "done") == kind.Good() && end.State != "running", nil
+}
+
+// note takes in a decision.
+func (x *expectation) note(d kqstep.Decision, t *trial) {
+	switch d.Action {
+	case kqstep.Advance:
+		t.progress.Step++
+	case kqstep.Done:
+		x.State = "done"
+	case kqstep.TakeBack:
+		x.State = "taken back"
+	case kqstep.Hold:
+	}
+	x.Step = t.progress.Step
+}
--- a/internal/rollout/kqevidence/evidence.go
+++ b/internal/rollout/kqevidence/evidence.go
@@ -38,8 +38,9 @@
 
 	// Pair holds both versions' cells of one route over the same seconds.
 	Pair struct {
-		Route    kqname.Route
-		Old, New Cell
+		Route kqname.Route `json:"route"`
+		Old   Cell         `json:"old"`
+		New   Cell         `json:"new"`
 	}
 
 	// Sample holds the pairs of one span of time.
--- a/internal/run/kqcommand/measure_rollouts.go
+++ b/internal/run/kqcommand/measure_rollouts.go
@@ -1,12 +1,21 @@
 package kqcommand
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
 
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqsurvey"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqworld"
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 )
 
+// recordTries is how many rollouts of a kind are played for its trace.
+const recordTries = 40
+
 func (c *Command) addMeasureRollouts() {
 	clause := c.measure.Command("rollouts", "Play seeded rollouts of good and bad versions in virtual time.")
 	seed := clause.Flag("seed", "Seed; equal seeds give equal reports.").Default("1").Uint64()
@@ -14,7 +23,11 @@
 	workers := clause.Flag("workers", "Rollouts played at a time.").Default("4").Int()
 	asJSON := clause.Flag("json", "Print JSON.").Bool()
 	file := plotFlag(clause)
+	record := clause.Flag("record", "Write a short trace of each kind into this directory instead.").String()
 	c.add(clause, func(context.Context) error {
+		if *record != "" {
+			return recordRollouts(*record, *seed)
+		}
 		report := kqsurvey.New(*seed, kqsurvey.WithCount(*count), kqsurvey.WithWorkers(*workers)).Run()
 		if err := c.draw(*file, rolloutsPlot(report)); err != nil {
 			return err
@@ -27,6 +40,29 @@
 	})
 }
 
+// recordRollouts writes, of a few rollouts of each kind that ended as they
+// should, the one with the shortest trace.
+func recordRollouts(directory string, seed uint64) error {
+	for _, kind := range kqworld.Kinds {
+		var shortest []byte
+		for index := range uint64(recordTries) {
+			var trace bytes.Buffer
+			right, err := kqsurvey.Record(&trace, kind, seed, index, kqdocument.PreferTakingBack)
+			if err != nil {
+				return err
+			}
+			if right && (shortest == nil || trace.Len() < len(shortest)) {
+				shortest = trace.Bytes()
+			}
+		}
+		name := filepath.Join(directory, "rollout_"+strings.ReplaceAll(string(kind), ".", "_")+".jsonl")
+		if err := os.WriteFile(name, shortest, 0o644); err != nil {
+			return fmt.Errorf("write trace: %w", err)
+		}
+	}
+	return nil
+}
+
 func (c *Command) printSurvey(report kqsurvey.Report) {
 	for _, p := range report.Policies {
 		fmt.Fprintf(c.out, "%s by %s: %.1f%% of %d good on time, %.1f%% of %d bad taken back, largest bad share %.1f%%, %.0f s after showing (p99)\n",
