Let restarted nodes ask, and operators ask any node

Cause: a node that restarted during an outage of the platform heard of a taken-back move only once its owner spoke, and could have begun it anew as its acting owner; nodes that do not hold a service could not tell operators of its moves; calls to a failing platform were tried ten times a second. Change: a node that meets a plan tells that it knows nothing, and three nodes of the service answer; owners tell a status for all nodes; a failed call pauses for a second; a gauge counts rollouts by state. Conclusion: a taken-back version stays out on restarted nodes without the platform. Ruled out: answers from every node, a message from each to each for one restart.

--- a/internal/rollout/kqboard/status.go
+++ b/internal/rollout/kqboard/status.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqevidence"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqplan"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqprogress"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqstep"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -66,12 +67,24 @@
 	for _, e := range b.all() {
 		list = append(list, e.status(now))
 	}
-	slices.SortFunc(list, func(a, b Status) int {
-		return cmp.Or(a.Start.Compare(b.Start), cmp.Compare(a.Rollout, b.Rollout))
-	})
+	slices.SortFunc(list, Compare)
 	return list
 }
 
+// Status returns one rollout as operators read it.
+func (b *Board) Status(id kqplan.ID, now time.Time) (Status, bool) {
+	e, ok := b.entry(id)
+	if !ok {
+		return Status{}, false
+	}
+	return e.status(now), true
+}
+
+// Compare orders rollouts by start and name.
+func Compare(a, b Status) int {
+	return cmp.Or(a.Start.Compare(b.Start), cmp.Compare(a.Rollout, b.Rollout))
+}
+
 func (e *entry) status(now time.Time) Status {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/rollout/kqowner/owner.go
+++ b/internal/rollout/kqowner/owner.go
@@ -32,7 +32,10 @@
 	// is counted from before the call, by the holder's own clock, so that a
 	// holder that was paused stops before the platform lets the lease lapse.
 	trusted = TTL * 2 / 3
-	prefix  = "kumquatgw/rollouts/"
+	// retryEvery is the pause after a call that failed: a platform that comes
+	// back must not meet every node at once, over and over.
+	retryEvery = time.Second
+	prefix     = "kumquatgw/rollouts/"
 )
 
 type (
@@ -63,6 +66,7 @@
 	hold struct {
 		read     bool
 		down     bool
+		pause    time.Time
 		lease    kqstore.Lease
 		renewed  time.Time
 		until    time.Time
@@ -101,7 +105,7 @@
 // the final state.
 func (o *Owner) Work(ctx context.Context, v kqboard.View, candidate bool, now time.Time) error {
 	h := o.hold(v.Plan.ID)
-	if !v.Progress.Open() {
+	if !v.Progress.Open() || now.Before(h.pause) {
 		return nil
 	}
 	err := o.work(ctx, h, v, candidate, now)
@@ -109,6 +113,7 @@
 	defer o.mu.Unlock()
 	h.down = err != nil && !errors.Is(err, kqstore.ErrConflict) && !errors.Is(err, kqstore.ErrLeaseLapsed)
 	if err != nil {
+		h.pause = now.Add(retryEvery)
 		return fmt.Errorf("work on rollout %s: %w", v.Plan.Name, err)
 	}
 	return nil
--- a/internal/run/kqnode/rollout.go
+++ b/internal/run/kqnode/rollout.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
@@ -15,25 +14,18 @@
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
-	"github.com/kumquatgw/kumquatgw/internal/peer/kqspread"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqboard"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqledger"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqowner"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqplan"
-	"github.com/kumquatgw/kumquatgw/internal/rollout/kqprogress"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
 const (
-	topicEvidence kqspread.Topic = "rollout.evidence"
-	topicProgress kqspread.Topic = "rollout.progress"
-
 	rolloutTick = 100 * time.Millisecond
 	// tellEvery is how often an owner repeats its progress, for whoever missed
 	// it or has just started.
 	tellEvery = time.Second
-	// answerEvery bounds how often a node answers a peer that lacks progress.
-	answerEvery = time.Second
 	// settle is how long a node that has just met a plan listens before it may
 	// step it without the platform.
 	settle = 3 * time.Second
@@ -41,45 +33,33 @@
 
 type (
 	rollouts struct {
-		node   *Node
-		board  *kqboard.Board
-		owner  *kqowner.Owner
-		outbox chan outgoing
+		node  *Node
+		board *kqboard.Board
+		owner *kqowner.Owner
 
+		// told is when this node last told of a plan; only tick uses it.
 		told     map[kqplan.ID]time.Time
 		answered atomic.Int64
-	}
-
-	outgoing struct {
-		topic   kqspread.Topic
-		payload []byte
-	}
-
-	evidenceMessage struct {
-		Plan   kqplan.ID       `cbor:"1,keyasint"`
-		Report kqledger.Report `cbor:"2,keyasint"`
-	}
-
-	progressMessage struct {
-		Plan     kqplan.ID           `cbor:"1,keyasint"`
-		Progress kqprogress.Progress `cbor:"2,keyasint"`
-		// Owner tells that the sender owns the rollout.
-		Owner bool `cbor:"3,keyasint,omitempty"`
+		relayed  relay
 	}
 )
 
 // joinRollouts joins the rollout flow: count, collect, weigh, step and tell.
 func (n *Node) joinRollouts() *rollouts {
 	self := kqledger.Source{Node: n.settings.Node.Name, Boot: uint64(n.started.UnixNano())}
-	r := &rollouts{node: n, board: kqboard.New(self, n.table), outbox: make(chan outgoing, 64), told: make(map[kqplan.ID]time.Time)}
+	r := &rollouts{node: n, board: kqboard.New(self, n.table), told: make(map[kqplan.ID]time.Time)}
 	r.owner = kqowner.New(n.settings.Node.Name, n.store, r.board)
+	n.metrics.Registry().MustRegister(r.gauge())
 	n.spreader.Subscribe(topicEvidence, r.hearEvidence)
 	n.spreader.Subscribe(topicProgress, r.hearProgress)
 	return r
 }
 
-// Rollouts returns the node's view of the rollouts.
-func (n *Node) Rollouts() []kqboard.Status { return n.rollouts.board.Statuses(time.Now()) }
+// Rollouts returns the rollouts of the services that the node holds, and what
+// the owners of others have told.
+func (n *Node) Rollouts() []kqboard.Status {
+	return n.rollouts.relayed.beside(n.rollouts.board.Statuses(time.Now()))
+}
 
 // Split implements kqentry.Splitter.
 func (r *rollouts) Split(s kqresource.Service, _ *kqcall.Call) kqpick.Target {
@@ -107,7 +87,6 @@
 func (r *rollouts) run(ctx context.Context) {
 	var group conc.WaitGroup
 	defer group.Wait()
-	group.Go(func() { r.send(ctx) })
 	group.Go(func() { every(ctx, rolloutTick, r.tick) })
 	group.Go(func() { every(ctx, rolloutTick, func(now time.Time) { r.work(ctx, now) }) })
 }
@@ -129,9 +108,12 @@
 		if changed {
 			r.node.logger.Part("rollout").Info(text)
 		}
-		if changed || owner && now.Sub(r.told[id]) >= tellEvery {
+		// A node that has just met a plan tells that it knows nothing of it, and
+		// those who know more answer.
+		_, met := r.told[id]
+		if changed || !met || owner && now.Sub(r.told[id]) >= tellEvery {
 			r.told[id] = now
-			r.tell(id, owner)
+			r.tell(id, owner, now)
 		}
 	}
 }
@@ -189,61 +171,6 @@
 	}
 }
 
-func (r *rollouts) tell(id kqplan.ID, owner bool) {
-	if p, ok := r.board.Progress(id); ok {
-		r.publish(topicProgress, progressMessage{Plan: id, Progress: p, Owner: owner})
-	}
-}
-
-func (r *rollouts) hearEvidence(_ kqname.Node, payload []byte) {
-	var m evidenceMessage
-	if cbor.Unmarshal(payload, &m) == nil {
-		r.board.Merge(m.Plan, m.Report)
-	}
-}
-
-// hearProgress joins what a peer knows, and answers one that lacks something:
-// a restarted node must not send to a version that was taken back.
-func (r *rollouts) hearProgress(from kqname.Node, payload []byte) {
-	var m progressMessage
-	if cbor.Unmarshal(payload, &m) != nil {
-		return
-	}
-	now := time.Now()
-	if m.Owner {
-		r.board.Owned(m.Plan, from, now)
-	}
-	_, stale := r.board.Join(m.Plan, m.Progress)
-	last := r.answered.Load()
-	if stale && now.UnixNano()-last >= int64(answerEvery) && r.answered.CompareAndSwap(last, now.UnixNano()) {
-		r.tell(m.Plan, false)
-	}
-}
-
-// publish hands a message to the sender. A full outbox drops it: every message
-// tells the whole state and the next one makes up for it.
-func (r *rollouts) publish(topic kqspread.Topic, message any) {
-	payload, err := cbor.Marshal(message)
-	if err != nil {
-		return
-	}
-	select {
-	case r.outbox <- outgoing{topic, payload}:
-	default:
-	}
-}
-
-func (r *rollouts) send(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case o := <-r.outbox:
-			r.node.spreader.Publish(ctx, o.topic, o.payload)
-		}
-	}
-}
-
 func every(ctx context.Context, period time.Duration, f func(now time.Time)) {
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
--- a/internal/run/kqnode/rollout_fault_test.go
+++ b/internal/run/kqnode/rollout_fault_test.go
@@ -1,6 +1,7 @@
 package kqnode_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -90,13 +91,16 @@
 		}
 	}
 	before := w.ran()
-	again := w.Servers()[2]
+	again := w.Servers()[0]
 	again.Stop()
 	fresh, err := w.Restart(again)
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.until("the restarted server knows the move", func(*kqfleet.Server) bool { return len(fresh.Node.Rollouts()) == 1 })
+	w.until("the restarted server knows that it gets nothing", func(*kqfleet.Server) bool {
+		list := fresh.Node.Rollouts()
+		return len(list) == 1 && strings.HasPrefix(list[0].Why, "no traffic any more")
+	})
 	if after := w.ran(); after != before {
 		t.Errorf("a version without a share ran %d more calls", after-before)
 	}
