Accept every connected caller before a listener closes

Cause: a leaving node lets connections go with their answers, but the listener's close still reset connections that the kernel had set up and the node had not accepted yet, with calls on them. Change: before the close the kernel is told by a socket filter to drop new requests for connections, and what is in the accept queue is served for 100 ms; listeners are plain TCP, since multipath ones take no filter. Elsewhere than on Linux the small window stays open.

--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -113,9 +113,11 @@
 	n.gate.Leave()
 	n.entry.Leave()
 	n.servers.emptied(ctx, callerGrace, n.servers.entry)
+	n.quiesce(ctx, RoleEntry, RoleLocal)
 	err := n.servers.shutdown(ctx, n.servers.entry, n.servers.local)
 	n.entry.Close()
 	n.servers.emptied(ctx, kqsend.IdleFor+sweepEvery, n.servers.gate)
+	n.quiesce(ctx, RoleGate)
 	return errors.Join(err, n.servers.shutdown(ctx, n.servers.gate))
 }
 
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -83,6 +83,8 @@
 		leaving      atomic.Bool
 		started      time.Time
 		wrap         func(Role, net.Listener) net.Listener
+		// callListeners are the bare listeners that take calls.
+		callListeners map[Role]*net.TCPListener
 	}
 
 	// Role names what a listener is for.
@@ -114,7 +116,8 @@
 func New(settings kqsettings.Settings, store kqstore.Store, options ...Option) (*Node, error) {
 	n := &Node{
 		settings: settings, store: store, logger: kqlog.Discard(), metrics: kqmetric.New(), started: time.Now(),
-		wrap: func(_ Role, l net.Listener) net.Listener { return l },
+		wrap:          func(_ Role, l net.Listener) net.Listener { return l },
+		callListeners: make(map[Role]*net.TCPListener),
 	}
 	for _, o := range options {
 		o(n)
@@ -272,6 +275,9 @@
 
 func (n *Node) listen() error {
 	s := n.settings.Node
+	// Draining needs plain TCP; see kqquiesce.
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
 	for _, l := range []struct {
 		role Role
 		to   *net.Listener
@@ -286,10 +292,13 @@
 		if l.at == "" {
 			continue
 		}
-		opened, err := net.Listen("tcp", string(l.at))
+		opened, err := config.Listen(context.Background(), "tcp", string(l.at))
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", l.at, err)
 		}
+		if tcp, ok := opened.(*net.TCPListener); ok && l.role != RoleControl && l.role != RoleAdmin {
+			n.callListeners[l.role] = tcp
+		}
 		*l.to = n.wrap(l.role, opened)
 	}
 	return nil
