Drive the demo through changes and faults, and count what callers receive

Cause: nothing showed the whole path under faults, counted from outside. Conclusion: every figure but the rollouts' state comes from callers, upstreams, the stand-in or the wire. Reading the nodes' own counters was ruled out, since they are what is under test.

--- a/internal/lab/kqdemo/demo.go
+++ b/internal/lab/kqdemo/demo.go
@@ -1,5 +1,3 @@
-// Package kqdemo runs the two users' deployments, small, on loopback in one
-// process.
 package kqdemo
 
 import (
@@ -11,54 +9,52 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqfleet"
-	"github.com/kumquatgw/kumquatgw/internal/lab/kqupstream"
-	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
 const (
-	readyWait = 10 * time.Second
-	readyPoll = 10 * time.Millisecond
+	readyWait = 20 * time.Second
+	pollEvery = 5 * time.Millisecond
 )
 
 type (
 	// Demo is the embedded deployment.
 	Demo struct {
-		fleet *kqfleet.Fleet
-		keys  *keys
-		out   io.Writer
-	}
+		fleet     *kqfleet.Fleet
+		keys      *keys
+		committer *kqcommit.Committer
+		out       io.Writer
+		progress  io.Writer
+		started   time.Time
 
-	deployment struct {
-		service kqname.Service
-		team    kqname.Team
-		region  kqname.Region
-		servers int
-		slots   int
-		work    time.Duration
+		state   state
+		version kqname.ConfigVersion
+		ledger  *ledger
+		crowd   *crowd
+		witness *witness
 	}
+
+	// Option sets up a Demo.
+	Option func(*Demo)
 )
 
-var deployments = []deployment{
-	{"storefront", "kauri-ridge", "nz-south", 4, 6, 4 * time.Millisecond},
-	{"woodshed", "kauri-ridge", "nz-south", 4, 6, 3 * time.Millisecond},
-	{"portail-lecteurs", "maison-diagne", "dakar", 4, 12, 4 * time.Millisecond},
-	{"bureau-redaction", "maison-diagne", "dakar", 4, 12, 3 * time.Millisecond},
-}
+// WithProgress sets where each step of the script is told as it begins.
+func WithProgress(w io.Writer) Option { return func(d *Demo) { d.progress = w } }
 
 // New returns a demo that prints to out.
-func New(out io.Writer) *Demo { return &Demo{out: out} }
+func New(out io.Writer, options ...Option) *Demo {
+	d := &Demo{out: out, progress: io.Discard, started: time.Now(), ledger: newLedger(), crowd: newCrowd()}
+	for _, o := range options {
+		o(d)
+	}
+	d.witness = newWitness(d.crowd)
+	return d
+}
 
 // Run starts everything, prints how to try it, and runs until ctx ends.
 func (d *Demo) Run(ctx context.Context) error {
-	var err error
-	if d.keys, err = newKeys(); err != nil {
-		return fmt.Errorf("start demo: %w", err)
-	}
-	defer d.keys.remove()
-	d.fleet = kqfleet.New(kqfleet.WithSettings(d.keys.adapt))
 	if err := d.start(ctx); err != nil {
-		return errors.Join(err, d.keys.err, d.fleet.Close())
+		return errors.Join(err, d.close())
 	}
 	first := d.fleet.Servers()[0]
 	fmt.Fprintf(d.out, "console  https://%s/ (its certificate is of the demo's own CA)\n", first.Node.AdminAddress())
@@ -70,64 +66,68 @@
 	fmt.Fprintf(d.out, "upstream kumquatgw upstream --service NAME --upstream-version v2 --node %s\n", first.Node.LocalAddress())
 	fmt.Fprintf(d.out, "try      curl -H 'Host: storefront' http://%s/catalogue\n", first.Node.EntryAddress())
 	<-ctx.Done()
-	if err := d.fleet.Close(); err != nil {
+	return d.close()
+}
+
+// close stops the servers and removes the keys.
+func (d *Demo) close() error {
+	if d.keys == nil {
+		return nil
+	}
+	defer d.keys.remove()
+	if err := errors.Join(d.keys.err, d.fleet.Close()); err != nil {
 		return fmt.Errorf("stop demo: %w", err)
 	}
 	return nil
 }
 
+// start opens the servers, commits the first document, and returns once every
+// service answers through every node.
 func (d *Demo) start(ctx context.Context) error {
+	var err error
+	if d.keys, err = newKeys(); err != nil {
+		return fmt.Errorf("start demo: %w", err)
+	}
+	d.fleet = kqfleet.New(kqfleet.WithSettings(d.keys.adapt))
+	d.committer = kqcommit.New(d.fleet.Platform)
 	for _, dep := range deployments {
 		for i := range dep.servers {
-			if _, err := d.fleet.Start(kqfleet.Spec{
-				Node:   kqname.Node(fmt.Sprintf("%s-%d", dep.service, i+1)),
-				Domain: kqname.Domain(fmt.Sprintf("%s-%d", dep.region, i%4+1)), Region: dep.region,
-				Service: dep.service, Version: "v1", Slots: dep.slots,
-				Behaviour: kqupstream.Behaviour{Work: dep.work}, Admin: len(d.fleet.Servers()) == 0,
-			}); err != nil {
+			s, err := d.fleet.Start(dep.spec(i, i == 0 && dep.service == deployments[0].service))
+			if err != nil {
 				return fmt.Errorf("start demo: %w", err)
 			}
+			s.Upstream.OnRun(d.ledger.ran)
+			d.crowd.open(s)
 		}
 	}
-	o, err := kqcommit.New(d.fleet.Platform).Commit(ctx, kqcommit.Request{
-		ID: "demo-1", Author: "demo", Reason: "first document", At: time.Now(), Document: Document(),
-	})
-	if err != nil {
+	if _, err := d.commit(ctx, "first document"); err != nil {
 		return fmt.Errorf("start demo: %w", err)
 	}
-	return d.await(ctx, o.Version)
-}
-
-// Document returns the document that the demo begins with.
-func Document() kqdocument.Document {
-	d := kqdocument.Document{
-		Teams: []kqdocument.Team{{Name: "kauri-ridge"}, {Name: "maison-diagne"}},
-		Policies: []kqdocument.Policy{
-			{Name: "finishing-first", Prefer: kqdocument.PreferFinishing},
-			{Name: "taking-back-first", Prefer: kqdocument.PreferTakingBack},
-		},
-	}
-	for _, dep := range deployments {
-		d.Services = append(d.Services, kqdocument.Service{Name: dep.service, Team: dep.team, Version: "v1"})
-		d.Routes = append(d.Routes, kqdocument.Route{
-			Name: kqname.Route(dep.service), Team: dep.team, Host: kqname.Host(dep.service), PathPrefix: "/", Service: dep.service,
-		})
-	}
-	return d
-}
-
-// await returns once every node has the version.
-func (d *Demo) await(ctx context.Context, v kqname.ConfigVersion) error {
 	ctx, cancel := context.WithTimeout(ctx, readyWait)
 	defer cancel()
-	for _, s := range d.fleet.Servers() {
-		for s.Node.Version() < v {
-			select {
-			case <-ctx.Done():
-				return fmt.Errorf("wait for version %d on %s: %w", v, s.Spec.Node, ctx.Err())
-			case <-time.After(readyPoll):
+	for _, e := range d.crowd.entries() {
+		for _, dep := range deployments {
+			if err := d.crowd.await(ctx, e, kqname.Host(dep.service)); err != nil {
+				return fmt.Errorf("start demo: %w", err)
 			}
 		}
 	}
 	return nil
 }
+
+// commit puts the current state's document in force and returns when the
+// commit began.
+func (d *Demo) commit(ctx context.Context, reason string) (time.Time, error) {
+	began := time.Now()
+	o, err := d.committer.Commit(ctx, kqcommit.Request{
+		ID: fmt.Sprintf("demo-%d", d.version+1), Base: d.version, Author: "demo", Reason: reason, At: began, Document: d.state.document(),
+	})
+	if err != nil {
+		return began, fmt.Errorf("commit %s: %w", reason, err)
+	}
+	if o.Status != kqcommit.Committed {
+		return began, fmt.Errorf("commit %s: ended as %s", reason, o.Status)
+	}
+	d.version = o.Version
+	return began, nil
+}
--- /dev/null
+++ b/internal/lab/kqdemo/deployment.go
@@ -0,0 +1,143 @@
+package kqdemo
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqfleet"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqupstream"
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	oldVersion kqname.UpstreamVersion = "v1"
+	newVersion kqname.UpstreamVersion = "v2"
+
+	domains = 4
+	// longWork is what calls to a path under longPath take; those under
+	// latePath, which fits longPath too, have less time than that.
+	longWork    = 80 * time.Millisecond
+	longPath    = "/l"
+	latePath    = "/late/"
+	galleryPath = "/galerie/"
+	rushPath    = "/rush/"
+	lateMS      = 40
+	rushMS      = 20
+	coldFor     = time.Second
+	coldWork    = 10 * time.Millisecond
+
+	probeHost    kqname.Host    = "probe"
+	probeService kqname.Service = "woodshed"
+)
+
+type (
+	deployment struct {
+		service kqname.Service
+		team    kqname.Team
+		region  kqname.Region
+		servers int
+		slots   int
+		work    time.Duration
+		// callers call without end, each with this pause in between.
+		callers int
+		pause   time.Duration
+		policy  kqname.Policy
+		// next is how the new version answers; bad tells whether it must be
+		// taken back.
+		next kqupstream.Behaviour
+		bad  bool
+	}
+
+	// state is what the document in force says.
+	state struct {
+		// probes is how many routes the probe host has.
+		probes int
+		// moved leads the storefront's /stock/ to the woodshed.
+		moved           bool
+		rollouts        bool
+		start, deadline time.Time
+	}
+)
+
+var deployments = []deployment{
+	{
+		service: "storefront", team: "kauri-ridge", region: "nz-south", servers: 4, slots: 6, work: 4 * time.Millisecond,
+		callers: 8, pause: 20 * time.Millisecond, policy: "finishing-first",
+		next: kqupstream.Behaviour{Work: 4 * time.Millisecond, ColdFor: coldFor, ColdWork: coldWork},
+	},
+	{
+		service: "woodshed", team: "kauri-ridge", region: "nz-south", servers: 4, slots: 6, work: 3 * time.Millisecond,
+		callers: 8, pause: 20 * time.Millisecond, policy: "finishing-first", bad: true,
+		next: kqupstream.Behaviour{Work: 3 * time.Millisecond, FailShare: 1},
+	},
+	{
+		service: "portail-lecteurs", team: "maison-diagne", region: "dakar", servers: 4, slots: 12, work: 4 * time.Millisecond,
+		callers: 8, pause: 20 * time.Millisecond, policy: "taking-back-first", bad: true,
+		next: kqupstream.Behaviour{Work: 4 * time.Millisecond, FailShare: 1, FailPath: galleryPath},
+	},
+	{
+		service: "bureau-redaction", team: "maison-diagne", region: "dakar", servers: 4, slots: 12, work: 20 * time.Millisecond,
+		callers: 24, pause: 15 * time.Millisecond, policy: "taking-back-first", bad: true,
+		next: kqupstream.Behaviour{Work: 20 * time.Millisecond, SlowAbove: 2, SlowFactor: 5},
+	},
+}
+
+func (d deployment) spec(i int, admin bool) kqfleet.Spec {
+	return kqfleet.Spec{
+		Node:   kqname.Node(fmt.Sprintf("%s-%d", d.service, i+1)),
+		Domain: kqname.Domain(fmt.Sprintf("%s-%d", d.region, i%domains+1)), Region: d.region,
+		Service: d.service, Version: oldVersion, Slots: d.slots, Admin: admin,
+		Behaviour: kqupstream.Behaviour{Work: d.work, LongPath: longPath, LongWork: longWork},
+	}
+}
+
+func (d deployment) rollout() kqname.Rollout { return kqname.Rollout(string(d.service) + "-v2") }
+
+// Document returns the document that the demo begins with.
+func Document() kqdocument.Document { return state{}.document() }
+
+func (s state) document() kqdocument.Document {
+	d := kqdocument.Document{
+		Teams: []kqdocument.Team{{Name: "kauri-ridge"}, {Name: "maison-diagne"}},
+		Policies: []kqdocument.Policy{
+			{Name: "finishing-first", Prefer: kqdocument.PreferFinishing},
+			{Name: "taking-back-first", Prefer: kqdocument.PreferTakingBack},
+		},
+	}
+	for _, dep := range deployments {
+		d.Services = append(d.Services, kqdocument.Service{Name: dep.service, Team: dep.team, Version: oldVersion})
+		d.Routes = append(d.Routes, dep.routes()...)
+		if s.rollouts {
+			d.Rollouts = append(d.Rollouts, kqdocument.Rollout{
+				Name: dep.rollout(), Team: dep.team, Service: dep.service, From: oldVersion, To: newVersion,
+				Start: s.start, Deadline: s.deadline, Policy: dep.policy,
+			})
+		}
+	}
+	stock := kqdocument.Route{Name: "storefront-stock", Team: "kauri-ridge", Host: "storefront", PathPrefix: "/stock/", Service: "storefront"}
+	if s.moved {
+		stock.Service = "woodshed"
+	}
+	d.Routes = append(d.Routes, stock)
+	for i := range s.probes {
+		d.Routes = append(d.Routes, kqdocument.Route{
+			Name: kqname.Route(fmt.Sprintf("probe-%d", i+1)), Team: "kauri-ridge", Host: probeHost,
+			PathPrefix: probePath(i + 1), Service: probeService,
+		})
+	}
+	return d
+}
+
+func (d deployment) routes() []kqdocument.Route {
+	base := kqdocument.Route{Name: kqname.Route(d.service), Team: d.team, Host: kqname.Host(d.service), PathPrefix: "/", Service: d.service}
+	late, rush, gallery := base, base, base
+	late.Name, late.PathPrefix, late.TimeoutMS = base.Name+"-late", latePath, lateMS
+	rush.Name, rush.PathPrefix, rush.TimeoutMS = base.Name+"-rush", rushPath, rushMS
+	gallery.Name, gallery.PathPrefix = base.Name+"-galerie", galleryPath
+	return []kqdocument.Route{base, late, rush, gallery}
+}
+
+// probePath returns the path of the route that a document has from its n-th
+// probe on.
+func probePath(n int) string { return fmt.Sprintf("/v%d/", n) }
--- a/internal/lab/kqfleet/fleet.go
+++ b/internal/lab/kqfleet/fleet.go
@@ -82,7 +82,9 @@
 		s.Admin.Listen = loopback
 	}
 	s.Member.Seeds = f.seeds()
+	f.mu.Lock()
 	f.adapt(&s)
+	f.mu.Unlock()
 	server := &Server{Spec: spec, fleet: f, nodeDone: make(chan struct{})}
 	var err error
 	server.Node, err = kqnode.New(s, f.store, kqnode.WithLogger(f.logger), kqnode.WithListener(server.wrap))
--- a/internal/lab/kqupstream/upstream.go
+++ b/internal/lab/kqupstream/upstream.go
@@ -79,8 +79,14 @@
 		mu   sync.Mutex
 		runs map[string]int
 	}
+
+	silent struct{}
 )
 
+// Printf implements fasthttp.Logger: broken connections are what an upstream
+// that is killed is for.
+func (silent) Printf(string, ...any) {}
+
 // New opens an upstream of a service's version with the given slots; it
 // announces itself to the node whose local address is node.
 func New(service kqname.Service, version kqname.UpstreamVersion, slots int, node kqname.Address, b Behaviour) (*Upstream, error) {
@@ -98,7 +104,7 @@
 		runs:         make(map[string]int),
 	}
 	u.SetBehaviour(b)
-	u.server = &fasthttp.Server{Handler: u.handle, NoDefaultServerHeader: true, IdleTimeout: time.Minute}
+	u.server = &fasthttp.Server{Handler: u.handle, NoDefaultServerHeader: true, IdleTimeout: time.Minute, Logger: silent{}}
 	return u, nil
 }
 
--- a/internal/run/kqcommand/demo.go
+++ b/internal/run/kqcommand/demo.go
@@ -2,11 +2,46 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqdemo"
 )
 
 func (c *Command) addDemo() {
 	clause := c.app.Command("demo", "Run a small deployment on loopback, in one process.")
-	c.add(clause, func(ctx context.Context) error { return kqdemo.New(c.out).Run(ctx) })
+	once := clause.Flag("once", "Drive it through a script of changes and faults and end; exit 1 if an outcome is missed.").Bool()
+	asJSON := clause.Flag("json", "With --once, print one JSON object.").Bool()
+	c.add(clause, func(ctx context.Context) error {
+		switch {
+		case *once:
+			return c.demoOnce(ctx, *asJSON)
+		case *asJSON:
+			return errors.New("demo: --json needs --once")
+		default:
+			return kqdemo.New(c.out).Run(ctx)
+		}
+	})
+}
+
+func (c *Command) demoOnce(ctx context.Context, asJSON bool) error {
+	report, err := kqdemo.New(c.out, kqdemo.WithProgress(c.errors)).Once(ctx)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		if err := c.print(report); err != nil {
+			return err
+		}
+		return report.Check()
+	}
+	for _, o := range report.Outcomes {
+		verdict := "held  "
+		if !o.Held {
+			verdict = "MISSED"
+		}
+		fmt.Fprintf(c.out, "%s %s: %s\n", verdict, o.Name, o.Seen)
+	}
+	fmt.Fprintf(c.out, "convergence p99 %.0f ms; calls %+v; rollouts %+v\n", report.Convergence.P99, report.Calls, report.Rollouts)
+	return report.Check()
 }
