--- a/internal/lab/kqdemo/caller.go
+++ b/internal/lab/kqdemo/caller.go
@@ -41,6 +41,7 @@
 		fate       fate
 		reason     string
 		began      time.Time
+		ended      time.Time
 		// leaving tells that the entry was being stopped, and gracefully.
 		leaving bool
 		// forged tells that the call carried headers of the system's own.
@@ -132,7 +133,7 @@
 	if errors.As(err, &op) && op.Op == "dial" || errors.Is(err, fasthttp.ErrDialTimeout) {
 		return false
 	}
-	r.leaving = e.leaving.Load()
+	r.leaving, r.ended = e.leaving.Load(), time.Now()
 	r.fate, r.reason = c.judge(e, r, a, err)
 	c.records = append(c.records, r)
 	return true
--- a/internal/lab/kqdemo/faults.go
+++ b/internal/lab/kqdemo/faults.go
@@ -33,6 +33,9 @@
 		last atomic.Int64
 	}
 
+	// deaths is when servers were killed, and when the last one was dead.
+	deaths struct{ from, to time.Time }
+
 	// outage is what happened while the platform was away.
 	outage struct {
 		from, to time.Time
@@ -64,6 +67,9 @@
 	return max(time.Duration(d.last.Load()-d.at.UnixNano()), 0)
 }
 
+// around reports whether a call was under way while servers died.
+func (d deaths) around(r record) bool { return r.ended.After(d.from) && r.began.Before(d.to) }
+
 func (s *script) takePlatform(ctx context.Context) error {
 	platform := s.demo.fleet.Platform
 	s.outage.from = time.Now()
@@ -111,6 +117,7 @@
 		dead = append(dead, e)
 	}
 	var group conc.WaitGroup
+	s.deaths.from = time.Now()
 	for _, e := range dead {
 		e.killed.Store(true)
 		group.Go(e.server.Kill)
@@ -121,6 +128,7 @@
 	}
 	group.Wait()
 	time.Sleep(deadFor - noticed)
+	s.deaths.to = time.Now()
 	errs := make([]error, len(dead))
 	took := make([]time.Duration, len(dead))
 	for i, e := range dead {
--- a/internal/lab/kqdemo/outcomes.go
+++ b/internal/lab/kqdemo/outcomes.go
@@ -34,7 +34,9 @@
 	lost, crossed       []string
 	dangling            int
 	leaving, cutLeaving int
-	inOutage, answered  int
+	// cutAway counts calls that a gate saw cut while no server was dying.
+	cutAway            int
+	inOutage, answered int
 }
 
 func (s *script) count() tally {
@@ -42,6 +44,9 @@
 	for _, c := range s.callers {
 		for _, r := range c.records {
 			t.add(r, s.demo.ledger.times(r.work))
+			if r.fate == unknown && r.reason == string(kqcall.Cut) && !s.deaths.around(r) {
+				t.cutAway++
+			}
 			if !r.began.Before(s.outage.from) && r.began.Before(s.outage.to) {
 				t.inOutage++
 				if r.fate == answered {
--- a/internal/lab/kqdemo/script.go
+++ b/internal/lab/kqdemo/script.go
@@ -33,6 +33,7 @@
 		followed  []*followed
 		drained   drained
 		outage    outage
+		deaths    deaths
 		restarted []time.Duration
 		rogue     rogue
 		stopped   *entry
