Sum the member table as it changes, and forget the dead for good

Cause: each heartbeat hashed and each look sorted the whole table, so a node's processor time grew with the fleet; a dead record that one node forgot was brought back by the next that compared. Change: the summary follows each change and the sorted list is kept; the dead are not summed, and an incarnation that was forgotten is not taken in again. Conclusion: what is left is the heartbeats themselves, whose number does not depend on the fleet.

--- a/internal/peer/kqmember/member.go
+++ b/internal/peer/kqmember/member.go
@@ -69,7 +69,13 @@
 		members    map[kqname.Node]Member
 		candidates map[kqname.Service][]Candidate
 		gone       map[kqname.Node]time.Time
-		news       []func(Member)
+		// forgotten holds the incarnations of the dead that were dropped. Peers
+		// that still hold them would otherwise bring them back for ever.
+		forgotten map[kqname.Node]uint64
+		// summary and sorted follow members; sorted is nil until it is asked for.
+		summary Summary
+		sorted  []Member
+		news    []func(Member)
 	}
 )
 
@@ -80,8 +86,11 @@
 
 // NewTable returns a table that holds only the node itself.
 func NewTable(self Member) *Table {
-	t := &Table{self: self.Node, members: make(map[kqname.Node]Member), gone: make(map[kqname.Node]time.Time)}
-	t.members[self.Node] = self
+	t := &Table{
+		self: self.Node, members: make(map[kqname.Node]Member),
+		gone: make(map[kqname.Node]time.Time), forgotten: make(map[kqname.Node]uint64),
+	}
+	t.set(self)
 	t.index()
 	return t
 }
@@ -112,7 +121,7 @@
 	m.Upstreams = slices.Clone(m.Upstreams)
 	change(&m)
 	m.Incarnation++
-	t.members[t.self] = m
+	t.set(m)
 	t.index()
 	t.mu.Unlock()
 	t.tell(m)
@@ -127,7 +136,7 @@
 	defer t.mu.Unlock()
 	if m, ok := t.members[n]; ok && v > m.Config {
 		m.Config = v
-		t.members[n] = m
+		t.set(m)
 	}
 }
 
@@ -180,13 +189,16 @@
 			return old, false
 		}
 		old.Incarnation = m.Incarnation + 1
-		t.members[t.self] = old
+		t.set(old)
 		return old, true
 	}
 	if ok && cmp.Or(cmp.Compare(m.Incarnation, old.Incarnation), cmp.Compare(m.State, old.State)) <= 0 {
 		return old, false
 	}
-	t.members[m.Node] = m
+	if !ok && m.State == Dead && m.Incarnation <= t.forgotten[m.Node] {
+		return m, false
+	}
+	t.set(m)
 	if m.State != Dead {
 		delete(t.gone, m.Node)
 	}
@@ -206,12 +218,25 @@
 		if died, ok := t.gone[n]; !ok {
 			t.gone[n] = now
 		} else if died.Before(before) {
+			t.summary.fold(m)
+			t.sorted = nil
 			delete(t.members, n)
 			delete(t.gone, n)
+			t.forgotten[n] = m.Incarnation
 		}
 	}
 }
 
+// set stores a record; every change of members goes through it or Forget.
+func (t *Table) set(m Member) {
+	if old, ok := t.members[m.Node]; ok {
+		t.summary.fold(old)
+	}
+	t.members[m.Node] = m
+	t.summary.fold(m)
+	t.sorted = nil
+}
+
 func (t *Table) tell(m Member) {
 	for _, f := range t.news {
 		f(m)
@@ -220,14 +245,15 @@
 
 // Members returns all records, in the order of their nodes' names.
 func (t *Table) Members() []Member {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	all := make([]Member, 0, len(t.members))
-	for _, m := range t.members {
-		all = append(all, m)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sorted == nil {
+		for _, m := range t.members {
+			t.sorted = append(t.sorted, m)
+		}
+		slices.SortFunc(t.sorted, func(a, b Member) int { return cmp.Compare(a.Node, b.Node) })
 	}
-	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(a.Node, b.Node) })
-	return all
+	return slices.Clone(t.sorted)
 }
 
 // Upstreams returns the upstreams of a service that take new work. The caller
--- a/internal/peer/kqmember/summary.go
+++ b/internal/peer/kqmember/summary.go
@@ -37,15 +37,18 @@
 func (t *Table) Summary() Summary {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	var s Summary
-	for n, m := range t.members {
-		h := name(n)
-		s.Records[h%Buckets] ^= mix(h, m.Incarnation<<3|uint64(m.State))
-		if m.State != Dead {
-			s.Configs ^= mix(h, uint64(m.Config))
-		}
+	return t.summary
+}
+
+// fold adds a record, or takes it out again. The dead are not summed, since
+// nodes forget them at different times.
+func (s *Summary) fold(m Member) {
+	if m.State == Dead {
+		return
 	}
-	return s
+	h := name(m.Node)
+	s.Records[h%Buckets] ^= mix(h, m.Incarnation<<3|uint64(m.State))
+	s.Configs ^= mix(h, uint64(m.Config))
 }
 
 // Bucket returns the records whose bucket is chosen.
@@ -87,7 +90,7 @@
 	for n, m := range t.members {
 		if v := held[name(n)]; v > m.Config && n != t.self {
 			m.Config = v
-			t.members[n] = m
+			t.set(m)
 		}
 	}
 }
