Leave a third of the traffic to compare with

Cause: at a last step of 0.8 the new upstreams had four times the old ones load, and a good version in a full fleet looked slower by 1.3 times; a good one with few calls was taken back for doubt of a hundred calls, and one at its deadline for slots that a herd had just taken. Change: the last step is 0.65, due at 0.90 of the window; where finishing is preferred, doubt weighs less and half of the slots suffice at the deadline. The table tells how many bad versions had over 5%. Ruled out: 0.5 as the last step, which leaves half of the move to its last second.

--- a/internal/lab/kqsurvey/survey.go
+++ b/internal/lab/kqsurvey/survey.go
@@ -14,7 +14,11 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
-const defaultCount = 1000
+const (
+	defaultCount = 1000
+	// smallShare leaves room for a second with some calls more than the mean.
+	smallShare = 0.0505
+)
 
 type (
 	// Survey plays rollouts; Run makes the report.
@@ -61,7 +65,9 @@
 		Right float64 `json:"right"`
 
 		// ShareMax and the seconds and calls after showing are for the table.
-		ShareMax   float64 `json:"-"`
+		ShareMax float64 `json:"-"`
+		// Over is how many had more than 5% of the traffic while they were bad.
+		Over       int     `json:"-"`
 		SecondsP99 float64 `json:"-"`
 		CallsP99   float64 `json:"-"`
 	}
@@ -125,6 +131,9 @@
 				one.Right++
 			}
 			one.ShareMax = max(one.ShareMax, r.share)
+			if r.share > smallShare {
+				one.Over++
+			}
 			kindSeconds = append(kindSeconds, r.seconds)
 			kindCalls = append(kindCalls, r.calls)
 		}
--- a/internal/rollout/kqstep/step.go
+++ b/internal/rollout/kqstep/step.go
@@ -5,8 +5,8 @@
 // only under load. Without the decision, a fixed timer would give it all
 // traffic before its badness can show. Most of the time goes to the small
 // share, since every call of a bad version there harms one caller in twenty;
-// the rest moves quickly and half of the old version's traffic stays as the
-// measure of the new one for most of that.
+// the rest moves quickly. The last step leaves a third to the old version, so
+// that both have much the same load and can be compared to the end.
 package kqstep
 
 import (
@@ -81,16 +81,19 @@
 		// enough is how many calls of the new version it takes to keep it: a
 		// hundred without a failure rule out 5 points more of them.
 		enough uint64
+		// carry is the part of the old version's slots that the new one needs
+		// at the deadline. Upstreams that died in a herd come back.
+		carry float64
 	}
 )
 
 var (
 	// schedule spends 7 parts in 10 at the small share. Done is due a little
 	// before the deadline, so that the platform's answer fits in.
-	schedule = [...]stage{{0, 0}, {0, 0}, {0.25, 0.70}, {0.5, 0.78}, {0.8, 0.92}, {1, 0.97}}
+	schedule = [...]stage{{0, 0}, {0, 0}, {0.25, 0.70}, {0.5, 0.78}, {0.65, 0.90}, {1, 0.97}}
 
-	finishing  = weights{alarm: math.Log(1 / 0.001), lean: 3, doubt: 4}
-	takingBack = weights{alarm: math.Log(1 / 0.01), lean: 1, doubt: 0.5, enough: 100}
+	finishing  = weights{alarm: math.Log(1 / 0.001), lean: 3, doubt: 5.5, carry: 0.5}
+	takingBack = weights{alarm: math.Log(1 / 0.01), lean: 1, doubt: 0.5, enough: 100, carry: 0.8}
 )
 
 // Share returns the share of traffic, from 0 to 1, that goes to the new
@@ -168,10 +171,10 @@
 // overdue settles a rollout whose deadline came before its last step, such as
 // after an outage of all who could have owned it.
 func overdue(s State) Decision {
-	if s.Plan.Prefer == kqdocument.PreferFinishing && s.Finding.Calls > 0 && !leans(s) && fits(s, 1, 1) {
+	if s.Plan.Prefer == kqdocument.PreferFinishing && s.Finding.Calls > 0 && !leans(s) && carries(s) {
 		return Decision{Done, "the deadline came and nothing speaks against it"}
 	}
-	if !fits(s, 1, 1) {
+	if !carries(s) {
 		return Decision{TakeBack, "the deadline came and its upstreams are too few"}
 	}
 	return Decision{TakeBack, "the deadline came without enough evidence for it"}
@@ -193,6 +196,10 @@
 	return float64(s.NewSlots)+cold*float64(s.ColdSlots) >= 0.8*share*float64(s.OldSlots)
 }
 
+func carries(s State) bool {
+	return float64(s.NewSlots+s.ColdSlots) >= weightsOf(s.Plan).carry*float64(s.OldSlots) && s.NewSlots+s.ColdSlots > 0
+}
+
 func weightsOf(p kqplan.Plan) weights {
 	if p.Prefer == kqdocument.PreferTakingBack {
 		return takingBack
--- a/internal/run/kqcommand/measure_rollouts.go
+++ b/internal/run/kqcommand/measure_rollouts.go
@@ -68,8 +68,8 @@
 		fmt.Fprintf(c.out, "%s by %s: %.1f%% of %d good on time, %.1f%% of %d bad taken back, largest bad share %.1f%%, %.0f s after showing (p99)\n",
 			p.Policy, p.Decider, 100*p.GoodOnTime, p.Good, 100*p.BadTakenBack, p.Bad, 100*p.BadShareMax, p.SecondsAfterShowing)
 		for _, k := range p.Kinds {
-			fmt.Fprintf(c.out, "  %-22s %4d  right %5.1f%%  share %5.1f%%  after showing (p99) %5.0f s %6.0f calls\n",
-				k.Kind, k.Count, 100*k.Right, 100*k.ShareMax, k.SecondsP99, k.CallsP99)
+			fmt.Fprintf(c.out, "  %-22s %4d  right %5.1f%%  share %5.1f%%  over 5%%: %2d  after showing (p99) %5.0f s %6.0f calls\n",
+				k.Kind, k.Count, 100*k.Right, 100*k.ShareMax, k.Over, k.SecondsP99, k.CallsP99)
 		}
 	}
 }
