Draw the line between good and bad nearer to good

Cause: evidence of 0.5 points more errors and of long tails grew slowly, since what was tolerated lay near them, and doubtful versions went on. Change: 0.05 points and 1.6 times as many very slow calls are tolerated, 5 times as many are bad; less doubt holds a version back.

--- a/internal/rollout/kqstep/step.go
+++ b/internal/rollout/kqstep/step.go
@@ -92,8 +92,8 @@
 	// before the deadline, so that the platform's answer fits in.
 	schedule = [...]stage{{0, 0}, {0, 0}, {0.25, 0.70}, {0.5, 0.78}, {0.65, 0.90}, {1, 0.97}}
 
-	finishing  = weights{alarm: math.Log(1 / 0.001), lean: 3, doubt: 5.5, carry: 0.5}
-	takingBack = weights{alarm: math.Log(1 / 0.01), lean: 1, doubt: 0.5, enough: 100, carry: 0.8}
+	finishing  = weights{alarm: math.Log(1 / 0.001), lean: 2.5, doubt: 3, carry: 0.5}
+	takingBack = weights{alarm: math.Log(1 / 0.01), lean: 0.7, doubt: 0.1, enough: 100, carry: 0.8}
 )
 
 // Share returns the share of traffic, from 0 to 1, that goes to the new
--- a/internal/rollout/kqverdict/lane.go
+++ b/internal/rollout/kqverdict/lane.go
@@ -30,7 +30,7 @@
 		errorsUp("errors up by 20 points", 0.2, 1),
 		slower("slower by 1.3 times", 1.3),
 		slower("slower by 2 times", 2),
-		tailUp("more very slow calls", 6, 10),
+		tailUp("more very slow calls", 5, 10),
 	}}
 }
 
--- a/internal/rollout/kqverdict/verdict.go
+++ b/internal/rollout/kqverdict/verdict.go
@@ -20,11 +20,11 @@
 	// toleratedPoints and toleratedFactor are how much worse than the old
 	// version a good one may be: upstreams differ by that much among
 	// themselves.
-	toleratedPoints = 0.001
+	toleratedPoints = 0.0005
 	toleratedFactor = 1.07
 	// toleratedTail is how many times as many very slow calls a tolerated
-	// factor makes: 2 for latencies with little spread.
-	toleratedTail = 2
+	// factor makes where latencies have little spread.
+	toleratedTail = 1.6
 
 	// pooledPart is the share of the starting wealth that the tests of all
 	// routes together have; the routes' share the rest. Most badness shows on
