Let a span of seconds say as much as its calls do

Cause: a span of 20 ticks could add no more than one tick, so the last part of a short window could not settle a small badness. Change: a span adds up to 7 nats, and within it one tick no more new failures than a burst of moderate badness has, so that a herd that dies does not settle it. Ruled out: a higher bound alone, by which one herd in a span would take a good version back.

--- a/internal/rollout/kqverdict/stream.go
+++ b/internal/rollout/kqverdict/stream.go
@@ -7,6 +7,11 @@
 	// with calls in flight fails many calls in one tick, whatever the version;
 	// three bad ticks say more than one.
 	clip = 3.5
+	// spanClip bounds a span of several ticks. Within one, a tick's failures
+	// are bounded by burstPoints, so that a herd that dies in it does not
+	// settle the span.
+	spanClip    = 7
+	burstPoints = 0.06
 	// floor keeps a stream that has long spoken for the new version from
 	// having to be paid back in full.
 	floor = -30
@@ -87,11 +92,16 @@
 	if s.ticks > 0 && s.held.slow.edge != t.slow.edge {
 		s.settle()
 	}
+	errors, slow := t.errors, t.slow
+	if s.span > 1 {
+		errors, slow = errors.bounded(), slow.bounded()
+	}
 	if s.ticks == 0 {
 		s.held = *t
+		s.held.errors, s.held.slow = errors, slow
 	} else {
-		s.held.errors.add(&t.errors)
-		s.held.slow.add(&t.slow)
+		s.held.errors.add(errors)
+		s.held.slow.add(slow)
 	}
 	s.ticks++
 	if s.ticks >= s.span {
@@ -106,7 +116,7 @@
 	if math.IsNaN(gain) {
 		return
 	}
-	gain = min(gain, clip)
+	gain = min(gain, s.most())
 	s.total = max(s.total+gain, floor)
 	if s.recent <= 0 && gain > 0 {
 		s.began++
@@ -114,14 +124,28 @@
 	s.recent = max(s.recent+gain, 0)
 }
 
+func (s *stream) most() float64 {
+	if s.span > 1 {
+		return spanClip
+	}
+	return clip
+}
+
 // add counts another tick's hits; the rates stay those of before the span.
-func (h *hits) add(o *hits) {
+func (h *hits) add(o hits) {
 	h.oldCalls += o.oldCalls
 	h.oldHits += o.oldHits
 	h.newCalls += o.newCalls
 	h.newHits += o.newHits
 }
 
+// bounded returns the hits with no more of the new version's than a burst of
+// moderate badness makes.
+func (h hits) bounded() hits {
+	h.newHits = min(h.newHits, 1+(burstPoints+3*h.lately)*h.newCalls)
+	return h
+}
+
 // late returns the recent evidence less what having had many moments to set
 // out is worth: the j-th of them is given a part 1/j of the false alarms.
 func (s *stream) late() float64 { return s.recent - math.Log(float64(max(s.began, 1))) }
