--- a/internal/config/kqcommit/commit_test.go
+++ b/internal/config/kqcommit/commit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -281,3 +282,37 @@
 		t.Errorf("settle after collection: %+v, %v", o, err)
 	}
 }
+
+// forgetful answers reads of intents as they were before each was written.
+type forgetful struct{ *kqstandin.Standin }
+
+func (f forgetful) Get(ctx context.Context, key string) (kqstore.Entry, error) {
+	if strings.HasPrefix(key, "kumquatgw/intent/") {
+		return kqstore.Entry{}, kqstore.ErrNotFound
+	}
+	return f.Standin.Get(ctx, key)
+}
+
+// A commit has written its objects and is about to swap, while the collector's
+// read of its intent is stale, so that it takes the objects for unused. The
+// commit notices by the renewed root and writes them again; the version would
+// else come into force without them.
+func TestCollectWithAStaleRead(t *testing.T) {
+	platform := kqstandin.New()
+	old := request("old", 0, document("attic"))
+	mustCommit(t, platform, old)
+	mustCommit(t, platform, request("next", 1, document("store")))
+	var collected kqcommit.Collected
+	store := &hooked{Standin: platform, before: func(write int) {
+		if write == 6 {
+			collected, _ = committer(forgetful{platform}).Collect(t.Context(), platform, start.Add(90*time.Minute))
+		}
+	}}
+	o, err := committer(store).Commit(t.Context(), request("again", 2, document("attic")))
+	if err != nil || o.Status != kqcommit.Committed {
+		t.Fatalf("got %+v, %v", o, err)
+	}
+	if _, _, err := committer(platform).Document(t.Context()); err != nil || collected.Objects == 0 {
+		t.Errorf("document in force: %v; collected %+v, want some objects", err, collected)
+	}
+}
--- a/internal/lab/kqreplay/replay_test.go
+++ b/internal/lab/kqreplay/replay_test.go
@@ -72,3 +72,14 @@
 		})
 	}
 }
+
+func FuzzRead(f *testing.F) {
+	f.Add(head + `{"kind":"input","at_ms":1,"input":{}}` + "\n" + `{"kind":"outcome","at_ms":1,"expect":{"seen":{"min":1}}}`)
+	f.Add(head + `{"kind":"outcome","at_ms":-1}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		err := run(text)
+		if err != nil && !errors.Is(err, kqreplay.ErrMalformed) && !errors.Is(err, kqreplay.ErrMissed) {
+			t.Errorf("%q: %v", text, err)
+		}
+	})
+}
--- a/internal/run/kqcommand/commit.go
+++ b/internal/run/kqcommand/commit.go
@@ -32,7 +32,9 @@
 			return err
 		}
 		if *id == "" {
+			// Told before anything is sent: whoever is cut off can still ask.
 			*id = uuid.NewString()
+			fmt.Fprintf(c.errors, "request id %s\n", *id)
 		}
 		o, err := committer(*url).Commit(ctx, kqcommit.Request{
 			ID: *id, Base: kqname.ConfigVersion(*base), Author: *author, Reason: *reason, At: time.Now(), Document: d,
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -161,6 +161,7 @@
 	var group conc.WaitGroup
 	group.Go(func() { n.runConfig(background) })
 	group.Go(func() { n.sweep(background) })
+	group.Go(func() { n.collect(background) })
 	group.Go(func() { n.hangup.Run(background) })
 	group.Go(func() { n.runTLS(background) })
 	group.Go(func() { n.runAdmin(background) })
