Change items from the command line, by token

Cause: the document commands need the platform itself; a team's operator had no command of his own. Change: item show, put and delete go through the administration API; the demo prints the variables that commands and curl take. Conclusion: the command sends what the console and curl send; one way into the document is left for break-glass, the document commands.

--- a/internal/admin/kqclient/client.go
+++ b/internal/admin/kqclient/client.go
@@ -2,6 +2,7 @@
 package kqclient
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -63,7 +64,19 @@
 // Get reads one path, such as "/v1/fleet", into value. A refusal comes as a
 // *kqproblem.Problem.
 func (c *Client) Get(ctx context.Context, path string, value any) error {
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url+path, nil)
+	return c.Do(ctx, http.MethodGet, path, nil, value)
+}
+
+// Do sends body as JSON, unless it is nil, and reads the answer into value. A
+// refusal comes as a *kqproblem.Problem.
+func (c *Client) Do(ctx context.Context, method, path string, body, value any) error {
+	var sent bytes.Buffer
+	if body != nil {
+		if err := json.NewEncoder(&sent).Encode(body); err != nil {
+			return fmt.Errorf("encode request: %w", err)
+		}
+	}
+	q, err := http.NewRequestWithContext(ctx, method, c.url+path, &sent)
 	if err != nil {
 		return fmt.Errorf("ask %s: %w", path, err)
 	}
@@ -75,15 +88,15 @@
 		return fmt.Errorf("ask: %w", err)
 	}
 	defer func() { _ = a.Body.Close() }()
-	body := json.NewDecoder(io.LimitReader(a.Body, maxAnswer))
+	answer := json.NewDecoder(io.LimitReader(a.Body, maxAnswer))
 	if a.StatusCode != http.StatusOK {
 		var p kqproblem.Problem
-		if err := body.Decode(&p); err != nil || p.Code == "" {
+		if err := answer.Decode(&p); err != nil || p.Code == "" {
 			return fmt.Errorf("%s answered %s: %w", path, a.Status, ErrAnswer)
 		}
 		return &p
 	}
-	if err := body.Decode(value); err != nil {
+	if err := answer.Decode(value); err != nil {
 		return fmt.Errorf("read answer of %s: %w", path, errors.Join(ErrAnswer, err))
 	}
 	return nil
--- a/internal/lab/kqdemo/demo.go
+++ b/internal/lab/kqdemo/demo.go
@@ -61,8 +61,10 @@
 	for _, t := range d.keys.tokens {
 		fmt.Fprintf(d.out, "token    %s %s\n", t.name, t.secret)
 	}
-	fmt.Fprintf(d.out, "api      curl --cacert %s -H \"Authorization: Bearer $KUMQUATGW_TOKEN\" https://%s/v1/fleet\n",
-		d.keys.ca(), first.Node.AdminAddress())
+	fmt.Fprintf(d.out, "set      export KUMQUATGW_ADMIN=https://%s KUMQUATGW_CA=%s KUMQUATGW_TOKEN=%s\n",
+		first.Node.AdminAddress(), d.keys.ca(), d.keys.tokens[0].secret)
+	fmt.Fprintf(d.out, "command  kumquatgw status\n")
+	fmt.Fprintf(d.out, "api      curl --cacert $KUMQUATGW_CA -H \"Authorization: Bearer $KUMQUATGW_TOKEN\" $KUMQUATGW_ADMIN/v1/fleet\n")
 	fmt.Fprintf(d.out, "upstream kumquatgw upstream --service NAME --upstream-version v2 --node %s\n", first.Node.LocalAddress())
 	fmt.Fprintf(d.out, "try      curl -H 'Host: storefront' http://%s/catalogue\n", first.Node.EntryAddress())
 	<-ctx.Done()
--- a/internal/run/kqcommand/command.go
+++ b/internal/run/kqcommand/command.go
@@ -41,6 +41,7 @@
 	c.addMeasure()
 	c.addRollout()
 	c.addStatus()
+	c.addItem()
 	c.addMeasureRollouts()
 	c.addReplay()
 	c.addMeasureNodes()
