Split calls by what is worked out once

Cause: each call worked out anew which upstreams have the small share, over all upstreams of the service; nothing showed that the share loads them in full, that reports count each call once, or that a done move keeps its traffic. Conclusion: a call pays for one lock and one comparison. Ruled out: a split that each entry keeps, which would have to be told of each step.

--- a/internal/rollout/kqboard/entry.go
+++ b/internal/rollout/kqboard/entry.go
@@ -4,9 +4,11 @@
 	"sync"
 	"time"
 
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqledger"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqplan"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqprogress"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqshare"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqstep"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqverdict"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -39,6 +41,16 @@
 	wish  kqprogress.Final
 	// told is the last event that was logged, so that each is told once.
 	told string
+
+	splitFor  splitKey
+	splitting kqshare.Burst
+}
+
+// splitKey tells a directory's answer from another; it makes each anew.
+type splitKey struct {
+	first *kqmember.Candidate
+	count int
+	step  int
 }
 
 func newEntry(p kqplan.Plan, self kqledger.Source, now time.Time) *entry {
--- a/internal/rollout/kqboard/traffic.go
+++ b/internal/rollout/kqboard/traffic.go
@@ -25,7 +25,6 @@
 	for _, e := range b.of(s.Service.Name) {
 		e.mu.Lock()
 		p, from, to := e.progress, e.plan.From, e.plan.To
-		share := kqshare.Share{From: from, To: to, Of: kqstep.Share(e.plan, p.Step), Small: p.Step <= kqstep.Small}
 		e.mu.Unlock()
 		if base == "" {
 			base = from
@@ -38,15 +37,32 @@
 			continue
 		}
 		if p.Serves() {
-			return split(share, b.directory.Upstreams(s.Service.Name), now, random)
+			return e.split(b.directory.Upstreams(s.Service.Name), p.Step).Split(now, random)
 		}
 	}
 	return kqpick.Target{Version: base}
 }
 
-// split keeps calls off a version that has no upstream left, as when a herd of
+// split returns how calls are split among the upstreams at a step. It is worked
+// out anew only when either changes: every call asks for it.
+func (e *entry) split(all []kqmember.Candidate, step int) kqshare.Burst {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	k := splitKey{step: step, count: len(all)}
+	if len(all) > 0 {
+		k.first = &all[0]
+	}
+	if e.splitFor != k {
+		e.splitFor, e.splitting = k, burst(kqshare.Share{
+			From: e.plan.From, To: e.plan.To, Of: kqstep.Share(e.plan, step), Small: step <= kqstep.Small,
+		}, all)
+	}
+	return e.splitting
+}
+
+// burst keeps calls off a version that has no upstream left, as when a herd of
 // them died: the other version serves until they are back.
-func split(share kqshare.Share, all []kqmember.Candidate, now time.Time, random kqshare.Random) kqpick.Target {
+func burst(share kqshare.Share, all []kqmember.Candidate) kqshare.Burst {
 	old, next := false, false
 	for _, c := range all {
 		old = old || c.Version == share.From
@@ -54,11 +70,11 @@
 	}
 	switch {
 	case !next:
-		return kqpick.Target{Version: share.From}
+		return kqshare.Burst{From: share.From}
 	case !old:
-		return kqpick.Target{Version: share.To}
+		return kqshare.Burst{From: share.To}
 	default:
-		return share.Split(now, all, random)
+		return share.Burst(all)
 	}
 }
 
--- a/internal/rollout/kqshare/share.go
+++ b/internal/rollout/kqshare/share.go
@@ -32,6 +32,7 @@
 
 	// Burst is a share laid over each second and over upstreams.
 	Burst struct {
+		From, To kqname.UpstreamVersion
 		// Nodes limits the new version's calls to these; nil accepts all.
 		Nodes map[kqname.Node]bool
 		// Within is the share of calls for the new version while the burst is
@@ -46,22 +47,18 @@
 )
 
 // Split returns where one call may go at the time now.
-func (s Share) Split(now time.Time, all []kqmember.Candidate, random Random) kqpick.Target {
-	old := kqpick.Target{Version: s.From}
-	if s.Of <= 0 {
-		return old
-	}
-	b := s.Burst(all)
+func (b Burst) Split(now time.Time, random Random) kqpick.Target {
 	phase := time.Duration(now.UnixNano() % int64(period))
-	if float64(phase) >= b.Duty*float64(period) || random.Float64() >= b.Within {
-		return old
+	if b.Within <= 0 || float64(phase) >= b.Duty*float64(period) || random.Float64() >= b.Within {
+		return kqpick.Target{Version: b.From}
 	}
-	return kqpick.Target{Version: s.To, Nodes: b.Nodes, Fallback: s.From}
+	return kqpick.Target{Version: b.To, Nodes: b.Nodes, Fallback: b.From}
 }
 
-// Burst returns how the share is laid over a second and over upstreams.
+// Burst returns how the share is laid over a second and over upstreams. It
+// stands until the upstreams change.
 func (s Share) Burst(all []kqmember.Candidate) Burst {
-	whole := Burst{Within: s.Of, Duty: 1}
+	whole := Burst{From: s.From, To: s.To, Within: s.Of, Duty: 1}
 	oldSlots, newSlots := 0, 0
 	for _, c := range all {
 		switch c.Version {
@@ -93,5 +90,5 @@
 	// In a burst, an upstream of the few gets calls as an old one does: by its
 	// part of the old version's slots.
 	within := max(s.Of, min(float64(newSlots)/float64(oldSlots), 1))
-	return Burst{Nodes: few, Within: within, Duty: s.Of / within}
+	return Burst{From: s.From, To: s.To, Nodes: few, Within: within, Duty: s.Of / within}
 }
--- /dev/null
+++ b/internal/rollout/kqshare/share_test.go
@@ -0,0 +1,54 @@
+package kqshare_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqshare"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+// A version breaks only when an upstream has its normal load. A small share that
+// is spread thinly over all its upstreams never brings one there, and the
+// version would pass until it has all the traffic.
+func TestSmallShareLoadsFewUpstreamsInFull(t *testing.T) {
+	for _, servers := range []int{4, 6, 40, 200} {
+		var all []kqmember.Candidate
+		for i := range servers {
+			for _, v := range []kqname.UpstreamVersion{"v1", "v2"} {
+				all = append(all, kqmember.Candidate{
+					Upstream: kqmember.Upstream{Version: v, Slots: 6}, Node: kqname.Node(fmt.Sprintf("%s-%d", v, i)),
+				})
+			}
+		}
+		s := kqshare.Share{From: "v1", To: "v2", Of: 0.05, Small: true}
+		b := s.Burst(all)
+		random := rand.New(rand.NewPCG(1, 1))
+		const calls, second = 200000, 7
+		next, busiest := 0, 0.0
+		load := make(map[int]int)
+		for i := range calls {
+			now := time.Unix(second, int64(i)*int64(time.Second)/calls)
+			if target := b.Split(now, random); target.Version == "v2" {
+				next++
+				load[i*20/calls]++
+				if len(target.Nodes) == 0 {
+					t.Fatal("the small share goes to all upstreams")
+				}
+			}
+		}
+		for _, n := range load {
+			few := float64(len(b.Nodes))
+			busiest = max(busiest, float64(n)/few/(calls/20.0/float64(servers)))
+		}
+		if share := float64(next) / calls; share > 0.0515 {
+			t.Errorf("%d servers: %.4f of a second's calls went to the new version", servers, share)
+		}
+		if busiest < 0.9 {
+			t.Errorf("%d servers: an upstream got %.2f of an old one's load at most", servers, busiest)
+		}
+	}
+}
--- a/internal/run/kqnode/rollout_fault_test.go
+++ b/internal/run/kqnode/rollout_fault_test.go
@@ -27,14 +27,14 @@
 	w.t.Fatalf("never: %s; last %+v", what, w.Servers()[0].Node.Rollouts())
 }
 
-func (w *town) ran() int {
-	runs := 0
-	for _, s := range w.next {
+func runs(servers []*kqfleet.Server) int {
+	sum := 0
+	for _, s := range servers {
 		for _, n := range s.Upstream.Runs() {
-			runs += n
+			sum += n
 		}
 	}
-	return runs
+	return sum
 }
 
 func share(s *kqfleet.Server) float64 {
@@ -90,7 +90,7 @@
 			t.Errorf("%s tells %q before it is stored", s.Spec.Node, list[0].State)
 		}
 	}
-	before := w.ran()
+	before := runs(w.next)
 	again := w.Servers()[0]
 	again.Stop()
 	fresh, err := w.Restart(again)
@@ -101,7 +101,7 @@
 		list := fresh.Node.Rollouts()
 		return len(list) == 1 && strings.HasPrefix(list[0].Why, "no traffic any more")
 	})
-	if after := w.ran(); after != before {
+	if after := runs(w.next); after != before {
 		t.Errorf("a version without a share ran %d more calls", after-before)
 	}
 	w.Platform.SetFaults(kqstandin.Faults{})
--- a/internal/run/kqnode/rollout_test.go
+++ b/internal/run/kqnode/rollout_test.go
@@ -158,6 +158,13 @@
 	if n := w.failed.Load(); n > 0 {
 		t.Errorf("%d calls failed in the course of a good move", n)
 	}
+	old, next := runs(w.Servers()[:3]), runs(w.next)
+	for end := time.Now().Add(rolloutPatience); runs(w.next) < next+100 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+	}
+	// Calls that were on their way when the move was done may still arrive.
+	if more := runs(w.Servers()[:3]) - old; more > 10 {
+		t.Errorf("the old version ran %d calls after the move was done", more)
+	}
 }
 
 // A new version fails half of its calls. Callers notice for as long as it gets
