--- a/internal/lab/kqdemo/outcomes.go
+++ b/internal/lab/kqdemo/outcomes.go
@@ -108,7 +108,7 @@
 	w := s.demo.witness
 	r := Report{
 		Convergence:   spread(w.samples),
-		ControlBytes:  2 * float64(s.control) / float64(len(s.demo.fleet.Servers())) / seconds,
+		ControlBytes:  perNode(s.control, len(s.demo.fleet.Servers()), seconds),
 		PlatformCalls: float64(s.platform) / seconds,
 		Calls:         t.calls,
 		Rollouts:      s.rolloutReport(),
--- a/internal/lab/kqdemo/script.go
+++ b/internal/lab/kqdemo/script.go
@@ -39,8 +39,9 @@
 		stopped   *entry
 		troubles  []string
 
-		control, platform uint64
-		ended             time.Time
+		control  int64
+		platform uint64
+		ended    time.Time
 	}
 
 	step struct {
@@ -81,18 +82,15 @@
 		{"call more than there are slots", s.burst},
 		{"change a route once more", s.changeOnce},
 	} {
-		fmt.Fprintf(s.demo.progress, "%5.1f s  %s\n", time.Since(s.demo.started).Seconds(), step.name)
 		if ctx.Err() != nil {
 			return fmt.Errorf("run script: %w", ctx.Err())
 		}
-		if err := step.run(ctx); err != nil {
-			s.trouble("%s: %v", step.name, err)
-		}
+		s.step(ctx, step)
 	}
 	s.ended = time.Now()
 	counts := s.demo.fleet.Platform.Counts()
 	s.platform = counts.Reads + counts.Writes - s.platform
-	s.control = uint64(s.demo.fleet.ControlBytes()) - s.control
+	s.control = s.demo.fleet.ControlBytes() - s.control
 	stop()
 	s.load.Wait()
 	watch.Wait()
@@ -100,11 +98,30 @@
 	return nil
 }
 
+// step runs one step and tells how long it took and what control traffic there
+// was meanwhile.
+func (s *script) step(ctx context.Context, step step) {
+	began, bytes := time.Now(), s.demo.fleet.ControlBytes()
+	if err := step.run(ctx); err != nil {
+		s.trouble("%s: %v", step.name, err)
+	}
+	took := time.Since(began).Seconds()
+	rate := perNode(s.demo.fleet.ControlBytes()-bytes, len(s.demo.fleet.Servers()), took)
+	fmt.Fprintf(s.demo.progress, "%5.1f s  %s: %.1f s, %.1f KB/s of control a node\n",
+		time.Since(s.demo.started).Seconds(), step.name, took, rate/1000)
+}
+
+// perNode returns the bytes that a node sent and received in a second; each
+// byte of the wire is one node's sent and another's received.
+func perNode(bytes int64, nodes int, seconds float64) float64 {
+	return 2 * float64(bytes) / float64(nodes) / seconds
+}
+
 func (s *script) startLoad(ctx context.Context) {
 	s.began = time.Now()
 	counts := s.demo.fleet.Platform.Counts()
 	s.platform = counts.Reads + counts.Writes
-	s.control = uint64(s.demo.fleet.ControlBytes())
+	s.control = s.demo.fleet.ControlBytes()
 	for _, dep := range deployments {
 		for range dep.callers {
 			c := s.caller(dep)
--- /dev/null
+++ b/internal/platform/kqstandin/count.go
@@ -0,0 +1,80 @@
+package kqstandin
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+)
+
+// Counts are the calls taken since the start; refused ones count too.
+type Counts struct {
+	Reads   uint64 `json:"reads"`
+	Writes  uint64 `json:"writes"`
+	Watches uint64 `json:"watches"`
+	Refused uint64 `json:"refused"`
+	// PeakReads and PeakWrites are the most calls within one second.
+	PeakReads  uint64 `json:"peak_reads"`
+	PeakWrites uint64 `json:"peak_writes"`
+
+	second                    int64
+	secondReads, secondWrites uint64
+}
+
+// Counts returns the calls taken since the start.
+func (s *Standin) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// begin waits out a slow spell, counts the call and takes the lock, unless it
+// returns an error.
+func (s *Standin) begin(ctx context.Context, count func(*Standin) bool) error {
+	if slow := s.Faults().Slow; slow > 0 {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for a slow platform: %w", ctx.Err())
+		case <-time.After(slow):
+		}
+	}
+	s.mu.Lock()
+	now := s.now()
+	if second := now.Unix(); second != s.counts.second {
+		s.counts.second, s.counts.secondReads, s.counts.secondWrites = second, 0, 0
+	}
+	allowed := count(s)
+	if s.faults.Down || !allowed {
+		s.counts.Refused++
+		down := s.faults.Down
+		s.mu.Unlock()
+		if down {
+			return kqstore.ErrUnavailable
+		}
+		return kqstore.ErrRateLimited
+	}
+	s.lapse(func(l lease) bool { return !now.Before(l.ends) })
+	return nil
+}
+
+func (s *Standin) countRead() bool {
+	c := &s.counts
+	c.Reads++
+	c.secondReads++
+	c.PeakReads = max(c.PeakReads, c.secondReads)
+	return s.faults.MaxReads == 0 || c.secondReads <= uint64(s.faults.MaxReads)
+}
+
+func (s *Standin) countWatch() bool {
+	s.counts.Watches++
+	return s.countRead()
+}
+
+func (s *Standin) countWrite() bool {
+	c := &s.counts
+	c.Writes++
+	c.secondWrites++
+	c.PeakWrites = max(c.PeakWrites, c.secondWrites)
+	return s.faults.MaxWrites == 0 || c.secondWrites <= uint64(s.faults.MaxWrites)
+}
--- /dev/null
+++ b/internal/platform/kqstandin/lease.go
@@ -0,0 +1,60 @@
+package kqstandin
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+)
+
+// lease is a granted lease: how long it lasts, and when it lapses.
+type lease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// Grant implements kqstore.Store.
+func (s *Standin) Grant(ctx context.Context, ttl time.Duration) (kqstore.Lease, error) {
+	if err := s.begin(ctx, (*Standin).countWrite); err != nil {
+		return "", fmt.Errorf("grant lease: %w", err)
+	}
+	defer s.mu.Unlock()
+	s.revision++
+	name := kqstore.Lease(fmt.Sprintf("lease-%d", s.revision))
+	s.leases[name] = lease{ttl: ttl, ends: s.now().Add(ttl)}
+	if err := s.answer(); err != nil {
+		return "", err
+	}
+	return name, nil
+}
+
+// Renew implements kqstore.Store.
+func (s *Standin) Renew(ctx context.Context, name kqstore.Lease) error {
+	if err := s.begin(ctx, (*Standin).countWrite); err != nil {
+		return fmt.Errorf("renew %s: %w", name, err)
+	}
+	defer s.mu.Unlock()
+	l, ok := s.leases[name]
+	if !ok {
+		return fmt.Errorf("renew %s: %w", name, kqstore.ErrLeaseLapsed)
+	}
+	l.ends = s.now().Add(l.ttl)
+	s.leases[name] = l
+	return s.answer()
+}
+
+func (s *Standin) lapse(ended func(lease) bool) {
+	for name, l := range s.leases {
+		if !ended(l) {
+			continue
+		}
+		delete(s.leases, name)
+		for key, r := range s.entries {
+			if r.lease == name {
+				delete(s.entries, key)
+			}
+		}
+		s.wake()
+	}
+}
--- a/internal/platform/kqstandin/standin.go
+++ b/internal/platform/kqstandin/standin.go
@@ -46,20 +46,6 @@
 		MaxWrites int `json:"max_writes"`
 	}
 
-	// Counts are the calls taken since the start; refused ones count too.
-	Counts struct {
-		Reads   uint64 `json:"reads"`
-		Writes  uint64 `json:"writes"`
-		Watches uint64 `json:"watches"`
-		Refused uint64 `json:"refused"`
-		// PeakReads and PeakWrites are the most calls within one second.
-		PeakReads  uint64 `json:"peak_reads"`
-		PeakWrites uint64 `json:"peak_writes"`
-
-		second                    int64
-		secondReads, secondWrites uint64
-	}
-
 	// Option sets up a Standin.
 	Option func(*Standin)
 
@@ -68,11 +54,6 @@
 		before *kqstore.Entry
 		lease  kqstore.Lease
 	}
-
-	lease struct {
-		ttl  time.Duration
-		ends time.Time
-	}
 )
 
 // WithNow makes the stand-in read the time from now.
@@ -111,13 +92,6 @@
 	return s.faults
 }
 
-// Counts returns the calls taken since the start.
-func (s *Standin) Counts() Counts {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.counts
-}
-
 // Get implements kqstore.Store.
 func (s *Standin) Get(ctx context.Context, key string) (kqstore.Entry, error) {
 	if err := s.begin(ctx, (*Standin).countRead); err != nil {
@@ -170,36 +144,6 @@
 	return s.answer()
 }
 
-// Grant implements kqstore.Store.
-func (s *Standin) Grant(ctx context.Context, ttl time.Duration) (kqstore.Lease, error) {
-	if err := s.begin(ctx, (*Standin).countWrite); err != nil {
-		return "", fmt.Errorf("grant lease: %w", err)
-	}
-	defer s.mu.Unlock()
-	s.revision++
-	name := kqstore.Lease(fmt.Sprintf("lease-%d", s.revision))
-	s.leases[name] = lease{ttl: ttl, ends: s.now().Add(ttl)}
-	if err := s.answer(); err != nil {
-		return "", err
-	}
-	return name, nil
-}
-
-// Renew implements kqstore.Store.
-func (s *Standin) Renew(ctx context.Context, name kqstore.Lease) error {
-	if err := s.begin(ctx, (*Standin).countWrite); err != nil {
-		return fmt.Errorf("renew %s: %w", name, err)
-	}
-	defer s.mu.Unlock()
-	l, ok := s.leases[name]
-	if !ok {
-		return fmt.Errorf("renew %s: %w", name, kqstore.ErrLeaseLapsed)
-	}
-	l.ends = s.now().Add(l.ttl)
-	s.leases[name] = l
-	return s.answer()
-}
-
 // Watch implements kqstore.Store.
 func (s *Standin) Watch(ctx context.Context, key string, after kqstore.Revision, wait time.Duration) (kqstore.Entry, error) {
 	timeout := time.NewTimer(wait)
@@ -227,56 +171,6 @@
 	}
 }
 
-// begin waits out a slow spell, counts the call and takes the lock, unless it
-// returns an error.
-func (s *Standin) begin(ctx context.Context, count func(*Standin) bool) error {
-	if slow := s.Faults().Slow; slow > 0 {
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("wait for a slow platform: %w", ctx.Err())
-		case <-time.After(slow):
-		}
-	}
-	s.mu.Lock()
-	now := s.now()
-	if second := now.Unix(); second != s.counts.second {
-		s.counts.second, s.counts.secondReads, s.counts.secondWrites = second, 0, 0
-	}
-	allowed := count(s)
-	if s.faults.Down || !allowed {
-		s.counts.Refused++
-		down := s.faults.Down
-		s.mu.Unlock()
-		if down {
-			return kqstore.ErrUnavailable
-		}
-		return kqstore.ErrRateLimited
-	}
-	s.lapse(func(l lease) bool { return !now.Before(l.ends) })
-	return nil
-}
-
-func (s *Standin) countRead() bool {
-	c := &s.counts
-	c.Reads++
-	c.secondReads++
-	c.PeakReads = max(c.PeakReads, c.secondReads)
-	return s.faults.MaxReads == 0 || c.secondReads <= uint64(s.faults.MaxReads)
-}
-
-func (s *Standin) countWatch() bool {
-	s.counts.Watches++
-	return s.countRead()
-}
-
-func (s *Standin) countWrite() bool {
-	c := &s.counts
-	c.Writes++
-	c.secondWrites++
-	c.PeakWrites = max(c.PeakWrites, c.secondWrites)
-	return s.faults.MaxWrites == 0 || c.secondWrites <= uint64(s.faults.MaxWrites)
-}
-
 func (s *Standin) read(key string) (kqstore.Entry, bool) {
 	r, ok := s.entries[key]
 	if !ok {
@@ -317,21 +211,6 @@
 	return nil
 }
 
-func (s *Standin) lapse(ended func(lease) bool) {
-	for name, l := range s.leases {
-		if !ended(l) {
-			continue
-		}
-		delete(s.leases, name)
-		for key, r := range s.entries {
-			if r.lease == name {
-				delete(s.entries, key)
-			}
-		}
-		s.wake()
-	}
-}
-
 func (s *Standin) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
