Ask for no more than the calls can give

Cause: with few calls, good versions were taken back for doubt, for 40 calls where 100 were asked, and for slots at the deadline; in a large fleet the difference between two upstreams counted as evidence. Change: thirty calls suffice where taking back is preferred, which weighs doubt from 0.3 nats; three slots in ten carry a move at its deadline where finishing is preferred, which weighs lesser doubt at the end; two upstreams may differ by 8% in one second. Ruled out: no least number of calls, by which a version that got three calls would be kept against the policy.

--- a/internal/rollout/kqstep/step.go
+++ b/internal/rollout/kqstep/step.go
@@ -78,8 +78,8 @@
 		// doubt is the same for the test over all routes that speaks most
 		// against the version, taken by itself.
 		doubt float64
-		// enough is how many calls of the new version it takes to keep it: a
-		// hundred without a failure rule out 5 points more of them.
+		// enough is how many calls of the new version it takes to keep it:
+		// thirty without a failure rule out 10 points more of them.
 		enough uint64
 		// carry is the part of the old version's slots that the new one needs
 		// at the deadline. Upstreams that died in a herd come back.
@@ -92,8 +92,8 @@
 	// before the deadline, so that the platform's answer fits in.
 	schedule = [...]stage{{0, 0}, {0, 0}, {0.25, 0.70}, {0.5, 0.78}, {0.65, 0.90}, {1, 0.97}}
 
-	finishing  = weights{alarm: math.Log(1 / 0.001), lean: 2.5, doubt: 3, carry: 0.5}
-	takingBack = weights{alarm: math.Log(1 / 0.01), lean: 0.7, doubt: 0.1, enough: 100, carry: 0.8}
+	finishing  = weights{alarm: math.Log(1 / 0.001), lean: 2, doubt: 2.2, carry: 0.3}
+	takingBack = weights{alarm: math.Log(1 / 0.01), lean: 0.7, doubt: 0.3, enough: 30, carry: 0.8}
 )
 
 // Share returns the share of traffic, from 0 to 1, that goes to the new
--- a/internal/rollout/kqverdict/lane.go
+++ b/internal/rollout/kqverdict/lane.go
@@ -13,7 +13,7 @@
 	leastTimed = 5
 	// ownSpread is how much, as a log, one upstream's mean latency differs
 	// from another's in one second for no fault of its version.
-	ownSpread = 0.05
+	ownSpread = 0.08
 )
 
 // lane holds the streams of one route, or of all routes together.
