Replace servers while the platform is away

Cause: the script took the platform away and killed servers one after the other, so nothing showed that a new server learns the configuration from its peers. Change: two servers are killed and replaced during the outage; calls cut by either deaths are told apart from others.

--- a/internal/lab/kqdemo/faults.go
+++ b/internal/lab/kqdemo/faults.go
@@ -70,6 +70,9 @@
 // around reports whether a call was under way while servers died.
 func (d deaths) around(r record) bool { return r.ended.After(d.from) && r.began.Before(d.to) }
 
+// takePlatform takes the platform away, commits in vain, replaces two servers
+// that can learn the configuration from their peers alone, and commits again
+// once the platform is back.
 func (s *script) takePlatform(ctx context.Context) error {
 	platform := s.demo.fleet.Platform
 	s.outage.from = time.Now()
@@ -77,7 +80,15 @@
 	s.demo.state.probes++
 	_, err := s.demo.commit(ctx, "while the platform is away")
 	s.outage.refused = err != nil
-	time.Sleep(outageFor)
+	s.demo.state.probes--
+	s.replaced, err = s.kill(ctx, []kqname.Node{"portail-lecteurs-2", "bureau-redaction-2"})
+	if err != nil {
+		s.trouble("replace servers without the platform: %v", err)
+	}
+	s.demo.state.probes++
+	if rest := outageFor - time.Since(s.outage.from); rest > 0 {
+		time.Sleep(rest)
+	}
 	platform.SetFaults(kqstandin.Faults{})
 	s.outage.to = time.Now()
 	began, err := s.demo.commit(ctx, "while the platform is away")
@@ -105,19 +116,31 @@
 	return nil
 }
 
-// kill ends one server of each service at once, the way a rack is lost, and
-// starts them all again together.
-func (s *script) kill(ctx context.Context) error {
-	var dead []*entry
+// killOfEach ends one server of each service at once, the way a rack is lost,
+// and starts them all again together.
+func (s *script) killOfEach(ctx context.Context) error {
+	names := make([]kqname.Node, 0, len(deployments))
 	for _, dep := range deployments {
-		e, err := s.demo.crowd.at(kqname.Node(fmt.Sprintf("%s-3", dep.service)))
+		names = append(names, kqname.Node(fmt.Sprintf("%s-3", dep.service)))
+	}
+	var err error
+	s.restarted, err = s.kill(ctx, names)
+	return err
+}
+
+// kill ends servers at once and starts them again together; it returns how long
+// each took to be ready with the newest version.
+func (s *script) kill(ctx context.Context, names []kqname.Node) ([]time.Duration, error) {
+	dead := make([]*entry, 0, len(names))
+	for _, name := range names {
+		e, err := s.demo.crowd.at(name)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		dead = append(dead, e)
 	}
 	var group conc.WaitGroup
-	s.deaths.from = time.Now()
+	d := deaths{from: time.Now()}
 	for _, e := range dead {
 		e.killed.Store(true)
 		group.Go(e.server.Kill)
@@ -128,15 +151,15 @@
 	}
 	group.Wait()
 	time.Sleep(deadFor - noticed)
-	s.deaths.to = time.Now()
+	d.to = time.Now()
+	s.deaths = append(s.deaths, d)
 	errs := make([]error, len(dead))
 	took := make([]time.Duration, len(dead))
 	for i, e := range dead {
 		group.Go(func() { took[i], errs[i] = s.restart(ctx, e) })
 	}
 	group.Wait()
-	s.restarted = took
-	return errors.Join(errs...)
+	return took, errors.Join(errs...)
 }
 
 // restart returns how long the new server took until it was ready and applied
--- a/internal/lab/kqdemo/outcomes.go
+++ b/internal/lab/kqdemo/outcomes.go
@@ -44,7 +44,7 @@
 	for _, c := range s.callers {
 		for _, r := range c.records {
 			t.add(r, s.demo.ledger.times(r.work))
-			if r.fate == unknown && r.reason == string(kqcall.Cut) && !s.deaths.around(r) {
+			if r.fate == unknown && r.reason == string(kqcall.Cut) && !slices.ContainsFunc(s.deaths, func(d deaths) bool { return d.around(r) }) {
 				t.cutAway++
 			}
 			if !r.began.Before(s.outage.from) && r.began.Before(s.outage.to) {
@@ -211,11 +211,9 @@
 
 func (s *script) forceWords(t tally) string {
 	w := s.demo.witness
-	text := fmt.Sprintf("%d times on a node, %d too late%s; platform away for %.0f s: commit refused %v, %d of %d calls answered; restarted nodes current after",
-		len(w.samples), len(w.late), some(w.late), s.outage.to.Sub(s.outage.from).Seconds(), s.outage.refused, t.answered, t.inOutage)
-	for _, took := range s.restarted {
-		text += fmt.Sprintf(" %.2f s", took.Seconds())
-	}
+	text := fmt.Sprintf("%d times on a node, %d too late%s; platform away for %.1f s: commit refused %v, %d of %d calls answered, replaced nodes current after%s; restarted nodes after%s",
+		len(w.samples), len(w.late), some(w.late), s.outage.to.Sub(s.outage.from).Seconds(), s.outage.refused,
+		t.answered, t.inOutage, seconds(s.replaced), seconds(s.restarted))
 	if len(s.troubles) > 0 {
 		text += "; troubles" + some(s.troubles)
 	}
@@ -237,3 +235,11 @@
 	}
 	return strings.Join(parts, ", ")
 }
+
+func seconds(list []time.Duration) string {
+	text := ""
+	for _, d := range list {
+		text += fmt.Sprintf(" %.2f s", d.Seconds())
+	}
+	return text
+}
--- a/internal/lab/kqdemo/script.go
+++ b/internal/lab/kqdemo/script.go
@@ -30,14 +30,16 @@
 		mu      sync.Mutex
 		callers []*caller
 
-		followed  []*followed
-		drained   drained
-		outage    outage
-		deaths    deaths
-		restarted []time.Duration
-		rogue     rogue
-		stopped   *entry
-		troubles  []string
+		followed []*followed
+		drained  drained
+		outage   outage
+		deaths   []deaths
+		// restarted and replaced are how long new servers took, with the
+		// platform and without it.
+		restarted, replaced []time.Duration
+		rogue               rogue
+		stopped             *entry
+		troubles            []string
 
 		control  int64
 		platform uint64
@@ -76,7 +78,7 @@
 		{"drain an upstream", s.drain},
 		{"take the platform away", s.takePlatform},
 		{"lose an answer of the platform", s.loseAnswer},
-		{"kill nodes together and start them again", s.kill},
+		{"kill nodes together and start them again", s.killOfEach},
 		{"write a bad configuration version past all checks", s.writeRogue},
 		{"stop a node under load", s.stopOne},
 		{"call more than there are slots", s.burst},
