Forget plans that are long gone

Cause: a node kept each plan that it had ever seen, with its evidence, for as long as it ran. Change: a plan that has been gone from the document for an hour is forgotten; tests of that and of a gate that refuses a version that was taken back, but not for a later plan. Conclusion: memory is bounded by the plans of an hour. Ruled out: forgetting at once, by which a removed move would never be settled.

--- a/internal/rollout/kqboard/board.go
+++ b/internal/rollout/kqboard/board.go
@@ -20,7 +20,12 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
-const removed = "an operator removed or replaced the plan"
+const (
+	removed = "an operator removed or replaced the plan"
+	// kept is how long a plan that is gone from the document stays known, so
+	// that its final state can still be settled and read.
+	kept = time.Hour
+)
 
 type (
 	// Directory gives the upstreams of a service that take new work.
@@ -67,11 +72,16 @@
 		})
 		for _, e := range b.services[name].entries {
 			if !slices.Contains(next.entries, e) {
-				e.remove()
+				e.remove(now)
 			}
 		}
 		b.services[name] = next
 	}
+	for id, e := range b.entries {
+		if e.forgettable(now) {
+			delete(b.entries, id)
+		}
+	}
 }
 
 func (b *Board) adopt(p kqplan.Plan, now time.Time) *entry {
@@ -82,18 +92,27 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.plan = p
+	e.plan, e.gone = p, time.Time{}
 	return e
 }
 
-func (e *entry) remove() {
+func (e *entry) remove(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.gone = now
 	if e.progress.Open() && !e.progress.RolledBack {
 		e.rollback(removed)
 	}
 }
 
+// forgettable reports whether the plan has been gone for long enough. Nodes run
+// for months, and each plan holds its evidence.
+func (e *entry) forgettable(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.gone.IsZero() && now.Sub(e.gone) >= kept
+}
+
 // Weigh takes in the evidence that has come together for every plan.
 func (b *Board) Weigh(now time.Time) {
 	for _, e := range b.all() {
--- /dev/null
+++ b/internal/rollout/kqboard/board_test.go
@@ -0,0 +1,78 @@
+package kqboard_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqboard"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqledger"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqprogress"
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+var start = time.Unix(10000, 0)
+
+type upstreams []kqmember.Candidate
+
+func (u upstreams) Upstreams(kqname.Service) []kqmember.Candidate { return u }
+
+func service(rollouts ...kqdocument.Rollout) kqresource.Service {
+	return kqresource.Service{
+		Service:  kqdocument.Service{Name: "shed", Version: "v1"},
+		Policies: []kqdocument.Policy{{Name: "first", Prefer: kqdocument.PreferFinishing}},
+		Rollouts: rollouts,
+	}
+}
+
+func board(s kqresource.Service) *kqboard.Board {
+	b := kqboard.New(kqledger.Source{Node: "a"}, upstreams{
+		{Upstream: kqmember.Upstream{Service: "shed", Version: "v1", Slots: 6}, Node: "a"},
+		{Upstream: kqmember.Upstream{Service: "shed", Version: "v2", Slots: 6}, Node: "b"},
+	})
+	b.Adopt(map[kqname.Service]kqresource.Service{"shed": s}, start)
+	return b
+}
+
+// A version was taken back, and an entry that has not heard of it still sends
+// calls. Its gate must not let them through, or callers keep meeting the bad
+// version for as long as one entry lags behind; and a later plan that tries the
+// version again must not be refused for its predecessor.
+func TestGateRefusesWhatWasTakenBack(t *testing.T) {
+	plan := kqdocument.Rollout{Name: "move", Service: "shed", From: "v1", To: "v2", Policy: "first", Start: start, Deadline: start.Add(time.Minute)}
+	b := board(service(plan))
+	id := b.Views(start)[0].Plan.ID
+	b.Join(id, kqprogress.Progress{Step: 4})
+	if b.Refuses("shed", "v2") {
+		t.Error("a version under way is refused")
+	}
+	b.Join(id, kqprogress.Progress{RolledBack: true, Why: "errors"})
+	random := rand.New(rand.NewPCG(1, 1))
+	if target := b.Split(service(plan), start.Add(time.Second), random); !b.Refuses("shed", "v2") || b.Refuses("shed", "v1") || target.Version != "v1" {
+		t.Errorf("after it was taken back, calls go to %+v", target)
+	}
+	again := plan
+	again.Name, again.Start, again.Deadline = "again", start.Add(time.Hour), start.Add(2*time.Hour)
+	b.Adopt(map[kqname.Service]kqresource.Service{"shed": service(plan, again)}, start.Add(time.Hour))
+	if b.Refuses("shed", "v2") {
+		t.Error("a new plan's version is refused for the old plan")
+	}
+}
+
+// Operators plan moves every day, and nodes run for months. A node that kept all
+// of them would outgrow its memory.
+func TestRemovedPlansAreForgotten(t *testing.T) {
+	plan := kqdocument.Rollout{Name: "move", Service: "shed", From: "v1", To: "v2", Policy: "first", Start: start, Deadline: start.Add(time.Minute)}
+	b := board(service(plan))
+	b.Adopt(map[kqname.Service]kqresource.Service{"shed": service()}, start.Add(time.Minute))
+	if list := b.Statuses(start.Add(time.Minute)); len(list) != 1 || list[0].Share != 0 {
+		t.Errorf("a removed plan must be settled first: %+v", list)
+	}
+	b.Adopt(map[kqname.Service]kqresource.Service{"shed": service()}, start.Add(2*time.Hour))
+	if list := b.Statuses(start.Add(2 * time.Hour)); len(list) != 0 {
+		t.Errorf("still known: %+v", list)
+	}
+}
--- a/internal/rollout/kqboard/entry.go
+++ b/internal/rollout/kqboard/entry.go
@@ -32,6 +32,7 @@
 	finding  kqverdict.Finding
 	totals   Evidence
 	seen     time.Time
+	gone     time.Time
 	ticked   time.Time
 	reported time.Time
 	// owner is who last said to own the rollout, and heard when.
