Let any node's report be read from any console

Cause: the fleet's page told each node's version but neither since when nor what it refused; that stood only in that node's own metrics. One address could also take every connection of the admin server. Change: a node asks another for a report over the control link, only when an operator looks: version, since when, counters that are not at 0; shown at /fleet/NODE and /v1/fleet/NODE. The admin listener holds at most 128 connections of one address. The server library's own bound per address crashed the process in a run of all tests (a nil pointer in a read of a closed connection), so the listener keeps its own. Conclusion: carrying refusals in the member records was ruled out: every node would pay for them all the time.

--- a/internal/admin/kqadmin/admin.go
+++ b/internal/admin/kqadmin/admin.go
@@ -42,6 +42,7 @@
 	defaultReadTimeout = 10 * time.Second
 	idleTimeout        = time.Minute
 	maxConnections     = 1024
+	maxPerSource       = 128
 )
 
 type (
@@ -130,7 +131,7 @@
 
 // Serve answers on the listener until Shutdown, under TLS unless config is nil.
 func (a *Admin) Serve(l net.Listener, config *tls.Config) error {
-	var served net.Listener = kqlinger.Listener{Listener: l}
+	var served net.Listener = kqlinger.New(l, maxPerSource)
 	if config != nil {
 		served = tls.NewListener(served, config)
 	}
--- a/internal/admin/kqadmin/api_test.go
+++ b/internal/admin/kqadmin/api_test.go
@@ -179,7 +179,7 @@
 		t.Fatalf("description: %d", status)
 	}
 	paths := description["paths"].(map[string]any)
-	fill := strings.NewReplacer("{version}", "1", "/requests/{name}", "/requests/first", "/services/{name}", "/services/store",
+	fill := strings.NewReplacer("{version}", "1", "/requests/{name}", "/requests/first", "/fleet/{name}", "/fleet/one", "/services/{name}", "/services/store",
 		"/routes/{name}", "/routes/store", "/policies/{name}", "/policies/careful", "/teams/{name}", "/teams/shop")
 	asked := 0
 	for path, methods := range paths {
--- a/internal/admin/kqadmin/harness_test.go
+++ b/internal/admin/kqadmin/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -18,9 +19,11 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqadmin"
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqproblem"
+	"github.com/kumquatgw/kumquatgw/internal/admin/kqview"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqboard"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqoperator"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
@@ -63,6 +66,13 @@
 
 func (n fakeNode) Ready() bool                   { return true }
 func (n fakeNode) Version() kqname.ConfigVersion { return 1 }
+func (n fakeNode) Report(_ context.Context, node kqname.Node) (kqview.Report, error) {
+	if node != "one" {
+		return kqview.Report{}, kqstore.ErrNotFound
+	}
+	return kqview.Report{Node: node, Version: 1, Counts: []kqview.Count{{Name: "config_refused", Reason: "invalid", Value: 3}}}, nil
+}
+
 func (n fakeNode) Rollouts() []kqboard.Status {
 	return []kqboard.Status{{Rollout: "spring", Service: "store", State: kqboard.TakenBack, Why: "5 of 40 calls failed"}}
 }
--- a/internal/admin/kqapi/table.go
+++ b/internal/admin/kqapi/table.go
@@ -99,6 +99,7 @@
 		{method: "GET", path: "/requests/{name}", id: "settle_request", summary: "How the change with this request id ended.", answer: kqcommit.Outcome{}, handle: a.settle},
 		{method: "GET", path: "/history", id: "get_history", summary: "The latest versions, who made them and why.", query: []string{"limit"}, answer: Versions{}, handle: a.history},
 		{method: "GET", path: "/fleet", id: "get_fleet", summary: "Every node, its state and version.", answer: kqview.Fleet{}, handle: a.fleet},
+		{method: "GET", path: "/fleet/{name}", id: "get_node", summary: "What one node tells of itself: its version, since when, and what it refused.", answer: kqview.Report{}, handle: a.report},
 		{method: "GET", path: "/convergence", id: "get_convergence", summary: "How many nodes have the version in force.", answer: kqview.Convergence{}, handle: a.convergence},
 		{method: "GET", path: "/rollout-states", id: "get_rollout_states", summary: "Where each rollout stands, and on what evidence.", answer: RolloutStates{}, handle: a.rolloutStates},
 		{method: "GET", path: "/platform", id: "get_platform", summary: "How the platform's service answers this node.", answer: kqview.Platform{}, handle: a.platform},
@@ -191,6 +192,14 @@
 
 func (a *API) fleet(asked) (any, *kqproblem.Problem) { return a.parts.View.Fleet(), nil }
 
+func (a *API) report(q asked) (any, *kqproblem.Problem) {
+	r, err := a.parts.View.Report(q.UserContext(), kqname.Node(q.Params("name")))
+	if err != nil {
+		return nil, kqproblem.New(kqproblem.NotFound, err.Error())
+	}
+	return r, nil
+}
+
 func (a *API) convergence(q asked) (any, *kqproblem.Problem) {
 	c, err := a.parts.View.Convergence(q.UserContext(), q.now)
 	if err != nil {
--- a/internal/admin/kqconsole/console.go
+++ b/internal/admin/kqconsole/console.go
@@ -120,6 +120,7 @@
 	app.Post("/logout", c.signed(c.logout))
 	app.Get("/", c.signed(c.overview))
 	app.Get("/fleet", c.signed(c.fleet))
+	app.Get("/fleet/:name", c.signed(c.node))
 	app.Get("/moves", c.signed(c.moves))
 	app.Get("/history", c.signed(c.history))
 	app.Get("/history/:version", c.signed(c.version))
--- a/internal/admin/kqconsole/view.go
+++ b/internal/admin/kqconsole/view.go
@@ -56,6 +56,16 @@
 	return c.show(v, fiber.StatusOK, "fleet", page{Title: "Fleet", Active: "fleet", Refresh: refreshPages, Data: c.parts.View.Fleet()})
 }
 
+// node asks one node, and shows what it tells of itself.
+func (c *Console) node(v visit) error {
+	name := v.Params("name")
+	r, err := c.parts.View.Report(v.UserContext(), kqname.Node(name))
+	if err != nil {
+		return c.refuse(v, kqproblem.New(kqproblem.NotFound, err.Error()))
+	}
+	return c.show(v, fiber.StatusOK, "node", page{Title: "Node " + name, Active: "fleet", Data: r})
+}
+
 func (c *Console) moves(v visit) error {
 	return c.show(v, fiber.StatusOK, "moves", page{Title: "Moves", Active: "moves", Refresh: refreshPages, Data: c.ranked()})
 }
--- a/internal/admin/kqlinger/linger.go
+++ b/internal/admin/kqlinger/linger.go
@@ -18,28 +18,49 @@
 )
 
 type (
-	// Listener accepts connections that linger when they are closed.
+	// Listener accepts connections that linger when they are closed, and so
+	// many at a time from one address. The library's own bound was tried: it
+	// crashed the process when a connection was closed under a waiting read.
 	Listener struct {
 		net.Listener
+		most int
+
+		mu   sync.Mutex
+		held map[string]int
 	}
 
 	conn struct {
 		*net.TCPConn
 		once sync.Once
+		done func()
 		err  error
 	}
 )
 
+// New returns a listener over l that holds up to most connections of one
+// address: with slow requests one source would otherwise shut all others out.
+func New(l net.Listener, most int) *Listener {
+	return &Listener{Listener: l, most: most, held: make(map[string]int)}
+}
+
 // Accept implements net.Listener.
-func (l Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, fmt.Errorf("accept: %w", err)
-	}
-	if t, ok := c.(*net.TCPConn); ok {
-		return &conn{TCPConn: t}, nil
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, fmt.Errorf("accept: %w", err)
+		}
+		t, ok := c.(*net.TCPConn)
+		if !ok {
+			return c, nil
+		}
+		source, _, err := net.SplitHostPort(c.RemoteAddr().String())
+		if err != nil || !l.take(source) {
+			_ = c.Close()
+			continue
+		}
+		return &conn{TCPConn: t, done: func() { l.give(source) }}, nil
 	}
-	return c, nil
 }
 
 // Close ends what is sent, and takes in what still comes, for a bounded time
@@ -47,14 +68,34 @@
 func (c *conn) Close() error {
 	c.once.Do(func() {
 		if c.err = c.CloseWrite(); c.err != nil {
+			c.done()
 			c.err = c.TCPConn.Close()
 			return
 		}
 		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
 		go func() {
+			defer c.done()
 			_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
 			_ = c.TCPConn.Close()
 		}()
 	})
 	return c.err
 }
+
+func (l *Listener) take(source string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held[source] >= l.most {
+		return false
+	}
+	l.held[source]++
+	return true
+}
+
+func (l *Listener) give(source string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held[source]--; l.held[source] == 0 {
+		delete(l.held, source)
+	}
+}
--- a/internal/admin/kqview/view.go
+++ b/internal/admin/kqview/view.go
@@ -26,6 +26,7 @@
 		Ready() bool
 		Version() kqname.ConfigVersion
 		Members() []kqmember.Member
+		Reporter
 	}
 
 	// Committer is the part of kqcommit that is seen.
--- a/internal/run/kqmetric/metric.go
+++ b/internal/run/kqmetric/metric.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -21,6 +22,7 @@
 	budgetBound    *prometheus.CounterVec
 	spreadDropped  prometheus.Counter
 	version        prometheus.Gauge
+	since          atomic.Int64
 	sent, received atomic.Uint64
 }
 
@@ -78,8 +80,20 @@
 // SpreadDropped counts a message to all nodes that could not be passed on.
 func (m *Metrics) SpreadDropped() { m.spreadDropped.Inc() }
 
-// Version records the configuration version in force.
-func (m *Metrics) Version(v kqname.ConfigVersion) { m.version.Set(float64(v)) }
+// Version records the configuration version that has come into force.
+func (m *Metrics) Version(v kqname.ConfigVersion) {
+	m.version.Set(float64(v))
+	m.since.Store(time.Now().UnixNano())
+}
+
+// Since returns when the version in force came into force, the zero time
+// before the first.
+func (m *Metrics) Since() time.Time {
+	if at := m.since.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
 
 // Sent implements kqpeer.Meter.
 func (m *Metrics) Sent(bytes int) { m.sent.Add(uint64(max(bytes, 0))) }
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -145,6 +145,7 @@
 	n.joinConfig()
 	n.rollouts = n.joinRollouts()
 	n.joinCalls()
+	n.joinReport()
 	if err := n.joinAdmin(); err != nil {
 		n.listeners.close()
 		return nil, fmt.Errorf("start node %s: %w", settings.Node.Name, err)
