Let one second say a little more

Cause: great badness took three seconds of full evidence at least, whatever the calls said. Change: a tick adds at most 4.2 nats instead of 3.5.

--- a/internal/rollout/kqverdict/stream.go
+++ b/internal/rollout/kqverdict/stream.go
@@ -6,7 +6,7 @@
 	// clip bounds what one tick may add, in nats. A herd of upstreams that die
 	// with calls in flight fails many calls in one tick, whatever the version;
 	// three bad ticks say more than one.
-	clip = 3.5
+	clip = 4.2
 	// spanClip bounds a span of several ticks. Within one, a tick's failures
 	// are bounded by burstPoints, so that a herd that dies in it does not
 	// settle the span.
