Exchange the fleet's CA under load

Change: a test trusts both CAs, issues by the new one and forgets the old one while callers are at work; callers grow with each step, so that new connections to the gate are made. Conclusion: a bundle in the CA file is enough; a second setting for the next CA was ruled out.

--- a/internal/run/kqnode/tls_test.go
+++ b/internal/run/kqnode/tls_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -135,33 +136,67 @@
 	s := newSecured(t)
 	front, back := s.start(t, "front", ""), s.start(t, "back", "store")
 	s.commit(t)
+	s.underLoad(t, front, func(goOn func()) {
+		for range 3 {
+			s.replace(t, front, back)
+			goOn()
+		}
+	})
+}
+
+// The fleet's CA itself is exchanged under load: nodes trust both, then take
+// certificates of the new one, then forget the old one. A step out of order
+// would part nodes from each other; no call may be lost.
+func TestAuthorityReplacedUnderLoad(t *testing.T) {
+	s := newSecured(t)
+	front, back := s.start(t, "front", ""), s.start(t, "back", "store")
+	s.commit(t)
+	old, next := s.authority, newAuthority(t)
+	s.underLoad(t, front, func(goOn func()) {
+		s.trust(t, old, next)
+		// A node that has not looked yet would refuse the new certificates;
+		// renewing under the old CA shows that both have looked.
+		s.replace(t, front, back)
+		goOn()
+		s.authority = next
+		s.replace(t, front, back)
+		goOn()
+		s.trust(t, next)
+		s.replace(t, front, back)
+		goOn()
+	})
+}
+
+// underLoad runs change while callers are at work, and fails the test for each
+// call that has no answer. goOn waits until many more calls were answered.
+func (s *secured) underLoad(t *testing.T, front *kqfleet.Server, change func(goOn func())) {
+	t.Helper()
 	url := fmt.Sprintf("http://%s/", front.Node.EntryAddress())
 	await(t, "calls are answered", func() bool { return get(t.Context(), url) == http.StatusOK })
-
 	ctx, stop := context.WithCancel(t.Context())
 	var group conc.WaitGroup
 	var answered, lost atomic.Int64
-	for range 8 {
-		group.Go(func() {
-			for ctx.Err() == nil {
-				if get(t.Context(), url) == http.StatusOK {
-					answered.Add(1)
-				} else {
-					lost.Add(1)
+	// Each caller more needs a connection more to the gate, so that what was
+	// replaced is in use and not only the connections from before.
+	more := func() {
+		for range 8 {
+			group.Go(func() {
+				for ctx.Err() == nil {
+					if get(t.Context(), url) == http.StatusOK {
+						answered.Add(1)
+					} else {
+						lost.Add(1)
+					}
 				}
-			}
-		})
+			})
+		}
 	}
-	for range 3 {
-		old := []string{s.serial(t, front), s.serial(t, back)}
-		s.issue(t, "front")
-		s.issue(t, "back")
-		await(t, "the new certificates are in use", func() bool {
-			return s.serial(t, front) != old[0] && s.serial(t, back) != old[1]
-		})
+	more()
+	change(func() {
+		more()
 		reached := answered.Load()
 		await(t, "calls go on", func() bool { return answered.Load() > reached+50 })
-	}
+	})
 	stop()
 	group.Wait()
 	t.Logf("answered %d, lost %d", answered.Load(), lost.Load())
@@ -170,6 +205,32 @@
 	}
 }
 
+// replace issues new certificates and waits until they are in use.
+func (s *secured) replace(t *testing.T, servers ...*kqfleet.Server) {
+	t.Helper()
+	for _, server := range servers {
+		old := s.serial(t, server)
+		s.issue(t, server.Spec.Node)
+		await(t, "the new certificate is in use", func() bool { return s.serial(t, server) != old })
+	}
+}
+
+// trust writes the authorities that nodes believe.
+func (s *secured) trust(t *testing.T, authorities ...*kqauthority.Authority) {
+	t.Helper()
+	var bundle []byte
+	for _, a := range authorities {
+		bundle = append(bundle, a.Pair().Certificate...)
+	}
+	file, _ := kqauthority.Paths(s.folder, "ca")
+	if err := os.WriteFile(file+".new", bundle, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(file+".new", file); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func (s *secured) certificate(t *testing.T, node string) tls.Certificate {
 	t.Helper()
 	certificate, key := kqauthority.Paths(s.folder, node)
