Learn an upstream's concurrency where its announced slots mislead

Cause: an upstream that announces more slots than it can work on slows its own calls down, and the gate kept every announced slot full. Change: kqlimit compares what short calls take with all slots taken with what they take at half; kqslots hands out no more than it allows. A slot that was given back in vain waits longer the next time. Not measured on sockets against a misleading upstream. Ruled out: a fixed step up each window.

--- a/internal/decide/kqslots/queue.go
+++ b/internal/decide/kqslots/queue.go
@@ -41,11 +41,11 @@
 // expectWait returns how long a call that came now would wait, by the work of
 // those who would be served before it and the slots that its kind can have.
 func (s *Slots) expectWait(t *Ticket, expected time.Duration, now time.Time) time.Duration {
-	lanes, places := &s.short, s.count
+	lanes, places := &s.short, s.limit.Allowed()
 	if t.long {
 		lanes, places = &s.long, s.longMost(now)
 	} else if lengthOf(&s.long) > 0 || s.runningLong > 0 {
-		places = max(s.count-s.longMost(now), 1)
+		places = max(s.limit.Allowed()-s.longMost(now), 1)
 	}
 	ahead := lanes[t.level].Ahead(t.Caller)
 	for i := range t.level {
@@ -59,7 +59,7 @@
 // serve starts waiting calls while slots are free.
 func (s *Slots) serve(now time.Time) []*Ticket {
 	var settled []*Ticket
-	for s.running < s.count && s.waiting() > 0 {
+	for s.running < s.limit.Allowed() && s.waiting() > 0 {
 		lanes := s.next(now)
 		if lanes == nil {
 			break
@@ -81,7 +81,7 @@
 // they have the half that is kept for them, then long jobs up to their most.
 func (s *Slots) next(now time.Time) *[classes]*kqfair.Queue {
 	short, long := lengthOf(&s.short) > 0, lengthOf(&s.long) > 0 && s.room(true, now)
-	kept := s.count - s.longMost(now)
+	kept := s.limit.Allowed() - s.longMost(now)
 	switch {
 	case short && (!long || s.running-s.runningLong < kept):
 		return &s.short
@@ -132,16 +132,16 @@
 
 // room reports whether a slot is free for a long job or a short call.
 func (s *Slots) room(long bool, now time.Time) bool {
-	return s.running < s.count && (!long || s.runningLong < s.longMost(now))
+	return s.running < s.limit.Allowed() && (!long || s.runningLong < s.longMost(now))
 }
 
 // longMost is how many slots long jobs may have: half, and one at least, or all
 // while no short calls come.
 func (s *Slots) longMost(now time.Time) int {
 	if now.Sub(s.shortSeen) > shortIdle {
-		return s.count
+		return s.limit.Allowed()
 	}
-	return max(s.count/2, 1)
+	return max(s.limit.Allowed()/2, 1)
 }
 
 func (s *Slots) lanes(t *Ticket) *[classes]*kqfair.Queue {
@@ -170,7 +170,7 @@
 	for i := range classes {
 		work += s.short[i].Work() + s.long[i].Work()
 	}
-	return max(work/time.Duration(max(s.count, 1)), minRetryAfter)
+	return max(work/time.Duration(max(s.limit.Allowed(), 1)), minRetryAfter)
 }
 
 func level(c kqdocument.Class) int {
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -34,6 +34,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqfair"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqlimit"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqwork"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -92,6 +93,7 @@
 	// Slots decides for one upstream. It is not safe for concurrent use.
 	Slots struct {
 		count       int
+		limit       *kqlimit.Limit
 		work        *kqwork.Work
 		short, long [classes]*kqfair.Queue
 		running     int
@@ -105,7 +107,7 @@
 // New returns slots for an upstream that runs count calls at once; salt parts
 // callers that another gate's hash brought together.
 func New(count int, salt uint64) *Slots {
-	s := &Slots{count: count, work: kqwork.New()}
+	s := &Slots{count: count, limit: kqlimit.New(count), work: kqwork.New()}
 	for i := range classes {
 		s.short[i], s.long[i] = kqfair.New(salt+uint64(i)), kqfair.New(salt+classes+uint64(i))
 	}
@@ -136,6 +138,9 @@
 // Leave gives back the slot of a ticket whose call took so long at the
 // upstream, and returns the tickets that this settles.
 func (s *Slots) Leave(t *Ticket, took time.Duration, now time.Time) []*Ticket {
+	if took > 0 && !t.long && s.runningLong == 0 {
+		s.limit.Learn(took, s.running)
+	}
 	s.running--
 	if t.long {
 		s.runningLong--
@@ -161,6 +166,7 @@
 // this settles. Calls that run stay.
 func (s *Slots) Resize(count int, now time.Time) []*Ticket {
 	s.count = count
+	s.limit.Announce(count)
 	return s.serve(now)
 }
 
@@ -183,5 +189,5 @@
 
 // Load returns what callers are to know.
 func (s *Slots) Load() kqcall.Load {
-	return kqcall.Load{Running: s.running, Waiting: s.waiting(), Slots: s.count, Work: s.work.Pace()}
+	return kqcall.Load{Running: s.running, Waiting: s.waiting(), Slots: s.limit.Allowed(), Work: s.work.Pace()}
 }
