Refuse a fake upstream that its node would never take

Cause: upstream ran on without a word with a service name, slots, share or node address that no node accepts. Conclusion: the bounds stand in one place, where the node checks them too.

--- a/internal/call/kqlocal/local.go
+++ b/internal/call/kqlocal/local.go
@@ -12,7 +12,8 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
-const maxSlots = 10000
+// MaxSlots bounds the slots that an upstream may announce.
+const MaxSlots = 10000
 
 // ErrAnnouncement tells that an announcement cannot be accepted.
 var ErrAnnouncement = errors.New("announcement refused")
@@ -50,7 +51,7 @@
 
 // Announce takes in an announcement, first or renewed.
 func (u *Upstreams) Announce(a Announcement, now time.Time) error {
-	if !kqname.Valid(a.Service) || !kqname.Valid(a.Version) || a.Address == "" || a.Slots < 1 || a.Slots > maxSlots {
+	if !kqname.Valid(a.Service) || !kqname.Valid(a.Version) || a.Address == "" || a.Slots < 1 || a.Slots > MaxSlots {
 		return fmt.Errorf("announce %q %q at %q with %d slots: %w", a.Service, a.Version, a.Address, a.Slots, ErrAnnouncement)
 	}
 	u.mu.Lock()
--- a/internal/run/kqcommand/upstream.go
+++ b/internal/run/kqcommand/upstream.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"net"
 
+	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqupstream"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -19,6 +23,19 @@
 	fail := clause.Flag("fail-share", "Share of calls that fail, from 0 to 1.").Default("0").Float64()
 	shed := clause.Flag("shed", "Answer 503 to calls over the slots.").Bool()
 	c.add(clause, func(ctx context.Context) error {
+		host, port, err := net.SplitHostPort(*node)
+		switch {
+		case !kqname.Valid(*service) || !kqname.Valid(*version):
+			return fmt.Errorf("upstream: service %q and version %q must be plain names", *service, *version)
+		case *slots < 1 || *slots > kqlocal.MaxSlots:
+			return fmt.Errorf("upstream: --slots %d is not from 1 to %d", *slots, kqlocal.MaxSlots)
+		case !(*fail >= 0 && *fail <= 1):
+			return fmt.Errorf("upstream: --fail-share %v is not from 0 to 1", *fail)
+		case *work < 0 || *cold < 0 || *coldWork < 0:
+			return errors.New("upstream: a time is negative")
+		case err != nil || host == "" || port == "":
+			return fmt.Errorf("upstream: --node %q is not an address like 127.0.0.1:8081", *node)
+		}
 		u, err := kqupstream.New(kqname.Service(*service), kqname.UpstreamVersion(*version), *slots, kqname.Address(*node),
 			kqupstream.Behaviour{Work: *work, ColdFor: *cold, ColdWork: *coldWork, FailShare: *fail, Shed: *shed})
 		if err != nil {
