Let no form choose a service or team by itself

Cause: a form's needed choices began with the first name of the list, so a hasty operator led a route to whichever service comes first. Change: a needed choice without a value begins empty, and is told of when left so. Conclusion: an empty choice over a remembered last one, which would be as wrong for the next item.

--- a/internal/admin/kqadmin/console_test.go
+++ b/internal/admin/kqadmin/console_test.go
@@ -98,7 +98,7 @@
 	for path, want := range map[string]string{
 		"/": "Version 2 by mika", "/routes/edit/sale": "X-Kind: maple", "/history": "mika", "/history/2": "/sale",
 		"/fleet": "1 behind", "/fleet/one": "config_refused", "/moves": "taken back", "/platform": "answers", "/audit": "put of routes.sale",
-		"/services": "store", "/rollouts/new": "datetime-local", "/policies": "careful", "/teams": "shop",
+		"/services": "store", "/rollouts/new": "choose …", "/rollouts": "None yet", "/policies": "careful", "/teams": "shop",
 	} {
 		if status, page := b.get(path); status != 200 || !strings.Contains(page, want) {
 			t.Errorf("%s: %d, lacks %q", path, status, want)
--- a/internal/admin/kqconsole/change.go
+++ b/internal/admin/kqconsole/change.go
@@ -200,6 +200,11 @@
 		if f.choose != nil {
 			i.Options = f.choose(d, v.operator)
 		}
+		// Without an empty choice the browser takes the first one, and a route
+		// would lead to whichever service comes first by name.
+		if f.Required && i.Value == "" && len(i.Options) > 1 {
+			i.Options = append([]string{""}, i.Options...)
+		}
 		s.Inputs = append(s.Inputs, i)
 	}
 }
