Hold lines short once an overload lasts, and prove route matching

Route matching had no test and no figure. Change: only eight calls in a row that find next to nobody count as calm. Conclusion: the line's own wait can't tell calm from a short line alone.

--- /dev/null
+++ b/internal/config/kqsnapshot/index_test.go
@@ -0,0 +1,90 @@
+package kqsnapshot_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const host = "shop"
+
+func build(tb testing.TB, routes []kqdocument.Route) *kqsnapshot.Snapshot {
+	tb.Helper()
+	objects := make(kqresource.Objects)
+	const team = "makers"
+	add := func(value any) kqresource.Digest {
+		d, err := objects.Add(value)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		return d
+	}
+	root := kqresource.Root{
+		Version: 1, Services: make(map[kqname.Service]kqresource.Digest),
+		Hosts: map[kqname.Host]kqresource.Digest{host: add(kqresource.Host{Name: host, Routes: routes})},
+	}
+	for _, r := range routes {
+		root.Services[r.Service] = add(kqresource.Service{Service: kqdocument.Service{Name: r.Service, Team: team}})
+	}
+	s, _, err := kqsnapshot.Build(root, objects, []kqname.Host{host}, nil)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return s
+}
+
+func route(name, prefix, method string, headers map[string]string) kqdocument.Route {
+	return kqdocument.Route{Name: kqname.Route(name), Host: host, PathPrefix: prefix, Method: method, Headers: headers, Service: "store", Team: "makers"}
+}
+
+// Several routes fit a call and the wrong one is taken: orders reach the
+// catalogue's upstream. The longest prefix wins, then headers, then a method.
+func TestMostExactRouteWins(t *testing.T) {
+	s := build(t, []kqdocument.Route{
+		route("all", "/", "", nil), route("orders", "/orders", "", nil), route("post", "/orders", "POST", nil),
+		route("trial", "/orders", "", map[string]string{"Trial": "yes"}), route("one", "/orders/1", "GET", nil),
+	})
+	for _, c := range []struct{ path, method, trial, want string }{
+		{"/", "GET", "", "all"},
+		{"/order", "GET", "", "all"},
+		{"/orders", "GET", "", "orders"},
+		{"/orders/2", "POST", "", "post"},
+		{"/orders/2", "POST", "yes", "trial"},
+		{"/orders/1", "GET", "yes", "one"},
+		{"/orders/1", "POST", "", "post"},
+	} {
+		got, ok := s.Match(kqsnapshot.Request{Host: host, Path: c.path, Method: c.method, Header: func(string) string { return c.trial }})
+		if !ok || string(got.Name) != c.want {
+			t.Errorf("%s %s trial %q goes to %q, want %q", c.method, c.path, c.trial, got.Name, c.want)
+		}
+	}
+	if _, ok := s.Match(kqsnapshot.Request{Host: "other", Path: "/"}); ok {
+		t.Error("a route fits a host that has none")
+	}
+}
+
+// BenchmarkMatch has all 2,000 routes of 89 services on one host, the worst case.
+func BenchmarkMatch(b *testing.B) {
+	var routes []kqdocument.Route
+	for i := range 2000 {
+		r := route(fmt.Sprint("r", i), fmt.Sprintf("/service-%d/%0*d", i%89, i%20+1, i), "", nil)
+		r.Service = kqname.Service(fmt.Sprint("s", i%89))
+		routes = append(routes, r)
+	}
+	routes = append(routes, route("all", "/", "", nil))
+	s := build(b, routes)
+	for name, path := range map[string]string{"found": routes[1999].PathPrefix + "/x", "last": "/service-1/nothing/of/the/kind/here"} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := s.Match(kqsnapshot.Request{Host: host, Path: path, Method: "GET"}); !ok {
+					b.Fatal("no route")
+				}
+			}
+		})
+	}
+}
--- a/internal/decide/kqfair/fair.go
+++ b/internal/decide/kqfair/fair.go
@@ -36,6 +36,9 @@
 	// shares waver, and twice as many of a hot caller's calls are given up late.
 	window = 256
 
+	// calmStreak is how many calls in a row find nobody by more than chance.
+	calmStreak = 8
+
 	// least is what is not worth remembering, so that idle lines come free.
 	least = time.Microsecond
 )
@@ -81,8 +84,10 @@
 		// each line when it became the head.
 		start time.Duration
 		work  time.Duration
-		// calm is when a call of the line last had next to nobody to wait for.
+		// calm is when calls of the line last had next to nobody to wait for.
 		calm time.Time
+		// streak counts the calls in a row that had next to nobody to wait for.
+		streak int
 		// recent is the work that the line was lately given.
 		recent time.Duration
 	}
@@ -147,8 +152,19 @@
 	q.note(l, work)
 }
 
-// Calm notes that a call of the caller has next to nobody to wait for.
-func (q *Queue) Calm(caller kqname.Caller, now time.Time) { q.lines[q.claim(caller, now)].calm = now }
+// Note takes in whether a call of the caller finds next to nobody to wait for.
+// One alone means little: where all callers are held to short lines, each line
+// is empty now and then.
+func (q *Queue) Note(caller kqname.Caller, calm bool, now time.Time) {
+	l := &q.lines[q.claim(caller, now)]
+	l.streak++
+	if !calm {
+		l.streak = 0
+	}
+	if l.streak >= calmStreak {
+		l.calm = now
+	}
+}
 
 // Remove takes a call out that no longer waits and reports whether it did.
 func (q *Queue) Remove(p *Place) bool {
--- a/internal/decide/kqslots/queue.go
+++ b/internal/decide/kqslots/queue.go
@@ -29,9 +29,7 @@
 // allowed returns how long the call may be expected to wait.
 func (s *Slots) allowed(t *Ticket, wait, left time.Duration, now time.Time) time.Duration {
 	allowed := time.Duration(float64(left) * [classes]float64{criticalWait, normalWait, backgroundWait}[t.level])
-	if wait < allowed/standingWait/calm {
-		s.lane(t).Calm(t.Caller, now)
-	}
+	s.lane(t).Note(t.Caller, wait < allowed/standingWait/calm, now)
 	if s.lane(t).Standing(t.Caller, now) > standing {
 		allowed /= standingWait
 	}
