Tell far slower from a cold start, and model what gates leave out

Cause: on real nodes a version 10 times slower whose upstreams had just started kept the small share for over 20 s, since gates leave out latencies for 45 s after a start; the model counted them from the moment at which its upstreams were truly warm, and so hid this. Change: calls of new upstreams that have just started count in a lane of their own, which alarms at 10 times the latency and tolerates 4; the model leaves out what the gates do, while the test that knows all weighs every call. Slowness under 10 times is told from a cold start only once upstreams are 45 s old. Ruled out: to hold a move until its upstreams are warm, since some warm up only by calls.

--- a/internal/lab/kqworld/calls.go
+++ b/internal/lab/kqworld/calls.go
@@ -11,10 +11,11 @@
 
 // calls draws one version's calls of one route in one tick, counts them and
 // returns the log of how much likelier they are with the badness than without.
-func (w *World) calls(c *kqevidence.Cell, i int, m moment, e effect) float64 {
+// As at the gates, what upstreams that have just started do counts without its
+// latency, which goes to young instead; the test that knows all weighs all.
+func (w *World) calls(c, young *kqevidence.Cell, i int, m moment, e effect) float64 {
 	o := w.routes[i]
 	n := w.poisson(m.rate * o.weight)
-	cold := w.binomial(n, m.cold)
 	errors := o.errors + m.errors
 	failing := clamp(errors + e.errors)
 	c.Calls = uint32(n)
@@ -22,30 +23,42 @@
 	c.Failed += uint32(min(n-int(c.Failed), w.poisson(m.cut*m.rate*o.weight*o.mean())))
 	// Slowness by load: an upstream near its slots' limit slows down.
 	base := math.Log(o.work*m.factor) + math.Log1p(0.5*math.Pow(min(m.use, 1), 4))
-	warm := n - cold
+	cold := w.binomial(n, m.cold)
+	all := kqevidence.Cell{Calls: c.Calls, Failed: c.Failed}
 	w.shape(&w.truth, base, o.spread, e)
-	w.spread(c, warm, &w.truth)
+	w.spread(&all, n-cold, &w.truth)
 	odds := 0.0
-	if e != none {
-		odds = w.weigh(c, warm, base, o.spread, errors, failing)
-	}
-	if w.Kind.Good() {
-		odds = w.weighRival(c, n, base, o.spread, errors)
-	}
-	w.countCold(c, cold, base, o.spread)
+	switch {
+	case w.Kind.Good():
+		odds = w.weighRival(&all, n-cold, base, o.spread, errors)
+	case e != none:
+		odds = w.weigh(&all, n-cold, base, o.spread, errors, failing)
+	}
+	w.count(c, young, &all, (m.young-m.cold)/max(1-m.cold, 1e-9))
+	w.shape(&w.truth, base+math.Log(coldFactor), o.spread, e)
+	var slow kqevidence.Cell
+	w.spread(&slow, cold, &w.truth)
+	excluded := 1.0
+	if w.coldFor > w.excluded {
+		excluded = float64(w.excluded) / float64(w.coldFor)
+	}
+	w.count(c, young, &slow, excluded)
 	return odds
 }
 
-// countCold counts the slowness of calls at upstreams that have started lately
-// only where the start is longer ago than the gates allow for.
-func (w *World) countCold(c *kqevidence.Cell, cold int, base, spread float64) {
-	if cold == 0 || w.coldFor <= w.excluded {
-		return
+// count puts each latency into the cell, or into young by the given share.
+func (w *World) count(c, young, from *kqevidence.Cell, share float64) {
+	for b, k := range from.Latency {
+		if k == 0 {
+			continue
+		}
+		apart := uint32(w.binomial(int(k), clamp(share)))
+		c.Latency[b] += k - apart
+		if young != nil {
+			young.Latency[b] += apart
+			young.Calls += apart
+		}
 	}
-	counted := w.binomial(cold, 1-float64(w.excluded)/float64(w.coldFor))
-	var p [kqevidence.Buckets]float64
-	w.shape(&p, base+math.Log(coldFactor), spread, none)
-	w.spread(c, counted, &p)
 }
 
 func (w *World) weigh(c *kqevidence.Cell, n int, base, spread, errors, failing float64) float64 {
--- a/internal/lab/kqworld/world.go
+++ b/internal/lab/kqworld/world.go
@@ -71,6 +71,7 @@
 	moment struct {
 		rate, use      float64
 		alive, cold    float64
+		young          float64
 		factor, errors float64
 		cut            float64
 	}
@@ -115,17 +116,19 @@
 	w.own = memory*w.own + w.ownWobble*math.Sqrt(1-memory*memory)*w.random.NormFloat64()
 	old, next := w.moments(at, of, small)
 	bad := w.active(at, next)
+	young := kqevidence.Pair{Route: kqevidence.Young}
 	s := Second{Share: next.rate / (old.rate + next.rate), Bad: bad && next.rate > 0}
 	for i := range w.routes {
 		p := kqevidence.Pair{Route: w.names[i]}
-		w.calls(&p.Old, i, old, none)
+		w.calls(&p.Old, nil, i, old, none)
 		e := none
 		if bad && (w.onRoute < 0 || w.onRoute == i) {
 			e = w.effect
 		}
-		s.Odds += w.calls(&p.New, i, next, e)
+		s.Odds += w.calls(&p.New, &young.New, i, next, e)
 		s.Sample = append(s.Sample, p)
 	}
+	s.Sample = append(s.Sample, young)
 	return s
 }
 
@@ -180,6 +183,8 @@
 func (w *World) surroundings(at int, old bool) moment {
 	m := moment{factor: math.Exp(w.shared)}
 	m.alive, m.cold = w.standing(at, old, w.coldFor)
+	_, m.young = w.standing(at, old, w.excluded)
+	m.young = max(m.young, m.cold)
 	for _, s := range w.spells {
 		if at >= s.from && at < s.to {
 			m.factor *= s.factor
--- a/internal/rollout/kqboard/entry.go
+++ b/internal/rollout/kqboard/entry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqevidence"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqledger"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqplan"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqprogress"
@@ -74,6 +75,9 @@
 	e.judge.Observe(sample)
 	e.finding = e.judge.Finding()
 	for i := range sample {
+		if sample[i].Route == kqevidence.Young {
+			continue
+		}
 		e.totals.add(&sample[i])
 	}
 	if e.progress.Open() && !e.progress.RolledBack && kqstep.Bad(e.plan, e.finding) {
--- a/internal/rollout/kqboard/traffic.go
+++ b/internal/rollout/kqboard/traffic.go
@@ -8,6 +8,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqevidence"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqledger"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqprogress"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqshare"
@@ -110,6 +111,9 @@
 		if !open || o.Version != from && o.Version != to {
 			continue
 		}
+		if cold && o.Version == to {
+			e.ledger.Count(kqevidence.Young, func(r *kqledger.Row) { r.New.Count(o.Took, failed(o)) })
+		}
 		e.ledger.Count(o.Route, func(r *kqledger.Row) {
 			cell := &r.Old
 			if o.Version == to {
--- a/internal/rollout/kqevidence/evidence.go
+++ b/internal/rollout/kqevidence/evidence.go
@@ -17,6 +17,10 @@
 	MaxRoutes = 16
 	// Others stands for all routes over MaxRoutes.
 	Others kqname.Route = "others"
+	// Young stands for the calls of upstreams of the new version that have
+	// only just started. They count under their own route too, without their
+	// latency; here they have it, to tell far slower from cold.
+	Young kqname.Route = "just started"
 
 	// first is the upper edge of the lowest bucket, in seconds. Growth steps
 	// of a quarter tell 1.3 times slower from as fast, and 48 of them reach
--- a/internal/rollout/kqverdict/lane.go
+++ b/internal/rollout/kqverdict/lane.go
@@ -28,12 +28,17 @@
 		errorsUp("errors up by 0.5 points", 0.005, 20),
 		errorsUp("errors up by 2 points", 0.02, 5),
 		errorsUp("errors up by 20 points", 0.2, 1),
-		slower("slower by 1.3 times", 1.3),
-		slower("slower by 2 times", 2),
+		slower("slower by 1.3 times", toleratedFactor, 1.3),
+		slower("slower by 2 times", toleratedFactor, 2),
 		tailUp("more very slow calls", 5, 10),
 	}}
 }
 
+// newYoungLane holds the test of upstreams that have just started.
+func newYoungLane() *lane {
+	return &lane{route: kqevidence.Young, streams: []*stream{slower("far slower than a cold start", toleratedCold, 10)}}
+}
+
 // observe takes in one tick and then lets the old version's calls of this tick
 // into the baseline, so that no call is weighed by rates that it has shaped.
 func (l *lane) observe(p *kqevidence.Pair) {
@@ -50,6 +55,9 @@
 	if l.route == "" {
 		return "all routes"
 	}
+	if l.route == kqevidence.Young {
+		return "upstreams that have just started"
+	}
 	return "route " + string(l.route)
 }
 
--- a/internal/rollout/kqverdict/stream.go
+++ b/internal/rollout/kqverdict/stream.go
@@ -78,8 +78,8 @@
 
 // slower bets on latencies that are longer by factor. The logs of latencies are
 // compared within the tick, so that what slows both versions cancels out.
-func slower(metric string, factor float64) *stream {
-	good, bad := math.Log(toleratedFactor), math.Log(factor)
+func slower(metric string, tolerated, factor float64) *stream {
+	good, bad := math.Log(tolerated), math.Log(factor)
 	return &stream{metric: metric, span: 1, gain: func(t *ticked) float64 {
 		if !t.timed {
 			return 0
--- a/internal/rollout/kqverdict/verdict.go
+++ b/internal/rollout/kqverdict/verdict.go
@@ -25,17 +25,23 @@
 	// toleratedTail is how many times as many very slow calls a tolerated
 	// factor makes where latencies have little spread.
 	toleratedTail = 1.6
+	// toleratedCold is how much slower an upstream may be that has just
+	// started.
+	toleratedCold = 4
 
 	// pooledPart is the share of the starting wealth that the tests of all
 	// routes together have; the routes' share the rest. Most badness shows on
 	// all routes, where the calls are most.
 	pooledPart = 0.5
+	// youngPart is that of the test of upstreams that have just started.
+	youngPart = 0.05
 )
 
 type (
 	// Judge weighs the evidence of one rollout.
 	Judge struct {
 		pooled *lane
+		young  *lane
 		routes []*lane
 		byName map[kqname.Route]*lane
 		calls  uint64
@@ -60,18 +66,27 @@
 )
 
 // New returns a judge without evidence.
-func New() *Judge { return &Judge{pooled: newLane(""), byName: make(map[kqname.Route]*lane)} }
+func New() *Judge {
+	return &Judge{pooled: newLane(""), young: newYoungLane(), byName: make(map[kqname.Route]*lane)}
+}
 
 // Observe takes in what both versions did in one tick.
 func (j *Judge) Observe(s kqevidence.Sample) {
 	var all kqevidence.Pair
+	var young kqevidence.Pair
 	for i := range s {
 		p := &s[i]
+		if p.Route == kqevidence.Young {
+			young.New = p.New
+			continue
+		}
 		all.Old.Add(&p.Old)
 		all.New.Add(&p.New)
 		j.lane(p.Route).observe(p)
 	}
 	j.pooled.observe(&all)
+	young.Old = all.Old
+	j.young.observe(&young)
 	j.calls += uint64(all.New.Calls)
 }
 
@@ -103,21 +118,23 @@
 // part returns a lane's part of the starting wealth.
 func (j *Judge) part(l *lane) float64 {
 	switch {
+	case l == j.young:
+		return youngPart
 	case len(j.routes) < 2:
-		return 1
+		return 1 - youngPart
 	case l == j.pooled:
 		return pooledPart
 	default:
-		return (1 - pooledPart) / float64(len(j.routes))
+		return (1 - pooledPart - youngPart) / float64(len(j.routes))
 	}
 }
 
 func (j *Judge) lanes() []*lane {
 	// One route alone is all routes: testing it twice would only cost.
 	if len(j.routes) < 2 {
-		return []*lane{j.pooled}
+		return []*lane{j.pooled, j.young}
 	}
-	return append([]*lane{j.pooled}, j.routes...)
+	return append([]*lane{j.pooled, j.young}, j.routes...)
 }
 
 func (j *Judge) lane(route kqname.Route) *lane {
