Count calls that the library refuses, and name the slow ones

Cause: calls with slow, large or unreadable headers were answered before an entry or gate saw them, and so counted nowhere; slow ones passed for malformed. Change: such refusals are counted as not_run; too_slow is a reason of its own, with status 408; [call] read_timeout sets the bound. Conclusion: the bound was made a setting, since a mesh with large uploads over thin lines needs a longer one; a bound on headers alone is not in the library.

--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -44,6 +44,8 @@
 	TooLarge Reason = "too_large"
 	// Malformed tells that the call's headers cannot be read.
 	Malformed Reason = "malformed"
+	// TooSlow tells that the call did not arrive whole in time.
+	TooSlow Reason = "too_slow"
 	// Timeout tells that the deadline passed after the call was sent.
 	Timeout Reason = "timeout"
 	// Cut tells that the connection broke after the call was sent.
@@ -106,7 +108,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		NoReason, NoRoute, NoConfig, NoUpstream, QueueFull, Overload, Late, RolledBack, Draining, Shed, ConnectFailed,
-		TooLarge, Malformed, Timeout, Cut, Cancelled, Crossed,
+		TooLarge, Malformed, TooSlow, Timeout, Cut, Cancelled, Crossed,
 	}
 }
 
@@ -121,7 +123,7 @@
 
 // Status returns the HTTP status that goes with an outcome that is not an
 // answer: 404 for no route, 413 for too large a body, 400 for a malformed
-// call, 503 where the call did not run and 504 where it may have.
+// call, 408 for one that came too slowly, 503 where the call did not run and 504 where it may have.
 func (o Outcome) Status() int {
 	switch {
 	case o.Reason == NoRoute:
@@ -130,6 +132,8 @@
 		return fasthttp.StatusRequestEntityTooLarge
 	case o.Reason == Malformed:
 		return fasthttp.StatusBadRequest
+	case o.Reason == TooSlow:
+		return fasthttp.StatusRequestTimeout
 	case o.Result == NotRun:
 		return fasthttp.StatusServiceUnavailable
 	default:
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,7 +24,6 @@
 const (
 	announcePath = "/kq/announce"
 	baseline     = "baseline"
-	readTimeout  = 10 * time.Second
 	// serverIdle is longer than the clients keep idle connections, so that the
 	// client is the one to close: a server that closes first could cut a call
 	// that was just being sent.
@@ -65,17 +65,17 @@
 	n.gate = kqgate.New(n.local, gate...)
 	n.entry = kqentry.New(n.settings.Node.Name, n.replica, n.table, n.gate, entry...)
 	n.servers = callServers{
-		entry: n.server(n.entry.ServeOutside),
-		local: n.server(n.serveLocal),
-		gate:  n.server(n.gate.Serve),
+		entry: n.server(n.entry.ServeOutside, n.metrics.Ended),
+		local: n.server(n.serveLocal, n.metrics.Ended),
+		gate:  n.server(n.gate.Serve, n.metrics.Gated),
 	}
 }
 
-func (n *Node) server(handler fasthttp.RequestHandler) *fasthttp.Server {
+func (n *Node) server(handler fasthttp.RequestHandler, count func(kqcall.Outcome)) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: handler, Name: "kumquatgw", ReadTimeout: readTimeout, IdleTimeout: serverIdle,
+		Handler: handler, Name: "kumquatgw", ReadTimeout: n.settings.Call.ReadTimeout, IdleTimeout: serverIdle,
 		MaxRequestBodySize: n.settings.Call.MaxBody, NoDefaultServerHeader: true, CloseOnShutdown: true,
-		DisablePreParseMultipartForm: true, ReadBufferSize: headerSize, ErrorHandler: refuse, Logger: quiet{n.logger.Part("call")},
+		DisablePreParseMultipartForm: true, ReadBufferSize: headerSize, ErrorHandler: refuse(count), Logger: quiet{n.logger.Part("call")},
 	}
 }
 
@@ -147,13 +147,21 @@
 	return errors.Join(errs...)
 }
 
-// refuse answers what the library could not read as a call.
-func refuse(ctx *fasthttp.RequestCtx, err error) {
-	reason := kqcall.Malformed
-	var small *fasthttp.ErrSmallBuffer
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &small) {
-		reason = kqcall.TooLarge
+// refuse answers, and counts, what the library could not read as a call. Such
+// a call never reaches an entry or a gate, which count all others.
+func refuse(count func(kqcall.Outcome)) func(*fasthttp.RequestCtx, error) {
+	return func(ctx *fasthttp.RequestCtx, err error) {
+		o := kqcall.Refuse(kqcall.Malformed)
+		var small *fasthttp.ErrSmallBuffer
+		var network net.Error
+		switch {
+		case errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &small):
+			o.Reason = kqcall.TooLarge
+		case errors.As(err, &network) && network.Timeout():
+			o.Reason = kqcall.TooSlow
+		}
+		count(o)
+		c := &kqcall.Call{Request: &ctx.Request, Response: &ctx.Response}
+		c.Answer(o)
 	}
-	c := &kqcall.Call{Request: &ctx.Request, Response: &ctx.Response}
-	c.Answer(kqcall.Refuse(reason))
 }
--- a/internal/run/kqnode/forged_test.go
+++ b/internal/run/kqnode/forged_test.go
@@ -1,10 +1,13 @@
 package kqnode_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -97,3 +100,32 @@
 	})
 	t.Cleanup(func() { stop(); group.Wait() })
 }
+
+// A client sends its headers byte by byte, to hold connections of an entry. It
+// is told so and cut off, its call is counted as not run, and others are served.
+func TestSlowHeadersAtTheEntry(t *testing.T) {
+	s := newSecured(t)
+	front := s.start(t, "front", "store")
+	s.commit(t)
+	conn, err := net.Dial("tcp", string(front.Node.EntryAddress()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: store\r\nX-Slow: ")
+	_ = conn.SetReadDeadline(time.Now().Add(patience))
+	a, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("read refusal: %v", err)
+	}
+	_ = a.Body.Close()
+	if a.StatusCode != http.StatusRequestTimeout || a.Header.Get(kqcall.HeaderReason) != string(kqcall.TooSlow) {
+		t.Errorf("status %d, reason %q; want 408, too_slow", a.StatusCode, a.Header.Get(kqcall.HeaderReason))
+	}
+	if n := counter(t, front, "kumquatgw_calls_total"); n != 1 {
+		t.Errorf("counted %v calls, want 1", n)
+	}
+	await(t, "others are served", func() bool {
+		return get(t.Context(), "http://"+string(front.Node.EntryAddress())+"/") == http.StatusOK
+	})
+}
--- a/internal/run/kqnode/tls_test.go
+++ b/internal/run/kqnode/tls_test.go
@@ -41,6 +41,7 @@
 		n.TLS.CA = ca
 		n.TLS.Certificate, n.TLS.Key = kqauthority.Paths(s.folder, string(n.Node.Name))
 		n.TLS.ReloadEvery = 20 * time.Millisecond
+		n.Call.ReadTimeout = time.Second
 		n.Member.Heartbeat = 50 * time.Millisecond
 		n.Member.Seeds = append(n.Member.Seeds, seeds...)
 	}))
--- a/internal/run/kqsettings/settings.go
+++ b/internal/run/kqsettings/settings.go
@@ -62,8 +62,9 @@
 
 	// Call bounds the calls that the node serves.
 	Call struct {
-		MaxBody int    `key:"max_body" default:"4MB" min:"1KB" max:"64MB" unit:"bytes" doc:"Largest request body that is taken."`
-		Policy  string `key:"policy" default:"kumquatgw" one_of:"kumquatgw,baseline" doc:"Decisions under load; baseline (first-come queue, random choice, plain retries) is for comparison only."`
+		ReadTimeout time.Duration `key:"read_timeout" default:"10s" min:"50ms" max:"10m" doc:"Longest time that a call may take to arrive whole."`
+		MaxBody     int           `key:"max_body" default:"4MB" min:"1KB" max:"64MB" unit:"bytes" doc:"Largest request body that is taken."`
+		Policy      string        `key:"policy" default:"kumquatgw" one_of:"kumquatgw,baseline" doc:"Decisions under load; baseline (first-come queue, random choice, plain retries) is for comparison only."`
 	}
 
 	// Admin tells where operators connect.
