Test that a mistyped fault changes nothing

Cause: the refusal of unknown faults stood without a test. Change: one test over HTTP. Conclusion: a slip in a fault's name is told instead of switching all faults off.

--- a/internal/platform/kqstoreclient/contract_test.go
+++ b/internal/platform/kqstoreclient/contract_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -188,3 +190,24 @@
 		is(t, "silent watch", err, kqstore.ErrNotFound)
 	})
 }
+
+// Somebody mistypes a fault. The request is refused and the faults stay as they
+// were; taken without the unknown field it would switch all of them off.
+func TestMistypedFaultChangesNothing(t *testing.T) {
+	b := kqstandin.New()
+	b.SetFaults(kqstandin.Faults{Down: true})
+	server := httptest.NewServer(b.Handler())
+	defer server.Close()
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodPut, server.URL+"/faults", strings.NewReader(`{"dwon":false}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := server.Client().Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = a.Body.Close() }()
+	if a.StatusCode != http.StatusBadRequest || !b.Faults().Down {
+		t.Errorf("status %d, faults %+v", a.StatusCode, b.Faults())
+	}
+}
