Find a far slower version beside an old one that has just started

Cause: where the old versions upstreams had just started too, as after a herd or in a demonstration, nothing was there to compare new ones with that had just started. Change: the cold calls of the old version stand in for its warm ones in that one test, which can only make the new version look better. Ruled out: to count the old versions cold calls in every test, by which a herd of old upstreams would hide a bad version.

--- a/internal/lab/kqworld/calls.go
+++ b/internal/lab/kqworld/calls.go
@@ -54,10 +54,8 @@
 		}
 		apart := uint32(w.binomial(int(k), clamp(share)))
 		c.Latency[b] += k - apart
-		if young != nil {
-			young.Latency[b] += apart
-			young.Calls += apart
-		}
+		young.Latency[b] += apart
+		young.Calls += apart
 	}
 }
 
--- a/internal/lab/kqworld/world.go
+++ b/internal/lab/kqworld/world.go
@@ -120,7 +120,7 @@
 	s := Second{Share: next.rate / (old.rate + next.rate), Bad: bad && next.rate > 0}
 	for i := range w.routes {
 		p := kqevidence.Pair{Route: w.names[i]}
-		w.calls(&p.Old, nil, i, old, none)
+		w.calls(&p.Old, &young.Old, i, old, none)
 		e := none
 		if bad && (w.onRoute < 0 || w.onRoute == i) {
 			e = w.effect
--- a/internal/rollout/kqboard/traffic.go
+++ b/internal/rollout/kqboard/traffic.go
@@ -111,20 +111,12 @@
 		if !open || o.Version != from && o.Version != to {
 			continue
 		}
-		if cold && o.Version == to {
-			e.ledger.Count(kqevidence.Young, func(r *kqledger.Row) { r.New.Count(o.Took, failed(o)) })
+		if cold {
+			e.ledger.Count(kqevidence.Young, func(r *kqledger.Row) { r.Of(o.Version == to).Count(o.Took, failed(o)) })
+			e.ledger.Count(o.Route, func(r *kqledger.Row) { r.Of(o.Version == to).CountCold(failed(o)) })
+			continue
 		}
-		e.ledger.Count(o.Route, func(r *kqledger.Row) {
-			cell := &r.Old
-			if o.Version == to {
-				cell = &r.New
-			}
-			if cold {
-				cell.CountCold(failed(o))
-				return
-			}
-			cell.Count(o.Took, failed(o))
-		})
+		e.ledger.Count(o.Route, func(r *kqledger.Row) { r.Of(o.Version == to).Count(o.Took, failed(o)) })
 	}
 }
 
--- a/internal/rollout/kqevidence/evidence.go
+++ b/internal/rollout/kqevidence/evidence.go
@@ -17,8 +17,7 @@
 	MaxRoutes = 16
 	// Others stands for all routes over MaxRoutes.
 	Others kqname.Route = "others"
-	// Young stands for the calls of upstreams of the new version that have
-	// only just started. They count under their own route too, without their
+	// Young stands for the calls of upstreams that have only just started. They count under their own route too, without their
 	// latency; here they have it, to tell far slower from cold.
 	Young kqname.Route = "just started"
 
--- a/internal/rollout/kqledger/ledger.go
+++ b/internal/rollout/kqledger/ledger.go
@@ -59,6 +59,14 @@
 	}
 }
 
+// Of returns the cell of the new version or of the old one.
+func (r *Row) Of(next bool) *kqevidence.Cell {
+	if next {
+		return &r.New
+	}
+	return &r.Old
+}
+
 // Count lets f count a call into this gate's own row of a route.
 func (l *Ledger) Count(route kqname.Route, f func(*Row)) {
 	l.mu.Lock()
--- a/internal/rollout/kqverdict/verdict.go
+++ b/internal/rollout/kqverdict/verdict.go
@@ -77,7 +77,7 @@
 	for i := range s {
 		p := &s[i]
 		if p.Route == kqevidence.Young {
-			young.New = p.New
+			young = *p
 			continue
 		}
 		all.Old.Add(&p.Old)
@@ -85,7 +85,9 @@
 		j.lane(p.Route).observe(p)
 	}
 	j.pooled.observe(&all)
-	young.Old = all.Old
+	// The old version may have just started as a whole, as after a herd; its
+	// cold calls then stand in, and only make the new version look better.
+	young.Old.Add(&all.Old)
 	j.young.observe(&young)
 	j.calls += uint64(all.New.Calls)
 }
--- a/internal/run/kqnode/rollout_fault_test.go
+++ b/internal/run/kqnode/rollout_fault_test.go
@@ -129,3 +129,16 @@
 		t.Errorf("a version without an upstream is done: %+v", s)
 	}
 }
+
+// A version answers ten times slower from its first call, and its upstreams have
+// only just started. Were that put down to their start, callers would wait for
+// most of a minute until the slowness counts.
+func TestFarSlowerIsToldFromAColdStart(t *testing.T) {
+	t.Parallel()
+	w := newTown(t, kqupstream.Behaviour{Work: 30 * time.Millisecond})
+	w.commit(0, plan(time.Now(), 90*time.Second))
+	w.load()
+	if s := w.await(kqboard.TakenBack); !strings.Contains(s.Why, "far slower than a cold start") {
+		t.Errorf("taken back for another reason: %s", s.Why)
+	}
+}
