Give the demo upstreams that wait for a newcomer's service

Cause: on the demo a newcomer could make a service in the console, but nothing answered for it until he started upstreams by hand. Change: the demo runs upstreams of an unconfigured service, two good versions and a bad one, and calls for it.

--- a/internal/lab/kqdemo/demo.go
+++ b/internal/lab/kqdemo/demo.go
@@ -7,6 +7,8 @@
 	"io"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqfleet"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -65,10 +67,19 @@
 		first.Node.AdminAddress(), d.keys.ca(), d.keys.tokens[0].secret)
 	fmt.Fprintf(d.out, "command  kumquatgw status\n")
 	fmt.Fprintf(d.out, "api      curl --cacert $KUMQUATGW_CA -H \"Authorization: Bearer $KUMQUATGW_TOKEN\" $KUMQUATGW_ADMIN/v1/fleet\n")
-	fmt.Fprintf(d.out, "upstream kumquatgw upstream --service NAME --upstream-version v2 --node %s\n", first.Node.LocalAddress())
+	fmt.Fprintf(d.out, "spare    upstreams %s v1, v2 (good) and v3 (bad) are called on host %s: make a service, a route and a rollout for them\n",
+		spareService, spareService)
 	fmt.Fprintf(d.out, "try      curl -H 'Host: storefront' http://%s/catalogue\n", first.Node.EntryAddress())
-	<-ctx.Done()
-	return d.close()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var spare conc.WaitGroup
+	err := d.runSpare(ctx, &spare)
+	if err == nil {
+		<-ctx.Done()
+	}
+	stop()
+	spare.Wait()
+	return errors.Join(err, d.close())
 }
 
 // close stops the servers and removes the keys.
