Let readers serve through an outage, and take over peers' hosts at the start

Cause: readers whose lease lapsed while the platform was down stopped holding the document for their peers, so a replaced server could not get a host; a reader whose first fetch failed did not try again. A replaced node's first call to each host waited for a fetch. Change: a reader that gives up its lease stops its calls and goes on serving until two others do; filling is tried again and keeps what has come; a starting node takes over the hosts that two peers of its service hold (prefetch, on by default), after the proactive placement of "Cooperative client caching strategies for social and web applications". TestReadersServePeersWhileThePlatformIsDown fails by the former rule and passes now.

--- a/internal/config/kqfetch/fetch.go
+++ b/internal/config/kqfetch/fetch.go
@@ -54,9 +54,10 @@
 		Fetch(ctx context.Context, wanted []kqresource.Digest) (kqresource.Objects, error)
 	}
 
-	// Held gives the objects that this node holds.
+	// Held gives the objects and the hosts that this node holds.
 	Held interface {
 		Object(d kqresource.Digest) ([]byte, bool)
+		Hosts() []kqname.Host
 	}
 
 	// Budget says how long bulk must wait; 0 sends it now.
@@ -116,6 +117,7 @@
 		recent: make(map[kqresource.Digest][]byte),
 	}
 	kqpeer.Handle(server, methodObjects, f.answer)
+	kqpeer.Handle(server, methodHosts, f.answerHosts)
 	return f
 }
 
--- a/internal/config/kqfetch/peers.go
+++ b/internal/config/kqfetch/peers.go
@@ -42,9 +42,10 @@
 	return list
 }
 
-// shares reports whether two nodes stand beside upstreams of one service.
+// shares reports whether two nodes stand beside upstreams of one service, and so
+// are likely to need the same hosts.
 func shares(a, b kqmember.Member) bool {
-	return slices.ContainsFunc(a.Upstreams, func(u kqmember.Upstream) bool {
+	return a.Service != "" && a.Service == b.Service || slices.ContainsFunc(a.Upstreams, func(u kqmember.Upstream) bool {
 		return slices.ContainsFunc(b.Upstreams, func(v kqmember.Upstream) bool { return u.Service == v.Service })
 	})
 }
--- a/internal/config/kqreader/reader.go
+++ b/internal/config/kqreader/reader.go
@@ -64,8 +64,10 @@
 		failed func(error)
 		spread time.Duration
 
-		mu       sync.Mutex
-		closed   bool
+		mu     sync.Mutex
+		closed bool
+		// serves tells that peers are told to come here for objects.
+		serves   bool
 		holder   kqlease.Holder
 		lease    kqstore.Lease
 		key      string
@@ -126,6 +128,10 @@
 		return
 	}
 	situation, known := r.situation()
+	if r.serves && !r.holder.Holds() && situation.Readers >= kqlease.Slots {
+		r.serves = false
+		r.reads(ctx, false)
+	}
 	switch r.holder.Next(situation, time.Now()) {
 	case kqlease.Look:
 		if !known {
@@ -223,7 +229,8 @@
 	clear(r.lonely)
 	reading, stop := context.WithCancel(ctx)
 	r.stop = stop
-	r.group.Go(func() { r.reads(reading, true) })
+	r.serves = true
+	r.group.Go(func() { r.reads(ctx, true) })
 	r.group.Go(func() { r.watcher.Run(reading) })
 	return true
 }
@@ -242,10 +249,12 @@
 	}
 }
 
+// giveUp stops the calls to the platform. The node goes on holding the whole
+// document for its peers until others do: while the platform is down no reader
+// can keep its lease, and nobody could get a host that is not held elsewhere.
 func (r *Reader) giveUp() {
 	r.stop()
 	r.holder.Lost()
-	r.reads(context.Background(), false)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/config/kqreader/reader_test.go
+++ b/internal/config/kqreader/reader_test.go
@@ -50,6 +50,31 @@
 	<-done
 }
 
+// The platform is down for longer than the leases last, so every reader gives
+// up. A server that is replaced meanwhile needs hosts that only readers hold; its
+// callers would get no answer if the readers stopped serving their peers too.
+func TestReadersServePeersWhileThePlatformIsDown(t *testing.T) {
+	platform := kqstandin.New()
+	var running atomic.Int64
+	var reads atomic.Bool
+	table := kqmember.NewTable(kqmember.Member{Node: "a", Domain: "one", Control: "127.0.0.1:1"})
+	r := kqreader.New(platform, table, idle{&running}, 0, func(context.Context, kqname.Address) {},
+		func(_ context.Context, on bool) { reads.Store(on) }, func(error) {})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); r.Run(ctx) }()
+	await(t, "it reads", func() bool { return reads.Load() && running.Load() == 1 })
+	platform.SetFaults(kqstandin.Faults{Down: true})
+	await(t, "it stops its watch", func() bool { return running.Load() == 0 })
+	if !reads.Load() {
+		t.Fatal("nobody holds the whole document any more")
+	}
+	platform.SetFaults(kqstandin.Faults{})
+	await(t, "it reads again", func() bool { return running.Load() == 1 })
+	cancel()
+	<-done
+}
+
 // A domain's reader is shut down. It frees its slot, so that its stand-by need
 // not wait for the lease to lapse.
 func TestLeavingReaderFreesItsSlot(t *testing.T) {
--- a/internal/config/kqreplica/hold.go
+++ b/internal/config/kqreplica/hold.go
@@ -61,9 +61,10 @@
 	if len(missing) == 0 {
 		return nil
 	}
+	// What has come is kept, also when some has not.
 	fetched, err := r.source.Fetch(ctx, missing)
 	if err != nil {
-		return fmt.Errorf("fill version %d: %w", root.Version, err)
+		err = fmt.Errorf("fill version %d: %w", root.Version, err)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -81,7 +82,7 @@
 		}
 		r.objects[d] = data
 	}
-	return nil
+	return err
 }
 
 // keep stores the objects that the snapshot was made from, or all that the root
--- a/internal/config/kqreplica/replica.go
+++ b/internal/config/kqreplica/replica.go
@@ -122,8 +122,10 @@
 // a version that is not above the current one, and an error, with the current
 // version kept whole, for one that cannot be fetched or is invalid.
 func (r *Replica) Offer(ctx context.Context, root kqresource.Root) error {
-	if root.Version <= r.Current().Version() {
+	if v := r.Current().Version(); root.Version < v {
 		return nil
+	} else if root.Version == v {
+		return r.Fill(ctx)
 	}
 	if err := r.stage(ctx, root, interest{}); err != nil {
 		r.refuse(ctx, err)
--- a/internal/lab/kqnodes/fault.go
+++ b/internal/lab/kqnodes/fault.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
 )
 
+// prefetchPause is the time that replaced nodes have before their first calls.
+const prefetchPause = time.Second
+
 // fault brings about the faults that stand beside the changes.
 func (b *bench) fault(ctx context.Context) error {
 	switch b.plan.Fault {
@@ -37,6 +41,23 @@
 		return fmt.Errorf("replace %d nodes without the platform: %w", len(numbers), err)
 	}
 	b.run.Replaced, b.run.ReplacedMS = len(numbers), float64(took.Milliseconds())
+	time.Sleep(prefetchPause)
+	var fresh []*member
+	for _, m := range b.fleet.members() {
+		if slices.Contains(numbers, m.number) {
+			fresh = append(fresh, m)
+		}
+	}
+	waits, err := b.fleet.want(ctx, fresh)
+	if err != nil {
+		return err
+	}
+	wait := convergence(waits)
+	b.run.FirstCallWait = &wait
+	for _, m := range fresh {
+		sent, received := m.Metrics().ControlBytes()
+		b.run.ReplacedBytes += float64(sent+received) / float64(len(fresh))
+	}
 	time.Sleep(b.plan.Idle / 2)
 	b.run.VersionsFallen = b.fallen()
 	return nil
@@ -59,5 +80,6 @@
 		return fmt.Errorf("restart %d nodes: %w", len(numbers), err)
 	}
 	b.run.Replaced, b.run.ReplacedMS = len(numbers), float64(took.Milliseconds())
-	return b.fleet.want(ctx)
+	_, err = b.fleet.want(ctx, b.fleet.members())
+	return err
 }
--- a/internal/lab/kqnodes/fleet.go
+++ b/internal/lab/kqnodes/fleet.go
@@ -16,12 +16,13 @@
 )
 
 const (
-	domains       = 4
-	regions       = 2
-	hostsPerNode  = 3
-	seeds         = 3
-	pollEvery     = 2 * time.Millisecond
-	startTogether = 16
+	domains         = 4
+	regions         = 2
+	nodesPerService = 6
+	hostsPerNode    = 3
+	seeds           = 3
+	pollEvery       = 2 * time.Millisecond
+	startTogether   = 16
 )
 
 type (
@@ -30,7 +31,11 @@
 		platform *kqstandin.Standin
 		store    *meteredStore
 		strategy string
-		group    conc.WaitGroup
+		prefetch bool
+		// kinds is how many services the nodes stand beside: 6 nodes each, as at
+		// 550 nodes and 89 services.
+		kinds int
+		group conc.WaitGroup
 
 		mu    sync.Mutex
 		nodes []*member
@@ -46,9 +51,9 @@
 	}
 )
 
-func newFleet(strategy string) *fleet {
+func newFleet(strategy string, prefetch bool, count int) *fleet {
 	platform := kqstandin.New()
-	return &fleet{platform: platform, store: &meteredStore{Store: platform}, strategy: strategy}
+	return &fleet{platform: platform, store: &meteredStore{Store: platform}, strategy: strategy, prefetch: prefetch, kinds: min(max(count/nodesPerService, 1), services)}
 }
 
 // start runs the nodes of the given numbers, some at a time. A node that is
@@ -69,11 +74,11 @@
 	s.Node.Name = kqname.Node(fmt.Sprintf("node-%03d", i))
 	s.Node.Domain = kqname.Domain(fmt.Sprintf("domain-%d", i%domains))
 	s.Node.Region = kqname.Region(fmt.Sprintf("region-%d", i%domains%regions))
-	s.Node.Service = service(i)
+	s.Node.Service = service(i % f.kinds)
 	for _, a := range []*kqname.Address{&s.Node.EntryListen, &s.Node.LocalListen, &s.Node.GateListen, &s.Node.ControlListen} {
 		*a = "127.0.0.1:0"
 	}
-	s.Config.Strategy = f.strategy
+	s.Config.Strategy, s.Config.Prefetch = f.strategy, f.prefetch
 	for _, a := range known {
 		s.Member.Seeds = append(s.Member.Seeds, string(a))
 	}
@@ -163,21 +168,25 @@
 	}
 }
 
-// want gives each node traffic for a few hosts besides its own.
-func (f *fleet) want(ctx context.Context) error {
-	p := pool.New().WithErrors().WithMaxGoroutines(startTogether)
-	for _, m := range f.members() {
+// want gives nodes traffic for a few hosts, the same for all nodes of a service,
+// and returns how long each first call waited.
+func (f *fleet) want(ctx context.Context, nodes []*member) ([]time.Duration, error) {
+	p := pool.NewWithResults[time.Duration]().WithErrors().WithMaxGoroutines(startTogether)
+	for _, m := range nodes {
 		for j := range hostsPerNode {
-			p.Go(func() error {
-				_, err := m.Want(ctx, host(m.number+j*(m.number+1)))
-				return err
+			p.Go(func() (time.Duration, error) {
+				began := time.Now()
+				kind := m.number % f.kinds
+				_, err := m.Want(ctx, host(kind+j*(kind+1)))
+				return time.Since(began), err
 			})
 		}
 	}
-	if err := p.Wait(); err != nil {
-		return fmt.Errorf("want hosts: %w", err)
+	waits, err := p.Wait()
+	if err != nil {
+		return nil, fmt.Errorf("want hosts: %w", err)
 	}
-	return nil
+	return waits, nil
 }
 
 // controlBytes sums what all nodes sent and received on control links, and what
--- a/internal/lab/kqnodes/measure.go
+++ b/internal/lab/kqnodes/measure.go
@@ -40,6 +40,8 @@
 		Strategy string
 		Fault    Fault
 		Changes  int
+		// Prefetch lets starting nodes take over the hosts of their peers.
+		Prefetch bool
 		// Idle is how long the settled fleet is watched without changes.
 		Idle time.Duration
 		// Gap is the pause between two changes.
@@ -89,7 +91,7 @@
 
 func (m *Measurement) once(ctx context.Context, count int) (Run, error) {
 	before := memory()
-	f := newFleet(m.plan.Strategy)
+	f := newFleet(m.plan.Strategy, m.plan.Prefetch, count)
 	defer f.close()
 	b := &bench{
 		plan: m.plan, fleet: f, commits: kqcommit.New(f.platform),
@@ -125,7 +127,8 @@
 	if _, err := b.fleet.await(ctx, b.version, began, startWait); err != nil {
 		return err
 	}
-	return b.fleet.want(ctx)
+	_, err := b.fleet.want(ctx, b.fleet.members())
+	return err
 }
 
 // idle watches the fleet without changes and returns its bytes per second.
--- a/internal/lab/kqnodes/result.go
+++ b/internal/lab/kqnodes/result.go
@@ -36,6 +36,10 @@
 		VersionsFallen      int     `json:"versions_fallen"`
 		Replaced            int     `json:"replaced_nodes,omitempty"`
 		ReplacedMS          float64 `json:"replaced_current_ms,omitempty"`
+		// FirstCallWait is how long replaced nodes' first calls of each host
+		// waited, and ReplacedBytes the control bytes of one until then.
+		FirstCallWait *Convergence `json:"first_call_wait_ms,omitempty"`
+		ReplacedBytes float64      `json:"replaced_control_bytes,omitempty"`
 	}
 
 	// Convergence is the time from the commit until the last live node had
--- a/internal/peer/kqmember/member.go
+++ b/internal/peer/kqmember/member.go
@@ -50,6 +50,8 @@
 		Upstreams   []Upstream           `cbor:"9,keyasint,omitempty"`
 		// Reader tells that the node watches the platform for the others.
 		Reader bool `cbor:"10,keyasint,omitempty"`
+		// Service is that of the upstream beside the node, also while none runs.
+		Service kqname.Service `cbor:"11,keyasint,omitempty"`
 	}
 
 	// Candidate is an upstream that a call may be sent to.
--- a/internal/run/kqcommand/measure_nodes.go
+++ b/internal/run/kqcommand/measure_nodes.go
@@ -18,10 +18,11 @@
 	changes := clause.Flag("changes", "Changes per fleet.").Default("50").Int()
 	idle := clause.Flag("idle", "How long the settled fleet is watched.").Default("20s").Duration()
 	gap := clause.Flag("gap", "Pause between two changes.").Default("200ms").Duration()
+	prefetch := clause.Flag("prefetch", "Starting nodes take over the hosts of their service's peers.").Default("true").Bool()
 	asJSON := clause.Flag("json", "Print the result as JSON.").Bool()
 	file := plotFlag(clause)
 	c.add(clause, func(ctx context.Context) error {
-		plan := kqnodes.Plan{Strategy: *strategy, Fault: kqnodes.Fault(*fault), Changes: *changes, Idle: *idle, Gap: *gap}
+		plan := kqnodes.Plan{Strategy: *strategy, Fault: kqnodes.Fault(*fault), Changes: *changes, Prefetch: *prefetch, Idle: *idle, Gap: *gap}
 		for _, text := range strings.Split(*counts, ",") {
 			n, err := strconv.Atoi(strings.TrimSpace(text))
 			if err != nil || n < 1 {
--- a/internal/run/kqnode/config.go
+++ b/internal/run/kqnode/config.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"time"
 
 	"github.com/sourcegraph/conc"
 
@@ -23,11 +25,18 @@
 // strategyDirect lets every node watch the platform and take the whole document.
 const strategyDirect = "direct"
 
+// prefetchPoll is how often a starting node looks whether it has a version.
+const prefetchPoll = 20 * time.Millisecond
+
+// fillPause is the longest pause before a reader asks again for what it lacks.
+const fillPause = 2 * time.Second
+
 // distribution is how versions reach this node and go on to others.
 type distribution struct {
 	distributor *kqdistribute.Distributor
 	reader      *kqreader.Reader
 	watcher     *kqwatch.Watcher
+	fetcher     *kqfetch.Fetcher
 	direct      bool
 }
 
@@ -61,7 +70,7 @@
 	n.exchange = kqexchange.New(n.peers, n.client, n.table, overlay, d, n.budget, n.contacts(), n.settings.Member.Heartbeat)
 	n.spreader = kqspread.New(n.peers, n.client, n.settings.Node.Name, overlay, n.metrics.SpreadDropped)
 	reader := kqreader.New(n.store, n.table, watcher, c.StartSpread, n.exchange.Contact, n.reads, platformFailed)
-	n.distribution = distribution{distributor: d, reader: reader, watcher: watcher, direct: direct}
+	n.distribution = distribution{distributor: d, reader: reader, watcher: watcher, fetcher: fetcher, direct: direct}
 }
 
 func (n *Node) replicaOptions(direct bool) []kqreplica.Option {
@@ -94,9 +103,31 @@
 func (n *Node) reads(ctx context.Context, on bool) {
 	n.replica.HoldAll(on)
 	n.table.Update(func(m *kqmember.Member) { m.Reader = on })
-	if err := n.replica.Fill(ctx); err != nil {
-		// The next version tries again, and what peers ask for is read at once.
+	for on && ctx.Err() == nil {
+		err := n.replica.Fill(ctx)
+		if err == nil {
+			return
+		}
 		n.logger.Part("config").WithError(err).Debug("Does not hold the whole document yet.")
+		select {
+		case <-ctx.Done():
+		case <-time.After(rand.N(fillPause)):
+		}
+	}
+}
+
+// prefetch takes over the hosts of the service's peers once, at the start.
+func (n *Node) prefetch(ctx context.Context) {
+	for n.Version() == 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(prefetchPoll):
+		}
+	}
+	for _, h := range n.distribution.fetcher.PeerHosts(ctx) {
+		// A host that does not come now comes with its first call.
+		_, _ = n.Want(ctx, h)
 	}
 }
 
@@ -118,5 +149,8 @@
 		return
 	}
 	group.Go(func() { n.distribution.distributor.Run(ctx) })
+	if n.settings.Config.Prefetch {
+		group.Go(func() { n.prefetch(ctx) })
+	}
 	group.Go(func() { n.distribution.reader.Run(ctx) })
 }
--- a/internal/run/kqnode/fuzz_test.go
+++ b/internal/run/kqnode/fuzz_test.go
@@ -16,7 +16,7 @@
 )
 
 // methods are all that peers may ask a node for.
-var methods = []string{"m.b", "m.c", "m.n", "c.p", "c.r", "c.o", "s.o", "s.d"}
+var methods = []string{"m.b", "m.c", "m.n", "c.p", "c.r", "c.o", "c.h", "s.o", "s.d"}
 
 // plain sends and receives bytes as they are.
 type plain struct{}
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -132,7 +132,7 @@
 		return nil, fmt.Errorf("start node %s: %w", settings.Node.Name, err)
 	}
 	n.table = kqmember.NewTable(kqmember.Member{
-		Node: settings.Node.Name, Domain: settings.Node.Domain, Region: settings.Node.Region,
+		Node: settings.Node.Name, Domain: settings.Node.Domain, Region: settings.Node.Region, Service: settings.Node.Service,
 		Control: advertised(settings.Node.ControlAddress, n.listeners.control),
 		Gate:    advertised(settings.Node.GateAddress, n.listeners.gate),
 		// A node that was replaced must win over its former self's records,
--- a/internal/run/kqsettings/settings.go
+++ b/internal/run/kqsettings/settings.go
@@ -55,6 +55,7 @@
 	Config struct {
 		Strategy      string        `key:"strategy" default:"overlay" one_of:"overlay,direct" doc:"How new versions reach the node: overlay takes them from peers, direct watches the platform and takes the whole document."`
 		InterestIdle  time.Duration `key:"interest_idle" default:"30m" min:"1s" max:"24h" doc:"How long the routes of a host stay without a call for it."`
+		Prefetch      bool          `key:"prefetch" default:"true" doc:"Whether a starting node takes over the hosts that peers of its service hold."`
 		StartSpread   time.Duration `key:"start_spread" default:"1s" min:"0s" max:"1m" doc:"Starting nodes put off their first call to the platform by up to that long."`
 		PlatformRate  int           `key:"platform_rate" default:"1000" min:"10" max:"100000" doc:"Objects that all nodes together may read from the platform a second."`
 		ExpectedNodes int           `key:"expected_nodes" default:"550" min:"1" max:"100000" doc:"Size of the fleet that a node assumes until it knows better."`
