Time the timer too

Cause: the report gave 0 seconds after showing for the timer, where nothing was measured. Change: the timer is timed by the same informed test.

--- a/internal/lab/kqsurvey/survey.go
+++ b/internal/lab/kqsurvey/survey.go
@@ -109,7 +109,7 @@
 		workers.Go(func() {
 			kind := s.kinds[i%len(s.kinds)]
 			ours[i], limit[i] = play(kqworld.New(kind, s.seed, uint64(i)), prefer)
-			baseline[i] = playBaseline(kqworld.New(kind, s.seed, uint64(i)))
+			baseline[i] = playBaseline(kqworld.New(kind, s.seed, uint64(i)), prefer)
 		})
 	}
 	workers.Wait()
