Send rollout evidence to those who weigh it, not to the fleet

Change: kqspread.Send hands a message to named nodes, which do not pass it on, and holds at most one for a peer; evidence goes to the first five live nodes of the service and the rollout's owner. Steps and roll-backs still flood. TestSendReachesOnlyThoseNamed, the rollout and the fault tests pass with -race. Ruled out: fewer reports, which would slow the reflex.

--- /dev/null
+++ b/internal/peer/kqspread/direct_test.go
@@ -0,0 +1,84 @@
+package kqspread_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqspread"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const topic kqspread.Topic = "test"
+
+type (
+	peer struct {
+		spreader *kqspread.Spreader
+		address  kqname.Address
+		heard    chan string
+	}
+
+	// neighbours is an overlay whose links are set by hand.
+	neighbours struct{ list []kqmember.Member }
+)
+
+func (n *neighbours) Neighbours() []kqmember.Member { return n.list }
+
+func start(t *testing.T, name kqname.Node, overlay *neighbours) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, client := kqpeer.NewServer(nil), kqpeer.NewClient(name, nil)
+	p := &peer{address: kqname.Address(l.Addr().String()), heard: make(chan string, 100)}
+	p.spreader = kqspread.New(server, client, name, overlay, func() {})
+	p.spreader.Subscribe(topic, func(_ kqname.Node, payload []byte) { p.heard <- string(payload) })
+	ctx, stop := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { _ = server.Serve(ctx, l) })
+	group.Go(func() { p.spreader.Run(ctx) })
+	t.Cleanup(func() {
+		client.Close()
+		stop()
+		group.Wait()
+	})
+	return p
+}
+
+// A gate tells its evidence to the nodes that weigh it. If they passed it on,
+// each rollout would fill every node's control budget, and operators would see
+// configuration arrive late while traffic moves.
+func TestSendReachesOnlyThoseNamed(t *testing.T) {
+	overlay := &neighbours{}
+	a, b, c := start(t, "a", overlay), start(t, "b", overlay), start(t, "c", overlay)
+	for _, p := range []*peer{b, c} {
+		overlay.list = append(overlay.list, kqmember.Member{Control: p.address})
+	}
+	a.spreader.Send(t.Context(), topic, []byte("evidence"), []kqname.Address{b.address})
+	if got := next(t, b); got != "evidence" {
+		t.Fatalf("named node heard %q, want evidence", got)
+	}
+	a.spreader.Publish(t.Context(), topic, []byte("progress"))
+	for _, p := range []*peer{b, c} {
+		if got := next(t, p); got != "progress" {
+			t.Errorf("heard %q before progress, want what was sent to it and nothing else", got)
+		}
+	}
+}
+
+func next(t *testing.T, p *peer) string {
+	t.Helper()
+	select {
+	case m := <-p.heard:
+		return m
+	case <-time.After(10 * time.Second):
+		t.Fatal("heard nothing in 10 s")
+		return ""
+	}
+}
--- a/internal/peer/kqspread/flood.go
+++ b/internal/peer/kqspread/flood.go
@@ -16,6 +16,7 @@
 
 // Run passes messages on until ctx ends.
 func (s *Spreader) Run(ctx context.Context) {
+	defer s.sending.Wait()
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/peer/kqspread/spread.go
+++ b/internal/peer/kqspread/spread.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -16,6 +18,7 @@
 const (
 	methodOffer   = "s.o"
 	methodDeliver = "s.d"
+	methodDirect  = "s.1"
 
 	sendTimeout = time.Second
 	// gather is how long messages wait for others to share their frames.
@@ -59,6 +62,8 @@
 		queue     []message
 		queued    int
 		wake      chan struct{}
+		busy      map[kqname.Address]bool
+		sending   conc.WaitGroup
 	}
 
 	messageID uint64
@@ -87,6 +92,7 @@
 	s := &Spreader{
 		client: client, self: self, overlay: overlay, dropped: dropped, receivers: make(map[Topic][]Receiver),
 		seen: make(map[messageID]bool), order: make([]messageID, remembered), wake: make(chan struct{}, 1),
+		busy: make(map[kqname.Address]bool),
 	}
 	kqpeer.Handle(server, methodOffer, func(_ context.Context, _ kqname.Node, q offer) (offer, error) {
 		return s.lacking(q), nil
@@ -97,6 +103,10 @@
 		}
 		return nothing{}, nil
 	})
+	kqpeer.Handle(server, methodDirect, func(_ context.Context, _ kqname.Node, m message) (nothing, error) {
+		s.deliver(m)
+		return nothing{}, nil
+	})
 	return s
 }
 
@@ -128,14 +138,11 @@
 		s.queue = append(s.queue, m)
 		s.queued += len(m.Payload)
 	}
-	receivers := s.receivers[m.Topic]
 	s.mu.Unlock()
 	if !fits {
 		s.dropped()
 	}
-	for _, r := range receivers {
-		r(m.From, m.Payload)
-	}
+	s.deliver(m)
 	select {
 	case s.wake <- struct{}{}:
 	default:
--- a/internal/run/kqnode/rollout.go
+++ b/internal/run/kqnode/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -97,7 +98,7 @@
 	for _, v := range r.board.Views(now) {
 		id := v.Plan.ID
 		if report, ok := r.board.Report(id, now); ok {
-			r.publish(topicEvidence, evidenceMessage{id, report})
+			r.report(v, evidenceMessage{id, report})
 		}
 		owner := r.owns(v, now)
 		if owner {
@@ -138,24 +139,20 @@
 // rank returns how many live nodes beside upstreams of the service come before
 // this one, or -1 where no upstream of it stands beside this node.
 func (r *rollouts) rank(service kqname.Service) int {
-	before, beside := 0, false
+	return slices.IndexFunc(r.beside(service), func(m kqmember.Member) bool {
+		return m.Node == r.node.settings.Node.Name
+	})
+}
+
+// beside returns the live nodes beside upstreams of the service, by name.
+func (r *rollouts) beside(service kqname.Service) []kqmember.Member {
+	var nodes []kqmember.Member
 	for _, m := range r.node.table.Members() {
-		serves := false
-		for _, u := range m.Upstreams {
-			serves = serves || u.Service == service
+		if m.State == kqmember.Alive && slices.ContainsFunc(m.Upstreams, func(u kqmember.Upstream) bool { return u.Service == service }) {
+			nodes = append(nodes, m)
 		}
-		switch {
-		case !serves || m.State != kqmember.Alive:
-		case m.Node == r.node.settings.Node.Name:
-			beside = true
-		case m.Node < r.node.settings.Node.Name:
-			before++
-		}
-	}
-	if !beside {
-		return -1
 	}
-	return before
+	return nodes
 }
 
 // work does each plan's calls to the platform, in a goroutine of its own: the
--- a/internal/run/kqnode/rollout_message.go
+++ b/internal/run/kqnode/rollout_message.go
@@ -26,6 +26,11 @@
 	// would cost a message from every node to every node.
 	answerEvery = time.Second
 	answering   = 3
+	// collecting is how many nodes of a service, beside the rollout's owner, get
+	// its evidence. Were evidence to flood, each rollout would cost every node of
+	// the fleet each gate's report, once a tick: ten gates of two routes some
+	// 4 KB a second out of the 16 KB that a node has for all control.
+	collecting = 5
 	// maxRelayed bounds the rollouts of services that this node does not hold.
 	maxRelayed = 1000
 )
@@ -73,6 +78,23 @@
 	r.publish(topicProgress, m)
 }
 
+// report sends this gate's evidence to the nodes that weigh it: the first few of
+// the service, and the owner.
+func (r *rollouts) report(v kqboard.View, m evidenceMessage) {
+	payload, err := cbor.Marshal(m)
+	if err != nil {
+		r.node.logger.Part("rollout").WithError(err).Warn("Evidence cannot be encoded.")
+		return
+	}
+	var to []kqname.Address
+	for i, n := range r.beside(v.Plan.Service) {
+		if n.Node != r.node.settings.Node.Name && (i < collecting || n.Node == v.Owner) {
+			to = append(to, n.Control)
+		}
+	}
+	r.node.spreader.Send(context.Background(), topicEvidence, payload, to)
+}
+
 func (r *rollouts) hearEvidence(_ kqname.Node, payload []byte) {
 	var m evidenceMessage
 	if cbor.Unmarshal(payload, &m) == nil {
