Stream large answers instead of holding them whole

Cause: an answer of any size was held whole by each node on its way, so a node's memory grew with what upstreams sent. Change: answers over 64 KB, and those of unknown length, are passed on as they come; slot and connection are held until the last byte or a break. What is read short closes the connection. Conclusion: requests stay buffered up to [call] max_body. Streaming them was tried: a body refused by its stated length could then be refused only after its first 8 KB, so a sender that waits is told after the read timeout of 10 s.

--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -98,7 +98,10 @@
 		Arrived  time.Time
 		Deadline time.Time
 		// Cancel ends the call when its caller goes away; nil where nobody can.
-		Cancel   *Cancel
+		Cancel *Cancel
+		// Finish is called once a streamed answer has been passed on or cut off;
+		// nil where nobody needs to know.
+		Finish   func()
 		Request  *fasthttp.Request
 		Response *fasthttp.Response
 	}
--- /dev/null
+++ b/internal/call/kqentry/stream_test.go
@@ -0,0 +1,71 @@
+package kqentry_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqfleet"
+)
+
+// An editor uploads pictures and is sent some back, larger than a node buffers,
+// of known and unknown length, over connections that are used again. A byte too
+// many or too few would spoil a picture, and what is left of one would be read
+// as the next call's answer.
+func TestLargeBodiesPassWhole(t *testing.T) {
+	t.Parallel()
+	s := newShop(t, 0, 0, 0)
+	back := s.start(t, kqfleet.Spec{Node: "back", Domain: "one", Region: "one"})
+	besides(t, back, "store", func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if r.URL.Path != "/chunked" {
+			w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		}
+		_, _ = w.Write(body)
+	})
+	poll(t, "the upstream is known", func() bool {
+		o, err := s.send(http.MethodGet, "warm")
+		return err == nil && o.Result == kqcall.Answered
+	})
+	for _, size := range []int{0, 1, 100, 4096, 64 << 10, 64<<10 + 1, 3 << 20} {
+		for _, path := range []string{"/known", "/chunked"} {
+			for _, known := range []bool{true, false} {
+				sent := bytes.Repeat([]byte{byte(size), 'x', 'y'}, size/3+1)[:size]
+				var body io.Reader = bytes.NewReader(sent)
+				if !known {
+					body = io.MultiReader(body)
+				}
+				got, status := upload(t, "http://"+string(s.front.Node.EntryAddress())+path, body)
+				if status != http.StatusOK || !bytes.Equal(got, sent) {
+					t.Errorf("%d bytes to %s, length known %v: status %d, %d bytes back", size, path, known, status, len(got))
+				}
+			}
+		}
+	}
+}
+
+func upload(t *testing.T, url string, body io.Reader) ([]byte, int) {
+	t.Helper()
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodPut, url, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Host = "store"
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		t.Errorf("upload: %v", err)
+		return nil, 0
+	}
+	defer func() { _ = a.Body.Close() }()
+	got, err := io.ReadAll(a.Body)
+	if err != nil {
+		t.Errorf("read answer: %v", err)
+	}
+	return got, a.StatusCode
+}
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -67,7 +67,6 @@
 
 		mu        sync.Mutex
 		upstreams map[kqname.Address]*upstream
-		running   sync.WaitGroup
 	}
 
 	// Option sets up a Gate.
@@ -173,12 +172,7 @@
 	}
 }
 
-// Wait returns once no call is running.
-func (g *Gate) Wait() { g.running.Wait() }
-
 func (g *Gate) run(c *kqcall.Call, now time.Time) (kqcall.Outcome, kqcall.Load) {
-	g.running.Add(1)
-	defer g.running.Done()
 	if g.leaving.Load() {
 		return kqcall.Refuse(kqcall.Draining), kqcall.Load{}
 	}
@@ -194,8 +188,8 @@
 	}
 	u := g.upstream(a, now)
 	t := u.ticket(c)
-	defer u.recycle(t)
 	if o := u.admit(t, c, now); o.Result != kqcall.Answered {
+		u.recycle(t)
 		return o, u.load()
 	}
 	began := g.now()
@@ -206,7 +200,16 @@
 		Service: c.Service, Version: a.Version, Route: c.Route, Outcome: o,
 		Status: status(c, o), Began: began, Took: took,
 	})
-	return o, u.leave(t, o, took, ended)
+	if !c.Response.IsBodyStream() {
+		return o, u.leave(t, o, took, ended)
+	}
+	// The upstream works on the call until all of its answer has been taken.
+	c.Finish = func() {
+		c.Finish = nil
+		now := g.now()
+		u.leave(t, o, now.Sub(began), now)
+	}
+	return o, u.load()
 }
 
 func (g *Gate) upstream(a kqlocal.Announcement, now time.Time) *upstream {
--- a/internal/call/kqgate/upstream.go
+++ b/internal/call/kqgate/upstream.go
@@ -121,7 +121,7 @@
 	}
 }
 
-// leave gives the slot back and returns the load. How long a call took counts
+// leave gives the slot and the ticket back and returns the load. How long a call took counts
 // only where the upstream answered it: a cut says nothing of its work.
 func (u *upstream) leave(t *kqslots.Ticket, o kqcall.Outcome, took time.Duration, now time.Time) kqcall.Load {
 	if o.Result != kqcall.Answered && o.Reason != kqcall.Timeout {
@@ -130,6 +130,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	wake(u.queue.Leave(t, took, now))
+	u.recycle(t)
 	return u.queue.Load()
 }
 
--- a/internal/call/kqsend/exchange.go
+++ b/internal/call/kqsend/exchange.go
@@ -25,30 +25,43 @@
 		c.release(n)
 		return kqcall.Refuse(kqcall.Cancelled)
 	}
-	err = n.exchange(call)
-	call.Cancel.Attach(nil)
+	err = n.exchange(c, call)
 	if err != nil {
+		call.Cancel.Attach(nil)
 		c.drop(n)
 		return n.judge(call, err)
 	}
 	if c.crossed(call) {
+		call.Cancel.Attach(nil)
+		call.Response.Reset()
 		c.drop(n)
 		return kqcall.Lose(kqcall.Crossed)
 	}
-	// Bytes that nobody asked for would be read as the next call's answer.
+	closes := call.Response.ConnectionClose()
+	call.Response.Header.ResetConnectionClose()
+	if a, ok := call.Response.BodyStream().(*answer); ok {
+		a.closes = a.closes || closes
+	} else {
+		c.finish(n, call, closes, false)
+	}
+	return kqcall.OK()
+}
+
+// finish keeps a connection whose exchange is over, or drops it.
+func (c *Client) finish(n *connection, call *kqcall.Call, closes, cut bool) {
+	call.Cancel.Attach(nil)
 	switch {
-	case call.Response.ConnectionClose():
+	case closes:
 		// The peer is going; kept, its other connections would be closed by it
 		// while a call is on its way.
 		c.drop(n)
 		c.Close()
-	case n.reader.Buffered() > 0, call.Cancel.Done():
+	case cut, n.reader.Buffered() > 0, call.Cancel.Done():
+		// Bytes that nobody asked for would be read as the next call's answer.
 		c.drop(n)
 	default:
 		c.release(n)
 	}
-	call.Response.Header.ResetConnectionClose()
-	return kqcall.OK()
 }
 
 // crossed reports whether the response is another call's: one that came too
@@ -62,7 +75,7 @@
 	return string(echo) != string(call.ID)
 }
 
-func (n *connection) exchange(call *kqcall.Call) error {
+func (n *connection) exchange(c *Client, call *kqcall.Call) error {
 	if err := n.SetDeadline(call.Deadline); err != nil {
 		return err
 	}
@@ -72,9 +85,7 @@
 	if err := n.writer.Flush(); err != nil {
 		return err
 	}
-	call.Response.Reset()
-	call.Response.SkipBody = call.Request.Header.IsHead()
-	return call.Response.Read(n.reader)
+	return n.readAnswer(c, call)
 }
 
 // judge tells how an exchange that failed ended. Only what failed before its
