--- a/internal/peer/kqexchange/beat.go
+++ b/internal/peer/kqexchange/beat.go
@@ -130,12 +130,19 @@
 	if err != nil || a.Busy > 0 {
 		return
 	}
+	alone := len(e.table.Members()) == 1
 	theirs := make(map[kqname.Node]kqmember.Member, len(a.Members))
 	for _, m := range a.Members {
 		theirs[m.Node] = m
 		e.table.Merge(m)
 	}
 	e.table.MergeConfigs(a.Configs)
+	if alone && len(theirs) > 1 {
+		select {
+		case e.kick <- struct{}{}:
+		default:
+		}
+	}
 	differs := make(map[int]bool)
 	for _, b := range a.Buckets {
 		differs[b] = true
--- a/internal/peer/kqexchange/exchange.go
+++ b/internal/peer/kqexchange/exchange.go
@@ -66,6 +66,9 @@
 		reconciled time.Time
 		queue      map[kqname.Node]kqmember.Member
 		wake       chan struct{}
+		// kick sends heartbeats at once to neighbours that were just learnt of; a
+		// starting node would else wait for its next ones before it may serve.
+		kick chan struct{}
 	}
 )
 
@@ -78,7 +81,7 @@
 	e := &Exchanger{
 		client: client, table: table, overlay: overlay, versions: versions, budget: budget, every: every,
 		contacts: contacts, detector: kqsuspicion.New(every), busy: make(map[kqname.Address]bool),
-		queue: make(map[kqname.Node]kqmember.Member), wake: make(chan struct{}, 1),
+		queue: make(map[kqname.Node]kqmember.Member), wake: make(chan struct{}, 1), kick: make(chan struct{}, 1),
 	}
 	self := table.Self().Node
 	table.OnNews(func(m kqmember.Member) {
@@ -104,6 +107,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-e.kick:
 		}
 	}
 }
