Tell who fails to prove himself, and at a bounded rate

Cause: a guessed token was counted, but neither the log nor the audit list told its source when it only read; and requests without any token could fill both at any rate. Change: each failed token and log-in is recorded with its source; a missing token counts as a failure too; sources that are held back are counted only. Figures: TestFailuresAreHeldBack: ten failures, ten lines in the log, none with what was sent; the eleventh request gets 429 and no line. Conclusion: letting good tokens pass while a source is held back was ruled out: it would leave guesses unbounded.

--- a/internal/admin/kqadmin/api_test.go
+++ b/internal/admin/kqadmin/api_test.go
@@ -144,6 +144,9 @@
 	if status != 429 || d.counts.of(kqproblem.TooManyFailures) != 1 {
 		t.Errorf("answer %d %v, want 429", status, answer)
 	}
+	if told := strings.Count(d.log.String(), "bad_token"); told != 10 || strings.Contains(d.log.String(), "kq_guess") {
+		t.Errorf("the log tells of %d refusals, want 10 without what was sent:\n%s", told, d.log.String())
+	}
 }
 
 // A client sends its headers byte by byte, as one does that wants to hold every
--- a/internal/admin/kqapi/api.go
+++ b/internal/admin/kqapi/api.go
@@ -101,7 +101,7 @@
 		c.Set(fiber.HeaderCacheControl, "no-store")
 		operator, problem := a.parts.Auth.Token(bearer(c), c.IP(), now)
 		if problem != nil {
-			a.refusedChange(c, o, problem, now)
+			a.refusedStranger(c, o, problem, now)
 			return a.Refuse(c, problem)
 		}
 		answer, problem := o.handle(asked{Ctx: c, operator: operator, now: now})
@@ -112,9 +112,11 @@
 	}
 }
 
-// refusedChange records changes that were refused before anybody was known.
-func (a *API) refusedChange(c *fiber.Ctx, o operation, p *kqproblem.Problem, now time.Time) {
-	if o.method == fiber.MethodGet {
+// refusedStranger records who was refused before anybody was known, but not
+// those that are held back: at their rate they would push all else out of the
+// list and fill the log. Reading without a token is no attempt.
+func (a *API) refusedStranger(c *fiber.Ctx, o operation, p *kqproblem.Problem, now time.Time) {
+	if p.Code == kqproblem.TooManyFailures || p.Code == kqproblem.NoToken && o.method == fiber.MethodGet {
 		return
 	}
 	a.parts.Audit.Add(kqaudit.Record{At: now, Source: c.IP(), Way: "api", What: o.method + " " + o.path, Refused: p.Code})
--- a/internal/admin/kqauth/auth.go
+++ b/internal/admin/kqauth/auth.go
@@ -114,6 +114,7 @@
 		return none, kqoperator.Operator{}, p
 	}
 	if token == "" {
+		a.throttle.Failed(source, now)
 		return none, kqoperator.Operator{}, kqproblem.New(kqproblem.NoToken, `send "Authorization: Bearer TOKEN"`)
 	}
 	hash, err := kqoperator.HashOf(token)
--- a/internal/admin/kqconsole/console.go
+++ b/internal/admin/kqconsole/console.go
@@ -173,6 +173,9 @@
 		}
 	}
 	c.parts.Counter.AdminRefused(string(problem.Code))
+	if problem.Code != kqproblem.TooManyFailures {
+		c.parts.Audit.Add(kqaudit.Record{At: now, Source: q.IP(), Way: "console", What: "log in", Refused: problem.Code})
+	}
 	if problem.RetryAfter > 0 {
 		q.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(problem.RetryAfter.Seconds()))))
 	}
