Let a caller's hang-up reach the gate over TLS

Cause: a caller gave up, the entry closed its connection to the gate, and TLS's goodbye stood before the end as bytes that wait; the gate, which looks for the end, let the upstream work on for nobody. Change: connections to gates close without the goodbye. Conclusion: looking for the goodbye at the gate was ruled out: it would have to read what the call's own reader reads. An answer that is cut short shows by its length.

--- a/internal/run/kqnode/forged_test.go
+++ b/internal/run/kqnode/forged_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -17,8 +18,10 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquatgw/kumquatgw/internal/admin/kqview"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqupstream"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -129,3 +132,28 @@
 		return get(t.Context(), "http://"+string(front.Node.EntryAddress())+"/") == http.StatusOK
 	})
 }
+
+// A caller gives up on a call that runs on another server. Over TLS the entry's
+// closing shows at the gate as bytes and not as an end, so the gate would let
+// the upstream go on for nobody; it must notice, and count the call cancelled.
+func TestHangupCrossesTLS(t *testing.T) {
+	s := newSecured(t)
+	front, back := s.start(t, "front", ""), s.start(t, "back", "store")
+	s.commit(t)
+	url := "http://" + string(front.Node.EntryAddress()) + "/"
+	await(t, "calls are answered", func() bool { return get(t.Context(), url) == http.StatusOK })
+	before := back.Upstream.Runs()[""]
+	back.Upstream.SetBehaviour(kqupstream.Behaviour{Work: 2 * time.Second})
+	ctx, cancel := context.WithCancel(t.Context())
+	var group conc.WaitGroup
+	group.Go(func() { get(ctx, url) })
+	await(t, "the call runs", func() bool { return back.Upstream.Runs()[""] > before })
+	cancel()
+	group.Wait()
+	await(t, "the gate counts it cancelled", func() bool {
+		r, err := back.Node.Report(t.Context(), "back")
+		return err == nil && slices.ContainsFunc(r.Counts, func(c kqview.Count) bool {
+			return c.Name == "gate_calls" && strings.Contains(c.Reason, string(kqcall.Cancelled))
+		})
+	})
+}
--- a/internal/security/kqidentity/identity.go
+++ b/internal/security/kqidentity/identity.go
@@ -54,6 +54,11 @@
 		refused func(error)
 	}
 
+	// gateConn closes without TLS's own goodbye. A gate notices that a caller
+	// has gone by the end of its connection; the goodbye would stand before the
+	// end as bytes that wait, and the upstream would work on for nobody.
+	gateConn struct{ *tls.Conn }
+
 	held struct {
 		certificate *tls.Certificate
 		pool        *x509.CertPool
@@ -126,6 +131,14 @@
 
 // Connect secures a connection to another node.
 func (i *Identity) Connect(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	secured, err := i.connect(ctx, conn)
+	if err != nil {
+		return nil, err
+	}
+	return secured, nil
+}
+
+func (i *Identity) connect(ctx context.Context, conn net.Conn) (*tls.Conn, error) {
 	secured := tls.Client(conn, i.client())
 	if err := secured.HandshakeContext(ctx); err != nil {
 		return nil, fmt.Errorf("connect to peer: %w", err)
@@ -143,14 +156,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial gate: %w", err)
 	}
-	secured, err := i.Connect(ctx, conn)
+	secured, err := i.connect(ctx, conn)
 	if err != nil {
 		_ = conn.Close()
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: conn.RemoteAddr(), Err: err}
 	}
-	return secured, nil
+	return gateConn{secured}, nil
 }
 
+// Close closes the connection beneath. An answer that is cut short shows by its
+// length, so the goodbye is not needed to tell.
+func (c gateConn) Close() error { return c.NetConn().Close() }
+
 // NodeOf returns the node that the other end's certificate names.
 func NodeOf(s tls.ConnectionState) (kqname.Node, error) {
 	if len(s.PeerCertificates) == 0 {
