--- /dev/null
+++ b/internal/call/kqentry/serve.go
@@ -0,0 +1,144 @@
+package kqentry
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+// ServeOutside answers callers from outside the mesh: headers of ours are not
+// theirs to set.
+func (e *Entry) ServeOutside(ctx *fasthttp.RequestCtx) {
+	if kqcall.Strip(&ctx.Request.Header) > 0 {
+		e.forged()
+	}
+	e.serve(ctx, kqname.Caller(ctx.RemoteIP().String()), 0, 0)
+}
+
+// ServeLocal answers calls from the node's own upstream, which may pass on the
+// depth and the remaining time of the call that it works on, and nothing else.
+func (e *Entry) ServeLocal(ctx *fasthttp.RequestCtx, caller kqname.Caller) {
+	depth, left := kqcall.Context(&ctx.Request.Header)
+	e.serve(ctx, caller, depth+1, left)
+}
+
+// Leave asks callers to close their connections: the node is going.
+func (e *Entry) Leave() { e.leaving.Store(true) }
+
+// Close ends the idle connections to other nodes' gates.
+func (e *Entry) Close() { e.clients.close() }
+
+// Sweep closes what has been idle and forgets gates that are gone.
+func (e *Entry) Sweep(now time.Time) { e.clients.sweep(now) }
+
+func (e *Entry) serve(ctx *fasthttp.RequestCtx, caller kqname.Caller, depth int, left time.Duration) {
+	now := e.now()
+	kqcall.Strip(&ctx.Request.Header)
+	stripHop(&ctx.Request.Header)
+	number := e.number.Add(1)
+	f := &flight{}
+	f.call = kqcall.Call{
+		ID: e.id(number), Caller: caller, Depth: depth, Arrived: now,
+		Cancel: &f.cancel, Request: &ctx.Request, Response: &ctx.Response,
+	}
+	c := &f.call
+	if left > 0 {
+		c.Deadline = now.Add(left)
+	}
+	e.hangup.Begin(&f.line, number, ctx.Conn(), &f.cancel, now)
+	o := e.do(c, now)
+	e.hangup.End(&f.line)
+	e.counter.Ended(o)
+	c.Answer(o)
+	if e.leaving.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
+func (e *Entry) do(c *kqcall.Call, now time.Time) kqcall.Outcome {
+	if c.Depth > kqcall.MaxDepth {
+		return kqcall.Refuse(kqcall.Malformed)
+	}
+	snapshot, route, refusal := e.match(c, now)
+	if refusal != kqcall.NoReason {
+		o := kqcall.Refuse(refusal)
+		if refusal == kqcall.NoConfig {
+			o.RetryAfter = time.Second
+		}
+		return o
+	}
+	found, _ := snapshot.Service(route.Service)
+	fill(c, route, found, now)
+	if !now.Before(c.Deadline) {
+		return kqcall.Refuse(kqcall.Late)
+	}
+	target := e.splitter.Split(found, c)
+	s := e.service(c.Service)
+	if !s.begin(c, e.baseline, now) {
+		o := kqcall.Refuse(kqcall.Overload)
+		o.RetryAfter = time.Second
+		return o
+	}
+	return e.tries(c, s, target, now)
+}
+
+// tries sends the call until it has an answer, may have run, or may not be sent
+// again.
+func (e *Entry) tries(c *kqcall.Call, s *service, target kqpick.Target, now time.Time) kqcall.Outcome {
+	var space [maxTries]kqname.Node
+	tried := space[:0]
+	last := kqcall.Refuse(kqcall.NoUpstream)
+	last.RetryAfter = time.Second
+	for {
+		c.Version = target.Version
+		to, gate := s.pick(e.directory.Upstreams(c.Service), target, tried, now)
+		if to == nil && target.Fallback != "" {
+			target = target.Next()
+			continue
+		}
+		if to == nil {
+			return last
+		}
+		tried = append(tried, gate.Node)
+		var load kqcall.Load
+		var told bool
+		last, load, told = e.send(c, gate)
+		now = e.now()
+		again := s.done(c, to, last, load, told, now)
+		if len(tried) == maxTries || !again && !e.plainRetry(c, last) || !now.Before(c.Deadline) || c.Cancel.Done() {
+			return last
+		}
+		e.counter.Retried(last.Reason)
+		target = target.Next()
+	}
+}
+
+// plainRetry is the baseline's rule: again whatever did not run.
+func (e *Entry) plainRetry(_ *kqcall.Call, o kqcall.Outcome) bool {
+	return e.baseline && o.Result == kqcall.NotRun && o.Reason != kqcall.Late
+}
+
+func (e *Entry) send(c *kqcall.Call, to kqmember.Candidate) (kqcall.Outcome, kqcall.Load, bool) {
+	if to.Node == e.self {
+		o, load := e.local.Do(c)
+		return o, load, load.Slots > 0
+	}
+	c.Write(e.now())
+	o := e.clients.get(to.Gate).Do(c)
+	if o.Result != kqcall.Answered {
+		return o, kqcall.Load{}, false
+	}
+	load, told := kqcall.ReadLoad(&c.Response.Header)
+	return c.Outcome(), load, told && load.Slots > 0
+}
+
+func (e *Entry) id(number uint64) kqcall.ID {
+	var space [32]byte
+	return kqcall.ID(strconv.AppendUint(append(space[:0], e.prefix...), number, 36))
+}
