Test that a waiting call whose caller left never runs

Cause: the test's words spoke of a call that waits at another node's gate, but its deeds only tried one that runs. Change: it takes every slot first, leaves while a call waits, and holds the upstream to not having seen it; what it asked before it still asks, of four calls.

--- a/internal/call/kqentry/forge_test.go
+++ b/internal/call/kqentry/forge_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,9 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
+// rawSlots are those of a raw upstream.
+const rawSlots = 4
+
 // raw is an upstream that keeps each request's headers and answers as the test
 // says.
 type raw struct {
@@ -36,14 +40,16 @@
 	u := &raw{Listener: l}
 	server := &http.Server{ReadHeaderTimeout: patience, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		u.mu.Lock()
-		u.seen = append(u.seen, r.Header.Clone())
+		header := r.Header.Clone()
+		header.Set("Path", r.URL.Path)
+		u.seen = append(u.seen, header)
 		u.mu.Unlock()
 		w.Header().Set(kqupstream.HeaderWork, r.Header.Get(kqupstream.HeaderWork))
 		answer(w, r)
 	})}
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
-	a := fmt.Sprintf(`{"service":%q,"version":"v1","address":%q,"slots":4}`, service, l.Addr())
+	a := fmt.Sprintf(`{"service":%q,"version":"v1","address":%q,"slots":%d}`, service, l.Addr(), rawSlots)
 	announce := func() {
 		resp, err := http.Post("http://"+string(s.Node.LocalAddress())+"/kq/announce", "application/json", strings.NewReader(a))
 		if err == nil {
@@ -145,18 +151,19 @@
 	}
 }
 
-// A caller goes away while its call waits in the queue of another node's gate.
-// The call would take a slot for nobody; its place must come free and it must
-// never run, and the one that runs must see that its caller is gone.
-func TestCallerWhoLeavesFreesItsPlace(t *testing.T) {
+// Callers go away while their calls run at another node's upstream, and one
+// while its call waits in the queue there. Left alone they would take slots for
+// nobody; those that run must see that their callers are gone, and the one that
+// waits must never run.
+func TestCallersWhoLeaveFreeTheirPlaces(t *testing.T) {
 	t.Parallel()
 	s := newShop(t, 0, 0, 0)
 	back := s.start(t, kqfleet.Spec{Node: "back", Domain: "one", Region: "one"})
-	gone := make(chan struct{})
+	var gone atomic.Int32
 	u := besides(t, back, "store", func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/long" {
 			<-r.Context().Done()
-			close(gone)
+			gone.Add(1)
 			return
 		}
 		fmt.Fprint(w, r.URL.Path)
@@ -165,20 +172,70 @@
 		o, err := s.send(http.MethodGet, "warm")
 		return err == nil && o.Result == kqcall.Answered
 	})
+	var running []net.Conn
+	for range rawSlots {
+		running = append(running, s.leave(t, "/long"))
+	}
+	poll(t, "every slot is taken", func() bool { return u.count("/long") == rawSlots })
+	waiting := s.leave(t, "/waits")
+	_ = waiting.Close()
+	poll(t, "the waiting call is cancelled", func() bool { return cancelled(t, s.front) == 1 })
+	for _, c := range running {
+		_ = c.Close()
+	}
+	poll(t, "the upstream sees its callers gone", func() bool { return gone.Load() == rawSlots })
+	poll(t, "the slots are free", func() bool {
+		o, err := s.send(http.MethodGet, "after")
+		return err == nil && o.Result == kqcall.Answered
+	})
+	if n := u.count("/waits"); n != 0 {
+		t.Errorf("the call whose caller had left ran %d times", n)
+	}
+}
+
+// leave sends a call and leaves its answer unread.
+func (s *shop) leave(t *testing.T, path string) net.Conn {
+	t.Helper()
 	c, err := net.Dial("tcp", string(s.front.Node.EntryAddress()))
 	if err != nil {
 		t.Fatal(err)
 	}
-	fmt.Fprint(c, "POST /long HTTP/1.1\r\nHost: store\r\nContent-Length: 0\r\n\r\n")
-	poll(t, "the call runs", func() bool {
-		u.mu.Lock()
-		defer u.mu.Unlock()
-		return u.seen[len(u.seen)-1].Get("Work-Id") == ""
-	})
-	_ = c.Close()
-	select {
-	case <-gone:
-	case <-time.After(patience):
-		t.Error("the upstream never saw that its caller was gone")
+	t.Cleanup(func() { _ = c.Close() })
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: store\r\nContent-Length: 0\r\n\r\n", path)
+	return c
+}
+
+func (u *raw) count(path string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n := 0
+	for _, h := range u.seen {
+		if h.Get("Path") == path {
+			n++
+		}
+	}
+	return n
+}
+
+// cancelled returns how many calls ended so at the server's entry.
+func cancelled(t *testing.T, s *kqfleet.Server) int {
+	t.Helper()
+	families, err := s.Node.Metrics().Registry().Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for _, f := range families {
+		if f.GetName() != "kumquatgw_calls_total" {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			for _, l := range m.GetLabel() {
+				if l.GetValue() == string(kqcall.Cancelled) {
+					n += int(m.GetCounter().GetValue())
+				}
+			}
+		}
 	}
+	return n
 }
