Weigh a rollout's evidence only where all of it arrives

Cause: since evidence goes to a few nodes, the others weighed their own gate's calls alone, and so one version's by themselves; more nodes that test also mean more false alarms. Conclusion: one set of nodes collects, weighs and owns. The roll-back that they find still floods.

--- a/internal/rollout/kqboard/board.go
+++ b/internal/rollout/kqboard/board.go
@@ -113,14 +113,18 @@
 	return !e.gone.IsZero() && now.Sub(e.gone) >= kept
 }
 
-// Weigh takes in the evidence that has come together for every plan.
-func (b *Board) Weigh(now time.Time) {
-	for _, e := range b.all() {
-		e.mu.Lock()
-		if e.started(now) {
-			e.weigh(now)
-		}
-		e.mu.Unlock()
+// Weigh takes in the evidence that has come together for a plan. It is for nodes
+// that get all gates' reports: one that knows only its own gate's would compare
+// two versions by the calls of one.
+func (b *Board) Weigh(id kqplan.ID, now time.Time) {
+	e, ok := b.entry(id)
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.started(now) {
+		e.weigh(now)
 	}
 }
 
--- a/internal/run/kqnode/rollout.go
+++ b/internal/run/kqnode/rollout.go
@@ -94,9 +94,11 @@
 
 // tick weighs the evidence and, on plans that this node owns, decides.
 func (r *rollouts) tick(now time.Time) {
-	r.board.Weigh(now)
 	for _, v := range r.board.Views(now) {
 		id := v.Plan.ID
+		if r.collects(v) {
+			r.board.Weigh(id, now)
+		}
 		if report, ok := r.board.Report(id, now); ok {
 			r.report(v, evidenceMessage{id, report})
 		}
--- a/internal/run/kqnode/rollout_message.go
+++ b/internal/run/kqnode/rollout_message.go
@@ -27,7 +27,7 @@
 	answerEvery = time.Second
 	answering   = 3
 	// collecting is how many nodes of a service, beside the rollout's owner, get
-	// its evidence. Were evidence to flood, each rollout would cost every node of
+	// and weigh its evidence. Were evidence to flood, each rollout would cost every node of
 	// the fleet each gate's report, once a tick: ten gates of two routes some
 	// 4 KB a second out of the 16 KB that a node has for all control.
 	collecting = 5
@@ -78,6 +78,12 @@
 	r.publish(topicProgress, m)
 }
 
+// collects reports whether this node gets the evidence of all gates.
+func (r *rollouts) collects(v kqboard.View) bool {
+	rank := r.rank(v.Plan.Service)
+	return rank >= 0 && rank < collecting || v.Owner == r.node.settings.Node.Name
+}
+
 // report sends this gate's evidence to the nodes that weigh it: the first few of
 // the service, and the owner.
 func (r *rollouts) report(v kqboard.View, m evidenceMessage) {
