Compress on every processor

Cause: 550 nodes in one process never settled: after 3 min they still fetched their first hosts, at 7 processors. A dump of goroutines showed 2,755 waiting for the one compressor, which outlasted the 1 s of their calls, so that heartbeats went missing and suspicions made more news. Change: as many compressors and decompressors as processors. Conclusion: the line was the lab's, where all nodes share a process, but a node's own sends waited in it too. Left: a heartbeat still waits behind a long message on its own link.

--- a/internal/peer/kqpeer/codec.go
+++ b/internal/peer/kqpeer/codec.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"runtime"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/zstd"
@@ -18,7 +19,9 @@
 const compressOver = 512
 
 // windowBytes is how far back a repetition is found; it bounds the memory of
-// the one compressor that a process has.
+// each compressor. A process has one for each processor that it runs on: were
+// there one for all, whoever sends would wait in one line, and in a storm of news
+// the line would outlast the timeouts of the calls in it.
 const windowBytes = 64 << 10
 
 var (
@@ -66,7 +69,7 @@
 }
 
 func mustCompressor() *zstd.Encoder {
-	e, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
+	e, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(runtime.GOMAXPROCS(0)),
 		zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(windowBytes), zstd.WithEncoderCRC(false))
 	if err != nil {
 		panic(err)
@@ -75,7 +78,7 @@
 }
 
 func mustDecompressor() *zstd.Decoder {
-	d, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(MaxFrameBytes), zstd.WithDecoderLowmem(true))
+	d, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(runtime.GOMAXPROCS(0)), zstd.WithDecoderMaxMemory(MaxFrameBytes), zstd.WithDecoderLowmem(true))
 	if err != nil {
 		panic(err)
 	}
