Let a reader whose slot was taken give up

Change: while its domain has a reader too many, a reader looks at its slot before it renews, and gives up when another holds it. Figures: TestReaderWhoseSlotWasTakenGivesUp fails before (never gives up in 30 s) and passes after in 2.8 s. Ruled out: letting the lease fall with the key, which the platform does not offer.

--- a/internal/config/kqreader/reader.go
+++ b/internal/config/kqreader/reader.go
@@ -140,6 +140,10 @@
 		}
 		r.look(ctx)
 	case kqlease.Renew:
+		if situation.Readers >= kqlease.Slots && r.replaced(ctx) {
+			r.giveUp()
+			return
+		}
 		r.renew(ctx)
 	case kqlease.GiveUp:
 		r.giveUp()
@@ -249,6 +253,22 @@
 	}
 }
 
+// replaced reports whether somebody else holds the slot. In a storm a reader that
+// did not answer loses its slot while its lease can still be renewed; were it not
+// to look, it would read on for good, and the platform's load would grow with
+// every storm. It looks only while its domain has a reader too many.
+func (r *Reader) replaced(ctx context.Context) bool {
+	e, err := r.store.Get(ctx, r.key)
+	if errors.Is(err, kqstore.ErrNotFound) {
+		return true
+	}
+	if err != nil {
+		r.failed(err)
+		return false
+	}
+	return e.Revision != r.revision
+}
+
 // giveUp stops the calls to the platform. The node goes on holding the whole
 // document for its peers until others do: while the platform is down no reader
 // can keep its lease, and nobody could get a host that is not held elsewhere.
--- a/internal/config/kqreader/reader_test.go
+++ b/internal/config/kqreader/reader_test.go
@@ -50,6 +50,32 @@
 	<-done
 }
 
+// In a storm of starting nodes a reader does not answer in time, and others take
+// its slot while its lease is still good. It must notice and stop, or each storm
+// would leave readers behind, and the platform's calls would grow for good.
+func TestReaderWhoseSlotWasTakenGivesUp(t *testing.T) {
+	platform := kqstandin.New()
+	var running atomic.Int64
+	var reads atomic.Bool
+	table := kqmember.NewTable(kqmember.Member{Node: "a", Domain: "one", Control: "127.0.0.1:1"})
+	r := kqreader.New(platform, table, idle{&running}, 0, func(context.Context, kqname.Address) {},
+		func(_ context.Context, on bool) { reads.Store(on) }, func(error) {})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); r.Run(ctx) }()
+	await(t, "it reads", func() bool { return reads.Load() && running.Load() == 1 })
+	for slot := range 2 {
+		if _, err := platform.Put(ctx, kqreader.SlotKey("one", slot), []byte("127.0.0.1:2"), ""); err != nil {
+			t.Fatal(err)
+		}
+	}
+	table.Merge(kqmember.Member{Node: "b", Domain: "one", Control: "127.0.0.1:2", Reader: true, Incarnation: 1})
+	table.Merge(kqmember.Member{Node: "c", Domain: "one", Control: "127.0.0.1:2", Reader: true, Incarnation: 1})
+	await(t, "it gives up", func() bool { return !reads.Load() && running.Load() == 0 })
+	cancel()
+	<-done
+}
+
 // The platform is down for longer than the leases last, so every reader gives
 // up. A server that is replaced meanwhile needs hosts that only readers hold; its
 // callers would get no answer if the readers stopped serving their peers too.
