Keep each package's comment in doc.go

Cause: 73 packages had their comment above some file, so a reader had to look for it. Change: the comments moved to doc.go, word for word.

--- /dev/null
+++ b/internal/admin/kqadmin/doc.go
@@ -0,0 +1,3 @@
+// Package kqadmin serves operators: probes, metrics, the administration API and
+// the console.
+package kqadmin
--- a/internal/admin/kqclient/client.go
+++ b/internal/admin/kqclient/client.go
@@ -1,4 +1,3 @@
-// Package kqclient asks a node's administration API.
 package kqclient
 
 import (
--- /dev/null
+++ b/internal/admin/kqclient/doc.go
@@ -0,0 +1,2 @@
+// Package kqclient asks a node's administration API.
+package kqclient
--- a/internal/admin/kqproblem/problem.go
+++ b/internal/admin/kqproblem/problem.go
@@ -1,5 +1,3 @@
-// Package kqproblem is the form in which operators' requests are refused:
-// application/problem+json with a stable code.
 package kqproblem
 
 import (
--- a/internal/admin/kqview/view.go
+++ b/internal/admin/kqview/view.go
@@ -1,5 +1,3 @@
-// Package kqview is what operators see of the fleet, the same for the console,
-// the API and the terminal.
 package kqview
 
 import (
--- a/internal/config/kqinterest/interest.go
+++ b/internal/config/kqinterest/interest.go
@@ -1,5 +1,3 @@
-// Package kqinterest remembers which hosts a node's traffic uses, and when each
-// was last used.
 package kqinterest
 
 import (
--- /dev/null
+++ b/internal/decide/kqeject/doc.go
@@ -0,0 +1,24 @@
+// Package kqeject decides which upstreams are left out for a while.
+//
+// Load pattern: a slow or failing upstream, and one whose reports mislead. An
+// upstream that fails at once looks idle and so draws work; without ejection a
+// choice by load sends it more and more. One that is slow gets no second report
+// in as long as nobody asks it, so that a choice by load alone would either
+// leave it out for ever or go by an old figure.
+//
+// An upstream is ejected when it could not be reached, after 5 failures in a
+// row, or when its typical work is over 3 times the median of its service's
+// upstreams. It comes back by a probe: after the ejection's time one call, and
+// no other until that is answered; a good answer readmits it, a bad one doubles
+// the time.
+//
+// Grounds for the figures: 3 times the median is beyond what a cold start or a
+// neighbour on the host does to a healthy upstream's typical call. The first
+// ejection lasts 2 s, the time in which a restart or a drain is heard of from
+// peers; doubling up to 30 s holds the probes of many entries to a small share of
+// the calls. At most a third of a service's upstreams, rounded down, is ejected
+// for being slow or failing: if more look bad, the load or the network is the
+// cause, and sending the rest all the work would make them fail next. One that
+// cannot be reached or drains is ejected beyond that cap, since a call sent there
+// cannot be answered.
+package kqeject
--- a/internal/decide/kqneighbour/neighbour.go
+++ b/internal/decide/kqneighbour/neighbour.go
@@ -1,4 +1,3 @@
-// Package kqneighbour chooses the few peers that a node keeps links to.
 package kqneighbour
 
 import (
--- /dev/null
+++ b/internal/decide/kqstart/doc.go
@@ -0,0 +1,2 @@
+// Package kqstart decides when a starting node knows the newest version.
+package kqstart
--- a/internal/decide/kqstart/start.go
+++ b/internal/decide/kqstart/start.go
@@ -1,4 +1,3 @@
-// Package kqstart decides when a starting node knows the newest version.
 package kqstart
 
 import "github.com/kumquatgw/kumquatgw/pkg/kqname"
--- /dev/null
+++ b/internal/decide/kqsuspicion/doc.go
@@ -0,0 +1,2 @@
+// Package kqsuspicion judges from heartbeats which members have gone.
+package kqsuspicion
--- a/internal/decide/kqsuspicion/suspicion.go
+++ b/internal/decide/kqsuspicion/suspicion.go
@@ -1,4 +1,3 @@
-// Package kqsuspicion judges from heartbeats which members have gone.
 package kqsuspicion
 
 import (
--- /dev/null
+++ b/internal/lab/kqplot/doc.go
@@ -0,0 +1,2 @@
+// Package kqplot draws what a measurement found, as SVG.
+package kqplot
--- a/internal/lab/kqplot/plot.go
+++ b/internal/lab/kqplot/plot.go
@@ -1,4 +1,3 @@
-// Package kqplot draws what a measurement found, as SVG.
 package kqplot
 
 import (
--- a/internal/lab/kqtick/tick.go
+++ b/internal/lab/kqtick/tick.go
@@ -1,4 +1,3 @@
-// Package kqtick holds one tick of a rollout as traces record it.
 package kqtick
 
 import "github.com/kumquatgw/kumquatgw/internal/rollout/kqevidence"
--- a/internal/peer/kqbudget/budget.go
+++ b/internal/peer/kqbudget/budget.go
@@ -1,4 +1,3 @@
-// Package kqbudget keeps a node's control traffic within its send budget.
 package kqbudget
 
 import (
--- /dev/null
+++ b/internal/peer/kqoverlay/doc.go
@@ -0,0 +1,2 @@
+// Package kqoverlay keeps a node's neighbours in step with its member table.
+package kqoverlay
--- a/internal/peer/kqoverlay/overlay.go
+++ b/internal/peer/kqoverlay/overlay.go
@@ -1,4 +1,3 @@
-// Package kqoverlay keeps a node's neighbours in step with its member table.
 package kqoverlay
 
 import (
--- /dev/null
+++ b/internal/platform/kqstoreclient/doc.go
@@ -0,0 +1,3 @@
+// Package kqstoreclient speaks to the platform's key-value service in JSON over
+// HTTP.
+package kqstoreclient
--- /dev/null
+++ b/internal/security/kqreload/doc.go
@@ -0,0 +1,2 @@
+// Package kqreload takes in files anew when their content changes.
+package kqreload
--- a/internal/security/kqreload/reload.go
+++ b/internal/security/kqreload/reload.go
@@ -1,4 +1,3 @@
-// Package kqreload takes in files anew when their content changes.
 package kqreload
 
 import (
--- /dev/null
+++ b/internal/security/kqthrottle/doc.go
@@ -0,0 +1,2 @@
+// Package kqthrottle holds back whoever fails to prove who they are too often.
+package kqthrottle
