Rank call classes in one place

Cause: shedding and the gate's queue each had the same order of the classes, so one could have changed without the other. Change: kqdocument.Class.Rank, and both functions gone. Conclusion: behaviour stays.

--- a/internal/decide/kqshed/shed.go
+++ b/internal/decide/kqshed/shed.go
@@ -32,7 +32,7 @@
 
 // Refuse reports whether a call of the class is to be refused, and counts it.
 func (s *Shedder) Refuse(c kqdocument.Class, now time.Time, random *rand.Rand) bool {
-	i := index(c)
+	i := c.Rank()
 	w := &s.classes[i]
 	w.age(now)
 	w.calls++
@@ -48,7 +48,7 @@
 }
 
 // Refused counts a call that a gate refused for load.
-func (s *Shedder) Refused(c kqdocument.Class) { s.classes[index(c)].refused++ }
+func (s *Shedder) Refused(c kqdocument.Class) { s.classes[c.Rank()].refused++ }
 
 func (w *window) age(now time.Time) {
 	if w.since.IsZero() {
@@ -61,14 +61,3 @@
 		w.calls, w.refused, w.since = 0, 0, now
 	}
 }
-
-func index(c kqdocument.Class) int {
-	switch c {
-	case kqdocument.ClassCritical:
-		return 0
-	case kqdocument.ClassBackground:
-		return 2
-	default:
-		return 1
-	}
-}
--- a/internal/decide/kqslots/queue.go
+++ b/internal/decide/kqslots/queue.go
@@ -5,7 +5,6 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqfair"
-	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 )
 
 // enqueue takes the call in if it is going to begin in time, and refuses it at
@@ -170,14 +169,3 @@
 	}
 	return max(work/time.Duration(max(s.limit.Allowed(), 1)), minRetryAfter)
 }
-
-func level(c kqdocument.Class) int {
-	switch c {
-	case kqdocument.ClassCritical:
-		return 0
-	case kqdocument.ClassBackground:
-		return 2
-	default:
-		return 1
-	}
-}
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -87,7 +87,7 @@
 
 // Enter settles the ticket's verdict.
 func (s *Slots) Enter(t *Ticket, now time.Time) {
-	t.level, t.long = level(t.Class), s.work.Long(t.Route)
+	t.level, t.long = t.Class.Rank(), s.work.Long(t.Route)
 	if !t.long {
 		s.shortSeen = now
 	}
--- a/pkg/kqdocument/document.go
+++ b/pkg/kqdocument/document.go
@@ -99,3 +99,16 @@
 		Cancelled bool `json:"cancelled,omitempty"`
 	}
 )
+
+// Rank orders classes from 0, served first, to 2, refused first. A class that is
+// empty or not known ranks as normal.
+func (c Class) Rank() int {
+	switch c {
+	case ClassCritical:
+		return 0
+	case ClassBackground:
+		return 2
+	default:
+		return 1
+	}
+}
