--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -161,7 +161,7 @@
 	defer stop()
 	var group conc.WaitGroup
 	group.Go(func() { n.runConfig(background) })
-	group.Go(func() { n.sweep(background) })
+	group.Go(func() { every(background, sweepEvery, n.sweep) })
 	group.Go(func() { n.collect(background) })
 	group.Go(func() { n.hangup.Run(background) })
 	group.Go(func() { n.runTLS(background) })
@@ -259,20 +259,11 @@
 	return err
 }
 
-func (n *Node) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			n.local.Sweep(now)
-			n.gate.Sweep(now)
-			n.entry.Sweep(now)
-			n.replica.Sweep(now.Add(-n.settings.Config.InterestIdle))
-		}
-	}
+func (n *Node) sweep(now time.Time) {
+	n.local.Sweep(now)
+	n.gate.Sweep(now)
+	n.entry.Sweep(now)
+	n.replica.Sweep(now.Add(-n.settings.Config.InterestIdle))
 }
 
 func (n *Node) listen() error {
