Give the console the API's parts

Cause: the console and the API each listed the same eight parts and the same counter, and the server filled both. Change: kqconsole.Parts holds kqapi.Parts beside the rollouts' course; the server fills them once. Conclusion: behaviour stays.

--- a/internal/admin/kqadmin/admin.go
+++ b/internal/admin/kqadmin/admin.go
@@ -108,15 +108,13 @@
 	committer := kqcommit.New(parts.Store)
 	audit := kqaudit.New(parts.Log)
 	changer, view, auth := kqchange.New(committer, audit, parts.Counter), kqview.New(parts.Node, committer), kqauth.New(parts.Operators)
-	a.api = kqapi.New(kqapi.Parts{
+	shared := kqapi.Parts{
 		Committer: committer, Changer: changer, View: view, Audit: audit, Auth: auth,
 		Counter: parts.Counter, Rollouts: a.rollouts, Now: o.now,
-	})
+	}
+	a.api = kqapi.New(shared)
 	var err error
-	a.console, err = kqconsole.New(kqconsole.Parts{
-		Committer: committer, Changer: changer, View: view, Audit: audit, Auth: auth,
-		Counter: parts.Counter, Rollouts: a.rollouts, Trail: a.trail, Now: o.now,
-	})
+	a.console, err = kqconsole.New(kqconsole.Parts{Parts: shared, Trail: a.trail})
 	if err != nil {
 		return nil, fmt.Errorf("make admin: %w", err)
 	}
--- a/internal/admin/kqconsole/console.go
+++ b/internal/admin/kqconsole/console.go
@@ -12,15 +12,14 @@
 	"strings"
 	"time"
 
+	"github.com/kumquatgw/kumquatgw/internal/admin/kqapi"
+
 	"github.com/gofiber/fiber/v2"
 
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqaudit"
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqauth"
-	"github.com/kumquatgw/kumquatgw/internal/admin/kqchange"
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqproblem"
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqtrail"
-	"github.com/kumquatgw/kumquatgw/internal/admin/kqview"
-	"github.com/kumquatgw/kumquatgw/internal/rollout/kqboard"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqoperator"
 )
 
@@ -41,22 +40,11 @@
 var assetFiles embed.FS
 
 type (
-	// Counter counts refusals by their code.
-	Counter interface {
-		AdminRefused(reason string)
-	}
-
-	// Parts are what the console shows and drives.
+	// Parts are what the console shows and drives: the API's, as both make the same
+	// changes, and the rollouts' course.
 	Parts struct {
-		Committer kqchange.Committer
-		Changer   *kqchange.Changer
-		View      *kqview.View
-		Audit     *kqaudit.Audit
-		Auth      *kqauth.Auth
-		Counter   Counter
-		Rollouts  func() []kqboard.Status
-		Trail     *kqtrail.Trail
-		Now       func() time.Time
+		kqapi.Parts
+		Trail *kqtrail.Trail
 	}
 
 	// Console serves the pages.
