Call the store's packages after the store

Cause: the folder platform/ is to hold the adapter to the users' platform, and internal/platform beside it would be taken for it. Only paths change.

--- a/cmd/kumquatgw/script_test.go
+++ b/cmd/kumquatgw/script_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
 )
 
 // Each script has a platform of its own at $PLATFORM.
--- a/internal/admin/kqchange/change.go
+++ b/internal/admin/kqchange/change.go
@@ -12,7 +12,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqproblem"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqoperator"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
--- a/internal/config/kqcommit/collect_test.go
+++ b/internal/config/kqcommit/collect_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 )
 
 // A commit writes its objects and then loses the race, again and again. A day
--- a/internal/config/kqcommit/commit.go
+++ b/internal/config/kqcommit/commit.go
@@ -9,7 +9,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
--- a/internal/config/kqcommit/intent.go
+++ b/internal/config/kqcommit/intent.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/config/kqcommit/race_test.go
+++ b/internal/config/kqcommit/race_test.go
@@ -12,8 +12,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/config/kqreader/reader.go
+++ b/internal/config/kqreader/reader.go
@@ -12,7 +12,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqlease"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/config/kqreader/reader_test.go
+++ b/internal/config/kqreader/reader_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqreader"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/config/kqwatch/watch.go
+++ b/internal/config/kqwatch/watch.go
@@ -10,7 +10,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 )
 
 const (
--- a/internal/config/kqwatch/watch_test.go
+++ b/internal/config/kqwatch/watch_test.go
@@ -8,8 +8,8 @@
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqwatch"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/lab/kqdemo/faults.go
+++ b/internal/lab/kqdemo/faults.go
@@ -10,7 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqupstream"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/lab/kqfleet/fleet.go
+++ b/internal/lab/kqfleet/fleet.go
@@ -10,8 +10,8 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqupstream"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqnode"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
--- a/internal/lab/kqnodes/fault.go
+++ b/internal/lab/kqnodes/fault.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
 )
 
 // prefetchPause is the time that replaced nodes have before their first calls.
--- a/internal/lab/kqnodes/store.go
+++ b/internal/lab/kqnodes/store.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 )
 
 // meteredStore counts the calls that nodes make to the platform's service and
--- a/internal/rollout/kqowner/lease.go
+++ b/internal/rollout/kqowner/lease.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqplan"
 )
 
--- a/internal/rollout/kqowner/owner.go
+++ b/internal/rollout/kqowner/owner.go
@@ -9,7 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqboard"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqplan"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqprogress"
--- a/internal/rollout/kqowner/owner_test.go
+++ b/internal/rollout/kqowner/owner_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqboard"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqledger"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqowner"
--- a/internal/run/kqcommand/commit.go
+++ b/internal/run/kqcommand/commit.go
@@ -11,7 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstoreclient"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstoreclient"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/run/kqcommand/document.go
+++ b/internal/run/kqcommand/document.go
@@ -11,7 +11,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstoreclient"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstoreclient"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
--- a/internal/run/kqcommand/node.go
+++ b/internal/run/kqcommand/node.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstoreclient"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstoreclient"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqnode"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
--- a/internal/run/kqcommand/platform.go
+++ b/internal/run/kqcommand/platform.go
@@ -10,8 +10,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstoreclient"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstoreclient"
 )
 
 const headerTimeout = 5 * time.Second
--- a/internal/run/kqnode/fuzz_test.go
+++ b/internal/run/kqnode/fuzz_test.go
@@ -10,7 +10,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqnode"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
 )
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -23,7 +23,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqspread"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqmetric"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
--- a/internal/platform/kqstandin/count.go
+++ b/internal/store/kqstandin/count.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 )
 
 // Counts are the calls taken since the start; refused ones count too.
--- a/internal/platform/kqstandin/lease.go
+++ b/internal/store/kqstandin/lease.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 )
 
 // lease is a granted lease: how long it lasts, and when it lapses.
--- a/internal/platform/kqstandin/serve.go
+++ b/internal/store/kqstandin/serve.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"time"
 
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 )
 
 const (
--- a/internal/platform/kqstandin/standin.go
+++ b/internal/store/kqstandin/standin.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 )
 
 type (
--- a/internal/platform/kqstoreclient/client.go
+++ b/internal/store/kqstoreclient/client.go
@@ -8,8 +8,8 @@
 	"net/http"
 	"time"
 
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 )
 
 const defaultTimeout = 2 * time.Second
--- a/internal/platform/kqstoreclient/contract_test.go
+++ b/internal/store/kqstoreclient/contract_test.go
@@ -10,9 +10,9 @@
 	"testing"
 	"time"
 
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstore"
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstoreclient"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstoreclient"
 )
 
 const longWait = 20 * time.Second
--- a/internal/platform/kqstoreclient/fault.go
+++ b/internal/store/kqstoreclient/fault.go
@@ -9,7 +9,7 @@
 	"io"
 	"net/http"
 
-	"github.com/kumquatgw/kumquatgw/internal/platform/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
 )
 
 const maxAnswer = 64 << 10
