--- a/cmd/kumquatgw/main.go
+++ b/cmd/kumquatgw/main.go
@@ -6,6 +6,10 @@
 	"os"
 
 	"github.com/kumquatgw/kumquatgw/internal/run/kqcommand"
+	"github.com/kumquatgw/kumquatgw/platform/kqplatform"
 )
 
-func main() { os.Exit(kqcommand.New(os.Stdout, os.Stderr).Run(os.Args[1:])) }
+func main() {
+	command := kqcommand.New(os.Stdout, os.Stderr, kqcommand.WithAdapter(kqplatform.Name, kqplatform.Join))
+	os.Exit(command.Run(os.Args[1:]))
+}
--- a/internal/admin/kqadmin/harness_test.go
+++ b/internal/admin/kqadmin/harness_test.go
@@ -22,10 +22,10 @@
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqview"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
-	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
-	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqboard"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqoperator"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
--- a/internal/admin/kqchange/change.go
+++ b/internal/admin/kqchange/change.go
@@ -12,8 +12,8 @@
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqproblem"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
-	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqoperator"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
--- a/internal/admin/kqview/view.go
+++ b/internal/admin/kqview/view.go
@@ -40,6 +40,7 @@
 		Slots    int                    `json:"slots"`
 		Draining bool                   `json:"draining"`
 		Started  time.Time              `json:"started"`
+		Warm     time.Time              `json:"warm,omitzero"`
 	}
 
 	// Member is one node of the fleet.
--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -54,6 +54,9 @@
 	Cancelled Reason = "cancelled"
 	// Crossed tells that the answer carried another call's id.
 	Crossed Reason = "crossed"
+	// Moved tells that another upstream has taken over the address, and has not
+	// run the call.
+	Moved Reason = "moved"
 )
 
 type (
@@ -84,8 +87,10 @@
 	// Call is one request on its way from caller to upstream. Request and
 	// Response belong to whoever serves the call.
 	Call struct {
-		ID         ID
-		Caller     kqname.Caller
+		ID     ID
+		Caller kqname.Caller
+		// Origin is the service beside whose upstream the call entered the mesh.
+		Origin     kqname.Service
 		Route      kqname.Route
 		Service    kqname.Service
 		Version    kqname.UpstreamVersion
@@ -97,6 +102,14 @@
 		Depth    int
 		Arrived  time.Time
 		Deadline time.Time
+		// MaxAttempts is how many upstreams the call may be sent to; 0 leaves it to
+		// the entry.
+		MaxAttempts int
+		// Instance is the upstream that the call is meant for; "" accepts any.
+		Instance kqname.Instance
+		// Dialect is what caller and upstream speak; nil means this package's
+		// headers.
+		Dialect Dialect
 		// Cancel ends the call when its caller goes away; nil where nobody can.
 		Cancel *Cancel
 		// Finish is called once a streamed answer has been passed on or cut off;
@@ -111,7 +124,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		NoReason, NoRoute, NoConfig, NoUpstream, QueueFull, Overload, Late, RolledBack, Draining, Shed, ConnectFailed,
-		TooLarge, Malformed, TooSlow, Timeout, Cut, Cancelled, Crossed,
+		TooLarge, Malformed, TooSlow, Timeout, Cut, Cancelled, Crossed, Moved,
 	}
 }
 
--- a/internal/call/kqcall/header.go
+++ b/internal/call/kqcall/header.go
@@ -30,11 +30,14 @@
 	// the upstream's load back.
 	headerCall = "Kq-Call"
 	headerLoad = "Kq-Load"
+	// headerRetry tells between nodes what Retry-After tells callers, in
+	// milliseconds, as callers may need it in another form.
+	headerRetry = "Kq-Retry-Ms"
 
 	// MaxDepth bounds how deep calls may go; a loop of calls ends there.
 	MaxDepth = 32
 
-	callFields = 10
+	callFields = 11
 	loadFields = 4
 	separator  = ';'
 	idempotent = "i"
@@ -82,7 +85,7 @@
 	b := space[:0]
 	for _, field := range []string{
 		string(c.ID), string(c.Caller), string(c.Route), string(c.Service), string(c.Version), string(c.Class),
-		flag(c.Idempotent, idempotent), flag(c.RefusalMeansNotRun, refusal),
+		flag(c.Idempotent, idempotent), flag(c.RefusalMeansNotRun, refusal), string(c.Origin),
 	} {
 		b = append(append(b, field...), separator)
 	}
@@ -97,11 +100,11 @@
 	if !ok {
 		return nil, fmt.Errorf("read %s: %w", headerCall, ErrMalformed)
 	}
-	timeout, err := strconv.ParseInt(fields[8], 10, 64)
+	timeout, err := strconv.ParseInt(fields[9], 10, 64)
 	if err != nil {
 		return nil, fmt.Errorf("read remaining time: %w", errors.Join(ErrMalformed, err))
 	}
-	depth, err := strconv.Atoi(fields[9])
+	depth, err := strconv.Atoi(fields[10])
 	if err != nil || depth < 0 || depth > MaxDepth {
 		return nil, fmt.Errorf("read depth: %w", errors.Join(ErrMalformed, err))
 	}
@@ -109,7 +112,7 @@
 		ID: ID(fields[0]), Caller: kqname.Caller(fields[1]), Route: kqname.Route(fields[2]),
 		Service: kqname.Service(fields[3]), Version: kqname.UpstreamVersion(fields[4]), Class: kqdocument.Class(fields[5]),
 		Idempotent: fields[6] == idempotent, RefusalMeansNotRun: fields[7] == refusal,
-		Depth: depth, Arrived: now, Deadline: now.Add(time.Duration(timeout) * time.Microsecond),
+		Origin: kqname.Service(fields[8]), Depth: depth, Arrived: now, Deadline: now.Add(time.Duration(timeout) * time.Microsecond),
 		Request: req, Response: resp,
 	}
 	if c.ID == "" || c.Service == "" {
@@ -137,6 +140,10 @@
 func (c *Call) Tell(now time.Time) {
 	h := &c.Request.Header
 	h.Del(headerCall)
+	if c.Dialect != nil {
+		c.Dialect.Tell(c, max(c.Deadline.Sub(now), time.Millisecond))
+		return
+	}
 	h.Set(HeaderID, string(c.ID))
 	h.Set(HeaderTimeout, strconv.FormatInt(max(c.Deadline.Sub(now).Milliseconds(), 1), 10))
 	h.Set(HeaderDepth, strconv.Itoa(c.Depth))
@@ -158,8 +165,12 @@
 		h.Set(HeaderReason, string(o.Reason))
 	}
 	if o.RetryAfter > 0 {
-		seconds := (o.RetryAfter + time.Second - 1) / time.Second
-		h.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(int64(seconds), 10))
+		write := wholeSeconds
+		if c.Dialect != nil {
+			write = c.Dialect.RetryAfter
+		}
+		h.Set(fasthttp.HeaderRetryAfter, write(o.RetryAfter))
+		h.Set(headerRetry, strconv.FormatInt(o.RetryAfter.Milliseconds(), 10))
 	}
 }
 
@@ -170,8 +181,8 @@
 	if o.Result == Answered {
 		return o
 	}
-	if seconds, err := strconv.Atoi(string(h.Peek(fasthttp.HeaderRetryAfter))); err == nil {
-		o.RetryAfter = time.Duration(seconds) * time.Second
+	if ms, err := strconv.Atoi(string(h.Peek(headerRetry))); err == nil {
+		o.RetryAfter = time.Duration(ms) * time.Millisecond
 	}
 	return o
 }
--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -63,6 +63,8 @@
 		hangup    *kqhangup.Watch
 		forged    func()
 		baseline  bool
+		dialect   kqcall.Dialect
+		origin    kqname.Service
 		leaving   atomic.Bool
 		now       func() time.Time
 
@@ -116,6 +118,12 @@
 // before a byte of a call is sent.
 func WithDialer(dial fasthttp.DialFunc) Option { return func(e *Entry) { e.clients.dial = dial } }
 
+// WithDialect sets what callers and upstreams speak in place of our headers.
+func WithDialect(d kqcall.Dialect) Option { return func(e *Entry) { e.dialect = d } }
+
+// WithOrigin tells the service beside whose upstream the entry stands.
+func WithOrigin(s kqname.Service) Option { return func(e *Entry) { e.origin = s } }
+
 // WithBaseline chooses at random and retries without a budget, for measurements.
 func WithBaseline() Option { return func(e *Entry) { e.baseline = true } }
 
--- a/internal/call/kqentry/match.go
+++ b/internal/call/kqentry/match.go
@@ -35,7 +35,7 @@
 		return nil, kqdocument.Route{}, kqcall.NoConfig
 	}
 	route, ok := snapshot.Match(kqsnapshot.Request{
-		Host: host, Path: string(c.Request.URI().Path()), Method: string(c.Request.Header.Method()),
+		Host: host, Path: pathOf(c.Request), Method: string(c.Request.Header.Method()),
 		Header: func(name string) string { return string(c.Request.Header.Peek(name)) },
 	})
 	if !ok {
@@ -78,10 +78,22 @@
 
 // hostOf returns the host that a request names, in lower case without the port.
 func hostOf(r *fasthttp.Request) kqname.Host {
-	host, _, _ := bytes.Cut(r.Host(), []byte{':'})
+	host, _, _ := bytes.Cut(r.Header.Host(), []byte{':'})
 	return kqname.Host(bytes.ToLower(host))
 }
 
+// pathOf returns the path as the caller wrote it. The library's own way to it
+// also rewrites the request that is passed on: dots and escapes would reach the
+// upstream in another form than the caller sent.
+func pathOf(r *fasthttp.Request) string {
+	uri := r.Header.RequestURI()
+	if len(uri) == 0 || uri[0] != '/' {
+		return string(r.URI().Path())
+	}
+	path, _, _ := bytes.Cut(uri, []byte{'?'})
+	return string(path)
+}
+
 // stripHop removes what the caller said of its own connection. Passed on, it
 // would have the node close its connections to upstreams, or the upstream speak
 // a protocol that is not carried.
@@ -101,20 +113,21 @@
 // fill takes over what the configuration says of the call. A deadline that was
 // passed on stays unless the route's own is earlier.
 func fill(c *kqcall.Call, route kqdocument.Route, service kqresource.Service, now time.Time) {
+	c.MaxAttempts = route.MaxAttempts
 	timeout := defaultTimeout
 	if ms := max(route.TimeoutMS, 0); ms > 0 {
 		timeout = time.Duration(ms) * time.Millisecond
 	} else if ms := service.Service.TimeoutMS; ms > 0 {
 		timeout = time.Duration(ms) * time.Millisecond
 	}
-	c.Route, c.Service, c.Class = route.Name, route.Service, route.Class
+	c.Route, c.Service, c.Class = route.Name, service.Service.Name, route.Class
 	c.RefusalMeansNotRun = service.Service.RefusalMeansNotRun
 	if own := now.Add(timeout); c.Deadline.IsZero() || own.Before(c.Deadline) {
 		c.Deadline = own
 	}
 	switch string(c.Request.Header.Method()) {
 	case fasthttp.MethodGet, fasthttp.MethodHead, fasthttp.MethodOptions, fasthttp.MethodTrace:
-		c.Idempotent = true
+		c.Idempotent = !route.NotIdempotent
 	default:
 		c.Idempotent = route.Idempotent
 	}
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -1,6 +1,7 @@
 package kqentry
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -18,14 +19,18 @@
 	if kqcall.Strip(&ctx.Request.Header) > 0 {
 		e.forged()
 	}
-	e.serve(ctx, kqname.Caller(ctx.RemoteIP().String()), 0, 0)
+	var told kqcall.Told
+	if e.dialect != nil {
+		told = e.dialect.Accept(&ctx.Request.Header)
+	}
+	e.serve(ctx, kqname.Caller(ctx.RemoteIP().String()), 0, told)
 }
 
 // ServeLocal answers calls from the node's own upstream, which may pass on the
 // depth and the remaining time of the call that it works on, and nothing else.
 func (e *Entry) ServeLocal(ctx *fasthttp.RequestCtx, caller kqname.Caller) {
 	depth, left := kqcall.Context(&ctx.Request.Header)
-	e.serve(ctx, caller, depth+1, left)
+	e.serve(ctx, caller, depth+1, kqcall.Told{Left: left})
 }
 
 // Leave asks callers to close their connections: the node is going.
@@ -37,19 +42,22 @@
 // Sweep closes what has been idle and forgets gates that are gone.
 func (e *Entry) Sweep(now time.Time) { e.clients.sweep(now) }
 
-func (e *Entry) serve(ctx *fasthttp.RequestCtx, caller kqname.Caller, depth int, left time.Duration) {
+func (e *Entry) serve(ctx *fasthttp.RequestCtx, caller kqname.Caller, depth int, told kqcall.Told) {
 	now := e.now()
 	kqcall.Strip(&ctx.Request.Header)
 	stripHop(&ctx.Request.Header)
 	number := e.number.Add(1)
 	f := &flight{}
 	f.call = kqcall.Call{
-		ID: e.id(number), Caller: caller, Depth: depth, Arrived: now,
+		ID: told.ID, Caller: caller, Origin: e.origin, Depth: depth, Arrived: now, Dialect: e.dialect,
 		Cancel: &f.cancel, Request: &ctx.Request, Response: &ctx.Response,
 	}
 	c := &f.call
-	if left > 0 {
-		c.Deadline = now.Add(left)
+	if c.ID == "" {
+		c.ID = e.id(number)
+	}
+	if told.Left > 0 {
+		c.Deadline = now.Add(told.Left)
 	}
 	e.hangup.Begin(&f.line, number, ctx.Conn(), &f.cancel, now)
 	o := e.do(c, now)
@@ -73,7 +81,7 @@
 		}
 		return o
 	}
-	found, _ := snapshot.Service(route.Service)
+	found, _ := snapshot.Service(route.Choose(rand.Float64()))
 	fill(c, route, found, now)
 	if !now.Before(c.Deadline) {
 		return kqcall.Refuse(kqcall.Late)
@@ -92,13 +100,13 @@
 // again.
 func (e *Entry) tries(c *kqcall.Call, s *service, target kqpick.Target, now time.Time) kqcall.Outcome {
 	var space [maxTries]kqname.Node
-	tried := space[:0]
+	tried, most := space[:0], attempts(c)
 	last := kqcall.Refuse(kqcall.NoUpstream)
 	last.RetryAfter = time.Second
 	for {
 		c.Version = target.Version
 		to, gate := s.pick(e.directory.Upstreams(c.Service), target, tried, now)
-		if to == nil && target.Fallback != "" {
+		if to == nil && target.HasNext() {
 			target = target.Next()
 			continue
 		}
@@ -111,7 +119,7 @@
 		last, load, told = e.send(c, gate)
 		now = e.now()
 		again := s.done(c, to, last, load, told, now)
-		if len(tried) == maxTries || !again && !e.plainRetry(c, last) || !now.Before(c.Deadline) || c.Cancel.Done() {
+		if len(tried) >= most || !again && !e.plainRetry(c, last) || !now.Before(c.Deadline) || c.Cancel.Done() {
 			return last
 		}
 		e.counter.Retried(last.Reason)
@@ -119,6 +127,14 @@
 	}
 }
 
+// attempts returns how many upstreams a call may be sent to.
+func attempts(c *kqcall.Call) int {
+	if c.MaxAttempts > 0 {
+		return c.MaxAttempts
+	}
+	return maxTries
+}
+
 // plainRetry is the baseline's rule: again whatever did not run.
 func (e *Entry) plainRetry(_ *kqcall.Call, o kqcall.Outcome) bool {
 	return e.baseline && o.Result == kqcall.NotRun && o.Reason != kqcall.Late
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -59,6 +59,7 @@
 		queue    func(slots int, address kqname.Address) queue
 		hangup   *kqhangup.Watch
 		now      func() time.Time
+		dialect  kqcall.Dialect
 		number   atomic.Uint64
 		leaving  atomic.Bool
 
@@ -90,6 +91,9 @@
 // WithObserver tells o of each call.
 func WithObserver(o Observer) Option { return func(g *Gate) { g.observer = o } }
 
+// WithDialect sets what upstreams speak in place of our headers.
+func WithDialect(d kqcall.Dialect) Option { return func(g *Gate) { g.dialect = d } }
+
 // WithBaseline queues calls first come, first served, for measurements.
 func WithBaseline() Option {
 	return func(g *Gate) { g.queue = func(slots int, _ kqname.Address) queue { return kqfifo.New(slots) } }
@@ -124,7 +128,7 @@
 	}
 	var cancel kqcall.Cancel
 	var line kqhangup.Line
-	c.Cancel = &cancel
+	c.Cancel, c.Dialect = &cancel, g.dialect
 	g.hangup.Begin(&line, g.number.Add(1), ctx.Conn(), &cancel, now)
 	o, load := g.run(c, now)
 	g.hangup.End(&line)
@@ -190,6 +194,7 @@
 		return o, u.load()
 	}
 	began := g.now()
+	c.Instance = a.Instance
 	o := send(u, c, began)
 	ended := g.now()
 	took := ended.Sub(began)
@@ -214,7 +219,7 @@
 	defer g.mu.Unlock()
 	u, ok := g.upstreams[a.Address]
 	if !ok {
-		u = newUpstream(a, g.queue(a.Slots, a.Address))
+		u = newUpstream(a, g.queue(a.Slots, a.Address), g.dialect)
 		g.upstreams[a.Address] = u
 	}
 	u.follow(a, now)
@@ -228,6 +233,13 @@
 		return o
 	}
 	kqcall.StripResponse(&c.Response.Header)
+	if c.Dialect != nil {
+		if v := c.Dialect.Judge(c); v.NotRun != kqcall.NoReason {
+			c.Response.Reset()
+			return kqcall.Refuse(v.NotRun)
+		}
+		return o
+	}
 	if c.RefusalMeansNotRun && c.Response.StatusCode() == fasthttp.StatusServiceUnavailable {
 		return kqcall.Refuse(kqcall.Shed)
 	}
--- a/internal/call/kqgate/upstream.go
+++ b/internal/call/kqgate/upstream.go
@@ -14,7 +14,13 @@
 )
 
 // maxConnections is what an upstream takes, by the users' figures.
-const maxConnections = 100
+const (
+	maxConnections = 100
+	// upstreamIdle is how long a connection to an upstream is kept without a
+	// call. A new one costs the upstream about 1 ms of a slot; one that the
+	// upstream closes first may have a call on its way, whose end is then unknown.
+	upstreamIdle = 5 * time.Second
+)
 
 type (
 	// queue decides who gets a slot.
@@ -46,10 +52,14 @@
 	timers  = sync.Pool{New: func() any { return time.NewTimer(time.Hour) }}
 )
 
-func newUpstream(a kqlocal.Announcement, q queue) *upstream {
+func newUpstream(a kqlocal.Announcement, q queue, d kqcall.Dialect) *upstream {
+	options := []kqsend.Option{kqsend.WithMost(max(maxConnections, a.Slots)), kqsend.WithIdle(upstreamIdle)}
+	if d != nil {
+		options = append(options, kqsend.WithMatch(d.Belongs))
+	}
 	return &upstream{
 		service: a.Service, version: a.Version, slots: a.Slots, queue: q,
-		client: kqsend.New(a.Address, kqsend.WithMost(max(maxConnections, a.Slots))),
+		client: kqsend.New(a.Address, options...),
 	}
 }
 
--- a/internal/call/kqlocal/local.go
+++ b/internal/call/kqlocal/local.go
@@ -13,6 +13,10 @@
 // MaxSlots bounds the slots that an upstream may announce.
 const MaxSlots = 10000
 
+// remember is how long after its goodbye an upstream's late announcements are
+// known as such; a network delays them by seconds at most.
+const remember = time.Minute
+
 // ErrAnnouncement tells that an announcement cannot be accepted.
 var ErrAnnouncement = errors.New("announcement refused")
 
@@ -24,6 +28,18 @@
 		Address  kqname.Address         `json:"address"`
 		Slots    int                    `json:"slots"`
 		Draining bool                   `json:"draining,omitempty"`
+		// Instance tells this upstream from others that had its address.
+		Instance kqname.Instance `json:"instance,omitempty"`
+		// Born is when the upstream started, in milliseconds of its own clock, and
+		// Sequence numbers what it has said since, so that what arrives late is
+		// known as such. Both 0 take announcements in the order of their arrival.
+		Born     int64  `json:"born,omitempty"`
+		Sequence uint64 `json:"sequence,omitempty"`
+		// Cold is for how much longer the upstream is slow after its start.
+		Cold time.Duration `json:"cold,omitempty"`
+		// Gone tells that the upstream takes no more work at all; only Instance
+		// and, where it is known, Born go with it.
+		Gone bool `json:"gone,omitempty"`
 	}
 
 	// Upstreams holds the announcements in force. It is safe for concurrent use.
@@ -33,44 +49,103 @@
 
 		mu   sync.Mutex
 		held map[kqname.Address]entry
+		// ended are the upstreams that have said goodbye, and when. What they said
+		// before may arrive after it.
+		ended map[ending]time.Time
+	}
+
+	// ending names one start of an upstream.
+	ending struct {
+		instance kqname.Instance
+		born     int64
 	}
 
 	entry struct {
 		Announcement
 		first, renewed time.Time
+		// cold is how long after first the upstream said to be slow.
+		cold time.Duration
 	}
 )
 
 // New returns an empty set whose entries last for ttl unless renewed; changed
 // is told of each change that other nodes must hear of.
 func New(ttl time.Duration, changed func([]kqmember.Upstream)) *Upstreams {
-	return &Upstreams{ttl: ttl, changed: changed, held: make(map[kqname.Address]entry)}
+	return &Upstreams{ttl: ttl, changed: changed, held: make(map[kqname.Address]entry), ended: make(map[ending]time.Time)}
 }
 
 // Announce takes in an announcement, first or renewed.
+//
+// What an earlier start of the upstream, or the same one earlier, said and comes
+// late is passed over without an error: taken in, it would bring back an upstream
+// that has left, and calls would meet a closed port or a stranger.
 func (u *Upstreams) Announce(a Announcement, now time.Time) error {
+	if a.Gone {
+		u.leave(a, now)
+		return nil
+	}
 	if !kqname.Valid(a.Service) || !kqname.Valid(a.Version) || a.Address == "" || a.Slots < 1 || a.Slots > MaxSlots {
 		return fmt.Errorf("announce %q %q at %q with %d slots: %w", a.Service, a.Version, a.Address, a.Slots, ErrAnnouncement)
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	old, ok := u.held[a.Address]
-	next := entry{Announcement: a, first: now, renewed: now}
-	if ok && old.Service == a.Service && old.Version == a.Version {
-		next.first = old.first
+	if _, over := u.ended[ending{a.Instance, a.Born}]; over || ok && a.before(old.Announcement) {
+		return nil
+	}
+	next := entry{Announcement: a, first: now, renewed: now, cold: a.Cold}
+	if ok && old.Service == a.Service && old.Version == a.Version && old.Instance == a.Instance && old.Born == a.Born {
+		next.first, next.cold = old.first, old.cold
 	}
 	u.held[a.Address] = next
-	if !ok || old.Announcement != a {
+	if !ok || !old.same(a) {
 		u.tell()
 	}
 	return nil
 }
 
+// leave takes out an upstream that has said goodbye.
+func (u *Upstreams) leave(a Announcement, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for address, e := range u.held {
+		if e.Instance != a.Instance || a.Born != 0 && a.Born != e.Born {
+			continue
+		}
+		a.Born = e.Born
+		delete(u.held, address)
+		u.tell()
+		break
+	}
+	u.ended[ending{a.Instance, a.Born}] = now
+}
+
+// before reports whether an announcement was made before another one of the
+// same address.
+func (a Announcement) before(held Announcement) bool {
+	if a.Born != held.Born {
+		return a.Born < held.Born
+	}
+	return a.Sequence != 0 && a.Instance == held.Instance && a.Sequence < held.Sequence
+}
+
+// same reports whether two announcements tell other nodes the same.
+func (a Announcement) same(other Announcement) bool {
+	a.Sequence, other.Sequence = 0, 0
+	a.Cold, other.Cold = 0, 0
+	return a == other
+}
+
 // Sweep forgets upstreams that have not renewed in time.
 func (u *Upstreams) Sweep(now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	gone := false
+	for e, at := range u.ended {
+		if now.Sub(at) > remember {
+			delete(u.ended, e)
+		}
+	}
 	for address, e := range u.held {
 		if now.Sub(e.renewed) > u.ttl {
 			delete(u.held, address)
@@ -107,7 +182,7 @@
 func (u *Upstreams) tell() {
 	list := make([]kqmember.Upstream, 0, len(u.held))
 	for _, e := range u.held {
-		list = append(list, kqmember.Upstream{Service: e.Service, Version: e.Version, Slots: e.Slots, Draining: e.Draining, Started: e.first})
+		list = append(list, kqmember.Upstream{Service: e.Service, Version: e.Version, Slots: e.Slots, Draining: e.Draining, Started: e.first, Warm: e.first.Add(e.cold)})
 	}
 	u.changed(list)
 }
--- a/internal/call/kqsend/client.go
+++ b/internal/call/kqsend/client.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -34,6 +35,9 @@
 		dialer func(address string) (net.Conn, error)
 		most   int
 		echoes bool
+		// belongs tells whether a response answers the call; nil compares ids.
+		belongs func(*kqcall.Call) bool
+		idleFor time.Duration
 
 		mu   sync.Mutex
 		idle []*connection
@@ -69,9 +73,16 @@
 // WithEcho demands that each response carries its call's id, as nodes' do.
 func WithEcho() Option { return func(c *Client) { c.echoes = true } }
 
+// WithMatch has f tell whether a response answers the call that was sent, for
+// peers that do not speak our headers.
+func WithMatch(f func(*kqcall.Call) bool) Option { return func(c *Client) { c.belongs = f } }
+
+// WithIdle keeps connections for that long without a call, in place of IdleFor.
+func WithIdle(d time.Duration) Option { return func(c *Client) { c.idleFor = d } }
+
 // New returns a client that sends to an address.
 func New(to kqname.Address, options ...Option) *Client {
-	c := &Client{to: to, most: defaultMost, dialer: plain}
+	c := &Client{to: to, most: defaultMost, dialer: plain, idleFor: IdleFor}
 	for _, o := range options {
 		o(c)
 	}
@@ -82,9 +93,9 @@
 // call.
 func (c *Client) Close() { c.sweep(time.Time{}) }
 
-// Sweep ends the connections that no call has used for IdleFor, and reports how
+// Sweep ends the connections that no call has used for a while, and reports how
 // many are left.
-func (c *Client) Sweep(now time.Time) int { return c.sweep(now.Add(-IdleFor)) }
+func (c *Client) Sweep(now time.Time) int { return c.sweep(now.Add(-c.idleFor)) }
 
 func (c *Client) sweep(before time.Time) int {
 	c.mu.Lock()
--- a/internal/call/kqsend/exchange.go
+++ b/internal/call/kqsend/exchange.go
@@ -68,6 +68,9 @@
 // late or that nobody asked for. HTTP itself does not tell them apart. A peer
 // that names no call is believed unless it has to.
 func (c *Client) crossed(call *kqcall.Call) bool {
+	if c.belongs != nil {
+		return !c.belongs(call)
+	}
 	echo := call.Response.Header.Peek(kqcall.HeaderID)
 	if len(echo) == 0 {
 		return c.echoes
--- a/internal/config/kqsnapshot/build.go
+++ b/internal/config/kqsnapshot/build.go
@@ -99,8 +99,10 @@
 func (b *builder) index(name kqname.Host, x *index) error {
 	for _, routes := range x.prefixes {
 		for _, r := range routes {
-			if err := b.service(r.Service); err != nil {
-				return fmt.Errorf("route %s: %w", r.Name, err)
+			for _, s := range r.Services() {
+				if err := b.service(s); err != nil {
+					return fmt.Errorf("route %s: %w", r.Name, err)
+				}
 			}
 		}
 	}
--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -43,6 +43,9 @@
 		// Fallback is the version to turn to once the target has refused a
 		// call or has nobody to take it; empty leaves no other.
 		Fallback kqname.UpstreamVersion
+		// Not are versions that the call must not go to, and FallbackNot those of
+		// the target to turn to in place of Fallback.
+		Not, FallbackNot []kqname.UpstreamVersion
 	}
 
 	// Option sets up a Pool.
@@ -215,12 +218,19 @@
 
 // Next returns the target for a call that this one did not take.
 func (t Target) Next() Target {
-	if t.Fallback == "" {
+	switch {
+	case t.Fallback != "":
+		return Target{Version: t.Fallback}
+	case len(t.FallbackNot) > 0:
+		return Target{Not: t.FallbackNot}
+	default:
 		return t
 	}
-	return Target{Version: t.Fallback}
 }
 
+// HasNext reports whether there is another target to turn to.
+func (t Target) HasNext() bool { return t.Fallback != "" || len(t.FallbackNot) > 0 }
+
 func (t Target) allows(c kqmember.Candidate) bool {
-	return (t.Version == "" || c.Version == t.Version) && (t.Nodes == nil || t.Nodes[c.Node])
+	return (t.Version == "" || c.Version == t.Version) && (t.Nodes == nil || t.Nodes[c.Node]) && !slices.Contains(t.Not, c.Version)
 }
--- a/internal/decide/kqretry/retry.go
+++ b/internal/decide/kqretry/retry.go
@@ -44,7 +44,7 @@
 	switch o.Reason {
 	case kqcall.Draining, kqcall.RolledBack:
 		return true
-	case kqcall.ConnectFailed, kqcall.NoUpstream, kqcall.Cut, kqcall.Crossed:
+	case kqcall.ConnectFailed, kqcall.NoUpstream, kqcall.Cut, kqcall.Crossed, kqcall.Moved:
 		tokens = &b.churn
 	case kqcall.QueueFull, kqcall.Shed:
 	default:
--- a/internal/lab/kqfleet/fleet.go
+++ b/internal/lab/kqfleet/fleet.go
@@ -10,11 +10,11 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqupstream"
-	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
-	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqnode"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/lab/kqnodes/fleet.go
+++ b/internal/lab/kqnodes/fleet.go
@@ -9,9 +9,9 @@
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
-	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqnode"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/peer/kqmember/member.go
+++ b/internal/peer/kqmember/member.go
@@ -32,6 +32,9 @@
 		Draining bool                   `cbor:"4,keyasint,omitempty"`
 		// Started is when the upstream first announced itself.
 		Started time.Time `cbor:"5,keyasint"`
+		// Warm is when the upstream is no longer slow from its start, as far as it
+		// said so itself.
+		Warm time.Time `cbor:"6,keyasint,omitzero"`
 	}
 
 	// Member is one node's record. Records of a higher incarnation win; of
--- a/internal/rollout/kqboard/board.go
+++ b/internal/rollout/kqboard/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -41,6 +42,9 @@
 	service struct {
 		version kqname.UpstreamVersion
 		entries []*entry
+		// taken are the versions that an order brought in which is gone from the
+		// document and did not end as done. Their upstreams may run on for a while.
+		taken map[kqname.UpstreamVersion]bool
 	}
 )
 
@@ -58,7 +62,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name, s := range all {
-		next := service{version: s.Service.Version}
+		next := service{version: s.Service.Version, taken: maps.Clone(b.services[name].taken)}
 		for _, p := range kqplan.Of(s) {
 			next.entries = append(next.entries, b.adopt(p, now))
 		}
@@ -68,8 +72,12 @@
 		for _, e := range b.services[name].entries {
 			if !slices.Contains(next.entries, e) {
 				e.remove(now)
+				next.take(e)
 			}
 		}
+		for _, e := range next.entries {
+			delete(next.taken, e.plan.To)
+		}
 		b.services[name] = next
 	}
 	for id, e := range b.entries {
@@ -82,15 +90,31 @@
 func (b *Board) adopt(p kqplan.Plan, now time.Time) *entry {
 	e, ok := b.entries[p.ID]
 	if !ok {
-		e = newEntry(p, b.self, now)
+		e = newEntry(p.Begin(now), b.self, now)
 		b.entries[p.ID] = e
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.plan, e.gone = p, time.Time{}
+	if p.Duration == 0 {
+		e.plan = p
+	}
+	e.gone = time.Time{}
 	return e
 }
 
+// take notes the version of an order that is gone.
+func (s *service) take(e *entry) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.plan.Duration == 0 || e.progress.Final == kqprogress.Done {
+		return
+	}
+	if s.taken == nil {
+		s.taken = make(map[kqname.UpstreamVersion]bool)
+	}
+	s.taken[e.plan.To] = true
+}
+
 func (e *entry) remove(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -134,7 +158,7 @@
 	s := kqstep.State{Plan: e.plan, Progress: e.progress, Finding: e.finding}
 	for _, c := range b.directory.Upstreams(e.plan.Service) {
 		switch {
-		case c.Version == e.plan.From:
+		case e.plan.Old(c.Version):
 			s.OldSlots += c.Slots
 		case c.Version == e.plan.To && now.Sub(c.Started) >= e.plan.Cold():
 			s.NewSlots += c.Slots
--- a/internal/rollout/kqboard/traffic.go
+++ b/internal/rollout/kqboard/traffic.go
@@ -1,6 +1,8 @@
 package kqboard
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
@@ -23,6 +25,7 @@
 // Split returns where a call to a service may go.
 func (b *Board) Split(s kqresource.Service, now time.Time, random kqshare.Random) kqpick.Target {
 	base := s.Service.Version
+	taken := b.taken(s.Service.Name)
 	for _, e := range b.of(s.Service.Name) {
 		e.mu.Lock()
 		p, from, to := e.progress, e.plan.From, e.plan.To
@@ -34,19 +37,29 @@
 			continue
 		}
 		if p.Final == kqprogress.Done {
-			base = to
+			if from != "" || serves(b.directory.Upstreams(s.Service.Name), to) {
+				base = to
+			}
 			continue
 		}
 		if p.Serves() {
-			return e.split(b.directory.Upstreams(s.Service.Name), p.Step).Split(now, random)
+			return e.split(b.directory.Upstreams(s.Service.Name), p.Step, taken).Split(now, random)
+		}
+		if from == "" {
+			taken = append(taken, to)
 		}
 	}
-	return kqpick.Target{Version: base}
+	return kqpick.Target{Version: base, Not: taken}
+}
+
+// serves reports whether any upstream of the version takes new work.
+func serves(all []kqmember.Candidate, v kqname.UpstreamVersion) bool {
+	return slices.ContainsFunc(all, func(c kqmember.Candidate) bool { return c.Version == v })
 }
 
 // split returns how calls are split among the upstreams at a step. It is worked
 // out anew only when either changes: every call asks for it.
-func (e *entry) split(all []kqmember.Candidate, step int) kqshare.Burst {
+func (e *entry) split(all []kqmember.Candidate, step int, taken []kqname.UpstreamVersion) kqshare.Burst {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	k := splitKey{step: step, count: len(all)}
@@ -55,7 +68,7 @@
 	}
 	if e.splitFor != k {
 		e.splitFor, e.splitting = k, burst(kqshare.Share{
-			From: e.plan.From, To: e.plan.To, Of: kqstep.Share(e.plan, step), Small: step <= kqstep.Small,
+			From: e.plan.From, To: e.plan.To, Of: kqstep.Share(e.plan, step), Small: step <= kqstep.Small, Not: taken,
 		}, all)
 	}
 	return e.splitting
@@ -66,12 +79,12 @@
 func burst(share kqshare.Share, all []kqmember.Candidate) kqshare.Burst {
 	old, next := false, false
 	for _, c := range all {
-		old = old || c.Version == share.From
+		old = old || share.Old(c.Version)
 		next = next || c.Version == share.To
 	}
 	switch {
 	case !next:
-		return kqshare.Burst{From: share.From}
+		return kqshare.Burst{From: share.From, Not: share.Refused()}
 	case !old:
 		return kqshare.Burst{From: share.To}
 	default:
@@ -84,8 +97,8 @@
 func (b *Board) Refuses(name kqname.Service, version kqname.UpstreamVersion) bool {
 	b.mu.RLock()
 	base := b.services[name].version
+	refused := b.services[name].taken[version]
 	b.mu.RUnlock()
-	refused := false
 	for _, e := range b.of(name) {
 		e.mu.Lock()
 		p, to, from := e.progress, e.plan.To, e.plan.From
@@ -93,7 +106,7 @@
 		if to == version {
 			refused = p.RolledBack && p.Final != kqprogress.Done || p.Final == kqprogress.TakenBack
 		}
-		if from == version && p.Open() {
+		if from == version && from != "" && p.Open() {
 			refused = false
 		}
 	}
@@ -106,9 +119,9 @@
 	for _, e := range b.of(o.Service) {
 		e.mu.Lock()
 		open := e.progress.Open() && !o.Began.Before(e.plan.Start)
-		from, to, cold := e.plan.From, e.plan.To, o.Began.Sub(started) < e.plan.Cold()
+		old, to, cold := e.plan.Old(o.Version), e.plan.To, o.Began.Sub(started) < e.plan.Cold()
 		e.mu.Unlock()
-		if !open || o.Version != from && o.Version != to {
+		if !open || !old && o.Version != to {
 			continue
 		}
 		if cold {
@@ -120,6 +133,16 @@
 	}
 }
 
+// taken returns the versions of a service that ended orders took back.
+func (b *Board) taken(name kqname.Service) []kqname.UpstreamVersion {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	if len(b.services[name].taken) == 0 {
+		return nil
+	}
+	return slices.Collect(maps.Keys(b.services[name].taken))
+}
+
 func (b *Board) of(name kqname.Service) []*entry {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
--- a/internal/rollout/kqboard/view.go
+++ b/internal/rollout/kqboard/view.go
@@ -24,6 +24,8 @@
 	// Owner last said to own the plan, at Heard.
 	Owner kqname.Node
 	Heard time.Time
+	// Gone tells that the plan is no longer in the document.
+	Gone bool
 }
 
 // Views returns every plan that has started.
@@ -32,7 +34,7 @@
 	for _, e := range b.all() {
 		e.mu.Lock()
 		if e.started(now) || e.progress.RolledBack || e.plan.Cancelled {
-			v := View{Plan: e.plan, Progress: e.progress, Seen: e.seen, Owner: e.owner, Heard: e.heard, Why: e.last.Why}
+			v := View{Plan: e.plan, Progress: e.progress, Seen: e.seen, Owner: e.owner, Heard: e.heard, Why: e.last.Why, Gone: !e.gone.IsZero()}
 			if e.progress.Open() {
 				v.Wish = e.wish
 			}
--- a/internal/rollout/kqowner/lease.go
+++ b/internal/rollout/kqowner/lease.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
-	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqplan"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 )
 
 // keep renews the lease when it is time to, or takes it if it is free.
--- a/internal/rollout/kqowner/owner.go
+++ b/internal/rollout/kqowner/owner.go
@@ -9,10 +9,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqboard"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqplan"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqprogress"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/rollout/kqowner/owner_test.go
+++ b/internal/rollout/kqowner/owner_test.go
@@ -7,11 +7,11 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
-	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqboard"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqledger"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqowner"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqprogress"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
--- a/internal/rollout/kqplan/plan.go
+++ b/internal/rollout/kqplan/plan.go
@@ -19,6 +19,10 @@
 	// upstreams are warm after 40 s; a version that is slow for longer is slow.
 	longestCold = 45 * time.Second
 	coldPart    = 3
+	// orderMargin is kept for three calls to a store that takes 0.5 s for each;
+	// orderPart bounds it for short orders.
+	orderMargin = 1500 * time.Millisecond
+	orderPart   = 8
 )
 
 type (
@@ -39,6 +43,9 @@
 		Prefer     kqdocument.Preference
 		SmallShare float64
 		Cancelled  bool
+		// Duration is the length of a rollout that was ordered by its length; From
+		// is then empty, and Begin sets Start and Deadline.
+		Duration time.Duration
 	}
 )
 
@@ -58,6 +65,25 @@
 // Window returns the time that the plan gives the rollout.
 func (p Plan) Window() time.Duration { return p.Deadline.Sub(p.Start) }
 
+// Begin returns an ordered plan as it runs from now on. It is to end before
+// its time is up by a margin: the store has to take the final state in by then,
+// and may be slow.
+func (p Plan) Begin(now time.Time) Plan {
+	if p.Duration > 0 {
+		p.Start = now
+		p.Deadline = now.Add(p.Duration - min(p.Duration/orderPart, orderMargin))
+	}
+	return p
+}
+
+// Old reports whether the version is one that the rollout moves traffic from.
+func (p Plan) Old(v kqname.UpstreamVersion) bool {
+	if p.From == "" {
+		return v != p.To
+	}
+	return v == p.From
+}
+
 // Cold returns how long after an upstream's start its slowness is not held
 // against its version.
 func (p Plan) Cold() time.Duration { return min(p.Window()/coldPart, longestCold) }
@@ -66,12 +92,16 @@
 	p := Plan{
 		Name: r.Name, Service: r.Service, From: r.From, To: r.To, Start: r.Start, Deadline: r.Deadline,
 		Policy: r.Policy, Prefer: policy.Prefer, SmallShare: policy.SmallShare, Cancelled: r.Cancelled,
+		Duration: time.Duration(r.DurationMS) * time.Millisecond,
 	}
 	if p.SmallShare <= 0 || p.SmallShare > defaultSmallShare {
 		p.SmallShare = defaultSmallShare
 	}
 	h := xxhash.New()
 	fmt.Fprintf(h, "%q %q %q %q %d %d %q", r.Name, r.Service, r.From, r.To, r.Start.UnixNano(), r.Deadline.UnixNano(), r.Policy)
+	if r.DurationMS > 0 {
+		fmt.Fprintf(h, " %d", r.DurationMS)
+	}
 	p.ID = ID(string(r.Name) + "-" + hex.EncodeToString(h.Sum(nil)))
 	return p
 }
--- a/internal/rollout/kqshare/share.go
+++ b/internal/rollout/kqshare/share.go
@@ -1,6 +1,7 @@
 package kqshare
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
@@ -20,6 +21,9 @@
 		Of float64
 		// Small tells that the share is to go to few upstreams.
 		Small bool
+		// Not are further versions that must get no calls where From is empty,
+		// which stands for every version but To.
+		Not []kqname.UpstreamVersion
 	}
 
 	// Burst is a share laid over each second and over upstreams.
@@ -30,6 +34,8 @@
 		// Within is the share of calls for the new version while the burst is
 		// on, and Duty the part of each second for which it is.
 		Within, Duty float64
+		// Not are the versions that get none of the old version's calls.
+		Not []kqname.UpstreamVersion
 	}
 
 	// Random gives a number in [0, 1).
@@ -42,21 +48,21 @@
 func (b Burst) Split(now time.Time, random Random) kqpick.Target {
 	phase := time.Duration(now.UnixNano() % int64(period))
 	if b.Within <= 0 || float64(phase) >= b.Duty*float64(period) || random.Float64() >= b.Within {
-		return kqpick.Target{Version: b.From}
+		return kqpick.Target{Version: b.From, Not: b.Not}
 	}
-	return kqpick.Target{Version: b.To, Nodes: b.Nodes, Fallback: b.From}
+	return kqpick.Target{Version: b.To, Nodes: b.Nodes, Fallback: b.From, FallbackNot: b.Not}
 }
 
 // Burst returns how the share is laid over a second and over upstreams. It
 // stands until the upstreams change.
 func (s Share) Burst(all []kqmember.Candidate) Burst {
-	whole := Burst{From: s.From, To: s.To, Within: s.Of, Duty: 1}
+	whole := Burst{From: s.From, To: s.To, Within: s.Of, Duty: 1, Not: s.Refused()}
 	oldSlots, newSlots := 0, 0
 	for _, c := range all {
-		switch c.Version {
-		case s.From:
+		switch {
+		case s.Old(c.Version):
 			oldSlots += c.Slots
-		case s.To:
+		case c.Version == s.To:
 			newSlots += c.Slots
 		}
 	}
@@ -82,5 +88,22 @@
 	// In a burst, an upstream of the few gets calls as an old one does: by its
 	// part of the old version's slots.
 	within := max(s.Of, min(float64(newSlots)/float64(oldSlots), 1))
-	return Burst{From: s.From, To: s.To, Nodes: few, Within: within, Duty: s.Of / within}
+	return Burst{From: s.From, To: s.To, Nodes: few, Within: within, Duty: s.Of / within, Not: s.Refused()}
+}
+
+// Old reports whether the version is one that the calls move from.
+func (s Share) Old(v kqname.UpstreamVersion) bool {
+	if s.From == "" {
+		return v != s.To && !slices.Contains(s.Not, v)
+	}
+	return v == s.From
+}
+
+// Refused returns the versions that a call to the old ones must not go to; it is
+// empty where From names the old one.
+func (s Share) Refused() []kqname.UpstreamVersion {
+	if s.From != "" {
+		return nil
+	}
+	return append(slices.Clone(s.Not), s.To)
 }
--- a/internal/run/kqcommand/command.go
+++ b/internal/run/kqcommand/command.go
@@ -10,6 +10,10 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/kumquatgw/kumquatgw/internal/run/kqnode"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 )
 
 // Command is the whole command line with its streams.
@@ -20,15 +24,36 @@
 	// measure is the parent of the commands that measure.
 	measure *kingpin.CmdClause
 	run     map[string]func(context.Context) error
+	// adapters join nodes to platforms by the name that settings give.
+	adapters map[string]Joiner
+}
+
+type (
+	// Joiner returns the store of a platform and the adapter that joins a node
+	// to it, and the settings as that platform bounds them.
+	Joiner func(kqsettings.Settings) (kqsettings.Settings, kqstore.Store, kqnode.Adapter, error)
+
+	// Option sets up a Command.
+	Option func(*Command)
+)
+
+// WithAdapter lets settings name an adapter to a platform.
+func WithAdapter(name string, join Joiner) Option {
+	return func(c *Command) { c.adapters[name] = join }
 }
 
 // New returns the command line of the program.
-func New(out, errors io.Writer) *Command {
+func New(out, errors io.Writer, options ...Option) *Command {
 	c := &Command{
 		app:    kingpin.New("kumquatgw", "Distributes a service mesh's configuration, and moves its traffic."),
 		out:    out,
 		errors: errors,
 		run:    make(map[string]func(context.Context) error),
+
+		adapters: make(map[string]Joiner),
+	}
+	for _, o := range options {
+		o(c)
 	}
 	c.app.UsageWriter(errors).ErrorWriter(errors)
 	c.addPlatform()
--- a/internal/run/kqcommand/node.go
+++ b/internal/run/kqcommand/node.go
@@ -4,10 +4,11 @@
 	"context"
 	"fmt"
 
-	"github.com/kumquatgw/kumquatgw/internal/store/kqstoreclient"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqnode"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstoreclient"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -23,8 +24,11 @@
 		if err != nil {
 			return fmt.Errorf("start node: %w", err)
 		}
-		store := kqstoreclient.New(s.Platform.URL, kqstoreclient.WithTimeout(s.Platform.Timeout))
-		n, err := kqnode.New(s, store, kqnode.WithLogger(logger))
+		s, store, adapter, err := c.join(s)
+		if err != nil {
+			return fmt.Errorf("start node: %w", err)
+		}
+		n, err := kqnode.New(s, store, kqnode.WithLogger(logger), kqnode.WithAdapter(adapter))
 		if err != nil {
 			return err
 		}
@@ -37,3 +41,16 @@
 		return n.Run(ctx)
 	})
 }
+
+// join returns the store of the platform that settings name, and what else the
+// platform needs.
+func (c *Command) join(s kqsettings.Settings) (kqsettings.Settings, kqstore.Store, kqnode.Adapter, error) {
+	if s.Platform.Adapter == "" {
+		return s, kqstoreclient.New(s.Platform.URL, kqstoreclient.WithTimeout(s.Platform.Timeout)), kqnode.Adapter{}, nil
+	}
+	join, ok := c.adapters[s.Platform.Adapter]
+	if !ok {
+		return s, nil, kqnode.Adapter{}, fmt.Errorf("[platform] adapter: %.64q is not one of this program's: %w", s.Platform.Adapter, kqsettings.ErrSettings)
+	}
+	return join(s)
+}
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -38,7 +38,7 @@
 
 type (
 	callServers struct {
-		entry, local, gate *fasthttp.Server
+		entry, local, gate, ready *fasthttp.Server
 	}
 
 	// quiet logs the library's remarks on broken connections, which anybody
@@ -62,12 +62,16 @@
 	if n.settings.Call.Policy == baseline {
 		gate, entry = append(gate, kqgate.WithBaseline()), append(entry, kqentry.WithBaseline())
 	}
+	if d := n.adapter.Dialect; d != nil {
+		gate, entry = append(gate, kqgate.WithDialect(d)), append(entry, kqentry.WithDialect(d), kqentry.WithOrigin(n.settings.Node.Service))
+	}
 	n.gate = kqgate.New(n.local, gate...)
 	n.entry = kqentry.New(n.settings.Node.Name, n.replica, n.table, n.gate, entry...)
 	n.servers = callServers{
 		entry: n.server(n.entry.ServeOutside, n.metrics.Ended),
 		local: n.server(n.serveLocal, n.metrics.Ended),
 		gate:  n.server(n.gate.Serve, n.metrics.Gated),
+		ready: n.server(n.serveReady, func(kqcall.Outcome) {}),
 	}
 }
 
@@ -81,6 +85,10 @@
 
 // serveLocal takes the announcements and the calls of the local upstream.
 func (n *Node) serveLocal(ctx *fasthttp.RequestCtx) {
+	if n.adapter.Announcements != nil {
+		n.serveAnnouncement(ctx)
+		return
+	}
 	if string(ctx.Path()) != announcePath {
 		n.entry.ServeLocal(ctx, kqname.Caller(n.settings.Node.Service))
 		return
@@ -98,6 +106,32 @@
 	}
 }
 
+// serveAnnouncement takes an announcement in a platform's own form. One that
+// cannot be read, or names an upstream of another service, names no upstream.
+func (n *Node) serveAnnouncement(ctx *fasthttp.RequestCtx) {
+	a, ok, err := n.adapter.Announcements.Read(string(ctx.Request.Header.RequestURI()), ctx.PostBody())
+	if !ok {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	if err == nil && !a.Gone && a.Service != n.settings.Node.Service {
+		err = fmt.Errorf("announcement for service %.64q: %w", string(a.Service), kqlocal.ErrAnnouncement)
+	}
+	now := time.Now()
+	if err == nil {
+		err = n.local.Announce(a, now)
+	}
+	if err != nil {
+		n.logger.Part("upstream").WithError(err).Warn("Announcement refused.")
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	// A drain takes effect before the upstream has its answer.
+	n.gate.Sweep(now)
+	ctx.SetContentType("application/json")
+	ctx.SetBodyString("{}")
+}
+
 func (s callServers) serve(start func(func() error), l listeners) {
 	start(func() error { return s.entry.Serve(l.entry) })
 	start(func() error { return s.local.Serve(l.local) })
--- a/internal/run/kqnode/config.go
+++ b/internal/run/kqnode/config.go
@@ -10,6 +10,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqdistribute"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqfetch"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqorigin"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqreader"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqreplica"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
@@ -18,7 +19,9 @@
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqexchange"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqoverlay"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqregister"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqspread"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -35,7 +38,8 @@
 type distribution struct {
 	distributor *kqdistribute.Distributor
 	reader      *kqreader.Reader
-	watcher     *kqwatch.Watcher
+	watcher     kqreader.Watcher
+	register    *kqregister.Register
 	fetcher     *kqfetch.Fetcher
 	direct      bool
 }
@@ -46,7 +50,13 @@
 	log := n.logger.Part("config")
 	c := n.settings.Config
 	direct := c.Strategy == strategyDirect
-	store := kqcommit.New(n.store)
+	platformFailed := func(err error) {
+		n.metrics.PlatformFailed()
+		log.WithError(err).Debug("Platform did not answer.")
+	}
+	// The receiver needs what is made from the store's objects below.
+	var receive func(context.Context, kqresource.Root)
+	store, watcher := n.versions(func(ctx context.Context, r kqresource.Root) { receive(ctx, r) }, platformFailed)
 	fetcher := kqfetch.New(n.peers, n.client, n.table, store, n.budget, c.PlatformRate, c.ExpectedNodes)
 	n.replica = kqreplica.New(n.source(direct, store, fetcher), n.replicaOptions(direct)...)
 	fetcher.Serve(n.replica)
@@ -54,11 +64,7 @@
 	d := kqdistribute.New(n.peers, n.client, n.table, overlay, n.budget, n.replica, func(v kqname.ConfigVersion, err error) {
 		log.WithError(err).Warnf("Refused version %d.", v)
 	})
-	platformFailed := func(err error) {
-		n.metrics.PlatformFailed()
-		log.WithError(err).Debug("Platform did not answer.")
-	}
-	receive := d.Take
+	receive = d.Take
 	if direct {
 		receive = func(ctx context.Context, root kqresource.Root) {
 			if err := n.replica.Offer(ctx, root); err != nil {
@@ -66,11 +72,49 @@
 			}
 		}
 	}
-	watcher := kqwatch.New(n.store, receive, platformFailed)
 	n.exchange = kqexchange.New(n.peers, n.client, n.table, overlay, d, n.budget, n.contacts(), n.settings.Member.Heartbeat)
 	n.spreader = kqspread.New(n.peers, n.client, n.settings.Node.Name, overlay, n.metrics.SpreadDropped)
 	reader := kqreader.New(n.store, n.table, watcher, c.StartSpread, n.exchange.Contact, n.reads, platformFailed)
 	n.distribution = distribution{distributor: d, reader: reader, watcher: watcher, fetcher: fetcher, direct: direct}
+	if n.adapter.Lister != nil {
+		n.distribution.register = n.joinRegister(platformFailed)
+	}
+}
+
+// versions returns where versions' objects come from last, and who follows new
+// versions: the commits of our own console, or the keys that the platform's
+// operators write.
+func (n *Node) versions(receive func(context.Context, kqresource.Root), failed func(error)) (kqfetch.Platform, kqreader.Watcher) {
+	if n.adapter.Operators == nil {
+		return kqcommit.New(n.store), kqwatch.New(n.store, receive, failed)
+	}
+	log := n.logger.Part("config")
+	refused := func(key string, err error) {
+		n.metrics.ConfigRefused("invalid")
+		log.WithError(err).Warnf("Refused %s.", key)
+	}
+	origin := kqorigin.New(n.adapter.Lister, n.adapter.Operators, receive, refused, failed)
+	return origin, origin
+}
+
+// joinRegister lets the node find its peers through the store, where the
+// platform gives no seeds.
+func (n *Node) joinRegister(failed func(error)) *kqregister.Register {
+	self := n.table.Self()
+	known := func(to kqname.Address) (peers int, known bool) {
+		for _, m := range n.table.Members() {
+			if m.Node != self.Node && m.State != kqmember.Dead {
+				peers++
+				known = known || m.Control == to
+			}
+		}
+		return peers, known
+	}
+	entries := struct {
+		kqstore.Store
+		kqstore.Lister
+	}{n.store, n.adapter.Lister}
+	return kqregister.New(entries, self.Node, self.Control, known, n.exchange.Contact, failed)
 }
 
 func (n *Node) replicaOptions(direct bool) []kqreplica.Option {
@@ -92,7 +136,7 @@
 	return options
 }
 
-func (n *Node) source(direct bool, store *kqcommit.Committer, fetcher *kqfetch.Fetcher) kqreplica.Source {
+func (n *Node) source(direct bool, store kqfetch.Platform, fetcher *kqfetch.Fetcher) kqreplica.Source {
 	if direct {
 		return store
 	}
@@ -144,6 +188,9 @@
 	defer group.Wait()
 	group.Go(func() { n.exchange.Run(ctx) })
 	group.Go(func() { n.spreader.Run(ctx) })
+	if n.distribution.register != nil {
+		group.Go(func() { n.distribution.register.Run(ctx) })
+	}
 	if n.distribution.direct {
 		group.Go(func() { n.distribution.watcher.Run(ctx) })
 		return
--- a/internal/run/kqnode/distribution_test.go
+++ b/internal/run/kqnode/distribution_test.go
@@ -15,10 +15,10 @@
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
-	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
-	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqnode"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
--- a/internal/run/kqnode/fuzz_test.go
+++ b/internal/run/kqnode/fuzz_test.go
@@ -10,9 +10,9 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 
-	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqnode"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
 )
 
 // methods are all that peers may ask a node for.
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -23,12 +23,12 @@
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqspread"
-	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqmetric"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqidentity"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqreload"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -41,10 +41,15 @@
 	RoleEntry Role = "entry"
 	// RoleLocal is where the local upstream connects.
 	RoleLocal Role = "local"
+	// RoleReady is where whoever places callers asks whether the node is ready.
+	RoleReady Role = "ready"
 	// RoleAdmin is where operators connect.
 	RoleAdmin Role = "admin"
 
 	sweepEvery = 250 * time.Millisecond
+	// stopMargin is left of the time until the kill for the goodbye and the end
+	// of the process on a slow server.
+	stopMargin = 700 * time.Millisecond
 )
 
 // ErrKilled is the cause of Run's context that ends a node without a goodbye,
@@ -83,6 +88,7 @@
 		leaving      atomic.Bool
 		started      time.Time
 		wrap         func(Role, net.Listener) net.Listener
+		adapter      Adapter
 		// callListeners are the bare listeners that take calls.
 		callListeners map[Role]*net.TCPListener
 	}
@@ -94,7 +100,7 @@
 	Option func(*Node)
 
 	listeners struct {
-		control, gate, entry, local, admin net.Listener
+		control, gate, entry, local, ready, admin net.Listener
 	}
 )
 
@@ -177,6 +183,9 @@
 	}
 	serve(func() error { return n.peers.Serve(background, n.listeners.control) })
 	n.servers.serve(serve, n.listeners)
+	if n.listeners.ready != nil {
+		serve(func() error { return n.servers.ready.Serve(n.listeners.ready) })
+	}
 	if n.admin != nil {
 		serve(func() error { return n.admin.Serve(n.listeners.admin, n.adminTLS()) })
 	}
@@ -244,7 +253,7 @@
 func (n *Node) leave() error {
 	n.leaving.Store(true)
 	n.log.Info("Leaving.")
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Node.DrainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), n.drainTimeout())
 	defer cancel()
 	n.table.Update(func(m *kqmember.Member) { m.State = kqmember.Leaving })
 	n.exchange.Announce(ctx)
@@ -259,6 +268,16 @@
 	return err
 }
 
+// drainTimeout is how long calls in flight may take at shutdown. A process that
+// is killed meanwhile would cut them and say no goodbye.
+func (n *Node) drainTimeout() time.Duration {
+	s := n.settings.Node
+	if s.KillAfter == 0 {
+		return s.DrainTimeout
+	}
+	return min(s.DrainTimeout, max(s.KillAfter-stopMargin, s.KillAfter/2))
+}
+
 func (n *Node) sweep(now time.Time) {
 	n.local.Sweep(now)
 	n.gate.Sweep(now)
@@ -280,6 +299,7 @@
 		{RoleGate, &n.listeners.gate, s.GateListen},
 		{RoleEntry, &n.listeners.entry, s.EntryListen},
 		{RoleLocal, &n.listeners.local, s.LocalListen},
+		{RoleReady, &n.listeners.ready, s.ReadyListen},
 		{RoleAdmin, &n.listeners.admin, n.settings.Admin.Listen},
 	} {
 		if l.at == "" {
@@ -289,7 +309,7 @@
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", l.at, err)
 		}
-		if tcp, ok := opened.(*net.TCPListener); ok && l.role != RoleControl && l.role != RoleAdmin {
+		if tcp, ok := opened.(*net.TCPListener); ok && l.role != RoleControl && l.role != RoleAdmin && l.role != RoleReady {
 			n.callListeners[l.role] = tcp
 		}
 		*l.to = n.wrap(l.role, opened)
@@ -298,7 +318,7 @@
 }
 
 func (l listeners) close() {
-	for _, one := range []net.Listener{l.control, l.gate, l.entry, l.local, l.admin} {
+	for _, one := range []net.Listener{l.control, l.gate, l.entry, l.local, l.ready, l.admin} {
 		if one != nil {
 			_ = one.Close()
 		}
--- a/internal/run/kqnode/rollout.go
+++ b/internal/run/kqnode/rollout.go
@@ -39,7 +39,10 @@
 		owner *kqowner.Owner
 
 		// told is when this node last told of a plan; only tick uses it.
-		told     map[kqplan.ID]time.Time
+		told map[kqplan.ID]time.Time
+		// reported is the state that operators were last told of an order; only
+		// work uses it.
+		reported map[kqplan.ID]kqboard.State
 		answered atomic.Int64
 		relayed  relay
 	}
@@ -48,7 +51,7 @@
 // joinRollouts joins the rollout flow: count, collect, weigh, step and tell.
 func (n *Node) joinRollouts() *rollouts {
 	self := kqledger.Source{Node: n.settings.Node.Name, Boot: uint64(n.started.UnixNano())}
-	r := &rollouts{node: n, board: kqboard.New(self, n.table), told: make(map[kqplan.ID]time.Time)}
+	r := &rollouts{node: n, board: kqboard.New(self, n.table), told: make(map[kqplan.ID]time.Time), reported: make(map[kqplan.ID]kqboard.State)}
 	r.owner = kqowner.New(n.settings.Node.Name, n.store, r.board)
 	n.metrics.Registry().MustRegister(r.gauge())
 	n.spreader.Subscribe(topicEvidence, r.hearEvidence)
@@ -167,6 +170,7 @@
 		if err := r.owner.Work(ctx, v, candidate, now); err != nil {
 			r.node.logger.Part("rollout").WithError(err).Debug("Platform did not settle.")
 		}
+		r.tellOperators(ctx, v, rank, now)
 	}
 }
 
--- a/internal/run/kqnode/rollout_fault_test.go
+++ b/internal/run/kqnode/rollout_fault_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqfleet"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqupstream"
-	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqboard"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/run/kqsettings/combine.go
+++ b/internal/run/kqsettings/combine.go
@@ -41,9 +41,10 @@
 		{"node", "local_listen", s.Node.LocalListen},
 		{"node", "gate_listen", s.Node.GateListen},
 		{"node", "control_listen", s.Node.ControlListen},
+		{"node", "ready_listen", s.Node.ReadyListen},
 		{"admin", "listen", s.Admin.Listen},
 	} {
-		if a.address == "" && a.section == "admin" || r.faulty[a.section+"."+a.key] {
+		if a.address == "" && (a.section == "admin" || a.key == "ready_listen") || r.faulty[a.section+"."+a.key] {
 			continue
 		}
 		host, port, err := net.SplitHostPort(string(a.address))
@@ -51,10 +52,10 @@
 			r.fault(a.section, a.key, "must not be empty")
 			continue
 		}
-		if !s.TLS.On() && tlsGuarded[a.key] && !net.ParseIP(host).IsLoopback() {
+		if !s.TLS.On() && !s.TLS.Trusted && tlsGuarded[a.key] && !net.ParseIP(host).IsLoopback() {
 			r.fault(a.section, a.key, "%q is not a loopback address, so [tls] must be set", a.address)
 		}
-		if a.key == "local_listen" && !net.ParseIP(host).IsLoopback() {
+		if a.key == "local_listen" && !s.TLS.Trusted && !net.ParseIP(host).IsLoopback() {
 			r.fault(a.section, a.key, "%q is not a loopback address, so anybody could announce upstreams", a.address)
 		}
 		if other, ok := used[a.address]; ok && port != "0" {
--- a/internal/run/kqsettings/settings.go
+++ b/internal/run/kqsettings/settings.go
@@ -33,11 +33,15 @@
 		GateAddress    kqname.Address `key:"gate_address" doc:"Address of gate_listen as other nodes reach it; empty takes gate_listen."`
 		ControlListen  kqname.Address `key:"control_listen" default:"127.0.0.1:8083" doc:"Where other nodes exchange configuration and membership."`
 		ControlAddress kqname.Address `key:"control_address" doc:"Address of control_listen as other nodes reach it; empty takes control_listen."`
+		ReadyListen    kqname.Address `key:"ready_listen" doc:"Where whoever places callers asks whether the node is ready; empty leaves it out."`
+		ReadyPath      string         `key:"ready_path" default:"/ready" doc:"Path that ready_listen answers: 200 while ready, else 503."`
+		KillAfter      time.Duration  `key:"kill_after" default:"0s" min:"0s" max:"1h" doc:"How long after the signal to stop the process is killed; 0s never. It bounds drain_timeout."`
 		DrainTimeout   time.Duration  `key:"drain_timeout" default:"30s" min:"1s" max:"10m" doc:"Longest wait for calls in flight at shutdown."`
 	}
 
 	// Platform tells where the platform's key-value service is.
 	Platform struct {
+		Adapter string        `key:"adapter" doc:"Name of the adapter for a platform that speaks its own forms; empty speaks ours."`
 		URL     string        `key:"url" default:"http://127.0.0.1:7070" doc:"Base URL of the platform's key-value service."`
 		Timeout time.Duration `key:"timeout" default:"2s" min:"10ms" max:"1m" doc:"Longest wait for one answer; a watch's own wait is added."`
 	}
@@ -80,6 +84,7 @@
 		CA          string        `key:"ca" doc:"PEM file with the certificate of the fleet's CA; read again when it changes."`
 		Certificate string        `key:"certificate" doc:"PEM file with this node's certificate, which names it; read again when it changes."`
 		Key         string        `key:"key" doc:"PEM file with the certificate's private key; read again when it changes."`
+		Trusted     bool          `key:"trusted_network" default:"false" doc:"Whether the network between servers is trusted, so that nodes may listen beyond loopback without TLS."`
 		ReloadEvery time.Duration `key:"reload_every" default:"2s" min:"10ms" max:"10m" doc:"Time between two looks at the files of [tls] and at the tokens."`
 	}
 
--- a/internal/store/kqstandin/lease.go
+++ b/internal/store/kqstandin/lease.go
@@ -53,6 +53,8 @@
 		for key, r := range s.entries {
 			if r.lease == name {
 				delete(s.entries, key)
+				s.revision++
+				s.deleted = append(s.deleted, deletion{key, s.revision})
 			}
 		}
 		s.wake()
--- /dev/null
+++ b/internal/store/kqstandin/list.go
@@ -0,0 +1,75 @@
+package kqstandin
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
+)
+
+// Compact drops the history: whoever follows from an older revision is told so.
+func (s *Standin) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deleted, s.dropped = nil, s.revision
+}
+
+// List implements kqstore.Lister.
+func (s *Standin) List(ctx context.Context, prefix string) (kqstore.Listing, error) {
+	if err := s.begin(ctx, (*Standin).countRead); err != nil {
+		return kqstore.Listing{}, fmt.Errorf("list %s: %w", prefix, err)
+	}
+	defer s.mu.Unlock()
+	return s.since(prefix, 0), nil
+}
+
+// Follow implements kqstore.Lister.
+func (s *Standin) Follow(ctx context.Context, prefix string, after kqstore.Revision, wait time.Duration) (kqstore.Listing, error) {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	count := (*Standin).countWatch
+	for {
+		if err := s.begin(ctx, count); err != nil {
+			return kqstore.Listing{}, fmt.Errorf("follow %s: %w", prefix, err)
+		}
+		count = func(*Standin) bool { return true }
+		compacted, silent, changed := after < s.dropped, s.faults.SilentWatch, s.changed
+		l := s.since(prefix, after)
+		s.mu.Unlock()
+		switch {
+		case compacted:
+			return kqstore.Listing{}, fmt.Errorf("follow %s: %w", prefix, kqstore.ErrCompacted)
+		case !silent && len(l.Entries)+len(l.Deleted) > 0:
+			return l, nil
+		}
+		select {
+		case <-ctx.Done():
+			return kqstore.Listing{}, fmt.Errorf("follow %s: %w", prefix, ctx.Err())
+		case <-timeout.C:
+			return kqstore.Listing{}, fmt.Errorf("follow %s, unchanged: %w", prefix, kqstore.ErrNotFound)
+		case <-changed:
+		}
+	}
+}
+
+// since returns what changed under the prefix after a revision, in the order
+// of its changes.
+func (s *Standin) since(prefix string, after kqstore.Revision) kqstore.Listing {
+	l := kqstore.Listing{Revision: s.revision}
+	for key := range s.entries {
+		if e, ok := s.read(key); ok && strings.HasPrefix(key, prefix) && e.Revision > after {
+			l.Entries = append(l.Entries, e)
+		}
+	}
+	slices.SortFunc(l.Entries, func(a, b kqstore.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
+	for _, d := range s.deleted {
+		if _, back := s.entries[d.key]; !back && after > 0 && d.revision > after && strings.HasPrefix(d.key, prefix) {
+			l.Deleted = append(l.Deleted, d.key)
+		}
+	}
+	return l
+}
--- a/internal/store/kqstandin/standin.go
+++ b/internal/store/kqstandin/standin.go
@@ -18,9 +18,13 @@
 		leases   map[kqstore.Lease]lease
 		revision kqstore.Revision
 		changed  chan struct{}
-		faults   Faults
-		counts   Counts
-		now      func() time.Time
+		// deleted are the deletions since the history was last dropped, and
+		// dropped is the revision of that moment.
+		deleted []deletion
+		dropped kqstore.Revision
+		faults  Faults
+		counts  Counts
+		now     func() time.Time
 	}
 
 	// Faults are the troubles that the stand-in is told to have.
@@ -49,6 +53,11 @@
 	// Option sets up a Standin.
 	Option func(*Standin)
 
+	deletion struct {
+		key      string
+		revision kqstore.Revision
+	}
+
 	record struct {
 		entry  kqstore.Entry
 		before *kqstore.Entry
@@ -140,6 +149,8 @@
 		return fmt.Errorf("delete %s: %w", key, kqstore.ErrConflict)
 	}
 	delete(s.entries, key)
+	s.revision++
+	s.deleted = append(s.deleted, deletion{key, s.revision})
 	s.wake()
 	return s.answer()
 }
--- a/internal/store/kqstore/store.go
+++ b/internal/store/kqstore/store.go
@@ -32,6 +32,9 @@
 	// ErrUnavailable tells that the service did not answer. A write that fails
 	// with it may or may not have taken effect.
 	ErrUnavailable = namespace.NewType("unavailable", errorx.Temporary()).New("platform unavailable")
+	// ErrCompacted tells that the changes after a revision are no longer kept, so
+	// that the keys must be listed anew.
+	ErrCompacted = namespace.NewType("compacted", errorx.Temporary()).New("history is gone")
 	// ErrRateLimited tells that the service refused the call for its rate.
 	ErrRateLimited = namespace.NewType("rate_limited", errorx.Temporary()).New("platform rate exceeded")
 )
@@ -51,6 +54,26 @@
 		Revision Revision `json:"revision"`
 	}
 
+	// Listing is a set of entries and the revision up to which it tells of
+	// changes.
+	Listing struct {
+		Entries []Entry
+		// Deleted are keys that were deleted; only Follow tells of them.
+		Deleted  []string
+		Revision Revision
+	}
+
+	// Lister lists and follows the keys that begin with a prefix.
+	Lister interface {
+		// List returns every entry under the prefix. Its revision is one at which
+		// nothing newer than the entries was missed.
+		List(ctx context.Context, prefix string) (Listing, error)
+		// Follow waits until anything under the prefix changes after a revision
+		// and returns what did. It returns ErrNotFound when nothing changes for
+		// wait, and ErrCompacted when those changes are no longer kept.
+		Follow(ctx context.Context, prefix string, after Revision, wait time.Duration) (Listing, error)
+	}
+
 	// Store is every verb of the service. Each call of it, a waiting watch
 	// included, counts against the service's rates.
 	Store interface {
--- a/pkg/kqdocument/validate.go
+++ b/pkg/kqdocument/validate.go
@@ -62,9 +62,12 @@
 	for i, r := range d.Routes {
 		at := fmt.Sprintf("routes[%d]", i)
 		known(c, at+".team", teams, r.Team)
-		service, _ := known(c, at+".service", services, r.Service)
+		c.parts(at, r)
+		for _, name := range r.Services() {
+			service, _ := known(c, at+".service", services, name)
+			c.timeoutOver(at, r, service)
+		}
 		c.route(at, r)
-		c.timeoutOver(at, r, service)
 	}
 	c.duplicates(d.Routes)
 	for i, r := range d.Rollouts {
@@ -72,7 +75,11 @@
 		known(c, at+".team", teams, r.Team)
 		known(c, at+".service", services, r.Service)
 		known(c, at+".policy", policies, r.Policy)
-		c.rollout(at, r)
+		if r.DurationMS == 0 {
+			c.rollout(at, r)
+		} else {
+			c.order(at, r)
+		}
 	}
 	c.sequence(d.Rollouts, services)
 	c.quotas(d)
--- a/pkg/kqdocument/validate_rollout.go
+++ b/pkg/kqdocument/validate_rollout.go
@@ -29,6 +29,13 @@
 	c.when(r.Deadline.Sub(r.Start) > maxRollout, at+".deadline", "is more than 90 days after start")
 }
 
+// order checks a rollout that is ordered by its length.
+func (c *checker) order(at string, r Rollout) {
+	c.when(!kqname.Valid(r.To), at+".to", "is not a plain name")
+	c.when(r.From != "" || !r.Start.IsZero() || !r.Deadline.IsZero(), at+".duration_ms", "stands beside from, start or deadline")
+	c.when(r.DurationMS < 0 || time.Duration(r.DurationMS)*time.Millisecond > maxRollout, at+".duration_ms", "must be from 0 to 90 days")
+}
+
 func (c *checker) instant(path string, t time.Time) {
 	c.when(t.Before(earliest) || !t.Before(latest), path, "must be in the years 2000 to 2199")
 }
@@ -49,6 +56,9 @@
 	served := make(map[kqname.Service][]kqname.UpstreamVersion)
 	for _, i := range order {
 		r := rollouts[i]
+		if r.DurationMS > 0 {
+			continue
+		}
 		at := fmt.Sprintf("rollouts[%d]", i)
 		if s, ok := services[r.Service]; ok {
 			c.from(at, r, s, served[r.Service])
--- a/pkg/kqdocument/validate_route.go
+++ b/pkg/kqdocument/validate_route.go
@@ -17,6 +17,8 @@
 	maxHeaderName  = 64
 	maxHeaderValue = 256
 	ownHeaders     = "kq-"
+	maxWeight      = 1000000
+	maxAttempts    = 16
 
 	// tokenSigns may stand in a header's name beside letters and digits
 	// (RFC 9110, section 5.6.2).
@@ -51,6 +53,26 @@
 	}
 }
 
+// parts refuses a route that says two things of where its calls go, or whose
+// weights share nothing out.
+func (c *checker) parts(at string, r Route) {
+	total := 0.0
+	seen := make(map[kqname.Service]bool)
+	for i, p := range r.Parts {
+		field := fmt.Sprintf("%s.parts[%d]", at, i)
+		// Written so that NaN, which compares as false, is refused too.
+		c.when(!(p.Weight >= 0 && p.Weight <= maxWeight), field+".weight", fmt.Sprintf("must be from 0 to %d", maxWeight))
+		c.when(seen[p.Service], field+".service", "stands twice")
+		seen[p.Service] = true
+		total += p.Weight
+	}
+	c.when(len(r.Parts) > 0 && r.Service != "", at+".service", "stands beside parts")
+	c.when(len(r.Parts) > 0 && !(total > 0), at+".parts", "have no weight at all")
+	c.when(r.Idempotent && r.NotIdempotent, at+".not_idempotent", "stands beside idempotent")
+	c.when(r.MaxAttempts < 0 || r.MaxAttempts > maxAttempts, at+".max_attempts", fmt.Sprintf("must be from 0 to %d", maxAttempts))
+	c.when(r.TargetMS < 0 || r.TargetMS > maxTimeoutMS, at+".target_ms", fmt.Sprintf("must be from 0 to %d", maxTimeoutMS))
+}
+
 // timeoutOver refuses a route whose calls would outlive what its service is
 // said to take at most.
 func (c *checker) timeoutOver(at string, r Route, s Service) {
--- a/pkg/kqname/name.go
+++ b/pkg/kqname/name.go
@@ -25,6 +25,8 @@
 	Policy string
 	// Team names a group of operators that owns services.
 	Team string
+	// Instance names one upstream process among those that had its address.
+	Instance string
 	// Address is a TCP address in the form "ip:port".
 	Address string
 	// Caller identifies whoever sends calls, for fair sharing; it is a service
