Keep departures beyond a process, and follow the store by rank

Change: departures are told to peers and the store before they are acknowledged; the first three nodes of each domain follow the store; callers get 2.6 s. Ruled out: late announcements alone, as the process that took them was a new one.

--- a/internal/call/kqlocal/local.go
+++ b/internal/call/kqlocal/local.go
@@ -120,6 +120,23 @@
 	u.ended[ending{a.Instance, a.Born}] = now
 }
 
+// Left notes that an upstream has said goodbye to an earlier process of this node.
+func (u *Upstreams) Left(instance kqname.Instance, born int64, now time.Time) {
+	u.leave(Announcement{Instance: instance, Born: born}, now)
+}
+
+// Born returns when the upstream of that name started, by its own clock, or 0.
+func (u *Upstreams) Born(instance kqname.Instance) int64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, e := range u.held {
+		if e.Instance == instance {
+			return e.Born
+		}
+	}
+	return 0
+}
+
 // before reports whether an announcement was made before another one of the
 // same address.
 func (a Announcement) before(held Announcement) bool {
--- /dev/null
+++ b/internal/config/kqfollower/follower.go
@@ -0,0 +1,102 @@
+package kqfollower
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	// PerDomain is how many nodes of a failure domain follow: with three, one may
+	// be restarted and another turned away by the store, unseen by its peers.
+	PerDomain = 3
+
+	checkEvery = 250 * time.Millisecond
+	// lingers is how long a node goes on after others have come before it. It
+	// keeps nodes that come and go from starting and ending watches.
+	lingers = 5 * time.Second
+)
+
+type (
+	// Members gives the members that are known, this node included.
+	Members interface {
+		Self() kqmember.Member
+		Members() []kqmember.Member
+	}
+
+	// Watcher follows the store until its context ends.
+	Watcher interface {
+		Run(ctx context.Context)
+	}
+
+	// Follower runs the watcher while this node is among the first of its domain.
+	Follower struct {
+		members Members
+		watcher Watcher
+		// follows is told when this node starts and stops.
+		follows func(ctx context.Context, on bool)
+	}
+
+	// run is one spell of following.
+	run struct{ stop context.CancelFunc }
+)
+
+// New returns a follower.
+func New(members Members, watcher Watcher, follows func(ctx context.Context, on bool)) *Follower {
+	return &Follower{members: members, watcher: watcher, follows: follows}
+}
+
+// Chosen reports whether the node is one of the first of its domain among the
+// members that are alive. A node that knows nobody is.
+func Chosen(self kqmember.Member, members []kqmember.Member) bool {
+	own := order(self.Node)
+	before := 0
+	for _, m := range members {
+		if m.Node != self.Node && m.Domain == self.Domain && m.State == kqmember.Alive && order(m.Node) < own {
+			before++
+		}
+	}
+	return before < PerDomain
+}
+
+// Run takes part until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var group conc.WaitGroup
+	defer group.Wait()
+	ticker := time.NewTicker(checkEvery)
+	defer ticker.Stop()
+	var following *run
+	chosen := time.Now()
+	for now := chosen; ; {
+		if Chosen(f.members.Self(), f.members.Members()) {
+			chosen = now
+		}
+		switch wanted := now.Sub(chosen) < lingers; {
+		case wanted && following == nil:
+			following = f.start(ctx, &group)
+		case !wanted && following != nil:
+			following.stop()
+			following = nil
+			f.follows(ctx, false)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case now = <-ticker.C:
+		}
+	}
+}
+
+func (f *Follower) start(ctx context.Context, group *conc.WaitGroup) *run {
+	following, stop := context.WithCancel(ctx)
+	group.Go(func() { f.follows(following, true) })
+	group.Go(func() { f.watcher.Run(following) })
+	return &run{stop: stop}
+}
+
+func order(n kqname.Node) uint64 { return xxhash.Sum64String(string(n)) }
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -31,8 +31,9 @@
 	// headerSize bounds a call's head, in bytes.
 	headerSize = 16 << 10
 	// callerGrace is how long callers from outside are given to close their
-	// connections when the node leaves.
-	callerGrace = time.Second
+	// connections when the node leaves. Whoever places them asks once a second
+	// whether the node is ready and needs two answers; until then new callers come.
+	callerGrace = 2600 * time.Millisecond
 	emptyPoll   = 10 * time.Millisecond
 )
 
@@ -106,32 +107,6 @@
 	}
 }
 
-// serveAnnouncement takes an announcement in a platform's own form. One that
-// cannot be read, or names an upstream of another service, names no upstream.
-func (n *Node) serveAnnouncement(ctx *fasthttp.RequestCtx) {
-	a, ok, err := n.adapter.Announcements.Read(string(ctx.Request.Header.RequestURI()), ctx.PostBody())
-	if !ok {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-		return
-	}
-	if err == nil && !a.Gone && a.Service != n.settings.Node.Service {
-		err = fmt.Errorf("announcement for service %.64q: %w", string(a.Service), kqlocal.ErrAnnouncement)
-	}
-	now := time.Now()
-	if err == nil {
-		err = n.local.Announce(a, now)
-	}
-	if err != nil {
-		n.logger.Part("upstream").WithError(err).Warn("Announcement refused.")
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
-		return
-	}
-	// A drain takes effect before the upstream has its answer.
-	n.gate.Sweep(now)
-	ctx.SetContentType("application/json")
-	ctx.SetBodyString("{}")
-}
-
 func (s callServers) serve(start func(func() error), l listeners) {
 	start(func() error { return s.entry.Serve(l.entry) })
 	start(func() error { return s.local.Serve(l.local) })
--- a/internal/run/kqnode/config.go
+++ b/internal/run/kqnode/config.go
@@ -10,12 +10,14 @@
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqdistribute"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqfetch"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqfollower"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqorigin"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqreader"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqreplica"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqwatch"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqdeparture"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqexchange"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqoverlay"
@@ -39,11 +41,19 @@
 	distributor *kqdistribute.Distributor
 	reader      *kqreader.Reader
 	watcher     kqreader.Watcher
+	follower    *kqfollower.Follower
 	register    *kqregister.Register
+	departures  *kqdeparture.Departures
 	fetcher     *kqfetch.Fetcher
 	direct      bool
 }
 
+// lists is a store that also lists.
+type lists struct {
+	kqstore.Store
+	kqstore.Lister
+}
+
 // joinConfig joins the configuration flow: receive, verify, resolve, stage and
 // swap; and the membership beside it.
 func (n *Node) joinConfig() {
@@ -78,6 +88,8 @@
 	n.distribution = distribution{distributor: d, reader: reader, watcher: watcher, fetcher: fetcher, direct: direct}
 	if n.adapter.Lister != nil {
 		n.distribution.register = n.joinRegister(platformFailed)
+		n.distribution.follower = kqfollower.New(n.table, watcher, n.reads)
+		n.distribution.departures = kqdeparture.New(n.entries(), n.peers, n.client, n.table)
 	}
 }
 
@@ -97,6 +109,9 @@
 	return origin, origin
 }
 
+// entries is the store with its lists.
+func (n *Node) entries() lists { return lists{n.store, n.adapter.Lister} }
+
 // joinRegister lets the node find its peers through the store, where the
 // platform gives no seeds.
 func (n *Node) joinRegister(failed func(error)) *kqregister.Register {
@@ -110,11 +125,7 @@
 		}
 		return peers, known
 	}
-	entries := struct {
-		kqstore.Store
-		kqstore.Lister
-	}{n.store, n.adapter.Lister}
-	return kqregister.New(entries, self.Node, self.Control, known, n.exchange.Contact, failed)
+	return kqregister.New(n.entries(), self.Node, self.Control, known, n.exchange.Contact, failed)
 }
 
 func (n *Node) replicaOptions(direct bool) []kqreplica.Option {
@@ -199,5 +210,10 @@
 	if n.settings.Config.Prefetch {
 		group.Go(func() { n.prefetch(ctx) })
 	}
+	if n.distribution.follower != nil {
+		group.Go(func() { n.learnDepartures(ctx) })
+		n.distribution.follower.Run(ctx)
+		return
+	}
 	group.Go(func() { n.distribution.reader.Run(ctx) })
 }
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -89,6 +89,7 @@
 		started      time.Time
 		wrap         func(Role, net.Listener) net.Listener
 		adapter      Adapter
+		pending      pending
 		// callListeners are the bare listeners that take calls.
 		callListeners map[Role]*net.TCPListener
 	}
