Write a line for each call that may be asked about

Cause: logs were sentences without a request's id or inputs, so that no failed call could be explained. Change: entry and gate tell of each call what it was decided by; successes are sampled by id, refusals and failures kept up to a rate; a writer that never blocks; level, sampling and rate change with the settings file or SIGHUP, which ended the process before.

--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -64,6 +64,7 @@
 		forged    func()
 		baseline  bool
 		dialect   kqcall.Dialect
+		recorder  Recorder
 		origin    kqname.Service
 		leaving   atomic.Bool
 		now       func() time.Time
@@ -82,6 +83,9 @@
 		call   kqcall.Call
 		cancel kqcall.Cancel
 		line   kqhangup.Line
+		// version and tries are for the record.
+		version kqname.ConfigVersion
+		tries   []Try
 	}
 
 	stable struct{}
@@ -131,7 +135,7 @@
 func New(self kqname.Node, config Configuration, directory Directory, local Local, options ...Option) *Entry {
 	e := &Entry{
 		self: self, config: config, directory: directory, local: local,
-		splitter: stable{}, counter: silent{}, hangup: kqhangup.New(), forged: func() {}, now: time.Now,
+		splitter: stable{}, counter: silent{}, recorder: forgetful{}, hangup: kqhangup.New(), forged: func() {}, now: time.Now,
 		// Two nodes, or one before and after a restart, never give out the same id.
 		prefix: strconv.FormatUint(rand.Uint64(), 36) + "-",
 	}
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -60,16 +60,18 @@
 		c.Deadline = now.Add(told.Left)
 	}
 	e.hangup.Begin(&f.line, number, ctx.Conn(), &f.cancel, now)
-	o := e.do(c, now)
+	o := e.do(f, now)
 	e.hangup.End(&f.line)
 	e.counter.Ended(o)
 	c.Answer(o)
+	e.recorder.Ended(Record{Call: c, Outcome: o, Status: ctx.Response.StatusCode(), Version: f.version, Tries: f.tries}, e.now())
 	if e.leaving.Load() {
 		ctx.SetConnectionClose()
 	}
 }
 
-func (e *Entry) do(c *kqcall.Call, now time.Time) kqcall.Outcome {
+func (e *Entry) do(f *flight, now time.Time) kqcall.Outcome {
+	c := &f.call
 	if c.Depth > kqcall.MaxDepth {
 		return kqcall.Refuse(kqcall.Malformed)
 	}
@@ -81,6 +83,7 @@
 		}
 		return o
 	}
+	f.version = snapshot.Version()
 	found, _ := snapshot.Service(route.Choose(rand.Float64()))
 	fill(c, route, found, now)
 	if !now.Before(c.Deadline) {
@@ -93,19 +96,20 @@
 		o.RetryAfter = time.Second
 		return o
 	}
-	return e.tries(c, s, target, now)
+	return e.tries(f, s, target, now)
 }
 
 // tries sends the call until it has an answer, may have run, or may not be sent
 // again.
-func (e *Entry) tries(c *kqcall.Call, s *service, target kqpick.Target, now time.Time) kqcall.Outcome {
+func (e *Entry) tries(f *flight, s *service, target kqpick.Target, now time.Time) kqcall.Outcome {
+	c := &f.call
 	var space [maxTries]kqname.Node
 	tried, most := space[:0], attempts(c)
 	last := kqcall.Refuse(kqcall.NoUpstream)
 	last.RetryAfter = time.Second
 	for {
 		c.Version = target.Version
-		to, gate := s.pick(e.directory.Upstreams(c.Service), target, tried, now)
+		to, gate, try := s.pick(c, e.directory.Upstreams(c.Service), target, tried, now)
 		if to == nil && target.HasNext() {
 			target = target.Next()
 			continue
@@ -117,9 +121,16 @@
 		var load kqcall.Load
 		var told bool
 		last, load, told = e.send(c, gate)
+		sent := now
 		now = e.now()
 		again := s.done(c, to, last, load, told, now)
-		if len(tried) >= most || !again && !e.plainRetry(c, last) || !now.Before(c.Deadline) || c.Cancel.Done() {
+		try.Took, try.Outcome, try.Ejected = now.Sub(sent), last, to.Ejected()
+		if last.Result == kqcall.Answered {
+			try.Status = c.Response.StatusCode()
+		}
+		try.Again = len(tried) < most && (again || e.plainRetry(c, last)) && now.Before(c.Deadline) && !c.Cancel.Done()
+		f.tries = append(f.tries, try)
+		if !try.Again {
 			return last
 		}
 		e.counter.Retried(last.Reason)
--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -81,15 +81,15 @@
 	return baseline || !s.shedder.Refuse(c.Class, now, s.random)
 }
 
-func (s *service) pick(all []kqmember.Candidate, target kqpick.Target, tried []kqname.Node, now time.Time) (*kqpick.Peer, kqmember.Candidate) {
+func (s *service) pick(c *kqcall.Call, all []kqmember.Candidate, target kqpick.Target, tried []kqname.Node, now time.Time) (*kqpick.Peer, kqmember.Candidate, Try) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pool.Set(all, now)
 	p := s.pool.Pick(target, tried, now, s.random)
 	if p == nil {
-		return nil, kqmember.Candidate{}
+		return nil, kqmember.Candidate{}, Try{}
 	}
-	return p, p.Candidate
+	return p, p.Candidate, chosen(p, c, now)
 }
 
 // done takes in how a try ended and reports whether there may be another.
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -60,6 +60,7 @@
 		hangup   *kqhangup.Watch
 		now      func() time.Time
 		dialect  kqcall.Dialect
+		recorder Recorder
 		number   atomic.Uint64
 		leaving  atomic.Bool
 
@@ -70,9 +71,34 @@
 	// Option sets up a Gate.
 	Option func(*Gate)
 
+	// Recorder is told of each call once it has left the gate.
+	Recorder interface {
+		Gated(r Record, now time.Time)
+	}
+
+	// Record is one call as the gate saw it.
+	Record struct {
+		Call     *kqcall.Call
+		Outcome  kqcall.Outcome
+		Status   int
+		Instance kqname.Instance
+		// Load is the upstream's after the call.
+		Load kqcall.Load
+		// Waited is the time in the queue, Took that at the upstream.
+		Waited, Took time.Duration
+	}
+
 	nobody struct{}
 )
 
+// Gated implements Recorder.
+func (forgetful) Gated(Record, time.Time) {}
+
+// WithRecorder has r told of each call.
+func WithRecorder(r Recorder) Option { return func(g *Gate) { g.recorder = r } }
+
+type forgetful struct{}
+
 // Observe implements Observer.
 func (nobody) Observe(Observation) {}
 
@@ -105,7 +131,7 @@
 // New returns a gate to the upstreams that local finds.
 func New(local Finder, options ...Option) *Gate {
 	g := &Gate{
-		local: local, observer: nobody{}, guard: nobody{}, counter: nobody{}, now: time.Now, hangup: kqhangup.New(),
+		local: local, observer: nobody{}, guard: nobody{}, counter: nobody{}, recorder: forgetful{}, now: time.Now, hangup: kqhangup.New(),
 		upstreams: make(map[kqname.Address]*upstream),
 		queue: func(slots int, address kqname.Address) queue {
 			return kqslots.New(slots, saltOf(address))
@@ -173,7 +199,16 @@
 	}
 }
 
+// run passes the call on and has it recorded.
 func (g *Gate) run(c *kqcall.Call, now time.Time) (kqcall.Outcome, kqcall.Load) {
+	r := Record{Call: c}
+	r.Outcome, r.Load = g.pass(c, &r, now)
+	r.Status = status(c, r.Outcome)
+	g.recorder.Gated(r, g.now())
+	return r.Outcome, r.Load
+}
+
+func (g *Gate) pass(c *kqcall.Call, r *Record, now time.Time) (kqcall.Outcome, kqcall.Load) {
 	if g.leaving.Load() {
 		return kqcall.Refuse(kqcall.Draining), kqcall.Load{}
 	}
@@ -187,17 +222,21 @@
 	if g.guard.Refuses(c.Service, a.Version) {
 		return kqcall.Refuse(kqcall.RolledBack), kqcall.Load{}
 	}
+	r.Instance = a.Instance
 	u := g.upstream(a, now)
 	t := u.ticket(c)
-	if o := u.admit(t, c, now); o.Result != kqcall.Answered {
+	o := u.admit(t, c, now)
+	r.Waited = g.now().Sub(now)
+	if o.Result != kqcall.Answered {
 		u.recycle(t)
 		return o, u.load()
 	}
 	began := g.now()
 	c.Instance = a.Instance
-	o := send(u, c, began)
+	o = send(u, c, began)
 	ended := g.now()
 	took := ended.Sub(began)
+	r.Took = took
 	g.observer.Observe(Observation{
 		Service: c.Service, Version: a.Version, Route: c.Route, Outcome: o,
 		Status: status(c, o), Began: began, Took: took,
--- a/internal/decide/kqpick/peer.go
+++ b/internal/decide/kqpick/peer.go
@@ -19,6 +19,21 @@
 	state    kqeject.State
 }
 
+// Known returns the load that the upstream's gate told last, and its age; both
+// are 0 where it told none.
+func (o *Peer) Known(now time.Time) (kqcall.Load, time.Duration) {
+	if o.reported.IsZero() {
+		return o.load, 0
+	}
+	return o.load, now.Sub(o.reported)
+}
+
+// Sent returns how many calls of this entry are on their way to the upstream.
+func (o *Peer) Sent() int { return o.sent }
+
+// Ejected reports whether the upstream is left out.
+func (o *Peer) Ejected() bool { return o.state.Ejected() }
+
 func (p *Pool) better(list []*Peer, now time.Time, random *rand.Rand) *Peer {
 	i := random.IntN(len(list))
 	if len(list) == 1 {
--- a/internal/run/kqcommand/node.go
+++ b/internal/run/kqcommand/node.go
@@ -1,8 +1,15 @@
 package kqcommand
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqnode"
@@ -12,6 +19,9 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
+// settingsEvery is the pause between two looks at the settings file.
+const settingsEvery = 2 * time.Second
+
 func (c *Command) addNode() {
 	clause := c.app.Command("node", "Run the node beside an upstream.")
 	file := clause.Flag("settings", "INI file with the node's settings.").Required().String()
@@ -20,7 +30,9 @@
 		if err != nil {
 			return fmt.Errorf("read settings: %w", err)
 		}
-		logger, err := kqlog.New(c.errors, s.Log.Level, s.Log.Format)
+		output := kqlog.NewAsync(c.out)
+		defer output.Close()
+		logger, err := kqlog.New(output, s.Log.Level, s.Log.Format)
 		if err != nil {
 			return fmt.Errorf("start node: %w", err)
 		}
@@ -36,12 +48,48 @@
 			name    string
 			address kqname.Address
 		}{{"entry", n.EntryAddress()}, {"local", n.LocalAddress()}, {"control", n.ControlAddress()}, {"admin", n.AdminAddress()}} {
-			fmt.Fprintf(c.out, "%s %s\n", a.name, a.address)
+			fmt.Fprintf(output, "%s %s\n", a.name, a.address)
 		}
+		var group conc.WaitGroup
+		defer group.Wait()
+		watching, stop := context.WithCancel(ctx)
+		defer stop()
+		group.Go(func() { watchSettings(watching, *file, n, logger) })
 		return n.Run(ctx)
 	})
 }
 
+// watchSettings reads the settings again on SIGHUP, and when their file changes
+// without it. A file that cannot be read changes nothing.
+func watchSettings(ctx context.Context, file string, n *kqnode.Node, logger *kqlog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	last, _ := os.ReadFile(file)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-ticker.C:
+		}
+		data, err := os.ReadFile(file)
+		if err != nil || bytes.Equal(data, last) {
+			continue
+		}
+		last = data
+		s, err := kqsettings.Read(file)
+		if err == nil {
+			err = n.Reload(s)
+		}
+		if err != nil {
+			logger.Part("settings").WithError(err).Warn("Changed settings are not taken over.")
+		}
+	}
+}
+
 // join returns the store of the platform that settings name, and what else the
 // platform needs.
 func (c *Command) join(s kqsettings.Settings) (kqsettings.Settings, kqstore.Store, kqnode.Adapter, error) {
--- a/internal/run/kqlog/log.go
+++ b/internal/run/kqlog/log.go
@@ -42,6 +42,16 @@
 	return &Logger{base: base}
 }
 
+// SetLevel changes the least severe level that is logged.
+func (l *Logger) SetLevel(level string) error {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return fmt.Errorf("set log level: %w", err)
+	}
+	l.base.SetLevel(parsed)
+	return nil
+}
+
 // Part returns the logger of one part, such as "entry".
 func (l *Logger) Part(name string) *logrus.Entry { return l.base.WithField("part", name) }
 
--- a/internal/run/kqmetric/metric.go
+++ b/internal/run/kqmetric/metric.go
@@ -19,6 +19,7 @@
 	platformFailed prometheus.Counter
 	budgetBound    *prometheus.CounterVec
 	spreadDropped  prometheus.Counter
+	leftOut        prometheus.Counter
 	version        prometheus.Gauge
 	since          atomic.Int64
 	sent, received atomic.Uint64
@@ -51,6 +52,10 @@
 		}),
 	}
 	m.gated = newGated()
+	m.leftOut = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "kumquatgw_log_lines_left_out_total", Help: "Log lines of calls that were over the rate for their reason.",
+	})
+	m.registry.MustRegister(m.leftOut)
 	m.registry.MustRegister(m.ended, m.retried, m.gated, m.configRefused, m.platformFailed, m.budgetBound, m.spreadDropped, m.version,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "kumquatgw_control_sent_bytes_total", Help: "Bytes of control traffic sent to peers.",
@@ -78,6 +83,9 @@
 // SpreadDropped counts a message to all nodes that could not be passed on.
 func (m *Metrics) SpreadDropped() { m.spreadDropped.Inc() }
 
+// LeftOut counts a log line that was over the rate for its reason.
+func (m *Metrics) LeftOut(string) { m.leftOut.Inc() }
+
 // Version records the configuration version that has come into force.
 func (m *Metrics) Version(v kqname.ConfigVersion) {
 	m.version.Set(float64(v))
--- a/internal/run/kqnode/config.go
+++ b/internal/run/kqnode/config.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
@@ -135,6 +136,7 @@
 		kqreplica.WithChanged(func(s *kqsnapshot.Snapshot) {
 			n.metrics.Version(s.Version())
 			n.table.SetConfig(n.settings.Node.Name, s.Version())
+			n.logger.Part("config").WithFields(logrus.Fields{"event": "applied", "version": s.Version()}).Info("Version is in force.")
 			n.rollouts.adopt(s)
 		}),
 	}
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -25,6 +25,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqspread"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqmetric"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqrecord"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqidentity"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqreload"
@@ -90,6 +91,7 @@
 		wrap         func(Role, net.Listener) net.Listener
 		adapter      Adapter
 		pending      pending
+		recorder     *kqrecord.Recorder
 		// callListeners are the bare listeners that take calls.
 		callListeners map[Role]*net.TCPListener
 	}
@@ -146,6 +148,7 @@
 		// and it keeps nothing: its start time does.
 		Incarnation: uint64(n.started.UnixMilli()),
 	})
+	n.table.OnNews(n.logMember)
 	n.budget = kqbudget.New(settings.Member.SendBudget, n.metrics, func() { n.metrics.BudgetBound("send") })
 	n.peers = kqpeer.NewServer(n.budget, n.peerServerOptions()...)
 	n.client = kqpeer.NewClient(settings.Node.Name, n.budget, append(n.peerClientOptions(), n.peerOptions...)...)
@@ -163,7 +166,7 @@
 // Run serves until ctx ends, and then leaves: new work goes elsewhere first,
 // and what is in flight is finished.
 func (n *Node) Run(ctx context.Context) error {
-	n.log.Infof("Started as %s in %s.", n.settings.Node.Name, n.settings.Node.Domain)
+	n.log.WithField("settings", n.settings.Shown()).Infof("Started as %s in %s.", n.settings.Node.Name, n.settings.Node.Domain)
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group conc.WaitGroup
@@ -206,6 +209,32 @@
 	return err
 }
 
+// Reload takes over the settings that may change while the node runs: those of
+// the log.
+func (n *Node) Reload(s kqsettings.Settings) error {
+	if err := n.logger.SetLevel(s.Log.Level); err != nil {
+		return fmt.Errorf("reload settings: %w", err)
+	}
+	n.recorder.Set(s.Log.Sample, s.Log.PerReason)
+	n.log.WithField("settings", s.Shown()).Info("Settings were read again.")
+	return nil
+}
+
+// logMember notes what this node believes of a member from now on.
+func (n *Node) logMember(m kqmember.Member) {
+	upstreams := make([]string, 0, len(m.Upstreams))
+	for _, u := range m.Upstreams {
+		text := string(u.Service) + " " + string(u.Version)
+		if u.Draining {
+			text += " draining"
+		}
+		upstreams = append(upstreams, text)
+	}
+	n.logger.Part("member").WithFields(logrus.Fields{
+		"event": "member", "node": m.Node, "state": m.State.String(), "incarnation": m.Incarnation, "upstreams": upstreams,
+	}).Info("Member changed.")
+}
+
 // Ready reports whether the node has a configuration and is not leaving.
 func (n *Node) Ready() bool { return n.replica.Current().Version() > 0 && !n.leaving.Load() }
 
--- a/internal/run/kqsettings/settings.go
+++ b/internal/run/kqsettings/settings.go
@@ -90,7 +90,9 @@
 
 	// Log tells how the node logs.
 	Log struct {
-		Level  string `key:"level" default:"info" one_of:"debug,info,warning,error" doc:"Least severe level that is logged."`
-		Format string `key:"format" default:"text" one_of:"text,json" doc:"Form of a log line."`
+		Level     string `key:"level" default:"info" one_of:"debug,info,warning,error" doc:"Least severe level that is logged."`
+		Sample    int    `key:"sample" default:"64" min:"0" max:"1000000" doc:"One in that many calls that went well has lines, chosen by its id; 0 leaves out all."`
+		PerReason int    `key:"per_reason" default:"20" min:"0" max:"100000" doc:"Lines a second that a node writes for each reason of a refusal, retry or failure; the rest is counted."`
+		Format    string `key:"format" default:"text" one_of:"text,json" doc:"Form of a log line."`
 	}
 )
