--- a/internal/peer/kqexchange/exchange.go
+++ b/internal/peer/kqexchange/exchange.go
@@ -21,7 +21,7 @@
 	reconcileBeats = 2
 	// probeBeats is the pause between two probes of a lost member, and wanderBeats
 	// between two of any dead member or seed, in heartbeats.
-	probeBeats  = 10
+	probeBeats  = 4
 	wanderBeats = 20
 	// rememberDead is how long a dead member is probed: a server that comes back
 	// within a day during an outage of the platform is found again.
--- a/internal/run/kqnode/announce.go
+++ b/internal/run/kqnode/announce.go
@@ -52,8 +52,12 @@
 		return nil
 	}
 	now := time.Now()
-	if leaves && a.Born == 0 {
-		a.Born = n.local.Born(a.Instance)
+	if leaves {
+		// What was announced before must not come into force after the goodbye.
+		held := n.pending.drop(a.Instance)
+		if a.Born == 0 {
+			a.Born = max(held.Born, n.local.Born(a.Instance))
+		}
 	}
 	if err := n.local.Announce(a, now); err != nil {
 		return err
@@ -95,6 +99,15 @@
 	return true
 }
 
+// drop forgets what an upstream announced, and returns it.
+func (p *pending) drop(instance kqname.Instance) kqlocal.Announcement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.held[instance]
+	delete(p.held, instance)
+	return a
+}
+
 // open returns what was held back, and holds nothing back from now on.
 func (p *pending) open() []kqlocal.Announcement {
 	p.mu.Lock()
