Serve callers of a leaving node for as long as they come

Change: the entry stays open until no call has come for 0.7 s, at least 2.2 s, and until 1 s before the end.

--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -70,7 +70,9 @@
 		recorder  Recorder
 		origin    kqname.Service
 		leaving   atomic.Bool
-		now       func() time.Time
+		// arrived is when the last call came, in nanoseconds since 1970.
+		arrived atomic.Int64
+		now     func() time.Time
 
 		prefix  string
 		number  atomic.Uint64
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -36,6 +36,9 @@
 // Leave asks callers to close their connections: the node is going.
 func (e *Entry) Leave() { e.leaving.Store(true) }
 
+// Quiet returns for how long no call has come.
+func (e *Entry) Quiet(now time.Time) time.Duration { return now.Sub(time.Unix(0, e.arrived.Load())) }
+
 // Close ends the idle connections to other nodes' gates.
 func (e *Entry) Close() { e.clients.close() }
 
@@ -44,6 +47,7 @@
 
 func (e *Entry) serve(ctx *fasthttp.RequestCtx, caller kqname.Caller, depth int, told kqcall.Told) {
 	now := e.now()
+	e.arrived.Store(now.UnixNano())
 	kqcall.Strip(&ctx.Request.Header)
 	stripHop(&ctx.Request.Header)
 	number := e.number.Add(1)
--- a/internal/run/kqnode/announce_test.go
+++ b/internal/run/kqnode/announce_test.go
@@ -86,7 +86,6 @@
 	return false
 }
 
-
 // A node starts while the store and its peers are out of reach, so that it holds
 // back what its upstream announces, and the upstream says goodbye meanwhile.
 // Taken in afterwards, the older announcement would bring the upstream back, and
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -31,11 +31,18 @@
 	serverIdle = time.Minute
 	// headerSize bounds a call's head, in bytes.
 	headerSize = 16 << 10
-	// callerGrace is how long callers from outside are given to close their
-	// connections when the node leaves. Whoever places them asks once a second
-	// whether the node is ready and needs two answers; until then new callers come.
-	callerGrace = 2600 * time.Millisecond
+	// callerGrace is how long callers from outside are given at least to go
+	// elsewhere when the node leaves: whoever places them asks once a second
+	// whether the node is ready and needs two answers. callerQuiet without a call
+	// tells that they have gone; where too few other nodes are ready they stay,
+	// and are served until closeMargin before the end.
+	callerGrace = 2200 * time.Millisecond
+	callerQuiet = 700 * time.Millisecond
+	closeMargin = time.Second
 	emptyPoll   = 10 * time.Millisecond
+	// ownGrace is how long callers are given where nobody asks whether the node
+	// is ready.
+	ownGrace = time.Second
 )
 
 type (
@@ -124,7 +131,7 @@
 func (n *Node) leaveCalls(ctx context.Context) error {
 	n.gate.Leave()
 	n.entry.Leave()
-	n.servers.emptied(ctx, callerGrace, n.servers.entry)
+	n.deserted(ctx)
 	n.quiesce(ctx, RoleEntry, RoleLocal)
 	err := n.servers.shutdown(ctx, n.servers.entry, n.servers.local)
 	n.entry.Close()
@@ -133,6 +140,24 @@
 	return errors.Join(err, n.servers.shutdown(ctx, n.servers.gate))
 }
 
+// deserted returns once callers come no more, or when it is time to close.
+func (n *Node) deserted(ctx context.Context) {
+	began := time.Now()
+	if n.adapter.Dialect == nil {
+		// Our own callers learn of it from the answers alone.
+		n.servers.emptied(ctx, ownGrace, n.servers.entry)
+		return
+	}
+	end, _ := ctx.Deadline()
+	ticker := time.NewTicker(emptyPoll)
+	defer ticker.Stop()
+	for now := range ticker.C {
+		if now.Sub(began) >= callerGrace && n.entry.Quiet(now) >= callerQuiet || now.After(end.Add(-closeMargin)) {
+			return
+		}
+	}
+}
+
 // emptied returns once a server has no connections, or after at most a while.
 func (s callServers) emptied(ctx context.Context, most time.Duration, server *fasthttp.Server) {
 	ctx, cancel := context.WithTimeout(ctx, most)
