--- a/internal/call/kqlocal/local.go
+++ b/internal/call/kqlocal/local.go
@@ -49,15 +49,16 @@
 
 		mu   sync.Mutex
 		held map[kqname.Address]entry
-		// ended are the upstreams that have said goodbye, and when. What they said
-		// before may arrive after it.
-		ended map[ending]time.Time
+		// ended are the upstreams that have said goodbye. What they said before may
+		// arrive after it.
+		ended map[kqname.Instance]ending
 	}
 
-	// ending names one start of an upstream.
+	// ending tells that every start of an upstream up to born is over; said is
+	// when this node learnt of it.
 	ending struct {
-		instance kqname.Instance
-		born     int64
+		born int64
+		said time.Time
 	}
 
 	entry struct {
@@ -71,7 +72,7 @@
 // New returns an empty set whose entries last for ttl unless renewed; changed
 // is told of each change that other nodes must hear of.
 func New(ttl time.Duration, changed func([]kqmember.Upstream)) *Upstreams {
-	return &Upstreams{ttl: ttl, changed: changed, held: make(map[kqname.Address]entry), ended: make(map[ending]time.Time)}
+	return &Upstreams{ttl: ttl, changed: changed, held: make(map[kqname.Address]entry), ended: make(map[kqname.Instance]ending)}
 }
 
 // Announce takes in an announcement, first or renewed.
@@ -90,7 +91,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	old, ok := u.held[a.Address]
-	if _, over := u.ended[ending{a.Instance, a.Born}]; over || ok && a.before(old.Announcement) {
+	if e, over := u.ended[a.Instance]; over && a.Born <= e.born || ok && a.before(old.Announcement) {
 		return nil
 	}
 	next := entry{Announcement: a, first: now, renewed: now, cold: a.Cold}
@@ -117,7 +118,7 @@
 		u.tell()
 		break
 	}
-	u.ended[ending{a.Instance, a.Born}] = now
+	u.ended[a.Instance] = ending{born: max(a.Born, u.ended[a.Instance].born), said: now}
 }
 
 // Left notes that an upstream has said goodbye to an earlier process of this node.
@@ -158,9 +159,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	gone := false
-	for e, at := range u.ended {
-		if now.Sub(at) > remember {
-			delete(u.ended, e)
+	for instance, e := range u.ended {
+		if now.Sub(e.said) > remember {
+			delete(u.ended, instance)
 		}
 	}
 	for address, e := range u.held {
--- a/internal/peer/kqdeparture/departure.go
+++ b/internal/peer/kqdeparture/departure.go
@@ -54,7 +54,7 @@
 		List(ctx context.Context, prefix string) (kqstore.Listing, error)
 	}
 
-	// Departure names one start of an upstream that leaves.
+	// Departure tells that every start of an upstream up to Born leaves.
 	Departure struct {
 		Instance kqname.Instance `cbor:"1,keyasint"`
 		Born     int64           `cbor:"2,keyasint"`
--- a/internal/run/kqnode/announce.go
+++ b/internal/run/kqnode/announce.go
@@ -47,17 +47,21 @@
 // announce takes in an announcement. That an upstream leaves takes effect, and is
 // held beyond this process, before the upstream has its answer.
 func (n *Node) announce(a kqlocal.Announcement) error {
+	now := time.Now()
 	leaves := a.Gone || a.Draining
 	if !leaves && n.pending.keep(a) {
 		return nil
 	}
-	now := time.Now()
 	if leaves {
 		// What was announced before must not come into force after the goodbye.
 		held := n.pending.drop(a.Instance)
 		if a.Born == 0 {
 			a.Born = max(held.Born, n.local.Born(a.Instance))
 		}
+		if a.Born == 0 {
+			// Nobody knows when it started, but it did before now.
+			a.Born = now.UnixMilli()
+		}
 	}
 	if err := n.local.Announce(a, now); err != nil {
 		return err
--- a/internal/run/kqnode/announce_test.go
+++ b/internal/run/kqnode/announce_test.go
@@ -126,3 +126,20 @@
 		t.Error("the upstream that said goodbye is back")
 	}
 }
+
+// A node starts, hears as the first word of its upstream that it says goodbye,
+// without the time of its start, and then an announcement that was on its way for
+// seconds. Taken in, it would bring calls to an upstream that is about to end.
+func TestAnnouncementThatComesAfterTheGoodbye(t *testing.T) {
+	store := kqstandin.New()
+	node, stop := adapted(t, "a", store)
+	defer stop()
+	say(t, node, "two ready")
+	await(t, "another upstream is taken in", func() bool { return serves(node) })
+	say(t, node, "two gone")
+	say(t, node, "one gone")
+	say(t, node, "one ready")
+	if serves(node) {
+		t.Error("the upstream that said goodbye is back")
+	}
+}
