Count a call that several gates refuse once

Ruled out: gates' queues (no refusal there), slots (free), callers' retries alone. Change: only a call that no gate had room for counts, once.

--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -103,7 +103,11 @@
 		o.RetryAfter = retryAfter
 		return o
 	}
-	return e.tries(f, s, target, now)
+	o := e.tries(f, s, target, now)
+	if o.Reason == kqcall.QueueFull {
+		s.refused(c)
+	}
+	return o
 }
 
 // tries sends the call until it has an answer, may have run, or may not be sent
--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -96,9 +96,6 @@
 func (s *service) done(c *kqcall.Call, to *kqpick.Peer, o kqcall.Outcome, load kqcall.Load, told bool, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o.Reason == kqcall.QueueFull {
-		s.shedder.Refused(c.Class)
-	}
 	var known *kqcall.Load
 	if told {
 		known = &load
@@ -107,6 +104,15 @@
 	return s.budget(c.Depth).Spend(o, c.Idempotent)
 }
 
+// refused counts a call that no gate had room for, once however many were asked.
+// Counted at each gate, one full second would make the entry refuse most calls
+// for many seconds after the gates have room again.
+func (s *service) refused(c *kqcall.Call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shedder.Refused(c.Class)
+}
+
 // elsewhere reports whether a call that a gate had no room for may go to another
 // gate beside the retry budget: it has not been at an upstream, and there is one
 // that seems to have a slot free. While the whole service is full there is none,
