Send what failed elsewhere within the operators' bound over all nodes

Cause: idempotent calls that an upstream failed were passed on as failures; an upstream that fails every third call was seldom left out; the retry budget was a node's own; and a call whose first upstream may have run it could end as not run when a second gate refused it. Change: kqallowance shares the operators' ratio and slack out over the nodes; an idempotent call that got a 5xx, a cut or a crossed answer goes elsewhere within it; 30% failures over 16 calls, shed ones included, leave an upstream out; outcomes say not run only where no upstream had the call.

--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqallowance"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -70,8 +71,12 @@
 		baseline  bool
 		dialect   kqcall.Dialect
 		recorder  Recorder
-		origin    kqname.Service
-		leaving   atomic.Bool
+		// bound is what operators allow of second sendings over all nodes, whose
+		// number is nodes; nil nodes keeps to this program's own budget.
+		bound   kqallowance.Bound
+		nodes   func() int
+		origin  kqname.Service
+		leaving atomic.Bool
 		// arrived is when the last call came, in nanoseconds since 1970.
 		arrived atomic.Int64
 		now     func() time.Time
@@ -135,6 +140,12 @@
 // WithOrigin tells the service beside whose upstream the entry stands.
 func WithOrigin(s kqname.Service) Option { return func(e *Entry) { e.origin = s } }
 
+// WithBound keeps second sendings within what operators allow for each service
+// over all nodes.
+func WithBound(b kqallowance.Bound, nodes func() int) Option {
+	return func(e *Entry) { e.bound, e.nodes = b, nodes }
+}
+
 // WithBaseline chooses at random and retries without a budget, for measurements.
 func WithBaseline() Option { return func(e *Entry) { e.baseline = true } }
 
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -115,7 +115,7 @@
 func (e *Entry) tries(f *flight, s *service, target kqpick.Target, now time.Time) kqcall.Outcome {
 	c := &f.call
 	var space [maxGates]kqname.Node
-	tried, most, sends := space[:0], attempts(c), 0
+	tried, most, sends, ran := space[:0], attempts(c), 0, 0
 	last := kqcall.Refuse(kqcall.NoUpstream)
 	last.RetryAfter = retryAfter
 	for {
@@ -126,7 +126,7 @@
 			continue
 		}
 		if to == nil {
-			return last
+			return honest(last, ran)
 		}
 		tried = append(tried, gate.Node)
 		var load kqcall.Load
@@ -142,10 +142,13 @@
 		if reached(last) {
 			sends++
 		}
+		if last.Result != kqcall.NotRun {
+			ran++
+		}
 		try.Again = sends < most && len(tried) < maxGates && (again || e.plainRetry(c, last)) && now.Before(c.Deadline) && !c.Cancel.Done()
 		f.tries = append(f.tries, try)
 		if !try.Again {
-			return last
+			return honest(last, ran)
 		}
 		e.counter.Retried(last.Reason)
 		target = target.Next()
@@ -160,6 +163,15 @@
 	return maxTries
 }
 
+// honest makes an outcome that says "not run" tell the truth of all sendings: an
+// upstream that was sent the call before may have run it.
+func honest(last kqcall.Outcome, ran int) kqcall.Outcome {
+	if last.Result != kqcall.NotRun || ran == 0 {
+		return last
+	}
+	return kqcall.Lose(last.Reason)
+}
+
 // reached reports whether a call with that outcome has been at an upstream, and
 // not only at the gate before it.
 func reached(o kqcall.Outcome) bool {
--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqsend"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqallowance"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqretry"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqshed"
@@ -21,6 +22,8 @@
 	shardCount = 16
 	// clientIdle is how long a client without connections is kept.
 	clientIdle = time.Minute
+	// failureStatus is the lowest HTTP status that an upstream fails with.
+	failureStatus = 500
 )
 
 type (
@@ -36,6 +39,10 @@
 		pool    *kqpick.Pool
 		shedder *kqshed.Shedder
 		budgets [kqcall.MaxDepth + 1]*kqretry.Budget
+		// allowance takes the budgets' place where operators bound all nodes
+		// together; nodes is their number.
+		allowance *kqallowance.Allowance
+		nodes     func() int
 	}
 
 	clients struct {
@@ -68,6 +75,9 @@
 			pool:    kqpick.New(e.domain, kqpick.WithPlain(e.baseline)),
 			shedder: kqshed.New(),
 		}
+		if e.nodes != nil {
+			found.allowance, found.nodes = kqallowance.New(e.bound), e.nodes
+		}
 		s.services[name] = found
 	}
 	return found
@@ -77,7 +87,11 @@
 func (s *service) begin(c *kqcall.Call, baseline bool, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget(c.Depth).Earn()
+	if s.allowance != nil {
+		s.allowance.Earn(s.nodes())
+	} else {
+		s.budget(c.Depth).Earn()
+	}
 	return baseline || !s.shedder.Refuse(c.Class, now, s.random)
 }
 
@@ -100,10 +114,48 @@
 	if told {
 		known = &load
 	}
-	s.pool.Done(to, o, o.Result == kqcall.Answered && c.Response.StatusCode() >= 500, known, now)
+	failed := o.Result == kqcall.Answered && c.Response.StatusCode() >= failureStatus
+	s.pool.Done(to, o, failed, known, now)
+	if s.allowance != nil {
+		return s.mayRepeat(c, o)
+	}
 	return s.budget(c.Depth).Spend(o, c.Idempotent)
 }
 
+// mayRepeat reports whether a call may go to another upstream by the operators'
+// bound. What only a gate refused has not been at an upstream and is not counted.
+func (s *service) mayRepeat(c *kqcall.Call, o kqcall.Outcome) bool {
+	switch {
+	case o.Result == kqcall.NotRun && !reached(o):
+		return unreachable(o.Reason)
+	case o.Result == kqcall.NotRun:
+		return s.allowance.Spend(s.nodes())
+	case !c.Idempotent || o.Reason == kqcall.Timeout || o.Reason == kqcall.Cancelled:
+		return false
+	case o.Result == kqcall.Answered && !repeatable(c.Response.StatusCode()):
+		return false
+	default:
+		return s.allowance.Spend(s.nodes())
+	}
+}
+
+// unreachable reports whether the reason tells that the upstream takes no calls,
+// whatever the load.
+func unreachable(r kqcall.Reason) bool {
+	switch r {
+	case kqcall.Draining, kqcall.RolledBack, kqcall.ConnectFailed, kqcall.NoUpstream:
+		return true
+	default:
+		return false
+	}
+}
+
+// repeatable reports whether an upstream's answer tells of a failure that another
+// upstream may not have. One that ran into the deadline has used up the time.
+func repeatable(status int) bool {
+	return status >= failureStatus && status != fasthttp.StatusGatewayTimeout
+}
+
 // refused counts a call that no gate had room for, once however many were asked.
 // Counted at each gate, one full second would make the entry refuse most calls
 // for many seconds after the gates have room again.
--- a/internal/decide/kqeject/eject.go
+++ b/internal/decide/kqeject/eject.go
@@ -7,9 +7,14 @@
 	SlowFactor = 3
 
 	failuresInRow = 5
-	firstTime     = 2 * time.Second
-	longestTime   = 30 * time.Second
-	capDivisor    = 3
+	// rateCalls is how many calls a rate of failures is taken over, and
+	// failureRate the one that ejects: an upstream that fails every third call
+	// seldom fails five in a row.
+	rateCalls   = 16
+	failureRate = 0.3
+	firstTime   = 2 * time.Second
+	longestTime = 30 * time.Second
+	capDivisor  = 3
 )
 
 type (
@@ -18,7 +23,11 @@
 		until    time.Time
 		lasts    time.Duration
 		failures int
-		ejected  bool
+		// rate is the part of the last calls that failed, the newest counting most,
+		// and calls how many there were, up to rateCalls.
+		rate    float64
+		calls   int
+		ejected bool
 		// hard ejections do not count towards the cap.
 		hard    bool
 		probing bool
@@ -55,7 +64,8 @@
 // Failed takes in a call that failed; of is the number of upstreams.
 func (e *Ejector) Failed(s *State, of int, now time.Time) {
 	s.failures++
-	if s.ejected || s.failures >= failuresInRow {
+	s.count(1)
+	if s.ejected || s.failures >= failuresInRow || s.calls >= rateCalls && s.rate >= failureRate {
 		e.eject(s, of, now)
 	}
 }
@@ -64,6 +74,7 @@
 // beside the median of its service's upstreams.
 func (e *Ejector) Answered(s *State, of int, work, median time.Duration, now time.Time) {
 	s.failures = 0
+	s.count(0)
 	switch {
 	case median > 0 && work > SlowFactor*median:
 		e.eject(s, of, now)
@@ -73,6 +84,11 @@
 	}
 }
 
+func (s *State) count(failed float64) {
+	s.calls = min(s.calls+1, rateCalls)
+	s.rate += (failed - s.rate) / float64(s.calls)
+}
+
 // Forget tells that the upstream is gone or healthy again.
 func (e *Ejector) Forget(s *State) {
 	if s.ejected && !s.hard {
@@ -96,6 +112,7 @@
 		return
 	}
 	s.ejected, s.probing, s.failures = true, false, 0
+	s.rate, s.calls = 0, 0
 	s.lasts = min(max(2*s.lasts, firstTime), longestTime)
 	s.until = now.Add(s.lasts)
 }
--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -133,7 +133,7 @@
 	switch {
 	case gone(end.Reason):
 		p.ejector.Unreachable(&o.state, now)
-	case end.Result == kqcall.Unknown, failed:
+	case end.Result == kqcall.Unknown && end.Reason != kqcall.Cancelled, failed, end.Reason == kqcall.Shed:
 		p.ejector.Failed(&o.state, len(p.peers), now)
 	default:
 		p.ejector.Answered(&o.state, len(p.peers), o.load.Work, p.typical(now), now)
--- a/internal/peer/kqmember/member.go
+++ b/internal/peer/kqmember/member.go
@@ -71,6 +71,7 @@
 		mu         sync.RWMutex
 		members    map[kqname.Node]Member
 		candidates map[kqname.Service][]Candidate
+		living     int
 		gone       map[kqname.Node]time.Time
 		// forgotten holds the incarnations of the dead that were dropped. Peers
 		// that still hold them would otherwise bring them back for ever.
@@ -267,12 +268,21 @@
 	return t.candidates[service]
 }
 
+// Living returns how many members are not held to be gone, this node included.
+func (t *Table) Living() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.living
+}
+
 func (t *Table) index() {
+	t.living = 0
 	candidates := make(map[kqname.Service][]Candidate)
 	for _, m := range t.members {
 		if m.State >= Leaving {
 			continue
 		}
+		t.living++
 		for _, u := range m.Upstreams {
 			if !u.Draining {
 				candidates[u.Service] = append(candidates[u.Service], Candidate{Upstream: u, Node: m.Node, Domain: m.Domain, Region: m.Region, Gate: m.Gate})
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -17,6 +17,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqsend"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqallowance"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqrecord"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -76,6 +77,10 @@
 	if d := n.adapter.Dialect; d != nil {
 		gate, entry = append(gate, kqgate.WithDialect(d)), append(entry, kqentry.WithDialect(d), kqentry.WithOrigin(n.settings.Node.Service))
 	}
+	if c := n.settings.Call; c.RepeatRatio > 0 {
+		bound := kqallowance.Bound{Ratio: c.RepeatRatio, Slack: c.RepeatSlack}
+		entry = append(entry, kqentry.WithBound(bound, n.table.Living))
+	}
 	n.gate = kqgate.New(n.local, gate...)
 	n.entry = kqentry.New(n.settings.Node.Name, n.replica, n.table, n.gate, entry...)
 	n.servers = callServers{
--- a/internal/run/kqsettings/field.go
+++ b/internal/run/kqsettings/field.go
@@ -65,6 +65,8 @@
 	switch {
 	case f.value.Type() == durationType, f.value.Kind() == reflect.Int:
 		return f.setNumber(text)
+	case f.value.Kind() == reflect.Float64:
+		return f.setFraction(text)
 	case f.value.Kind() == reflect.Bool:
 		b, err := strconv.ParseBool(text)
 		if err != nil {
@@ -121,6 +123,23 @@
 	return nil
 }
 
+// setFraction sets a number with a fraction within its bounds.
+func (f field) setFraction(text string) error {
+	n, err := strconv.ParseFloat(text, 64)
+	low, lowErr := strconv.ParseFloat(f.tag.Get("min"), 64)
+	high, highErr := strconv.ParseFloat(f.tag.Get("max"), 64)
+	switch {
+	case err != nil || math.IsNaN(n):
+		return fmt.Errorf("%q is not a number", text)
+	case lowErr == nil && n < low:
+		return fmt.Errorf("%s is under %s", text, f.tag.Get("min"))
+	case highErr == nil && n > high:
+		return fmt.Errorf("%s is over %s", text, f.tag.Get("max"))
+	}
+	f.value.SetFloat(n)
+	return nil
+}
+
 func (f field) number(text string) (int64, error) {
 	if f.value.Type() == durationType {
 		d, err := time.ParseDuration(text)
--- a/internal/run/kqsettings/settings.go
+++ b/internal/run/kqsettings/settings.go
@@ -69,6 +69,8 @@
 	Call struct {
 		ReadTimeout time.Duration `key:"read_timeout" default:"10s" min:"50ms" max:"10m" doc:"Longest time that a call may take to arrive whole."`
 		MaxBody     int           `key:"max_body" default:"4MB" min:"1KB" max:"64MB" unit:"bytes" doc:"Largest request body that is taken."`
+		RepeatRatio float64       `key:"repeat_ratio" default:"0" min:"0" max:"1" doc:"Sendings beyond the first that all nodes together may add to a service's calls, as a part of them; 0 keeps to this program's own budget."`
+		RepeatSlack float64       `key:"repeat_slack" default:"0" min:"0" max:"1000000" doc:"How many may be added beside repeat_ratio in any window of some seconds."`
 		Policy      string        `key:"policy" default:"kumquatgw" one_of:"kumquatgw,baseline" doc:"Decisions under load; baseline (first-come queue, random choice, plain retries) is for comparison only."`
 	}
 
