--- a/internal/call/kqsend/exchange.go
+++ b/internal/call/kqsend/exchange.go
@@ -1,6 +1,7 @@
 package kqsend
 
 import (
+	"bufio"
 	"errors"
 	"net"
 	"os"
@@ -82,7 +83,7 @@
 	if err := n.SetDeadline(call.Deadline); err != nil {
 		return err
 	}
-	if err := call.Request.Write(n.writer); err != nil {
+	if err := write(call.Request, n.writer); err != nil {
 		return err
 	}
 	if err := n.writer.Flush(); err != nil {
@@ -91,6 +92,21 @@
 	return n.readAnswer(c, call)
 }
 
+// write writes the request as it was read. The library's own way writes the path
+// anew from what it has parsed, with dots and escapes resolved: the upstream would
+// run another request than the caller sent.
+func write(r *fasthttp.Request, w *bufio.Writer) error {
+	body := r.Body()
+	if len(body) > 0 || r.Header.ContentLength() >= 0 {
+		r.Header.SetContentLength(len(body))
+	}
+	if err := r.Header.Write(w); err != nil {
+		return err
+	}
+	_, err := w.Write(body)
+	return err
+}
+
 // judge tells how an exchange that failed ended. Only what failed before its
 // first byte certainly did not run: the peer may act on a part of a request,
 // and a peer that closed the connection may have read all of it before.
