Store departures, and ask the store for less as the fleet grows

Cause: a departure was written with a value of null, which the platform refuses (400); it was tried again for 30 s, each time with a new lease, and never stored. Every follower polled each 3 s and every node looked for peers each 15 s, so that the store's load grew with the fleet. Ruled out: renewals (a tenth of a call) and watches.

--- a/internal/config/kqfollower/follower.go
+++ b/internal/config/kqfollower/follower.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// PerDomain is how many nodes of a failure domain follow: with three, one may
-	// be restarted and another turned away by the store, unseen by its peers.
-	PerDomain = 3
+	// PerDomain is how many nodes of a failure domain follow: one may be restarted,
+	// or turned away by the store unseen by its peers, and each change costs the
+	// store a call for each follower.
+	PerDomain = 2
 
 	checkEvery = 250 * time.Millisecond
 	// lingers is how long a node goes on after others have come before it. It
--- a/internal/config/kqorigin/origin.go
+++ b/internal/config/kqorigin/origin.go
@@ -20,10 +20,10 @@
 
 const (
 	watchWait = 20 * time.Second
-	// pollEvery bounds how long a watch that went silent can keep a version from
-	// the fleet. Readers are few, so that it costs the store about 3 calls a
-	// second however large the fleet is.
-	pollEvery   = 3 * time.Second
+	// pollEvery is the mean pause between two polls of one follower. A dozen
+	// followers poll about once a second together, which bounds how long watches
+	// that all went silent can keep a version from the fleet.
+	pollEvery   = 10 * time.Second
 	backoffBase = 100 * time.Millisecond
 	backoffMost = time.Second
 	// keptRoots is how many versions' objects are kept for peers that are behind.
--- a/internal/peer/kqdeparture/departure.go
+++ b/internal/peer/kqdeparture/departure.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		return fmt.Errorf("store departure: %w", err)
 	}
-	if _, err := d.store.Put(ctx, keyOf(one), nil, lease); err != nil {
+	if _, err := d.store.Put(ctx, keyOf(one), []byte(one.Instance), lease); err != nil {
 		return fmt.Errorf("store departure: %w", err)
 	}
 	return nil
--- a/internal/peer/kqregister/register.go
+++ b/internal/peer/kqregister/register.go
@@ -28,6 +28,9 @@
 	// apart, each with peers of its own, meet within it.
 	aloneEvery = 300 * time.Millisecond
 	lookEvery  = 15 * time.Second
+	// lookPart is added to it for each peer: all nodes together look about once a
+	// second, however many they are.
+	lookPart = time.Second
 	// asked is how many addresses one look contacts.
 	asked = 6
 )
@@ -114,7 +117,7 @@
 func (r *Register) look(ctx context.Context) {
 	for ctx.Err() == nil {
 		peers, _ := r.known("")
-		every := lookEvery
+		every := lookEvery + time.Duration(peers)*lookPart
 		if peers == 0 {
 			every = aloneEvery
 		}
--- a/internal/run/kqmetric/metric.go
+++ b/internal/run/kqmetric/metric.go
@@ -1,6 +1,9 @@
 package kqmetric
 
 import (
+	"maps"
+	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +23,9 @@
 	budgetBound    *prometheus.CounterVec
 	spreadDropped  prometheus.Counter
 	leftOut        prometheus.Counter
+	storeCalls     *prometheus.CounterVec
+	storeMu        sync.Mutex
+	storeCounts    map[string]uint64
 	version        prometheus.Gauge
 	since          atomic.Int64
 	sent, received atomic.Uint64
@@ -55,7 +61,11 @@
 	m.leftOut = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kumquatgw_log_lines_left_out_total", Help: "Log lines of calls that were over the rate for their reason.",
 	})
-	m.registry.MustRegister(m.leftOut)
+	m.storeCounts = make(map[string]uint64)
+	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kumquatgw_store_calls_total", Help: "Calls to the platform's store by kind and status, 0 where no answer came.",
+	}, []string{"call", "status"})
+	m.registry.MustRegister(m.leftOut, m.storeCalls)
 	m.registry.MustRegister(m.ended, m.retried, m.gated, m.configRefused, m.platformFailed, m.budgetBound, m.spreadDropped, m.version,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "kumquatgw_control_sent_bytes_total", Help: "Bytes of control traffic sent to peers.",
@@ -83,6 +93,23 @@
 // SpreadDropped counts a message to all nodes that could not be passed on.
 func (m *Metrics) SpreadDropped() { m.spreadDropped.Inc() }
 
+// StoreAnswered counts a call to the store; kinds and statuses are the adapter's,
+// of which there are few.
+func (m *Metrics) StoreAnswered(call string, status int) {
+	text := strconv.Itoa(status)
+	m.storeCalls.WithLabelValues(call, text).Inc()
+	m.storeMu.Lock()
+	defer m.storeMu.Unlock()
+	m.storeCounts[call+" "+text]++
+}
+
+// StoreCalls returns the calls to the store since the start by kind and status.
+func (m *Metrics) StoreCalls() map[string]uint64 {
+	m.storeMu.Lock()
+	defer m.storeMu.Unlock()
+	return maps.Clone(m.storeCounts)
+}
+
 // LeftOut counts a log line that was over the rate for its reason.
 func (m *Metrics) LeftOut(string) { m.leftOut.Inc() }
 
--- a/internal/run/kqnode/adapter.go
+++ b/internal/run/kqnode/adapter.go
@@ -1,6 +1,9 @@
 package kqnode
 
 import (
+	"time"
+
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
@@ -24,6 +27,9 @@
 		// the store themselves, and Lister follows them.
 		Operators kqorigin.Decoder
 		Lister    kqstore.Lister
+		// Answered has f told of each call to the store: its kind, and its answer's
+		// status or 0 where none came.
+		Answered func(f func(call string, status int))
 		// Reports writes for operators how their orders stand.
 		Reports Reports
 	}
@@ -43,6 +49,27 @@
 // WithAdapter joins the node to a platform by an adapter.
 func WithAdapter(a Adapter) Option { return func(n *Node) { n.adapter = a } }
 
+// storeAnswered counts a call to the store, and notes when the store is lost and
+// regained.
+func (n *Node) storeAnswered(call string, status int) {
+	n.metrics.StoreAnswered(call, status)
+	lost := status == 0 || status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests
+	if n.storeLost.Swap(lost) == lost {
+		return
+	}
+	entry := n.logger.Part("store").WithFields(logrus.Fields{"event": "store", "call": call, "status": status})
+	if lost {
+		entry.Warn("Store does not answer.")
+	} else {
+		entry.Info("Store answers again.")
+	}
+}
+
+// tellStore notes now and then which calls this node has made to the store.
+func (n *Node) tellStore(time.Time) {
+	n.logger.Part("store").WithFields(logrus.Fields{"event": "store_calls", "calls": n.metrics.StoreCalls()}).Info("Calls to the store so far.")
+}
+
 // serveReady answers whoever places callers.
 func (n *Node) serveReady(ctx *fasthttp.RequestCtx) {
 	switch {
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -48,6 +48,8 @@
 	RoleAdmin Role = "admin"
 
 	sweepEvery = 250 * time.Millisecond
+	// storeCallsEvery is the pause between two lines on the calls to the store.
+	storeCallsEvery = 10 * time.Second
 	// stopMargin is left of the time until the kill for the goodbye and the end
 	// of the process on a slow server.
 	stopMargin = 700 * time.Millisecond
@@ -92,6 +94,7 @@
 		adapter      Adapter
 		pending      pending
 		recorder     *kqrecord.Recorder
+		storeLost    atomic.Bool
 		// callListeners are the bare listeners that take calls.
 		callListeners map[Role]*net.TCPListener
 	}
@@ -149,6 +152,9 @@
 		Incarnation: uint64(n.started.UnixMilli()),
 	})
 	n.table.OnNews(n.logMember)
+	if n.adapter.Answered != nil {
+		n.adapter.Answered(n.storeAnswered)
+	}
 	n.budget = kqbudget.New(settings.Member.SendBudget, n.metrics, func() { n.metrics.BudgetBound("send") })
 	n.peers = kqpeer.NewServer(n.budget, n.peerServerOptions()...)
 	n.client = kqpeer.NewClient(settings.Node.Name, n.budget, append(n.peerClientOptions(), n.peerOptions...)...)
@@ -173,6 +179,9 @@
 	group.Go(func() { n.runConfig(background) })
 	group.Go(func() { every(background, sweepEvery, n.sweep) })
 	group.Go(func() { n.collect(background) })
+	if n.adapter.Answered != nil {
+		group.Go(func() { every(background, storeCallsEvery, n.tellStore) })
+	}
 	group.Go(func() { n.hangup.Run(background) })
 	group.Go(func() { n.runTLS(background) })
 	group.Go(func() { n.runAdmin(background) })
