Take announced slots for exact where the platform says so

Ruled out: entries that asked too few gates (the others were full). Change: a setting says whether slots are exact; nothing is learnt then.

--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -120,6 +120,15 @@
 // WithDialect sets what upstreams speak in place of our headers.
 func WithDialect(d kqcall.Dialect) Option { return func(g *Gate) { g.dialect = d } }
 
+// WithExactSlots takes what upstreams announce for what they run at once.
+func WithExactSlots() Option {
+	return func(g *Gate) {
+		g.queue = func(slots int, address kqname.Address) queue {
+			return kqslots.New(slots, saltOf(address), kqslots.WithExact())
+		}
+	}
+}
+
 // WithBaseline queues calls first come, first served, for measurements.
 func WithBaseline() Option {
 	return func(g *Gate) { g.queue = func(slots int, _ kqname.Address) queue { return kqfifo.New(slots) } }
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -71,6 +71,9 @@
 		long  bool
 	}
 
+	// Option sets up Slots.
+	Option func(*Slots)
+
 	// Slots decides for one upstream. It is not safe for concurrent use.
 	Slots struct {
 		count       int
@@ -80,6 +83,8 @@
 		running     int
 		runningLong int
 		closed      bool
+		// exact tells that the announced slots are what the upstream runs at once.
+		exact bool
 		// shortSeen is when a short call came last.
 		shortSeen time.Time
 	}
@@ -87,14 +92,22 @@
 
 // New returns slots for an upstream that runs count calls at once; salt parts
 // callers that another gate's hash brought together.
-func New(count int, salt uint64) *Slots {
+func New(count int, salt uint64, options ...Option) *Slots {
 	s := &Slots{count: count, limit: kqlimit.New(count), work: kqwork.New()}
 	for i := range classes {
 		s.short[i], s.long[i] = kqfair.New(salt+uint64(i)), kqfair.New(salt+classes+uint64(i))
 	}
+	for _, o := range options {
+		o(s)
+	}
 	return s
 }
 
+// WithExact takes the announced slots for what the upstream really runs at once.
+// Where that is so, an upstream that has become slow for another reason would lose
+// slots by what is learnt of its latency, and serve still less.
+func WithExact() Option { return func(s *Slots) { s.exact = true } }
+
 // Enter settles the ticket's verdict.
 func (s *Slots) Enter(t *Ticket, now time.Time) {
 	t.level, t.long = t.Class.Rank(), s.work.Long(t.Route)
@@ -119,7 +132,7 @@
 // Leave gives back the slot of a ticket whose call took so long at the
 // upstream, and returns the tickets that this settles.
 func (s *Slots) Leave(t *Ticket, took time.Duration, now time.Time) []*Ticket {
-	if took > 0 && !t.long && s.runningLong == 0 {
+	if took > 0 && !t.long && s.runningLong == 0 && !s.exact {
 		s.limit.Learn(took, s.running)
 	}
 	s.running--
--- a/internal/run/kqexplain/read.go
+++ b/internal/run/kqexplain/read.go
@@ -123,11 +123,16 @@
 // last returns a node's last line before a time that fits, and whether there is
 // one.
 func (l *Log) last(node string, before time.Time, fits func(line) bool) (line, bool) {
-	var best line
+	var best, started line
 	for _, one := range l.lines {
-		if one.Node == node && !one.Time.After(before) && fits(one) && !one.Time.Before(best.Time) {
+		switch {
+		case one.Node != node || one.Time.After(before):
+		case one.Event == "started" && !one.Time.Before(started.Time):
+			started = one
+		case fits(one) && !one.Time.Before(best.Time):
 			best = one
 		}
 	}
-	return best, best.Node != ""
+	// What an earlier process of the node believed is gone with it.
+	return best, best.Node != "" && !best.Time.Before(started.Time)
 }
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -26,6 +26,7 @@
 const (
 	announcePath = "/kq/announce"
 	baseline     = "baseline"
+	exactSlots   = "exact"
 	// serverIdle is longer than the clients keep idle connections, so that the
 	// client is the one to close: a server that closes first could cut a call
 	// that was just being sent.
@@ -69,6 +70,9 @@
 	entry := append(n.entryTLSOptions(), kqentry.WithCounter(n.metrics), kqentry.WithSplitter(n.rollouts),
 		kqentry.WithDomain(n.settings.Node.Domain), kqentry.WithHangup(n.hangup),
 		kqentry.WithForged(n.security.Forged))
+	if n.settings.Call.Slots == exactSlots {
+		gate = append(gate, kqgate.WithExactSlots())
+	}
 	if n.settings.Call.Policy == baseline {
 		gate, entry = append(gate, kqgate.WithBaseline()), append(entry, kqentry.WithBaseline())
 	}
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -173,7 +173,7 @@
 // Run serves until ctx ends, and then leaves: new work goes elsewhere first,
 // and what is in flight is finished.
 func (n *Node) Run(ctx context.Context) error {
-	n.log.WithField("settings", n.settings.Shown()).Infof("Started as %s in %s.", n.settings.Node.Name, n.settings.Node.Domain)
+	n.log.WithFields(logrus.Fields{"event": "started", "settings": n.settings.Shown()}).Infof("Started as %s in %s.", n.settings.Node.Name, n.settings.Node.Domain)
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group conc.WaitGroup
--- a/internal/run/kqsettings/settings.go
+++ b/internal/run/kqsettings/settings.go
@@ -71,6 +71,7 @@
 		MaxBody     int           `key:"max_body" default:"4MB" min:"1KB" max:"64MB" unit:"bytes" doc:"Largest request body that is taken."`
 		RepeatRatio float64       `key:"repeat_ratio" default:"0" min:"0" max:"1" doc:"Sendings beyond the first that all nodes together may add to a service's calls, as a part of them; 0 keeps to this program's own budget."`
 		RepeatSlack float64       `key:"repeat_slack" default:"0" min:"0" max:"1000000" doc:"How many may be added beside repeat_ratio in any window of some seconds."`
+		Slots       string        `key:"slots" default:"learnt" one_of:"learnt,exact" doc:"Whether upstreams may run fewer calls at once than they announce, which is then learnt from their latency, or run exactly as many."`
 		Policy      string        `key:"policy" default:"kumquatgw" one_of:"kumquatgw,baseline" doc:"Decisions under load; baseline (first-come queue, random choice, plain retries) is for comparison only."`
 	}
 
