Keep slots for short calls only where long jobs free one seldom

Change: long jobs are kept apart only where they free a slot less often than each 100 ms; ready means acquainted; connections to nodes may take 300 ms and stay silent for a second. Ruled out: the exact slots (all were allowed), queues that were too short.

--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqsend"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqallowance"
@@ -168,5 +169,8 @@
 		e.shards[i].services = make(map[kqname.Service]*service)
 	}
 	e.clients.held = make(map[kqname.Address]*client)
+	if e.clients.dial == nil {
+		e.clients.dial = kqsend.Near
+	}
 	return e
 }
--- /dev/null
+++ b/internal/call/kqhangup/bound_other.go
@@ -0,0 +1,11 @@
+//go:build !linux
+
+package kqhangup
+
+import (
+	"net"
+	"time"
+)
+
+// Bound does nothing where the kernel has no such option.
+func Bound(*net.TCPConn, time.Duration) {}
--- a/internal/call/kqsend/client.go
+++ b/internal/call/kqsend/client.go
@@ -21,6 +21,12 @@
 
 	defaultMost = 512
 	dialTimeout = time.Second
+	// nearTimeout is how long a connection to a node may take: nodes of one region
+	// answer in milliseconds, those of another in a tenth of a second, and a first
+	// packet that is lost is sent again only after a second. nearSilence is how
+	// long a peer may leave bytes, or the question whether it lives, unacknowledged.
+	nearTimeout = 300 * time.Millisecond
+	nearSilence = time.Second
 	// bufferSize bounds a response's head, in bytes.
 	bufferSize = 16 << 10
 )
@@ -167,6 +173,21 @@
 
 func plain(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, dialTimeout) }
 
+// Near connects to a node of the same fleet over plain TCP. A server without
+// power does not refuse, it is silent: the call that waits for it could long be
+// served by another.
+func Near(address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: nearTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: nearSilence, Interval: nearSilence, Count: 1}}
+	conn, err := dialer.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		kqhangup.Bound(tcp, nearSilence)
+	}
+	return conn, nil
+}
+
 func (c *Client) release(n *connection) {
 	n.since = time.Now()
 	c.mu.Lock()
--- a/internal/decide/kqslots/queue.go
+++ b/internal/decide/kqslots/queue.go
@@ -48,10 +48,10 @@
 // expectWait returns how long a call that came now would wait, by the work of
 // those who would be served before it and the slots that its kind can have.
 func (s *Slots) expectWait(t *Ticket, expected time.Duration, now time.Time) time.Duration {
-	lanes, places := &s.short, s.limit.Allowed()
+	lanes, places := &s.shortLanes, s.limit.Allowed()
 	if t.long {
-		lanes, places = &s.long, s.longMost(now)
-	} else if lengthOf(&s.long) > 0 || s.runningLong > 0 {
+		lanes, places = &s.longLanes, s.longMost(now)
+	} else if lengthOf(&s.longLanes) > 0 || s.runningLong > 0 {
 		places = max(s.limit.Allowed()-s.longMost(now), 1)
 	}
 	ahead := lanes[t.level].Ahead(t.Caller)
@@ -87,13 +87,13 @@
 // next returns the lanes that the next free slot goes to: short calls until
 // they have the half that is kept for them, then long jobs up to their most.
 func (s *Slots) next(now time.Time) *[classes]*kqfair.Queue {
-	short, long := lengthOf(&s.short) > 0, lengthOf(&s.long) > 0 && s.room(true, now)
+	short, long := lengthOf(&s.shortLanes) > 0, lengthOf(&s.longLanes) > 0 && s.room(true, now)
 	kept := s.limit.Allowed() - s.longMost(now)
 	switch {
 	case short && (!long || s.running-s.runningLong < kept):
-		return &s.short
+		return &s.shortLanes
 	case long:
-		return &s.long
+		return &s.longLanes
 	default:
 		return nil
 	}
@@ -153,14 +153,14 @@
 
 func (s *Slots) lanes(t *Ticket) *[classes]*kqfair.Queue {
 	if t.long {
-		return &s.long
+		return &s.longLanes
 	}
-	return &s.short
+	return &s.shortLanes
 }
 
 func (s *Slots) lane(t *Ticket) *kqfair.Queue { return s.lanes(t)[t.level] }
 
-func (s *Slots) waiting() int { return lengthOf(&s.short) + lengthOf(&s.long) }
+func (s *Slots) waiting() int { return lengthOf(&s.shortLanes) + lengthOf(&s.longLanes) }
 
 func lengthOf(lanes *[classes]*kqfair.Queue) int {
 	n := 0
@@ -175,7 +175,7 @@
 func (s *Slots) retryAfter() time.Duration {
 	work := time.Duration(0)
 	for i := range classes {
-		work += s.short[i].Work() + s.long[i].Work()
+		work += s.shortLanes[i].Work() + s.longLanes[i].Work()
 	}
 	return max(work/time.Duration(max(s.limit.Allowed(), 1)), minRetryAfter)
 }
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -37,6 +37,10 @@
 	leastWait      = 20 * time.Millisecond
 	// slack is how many calls' work a short wait may be mistaken by.
 	slack = 8
+	// noticed is the mean time between two slots that long jobs free from which on
+	// a short call that waits for one is noticed: a quarter of the time that callers
+	// of short calls commonly allow.
+	noticed = 100 * time.Millisecond
 	// shortIdle is how long after the last short call slots are kept for short
 	// ones; without an end, an upstream whose every route has become slow would
 	// use half of its slots.
@@ -76,13 +80,13 @@
 
 	// Slots decides for one upstream. It is not safe for concurrent use.
 	Slots struct {
-		count       int
-		limit       *kqlimit.Limit
-		work        *kqwork.Work
-		short, long [classes]*kqfair.Queue
-		running     int
-		runningLong int
-		closed      bool
+		count                 int
+		limit                 *kqlimit.Limit
+		work                  *kqwork.Work
+		shortLanes, longLanes [classes]*kqfair.Queue
+		running               int
+		runningLong           int
+		closed                bool
 		// exact tells that the announced slots are what the upstream runs at once.
 		exact bool
 		// shortSeen is when a short call came last.
@@ -95,7 +99,7 @@
 func New(count int, salt uint64, options ...Option) *Slots {
 	s := &Slots{count: count, limit: kqlimit.New(count), work: kqwork.New()}
 	for i := range classes {
-		s.short[i], s.long[i] = kqfair.New(salt+uint64(i)), kqfair.New(salt+classes+uint64(i))
+		s.shortLanes[i], s.longLanes[i] = kqfair.New(salt+uint64(i)), kqfair.New(salt+classes+uint64(i))
 	}
 	for _, o := range options {
 		o(s)
@@ -110,7 +114,7 @@
 
 // Enter settles the ticket's verdict.
 func (s *Slots) Enter(t *Ticket, now time.Time) {
-	t.level, t.long = t.Class.Rank(), s.work.Long(t.Route)
+	t.level, t.long = t.Class.Rank(), s.long(t.Route)
 	if !t.long {
 		s.shortSeen = now
 	}
@@ -129,6 +133,13 @@
 	}
 }
 
+// long reports whether calls of the route are long jobs that short ones must be
+// kept from waiting for. Where a slot is free every few milliseconds all the same,
+// to keep half of them for the short ones would waste what the others need.
+func (s *Slots) long(r kqname.Route) bool {
+	return s.work.Long(r) && s.work.Expect(r) >= noticed*time.Duration(s.limit.Allowed())
+}
+
 // Leave gives back the slot of a ticket whose call took so long at the
 // upstream, and returns the tickets that this settles.
 func (s *Slots) Leave(t *Ticket, took time.Duration, now time.Time) []*Ticket {
@@ -168,7 +179,7 @@
 func (s *Slots) Close() []*Ticket {
 	s.closed = true
 	var settled []*Ticket
-	for _, lanes := range []*[classes]*kqfair.Queue{&s.short, &s.long} {
+	for _, lanes := range []*[classes]*kqfair.Queue{&s.shortLanes, &s.longLanes} {
 		for lengthOf(lanes) > 0 {
 			t := s.pop(lanes, time.Time{})
 			t.refuse(kqcall.Draining, minRetryAfter)
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -48,6 +48,9 @@
 	RoleAdmin Role = "admin"
 
 	sweepEvery = 250 * time.Millisecond
+	// acquaintance is how long a node waits to hear of its peers' upstreams before
+	// it says that it is ready; they announce themselves within two seconds.
+	acquaintance = 3 * time.Second
 	// storeCallsEvery is the pause between two lines on the calls to the store.
 	storeCallsEvery = 10 * time.Second
 	// stopMargin is left of the time until the kill for the goodbye and the end
@@ -245,8 +248,26 @@
 	}).Info("Member changed.")
 }
 
-// Ready reports whether the node has a configuration and is not leaving.
-func (n *Node) Ready() bool { return n.replica.Current().Version() > 0 && !n.leaving.Load() }
+// Ready reports whether the node has a configuration, knows whom to send calls to,
+// and is not leaving.
+func (n *Node) Ready() bool {
+	return n.replica.Current().Version() > 0 && !n.leaving.Load() && n.acquainted(time.Now())
+}
+
+// acquainted reports whether the node knows an upstream to send calls to, or has
+// had the time to hear of one. A node that has just started would else refuse all
+// that comes in the moment between its configuration and its peers' answers.
+func (n *Node) acquainted(now time.Time) bool {
+	if n.adapter.Dialect == nil || now.Sub(n.started) >= acquaintance {
+		return true
+	}
+	for _, m := range n.table.Members() {
+		if m.Node != n.settings.Node.Name && m.State == kqmember.Alive && len(m.Upstreams) > 0 {
+			return true
+		}
+	}
+	return false
+}
 
 // Name returns the node's name.
 func (n *Node) Name() kqname.Node { return n.settings.Node.Name }
