Use a leaving node's upstream until its callers have gone

Ruled out: gates of the others (all slots in use). Change: callers go first, then the gate; others let go of their connections to a node that leaves.

--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -42,6 +42,14 @@
 // Close ends the idle connections to other nodes' gates.
 func (e *Entry) Close() { e.clients.close() }
 
+// LetGo ends the idle connections to the gate of a node that is going, which waits
+// for that.
+func (e *Entry) LetGo(gate kqname.Address) {
+	if found, ok := e.clients.find(gate); ok {
+		found.Close()
+	}
+}
+
 // Sweep closes what has been idle and forgets gates that are gone.
 func (e *Entry) Sweep(now time.Time) { e.clients.sweep(now) }
 
--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -187,10 +187,15 @@
 	return b
 }
 
-func (c *clients) get(to kqname.Address) *kqsend.Client {
+func (c *clients) find(to kqname.Address) (*client, bool) {
 	c.mu.RLock()
+	defer c.mu.RUnlock()
 	found, ok := c.held[to]
-	c.mu.RUnlock()
+	return found, ok
+}
+
+func (c *clients) get(to kqname.Address) *kqsend.Client {
+	found, ok := c.find(to)
 	if ok {
 		return found.Client
 	}
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -40,7 +40,7 @@
 	// and are served until closeMargin before the end.
 	callerGrace = 2200 * time.Millisecond
 	callerQuiet = 700 * time.Millisecond
-	closeMargin = time.Second
+	closeMargin = 2 * time.Second
 	emptyPoll   = 10 * time.Millisecond
 	// ownGrace is how long callers are given where nobody asks whether the node
 	// is ready.
@@ -139,8 +139,6 @@
 // had the time to: nodes keep an idle connection for kqsend.IdleFor only.
 func (n *Node) leaveCalls(ctx context.Context) error {
 	n.gate.Leave()
-	n.entry.Leave()
-	n.deserted(ctx)
 	n.quiesce(ctx, RoleEntry, RoleLocal)
 	err := n.servers.shutdown(ctx, n.servers.entry, n.servers.local)
 	n.entry.Close()
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -309,13 +309,17 @@
 	return address(n.listeners.admin)
 }
 
-// leave tells the others first, so that they stop sending, and then waits for
-// the calls in flight. The other way round, calls would meet a closed gate.
+// leave lets callers go elsewhere first, and the local upstream be used meanwhile:
+// it is well, and out of reach while its node is away. Then it tells the others, so
+// that they stop sending, and waits for the calls in flight. The other way round,
+// calls would meet a closed gate.
 func (n *Node) leave() error {
 	n.leaving.Store(true)
 	n.log.Info("Leaving.")
 	ctx, cancel := context.WithTimeout(context.Background(), n.drainTimeout())
 	defer cancel()
+	n.entry.Leave()
+	n.deserted(ctx)
 	n.table.Update(func(m *kqmember.Member) { m.State = kqmember.Leaving })
 	n.exchange.Announce(ctx)
 	n.rollouts.leave(ctx)
@@ -344,6 +348,11 @@
 	n.local.Sweep(now)
 	n.gate.Sweep(now)
 	n.entry.Sweep(now)
+	for _, m := range n.table.Members() {
+		if m.State >= kqmember.Leaving {
+			n.entry.LetGo(m.Gate)
+		}
+	}
 	n.replica.Sweep(now.Add(-n.settings.Config.InterestIdle))
 }
 
