--- a/internal/peer/kqdeparture/departure.go
+++ b/internal/peer/kqdeparture/departure.go
@@ -100,14 +100,15 @@
 		return
 	}
 	stored := make(chan struct{}, 1)
-	d.group.Go(func() { d.persist(context.WithoutCancel(ctx), one, stored) })
-	ctx, cancel := context.WithTimeout(ctx, tellFor)
+	beside := context.WithoutCancel(ctx)
+	d.group.Go(func() { d.persist(beside, one, stored) })
+	waiting, cancel := context.WithTimeout(ctx, tellFor)
 	defer cancel()
 	peers := d.peers()
 	held := make(chan struct{}, len(peers))
 	for _, to := range peers {
 		d.group.Go(func() {
-			asking, stop := context.WithTimeout(context.WithoutCancel(ctx), tellFor)
+			asking, stop := context.WithTimeout(beside, tellFor)
 			defer stop()
 			if _, err := kqpeer.Call[all, nothing](asking, d.client, to, methodTell, all{[]Departure{one}}); err == nil {
 				held <- struct{}{}
@@ -120,7 +121,7 @@
 			n++
 		case <-stored:
 			return
-		case <-ctx.Done():
+		case <-waiting.Done():
 			return
 		}
 	}
