Refuse what a node that ends could not answer, and take large versions whole

Change: all objects of a version come in one call where a peer is busy; a node that has served its callers to 2.3 s before its end refuses what comes then. Ruled out: the followers (the first had the version 0.1 s after its acknowledgement).

--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -24,6 +24,9 @@
 	defaultTimeout = 10 * time.Second
 	configWait     = 2 * time.Second
 	maxTries       = 3
+	// awayFor is what callers of a node that ends are told: about as long as it
+	// takes to end and start again.
+	awayFor = 2 * time.Second
 	// ample is the part of a route's target within which an upstream near by is
 	// expected to answer to go before all others: one call in a hundred takes more
 	// than 2.5 times its expected time.
@@ -78,10 +81,11 @@
 		recorder  Recorder
 		// bound is what operators allow of second sendings over all nodes, whose
 		// number is nodes; nil nodes keeps to this program's own budget.
-		bound   kqallowance.Bound
-		nodes   func() int
-		origin  kqname.Service
-		leaving atomic.Bool
+		bound    kqallowance.Bound
+		nodes    func() int
+		origin   kqname.Service
+		leaving  atomic.Bool
+		refusing atomic.Bool
 		// arrived is when the last call came, in nanoseconds since 1970.
 		arrived atomic.Int64
 		now     func() time.Time
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -39,6 +39,10 @@
 // Quiet returns for how long no call has come.
 func (e *Entry) Quiet(now time.Time) time.Duration { return now.Sub(time.Unix(0, e.arrived.Load())) }
 
+// Refuse refuses all calls that come from now on: the process ends before they
+// would have their answers, which would be cut off.
+func (e *Entry) Refuse() { e.refusing.Store(true) }
+
 // Close ends the idle connections to other nodes' gates.
 func (e *Entry) Close() { e.clients.close() }
 
@@ -90,6 +94,11 @@
 	if c.Depth > kqcall.MaxDepth {
 		return kqcall.Refuse(kqcall.Malformed)
 	}
+	if e.refusing.Load() {
+		o := kqcall.Refuse(kqcall.Draining)
+		o.RetryAfter = awayFor
+		return o
+	}
 	snapshot, route, refusal := e.match(c, now)
 	if refusal != kqcall.NoReason {
 		o := kqcall.Refuse(refusal)
--- a/internal/config/kqfetch/fetch.go
+++ b/internal/config/kqfetch/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -77,6 +78,8 @@
 		total    float64
 		expected int
 		limiter  *rate.Limiter
+		// whole tells that the platform brings all objects of a version in one call.
+		whole bool
 
 		mu      sync.Mutex
 		held    Held
@@ -119,6 +122,10 @@
 	return f
 }
 
+// TakeWhole tells that the platform brings all objects of a version in one call, so
+// that a node need not wait for a busy peer, nor ask for each object apart.
+func (f *Fetcher) TakeWhole() { f.whole = true }
+
 // Serve sets what is given to peers.
 func (f *Fetcher) Serve(h Held) { f.held = h }
 
@@ -140,6 +147,9 @@
 		if wait == 0 || pass == passes-1 {
 			break
 		}
+		if f.whole && f.fromPlatform(ctx, missing(wanted, found), found) == nil {
+			return found, nil
+		}
 		sleep(ctx, rand.N(wait)+time.Millisecond)
 	}
 	return found, f.fromPlatform(ctx, missing(wanted, found), found)
@@ -237,6 +247,9 @@
 }
 
 func (f *Fetcher) fromPlatform(ctx context.Context, wanted []kqresource.Digest, found kqresource.Objects) error {
+	if f.whole {
+		return f.allAtOnce(ctx, wanted, found)
+	}
 	for _, d := range wanted {
 		data, err := f.one(ctx, d)
 		if err != nil {
@@ -247,6 +260,28 @@
 	return nil
 }
 
+// allAtOnce takes all objects in one call.
+func (f *Fetcher) allAtOnce(ctx context.Context, wanted []kqresource.Digest, found kqresource.Objects) error {
+	if len(wanted) == 0 {
+		return nil
+	}
+	perSecond, most := f.share()
+	f.limiter.SetLimit(rate.Limit(perSecond))
+	f.limiter.SetBurst(most)
+	if err := f.limiter.Wait(ctx); err != nil {
+		return fmt.Errorf("keep to the platform's rate: %w", err)
+	}
+	objects, err := f.platform.Fetch(ctx, wanted)
+	if err != nil {
+		return fmt.Errorf("fetch %d objects: %w", len(wanted), err)
+	}
+	maps.Copy(found, objects)
+	if left := missing(wanted, found); len(left) > 0 {
+		return fmt.Errorf("fetch %d objects, first %s: %w", len(left), left[0], errMissing)
+	}
+	return nil
+}
+
 // one reads an object from the platform, once for all who want it now.
 func (f *Fetcher) one(ctx context.Context, d kqresource.Digest) ([]byte, error) {
 	f.mu.Lock()
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -37,10 +37,11 @@
 	// elsewhere when the node leaves: whoever places them asks once a second
 	// whether the node is ready and needs two answers. callerQuiet without a call
 	// tells that they have gone; where too few other nodes are ready they stay,
-	// and are served until closeMargin before the end.
+	// and are served until closeMargin before the end: a call that is taken then has
+	// as long to be answered as all but the slowest take.
 	callerGrace = 2200 * time.Millisecond
 	callerQuiet = 700 * time.Millisecond
-	closeMargin = 2 * time.Second
+	closeMargin = 2300 * time.Millisecond
 	emptyPoll   = 10 * time.Millisecond
 	// ownGrace is how long callers are given where nobody asks whether the node
 	// is ready.
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -320,6 +320,7 @@
 	defer cancel()
 	n.entry.Leave()
 	n.deserted(ctx)
+	n.entry.Refuse()
 	n.table.Update(func(m *kqmember.Member) { m.State = kqmember.Leaving })
 	n.exchange.Announce(ctx)
 	n.rollouts.leave(ctx)
