--- a/internal/config/kqfetch/fetch.go
+++ b/internal/config/kqfetch/fetch.go
@@ -16,6 +16,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqpause"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -150,7 +151,7 @@
 		if f.whole && f.fromPlatform(ctx, missing(wanted, found), found) == nil {
 			return found, nil
 		}
-		sleep(ctx, rand.N(wait)+time.Millisecond)
+		kqpause.For(ctx, rand.N(wait)+time.Millisecond)
 	}
 	return found, f.fromPlatform(ctx, missing(wanted, found), found)
 }
--- a/internal/config/kqfetch/peers.go
+++ b/internal/config/kqfetch/peers.go
@@ -1,10 +1,8 @@
 package kqfetch
 
 import (
-	"context"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
@@ -59,10 +57,3 @@
 	}
 	return list
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/config/kqorigin/origin.go
+++ b/internal/config/kqorigin/origin.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqpause"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -130,7 +131,7 @@
 			return
 		}
 		o.failed(err)
-		pause(ctx, rand.N(backoff)+time.Millisecond)
+		kqpause.For(ctx, rand.N(backoff)+time.Millisecond)
 		backoff = min(2*backoff, backoffMost)
 	}
 }
@@ -153,7 +154,7 @@
 
 func (o *Origin) poll(ctx context.Context) {
 	for {
-		pause(ctx, pollEvery-pollSpread+rand.N(2*pollSpread))
+		kqpause.For(ctx, pollEvery-pollSpread+rand.N(2*pollSpread))
 		if ctx.Err() != nil {
 			return
 		}
@@ -284,10 +285,3 @@
 	}
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/config/kqreader/reader.go
+++ b/internal/config/kqreader/reader.go
@@ -12,6 +12,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqlease"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqpause"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -85,10 +86,10 @@
 // Run takes part until ctx ends.
 func (r *Reader) Run(ctx context.Context) {
 	defer r.group.Wait()
-	pause(ctx, rand.N(r.spread+1))
+	kqpause.For(ctx, rand.N(r.spread+1))
 	for ctx.Err() == nil {
 		r.step(ctx)
-		pause(ctx, stepEvery/2+rand.N(stepEvery))
+		kqpause.For(ctx, stepEvery/2+rand.N(stepEvery))
 	}
 	r.stop()
 }
@@ -125,7 +126,7 @@
 	case kqlease.Look:
 		if !known {
 			// Everybody who knows nobody ranks first; chance ranks them instead.
-			pause(ctx, rand.N(lonelyPause))
+			kqpause.For(ctx, rand.N(lonelyPause))
 		}
 		r.look(ctx)
 	case kqlease.Renew:
@@ -265,10 +266,3 @@
 	r.stop()
 	r.holder.Lost()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/peer/kqdeparture/departure.go
+++ b/internal/peer/kqdeparture/departure.go
@@ -14,6 +14,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqpause"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -137,7 +138,7 @@
 			stored <- struct{}{}
 			return
 		}
-		pause(ctx, storeAgain)
+		kqpause.For(ctx, storeAgain)
 	}
 }
 
@@ -154,7 +155,7 @@
 		if len(answered) >= told || stored && len(answered) > 0 {
 			break
 		}
-		pause(ctx, askPause)
+		kqpause.For(ctx, askPause)
 	}
 	return d.list(time.Now())
 }
@@ -261,10 +262,3 @@
 	}
 	return Departure{Instance: kqname.Instance(instance), Born: n}, nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/peer/kqregister/register.go
+++ b/internal/peer/kqregister/register.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquatgw/kumquatgw/internal/run/kqpause"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -78,7 +79,7 @@
 		next, err := r.step(ctx, lease)
 		lease = next
 		if err == nil {
-			pause(ctx, renewEvery)
+			kqpause.For(ctx, renewEvery)
 			continue
 		}
 		if errors.Is(err, kqstore.ErrLeaseLapsed) {
@@ -87,7 +88,7 @@
 		if ctx.Err() == nil {
 			r.failed(err)
 		}
-		pause(ctx, retryEvery/2+rand.N(retryEvery))
+		kqpause.For(ctx, retryEvery/2+rand.N(retryEvery))
 	}
 }
 
@@ -121,13 +122,13 @@
 		if peers == 0 {
 			every = aloneEvery
 		}
-		pause(ctx, every/2+rand.N(every))
+		kqpause.For(ctx, every/2+rand.N(every))
 		l, err := r.store.List(ctx, prefix)
 		if err != nil {
 			if ctx.Err() == nil {
 				r.failed(fmt.Errorf("look for peers: %w", err))
 			}
-			pause(ctx, rand.N(retryEvery))
+			kqpause.For(ctx, rand.N(retryEvery))
 			continue
 		}
 		left := asked
@@ -141,10 +142,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- /dev/null
+++ b/internal/run/kqnode/leave.go
@@ -0,0 +1,45 @@
+package kqnode
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+)
+
+// leave lets callers go elsewhere first, and the local upstream be used meanwhile:
+// it is well, and out of reach while its node is away. Then it tells the others, so
+// that they stop sending, and waits for the calls in flight. The other way round,
+// calls would meet a closed gate.
+func (n *Node) leave() error {
+	n.leaving.Store(true)
+	n.log.Info("Leaving.")
+	ctx, cancel := context.WithTimeout(context.Background(), n.drainTimeout())
+	defer cancel()
+	n.entry.Leave()
+	n.deserted(ctx)
+	n.entry.Refuse()
+	n.table.Update(func(m *kqmember.Member) { m.State = kqmember.Leaving })
+	n.exchange.Announce(ctx)
+	n.rollouts.leave(ctx)
+	err := n.leaveCalls(ctx)
+	if n.admin != nil {
+		err = errors.Join(err, n.admin.Shutdown())
+	}
+	n.distribution.reader.Close(ctx)
+	// A goodbye spares the others the suspicion.
+	n.table.Update(func(m *kqmember.Member) { m.State = kqmember.Dead })
+	n.exchange.Announce(ctx)
+	return err
+}
+
+// drainTimeout is how long calls in flight may take at shutdown. A process that
+// is killed meanwhile would cut them and say no goodbye.
+func (n *Node) drainTimeout() time.Duration {
+	s := n.settings.Node
+	if s.KillAfter == 0 {
+		return s.DrainTimeout
+	}
+	return min(s.DrainTimeout, max(s.KillAfter-stopMargin, s.KillAfter/2))
+}
