Renew a node's entry as soon as the store answers again

Cause: a node that had noticed the store's return renewed its entry only when that was due, up to 6.7 s later; a lease that lapsed meanwhile left it unlisted. Change: the return wakes the renewal. Tests of entries, of orders' steps and of whom the old version's calls may go to.

--- a/internal/peer/kqregister/register.go
+++ b/internal/peer/kqregister/register.go
@@ -54,6 +54,8 @@
 		known   func(kqname.Address) (peers int, known bool)
 		contact func(context.Context, kqname.Address)
 		failed  func(error)
+		// wake has the entry renewed at once.
+		wake chan struct{}
 	}
 )
 
@@ -62,7 +64,16 @@
 func New(store Store, node kqname.Node, control kqname.Address,
 	known func(kqname.Address) (int, bool), contact func(context.Context, kqname.Address), failed func(error),
 ) *Register {
-	return &Register{store: store, node: node, control: control, known: known, contact: contact, failed: failed}
+	return &Register{store: store, node: node, control: control, known: known, contact: contact, failed: failed, wake: make(chan struct{}, 1)}
+}
+
+// Wake has the entry renewed now: the store is back, and may have let its lease
+// lapse meanwhile.
+func (r *Register) Wake() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Run keeps the entry and looks for peers until ctx ends.
@@ -79,7 +90,7 @@
 		next, err := r.step(ctx, lease)
 		lease = next
 		if err == nil {
-			kqpause.For(ctx, renewEvery)
+			r.rest(ctx)
 			continue
 		}
 		if errors.Is(err, kqstore.ErrLeaseLapsed) {
@@ -92,6 +103,17 @@
 	}
 }
 
+// rest waits for the next renewal.
+func (r *Register) rest(ctx context.Context) {
+	timer := time.NewTimer(renewEvery)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-r.wake:
+	case <-timer.C:
+	}
+}
+
 // step renews the lease, or writes the entry under a new one, and returns the
 // lease that holds from now on.
 func (r *Register) step(ctx context.Context, lease kqstore.Lease) (kqstore.Lease, error) {
--- /dev/null
+++ b/internal/peer/kqregister/register_test.go
@@ -0,0 +1,95 @@
+package kqregister_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqregister"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstandin"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const patience = 20 * time.Second
+
+// peers is what one node has found.
+type peers struct {
+	mu    sync.Mutex
+	found map[kqname.Address]bool
+}
+
+func (p *peers) known(to kqname.Address) (int, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.found), p.found[to]
+}
+
+func (p *peers) contact(_ context.Context, to kqname.Address) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.found[to] = true
+}
+
+func start(t *testing.T, store *kqstandin.Standin, node string) (*peers, *kqregister.Register) {
+	t.Helper()
+	p := &peers{found: make(map[kqname.Address]bool)}
+	r := kqregister.New(store, kqname.Node(node), kqname.Address(node+":1"), p.known, p.contact, func(error) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { r.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	return p, r
+}
+
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	t.Fatalf("waited %s until %s", patience, what)
+}
+
+// Two nodes start in failure domains of their own, with no seeds, while the store
+// is away. Once it is back they must find each other, or callers of one would
+// never reach the other's upstream.
+func TestNodesFindEachOtherOnceTheStoreIsBack(t *testing.T) {
+	store := kqstandin.New()
+	store.SetFaults(kqstandin.Faults{Down: true})
+	a, _ := start(t, store, "a")
+	b, _ := start(t, store, "b")
+	store.SetFaults(kqstandin.Faults{})
+	await(t, "each has found the other", func() bool {
+		_, first := a.known("b:1")
+		_, second := b.known("a:1")
+		return first && second
+	})
+}
+
+// The leases of all nodes lapse while the store is away. Their entries must be
+// back soon after it returns, or a node that starts then would find nobody.
+func TestEntryIsBackAfterItsLeaseLapsed(t *testing.T) {
+	store := kqstandin.New()
+	_, r := start(t, store, "a")
+	listed := func() int {
+		l, err := store.List(t.Context(), "kumquatgw/nodes/")
+		if err != nil {
+			return 0
+		}
+		return len(l.Entries)
+	}
+	await(t, "the entry is there", func() bool { return listed() == 1 })
+	store.SetFaults(kqstandin.Faults{LapseLeases: true})
+	if listed() != 0 {
+		t.Fatal("the entry outlives its lease")
+	}
+	r.Wake()
+	await(t, "the entry is back", func() bool { return listed() == 1 })
+}
--- a/internal/rollout/kqshare/share_test.go
+++ b/internal/rollout/kqshare/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,3 +53,31 @@
 		}
 	}
 }
+
+// An order names the new version only, and an earlier new version was taken back
+// while its upstreams still run. Calls for the old version must go to neither, or
+// callers would meet the version that was found bad.
+func TestOldIsEveryVersionThatWasNotTakenBack(t *testing.T) {
+	var all []kqmember.Candidate
+	for i, v := range []kqname.UpstreamVersion{"v1", "v1", "v2", "v3", "v3", "v3", "v3"} {
+		all = append(all, kqmember.Candidate{Upstream: kqmember.Upstream{Version: v, Slots: 6}, Node: kqname.Node(fmt.Sprint(i))})
+	}
+	s := kqshare.Share{To: "v3", Of: 0.65, Not: []kqname.UpstreamVersion{"v2"}, Grow: true}
+	b := s.Burst(all)
+	random := rand.New(rand.NewPCG(1, 1))
+	next := 0
+	for range 1000 {
+		target := b.Split(time.Unix(7, 0), random)
+		if target.Version == "v3" {
+			next++
+			target = target.Next()
+		}
+		if !slices.Contains(target.Not, "v2") || !slices.Contains(target.Not, "v3") {
+			t.Fatalf("the old version's calls may go to %+v", target)
+		}
+	}
+	// Four of the six upstreams in use are new ones.
+	if next < 620 || next > 710 {
+		t.Errorf("%d of 1000 calls went to the new version, want two thirds", next)
+	}
+}
--- a/internal/rollout/kqstep/step_test.go
+++ b/internal/rollout/kqstep/step_test.go
@@ -59,3 +59,36 @@
 		}
 	}
 }
+
+// A rollout is ordered to be done within twelve seconds, and the version is good:
+// among a hundred calls two have failed while servers restarted. It must use the
+// new upstreams before half of the time is up and end as done in time; taken back
+// for so little, they would stand idle beside overloaded old ones.
+func TestGoodOrderIsDoneInTime(t *testing.T) {
+	plan := kqplan.Plan{Duration: 12 * time.Second, Prefer: kqdocument.PreferFinishing, SmallShare: 0.05}.Begin(start)
+	s := kqstep.State{Plan: plan, OldSlots: 36, NewSlots: 60, Finding: kqverdict.Finding{Calls: 133, Total: 1.1, Cleared: -3}}
+	for now := start; now.Before(start.Add(12 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		switch d := kqstep.Decide(now, s); d.Action {
+		case kqstep.Advance:
+			s.Progress.Step++
+		case kqstep.TakeBack:
+			t.Fatalf("taken back after %s: %s", now.Sub(start), d.Why)
+		case kqstep.Done:
+			return
+		}
+		if now.Sub(start) > 6*time.Second && s.Progress.Step < 2 {
+			t.Fatalf("still at step %d after half of the time", s.Progress.Step)
+		}
+	}
+	t.Error("not done in time")
+}
+
+// A version fails every second call. Whatever its order's time, the evidence of a
+// few tens of calls must take it back at once.
+func TestBadOrderIsTakenBackAtOnce(t *testing.T) {
+	plan := kqplan.Plan{Duration: 12 * time.Second, Prefer: kqdocument.PreferFinishing, SmallShare: 0.05}.Begin(start)
+	s := kqstep.State{Plan: plan, Progress: kqprogress.Progress{Step: 2}, OldSlots: 36, NewSlots: 60, Finding: kqverdict.Finding{Calls: 30, Total: 9}}
+	if d := kqstep.Decide(start.Add(3*time.Second), s); d.Action != kqstep.TakeBack {
+		t.Errorf("%+v, want taken back", d)
+	}
+}
--- a/internal/run/kqnode/adapter.go
+++ b/internal/run/kqnode/adapter.go
@@ -62,6 +62,9 @@
 		entry.Warn("Store does not answer.")
 	} else {
 		entry.Info("Store answers again.")
+		if n.distribution.register != nil {
+			n.distribution.register.Wake()
+		}
 	}
 }
 
