--- a/internal/rollout/kqstep/step.go
+++ b/internal/rollout/kqstep/step.go
@@ -91,8 +91,8 @@
 	// the first three or four seconds, a third of the window; what is bad beyond
 	// doubt then shows within a second at any share, so that the new upstreams,
 	// which stand idle beside loaded old ones, are put to use early. Done leaves a
-	// tenth of the window to an owner that dies and a store that is slow.
-	orderedSchedule = [...]stage{{0, 0}, {0, 0}, {0.25, 0.35}, {0.5, 0.47}, {0.65, 0.6}, {1, 0.9}}
+	// fifth of the window, which outlasts the lease of an owner that dies then.
+	orderedSchedule = [...]stage{{0, 0}, {0, 0}, {0.25, 0.35}, {0.5, 0.47}, {0.65, 0.6}, {1, 0.8}}
 
 	finishing = weights{alarm: math.Log(1 / 0.001), lean: 2, doubt: 2.2, carry: 0.3}
 	// ordered is for rollouts that are ordered by a length of seconds. So few calls
