Spend on a second sending only where there is one, and take whole heads

Cause: the allowance was spent on calls that had no attempt or no time left; a head near the operators' 16 KB was over the bound once a node had added its own. Change: the allowance is asked last; heads may have 18 KB between nodes.

--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -152,7 +152,7 @@
 		last, load, told = e.send(c, gate)
 		sent := now
 		now = e.now()
-		again := s.done(c, to, last, load, told, now) || s.elsewhere(last, target, tried, now)
+		s.done(c, to, last, load, told, now)
 		try.Took, try.Outcome, try.Ejected = now.Sub(sent), last, to.Ejected()
 		if last.Result == kqcall.Answered {
 			try.Status = c.Response.StatusCode()
@@ -163,7 +163,8 @@
 		if last.Result != kqcall.NotRun {
 			ran++
 		}
-		try.Again = sends < most && len(tried) < maxGates && (again || e.plainRetry(c, last)) && now.Before(c.Deadline) && !c.Cancel.Done()
+		possible := sends < most && len(tried) < maxGates && now.Before(c.Deadline) && !c.Cancel.Done()
+		try.Again = possible && (s.again(c, last) || s.elsewhere(last, target, tried, now) || e.plainRetry(c, last))
 		f.tries = append(f.tries, try)
 		if !try.Again {
 			return honest(last, ran)
--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -106,8 +106,8 @@
 	return p, p.Candidate, chosen(p, c, now)
 }
 
-// done takes in how a try ended and reports whether there may be another.
-func (s *service) done(c *kqcall.Call, to *kqpick.Peer, o kqcall.Outcome, load kqcall.Load, told bool, now time.Time) bool {
+// done takes in how a try ended.
+func (s *service) done(c *kqcall.Call, to *kqpick.Peer, o kqcall.Outcome, load kqcall.Load, told bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var known *kqcall.Load
@@ -116,6 +116,12 @@
 	}
 	failed := o.Result == kqcall.Answered && c.Response.StatusCode() >= failureStatus
 	s.pool.Done(to, o, failed, known, now)
+}
+
+// again reports whether a call may be sent to another upstream, and counts it.
+func (s *service) again(c *kqcall.Call, o kqcall.Outcome) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.allowance != nil {
 		return s.mayRepeat(c, o)
 	}
--- a/internal/call/kqgate/upstream.go
+++ b/internal/call/kqgate/upstream.go
@@ -13,8 +13,8 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
-// maxConnections is what an upstream takes, by the users' figures.
 const (
+	// maxConnections is what an upstream takes, by the users' figures.
 	maxConnections = 100
 	// upstreamIdle is how long a connection to an upstream is kept without a
 	// call. A new one costs the upstream about 1 ms of a slot; one that the
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -31,8 +31,9 @@
 	// client is the one to close: a server that closes first could cut a call
 	// that was just being sent.
 	serverIdle = time.Minute
-	// headerSize bounds a call's head, in bytes.
-	headerSize = 16 << 10
+	// headerSize bounds a call's head, in bytes: 16 KB of the caller's own, and what
+	// nodes add on the way to a gate.
+	headerSize = 18 << 10
 	// callerGrace is how long callers from outside are given at least to go
 	// elsewhere when the node leaves: whoever places them asks once a second
 	// whether the node is ready and needs two answers. callerQuiet without a call
