Count calls' times by stage

Cause: counters told how calls ended, not how long they waited or took. Change: a histogram by stage: the whole at the entry, the queue, the upstream.

--- a/internal/run/kqmetric/metric.go
+++ b/internal/run/kqmetric/metric.go
@@ -23,6 +23,7 @@
 	budgetBound    *prometheus.CounterVec
 	spreadDropped  prometheus.Counter
 	leftOut        prometheus.Counter
+	seconds        *prometheus.HistogramVec
 	storeCalls     *prometheus.CounterVec
 	storeMu        sync.Mutex
 	storeCounts    map[string]uint64
@@ -65,7 +66,11 @@
 	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kumquatgw_store_calls_total", Help: "Calls to the platform's store by kind and status, 0 where no answer came.",
 	}, []string{"call", "status"})
-	m.registry.MustRegister(m.leftOut, m.storeCalls)
+	m.seconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "kumquatgw_call_seconds", Help: "Time of calls by stage: call is the whole at the entry, queue the wait at the gate, upstream the upstream's.",
+		Buckets: []float64{0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 10},
+	}, []string{"stage"})
+	m.registry.MustRegister(m.leftOut, m.storeCalls, m.seconds)
 	m.registry.MustRegister(m.ended, m.retried, m.gated, m.configRefused, m.platformFailed, m.budgetBound, m.spreadDropped, m.version,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "kumquatgw_control_sent_bytes_total", Help: "Bytes of control traffic sent to peers.",
@@ -110,6 +115,11 @@
 	return maps.Clone(m.storeCounts)
 }
 
+// Took notes the time of a call's stage: "call", "queue" or "upstream".
+func (m *Metrics) Took(stage string, d time.Duration) {
+	m.seconds.WithLabelValues(stage).Observe(d.Seconds())
+}
+
 // LeftOut counts a log line that was over the rate for its reason.
 func (m *Metrics) LeftOut(string) { m.leftOut.Inc() }
 
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -78,7 +78,7 @@
 	if n.settings.Call.Policy == baseline {
 		gate, entry = append(gate, kqgate.WithBaseline()), append(entry, kqentry.WithBaseline())
 	}
-	n.recorder = kqrecord.New(n.logger.Part("call"), n.logger.Part("gate"), n.settings.Log.Sample, n.settings.Log.PerReason, n.metrics.LeftOut)
+	n.recorder = kqrecord.New(n.logger.Part("call"), n.logger.Part("gate"), n.settings.Log.Sample, n.settings.Log.PerReason, n.metrics)
 	gate, entry = append(gate, kqgate.WithRecorder(n.recorder)), append(entry, kqentry.WithRecorder(n.recorder))
 	if d := n.adapter.Dialect; d != nil {
 		gate, entry = append(gate, kqgate.WithDialect(d)), append(entry, kqentry.WithDialect(d), kqentry.WithOrigin(n.settings.Node.Service))
--- a/internal/run/kqrecord/record.go
+++ b/internal/run/kqrecord/record.go
@@ -20,7 +20,7 @@
 	// Recorder writes calls' lines. It is safe for concurrent use.
 	Recorder struct {
 		call, gate *logrus.Entry
-		leftOut    func(reason string)
+		counter    Counter
 		sample     atomic.Int64
 		perReason  atomic.Int64
 
@@ -28,6 +28,12 @@
 		windows map[string]*window
 	}
 
+	// Counter counts lines that are left out and takes the times of calls' stages.
+	Counter interface {
+		LeftOut(reason string)
+		Took(stage string, d time.Duration)
+	}
+
 	// window counts one reason's lines in one second.
 	window struct {
 		second  int64
@@ -37,9 +43,9 @@
 )
 
 // New returns a recorder that keeps one in sample successes, none at 0, and at
-// most perReason lines a second for each reason; leftOut counts the others.
-func New(call, gate *logrus.Entry, sample, perReason int, leftOut func(reason string)) *Recorder {
-	r := &Recorder{call: call, gate: gate, leftOut: leftOut, windows: make(map[string]*window)}
+// most perReason lines a second for each reason; counter counts the others.
+func New(call, gate *logrus.Entry, sample, perReason int, counter Counter) *Recorder {
+	r := &Recorder{call: call, gate: gate, counter: counter, windows: make(map[string]*window)}
 	r.Set(sample, perReason)
 	return r
 }
@@ -52,6 +58,7 @@
 
 // Ended implements kqentry.Recorder.
 func (r *Recorder) Ended(e kqentry.Record, now time.Time) {
+	r.counter.Took("call", now.Sub(e.Call.Arrived))
 	plain := e.Outcome.Result == kqcall.Answered && e.Status < failureStatus && len(e.Tries) == 1
 	if !r.keeps(e.Call.ID, "call "+string(e.Outcome.Reason), plain, now) {
 		return
@@ -78,6 +85,10 @@
 
 // Gated implements kqgate.Recorder.
 func (r *Recorder) Gated(g kqgate.Record, now time.Time) {
+	r.counter.Took("queue", g.Waited)
+	if g.Took > 0 {
+		r.counter.Took("upstream", g.Took)
+	}
 	plain := g.Outcome.Result == kqcall.Answered && g.Status < failureStatus
 	if !r.keeps(g.Call.ID, "gate "+string(g.Outcome.Reason), plain, now) {
 		return
@@ -115,7 +126,7 @@
 	}
 	if w.written >= r.perReason.Load() {
 		w.leftOut++
-		r.leftOut(reason)
+		r.counter.LeftOut(reason)
 		return false
 	}
 	w.written++
--- a/internal/run/kqrecord/record_test.go
+++ b/internal/run/kqrecord/record_test.go
@@ -14,14 +14,23 @@
 	"github.com/kumquatgw/kumquatgw/internal/run/kqrecord"
 )
 
-func recorder(t testing.TB, sample, perReason int, leftOut func(string)) (*kqrecord.Recorder, *bytes.Buffer) {
+// count counts lines that were left out.
+type count int
+
+// LeftOut implements kqrecord.Counter.
+func (c *count) LeftOut(string) { *c++ }
+
+// Took implements kqrecord.Counter.
+func (c *count) Took(string, time.Duration) {}
+
+func recorder(t testing.TB, sample, perReason int, counter kqrecord.Counter) (*kqrecord.Recorder, *bytes.Buffer) {
 	t.Helper()
 	var out bytes.Buffer
 	logger, err := kqlog.New(&out, "info", "json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	return kqrecord.New(logger.Part("call"), logger.Part("gate"), sample, perReason, leftOut), &out
+	return kqrecord.New(logger.Part("call"), logger.Part("gate"), sample, perReason, counter), &out
 }
 
 func ended(id string, o kqcall.Outcome, status int) kqentry.Record {
@@ -35,8 +44,8 @@
 // the rate for their reason and the rest be counted, or the log costs the node the
 // processor that it lacks.
 func TestRefusalsAreBounded(t *testing.T) {
-	counted := 0
-	r, out := recorder(t, 0, 10, func(string) { counted++ })
+	var counted count
+	r, out := recorder(t, 0, 10, &counted)
 	now := time.Unix(1000, 0)
 	for i := range 1000 {
 		r.Ended(ended(fmt.Sprint(i), kqcall.Refuse(kqcall.QueueFull), 503), now)
@@ -53,8 +62,8 @@
 // An engineer looks for one successful call on two nodes. Sampling must keep the
 // lines of the same calls on both, or half of each call's way is missing.
 func TestNodesSampleTheSameCalls(t *testing.T) {
-	entry, first := recorder(t, 8, 10, func(string) {})
-	gate, second := recorder(t, 8, 10, func(string) {})
+	entry, first := recorder(t, 8, 10, new(count))
+	gate, second := recorder(t, 8, 10, new(count))
 	now := time.Unix(1000, 0)
 	for i := range 400 {
 		id := fmt.Sprint("call-", i)
@@ -75,7 +84,7 @@
 func BenchmarkEnded(b *testing.B) {
 	for _, sample := range []int{0, 64, 1} {
 		b.Run(fmt.Sprint("one in ", sample), func(b *testing.B) {
-			r, out := recorder(b, sample, 20, func(string) {})
+			r, out := recorder(b, sample, 20, new(count))
 			now := time.Unix(1000, 0)
 			ids := make([]kqentry.Record, 1024)
 			for i := range ids {
