--- a/internal/config/kqfetch/fetch.go
+++ b/internal/config/kqfetch/fetch.go
@@ -124,7 +124,7 @@
 }
 
 // TakeWhole tells that the platform brings all objects of a version in one call, so
-// that a node need not wait for a busy peer, nor ask for each object apart.
+// that a node which finds them nowhere else need not ask for each object apart.
 func (f *Fetcher) TakeWhole() { f.whole = true }
 
 // Serve sets what is given to peers.
@@ -148,9 +148,6 @@
 		if wait == 0 || pass == passes-1 {
 			break
 		}
-		if f.whole && f.fromPlatform(ctx, missing(wanted, found), found) == nil {
-			return found, nil
-		}
 		kqpause.For(ctx, rand.N(wait)+time.Millisecond)
 	}
 	return found, f.fromPlatform(ctx, missing(wanted, found), found)
