Finish reading a version that a newer one has overtaken

Ruled out: the store (it answered others), busy peers alone. Change: a read that has begun is finished.

--- a/internal/config/kqfetch/fetch.go
+++ b/internal/config/kqfetch/fetch.go
@@ -269,7 +269,12 @@
 	if err := f.limiter.Wait(ctx); err != nil {
 		return fmt.Errorf("keep to the platform's rate: %w", err)
 	}
-	objects, err := f.platform.Fetch(ctx, wanted)
+	// A newer version ends the wait for this one. What is read all the same serves
+	// the newer one; given up each time, a slow server would never have any while
+	// versions come faster than it can read one.
+	reading, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
+	defer cancel()
+	objects, err := f.platform.Fetch(reading, wanted)
 	if err != nil {
 		return fmt.Errorf("fetch %d objects: %w", len(wanted), err)
 	}
