--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -31,7 +31,8 @@
 	// expected to answer to go before all others: one call in a hundred takes more
 	// than 2.5 times its expected time.
 	ample = 0.4
-	// retryAfter is what refused callers are told that no gate has told more of.
+	// retryAfter is what refused callers are told that no gate has told more of, as
+	// long as a gate tells at least.
 	retryAfter = 250 * time.Millisecond
 	// maxGates bounds how many gates one call is offered to. Each costs about a
 	// tenth of a millisecond of processor time on two servers.
--- a/internal/config/kqorigin/origin.go
+++ b/internal/config/kqorigin/origin.go
@@ -272,13 +272,6 @@
 	return true
 }
 
-// Number returns the operators' own number of the document in force.
-func (o *Origin) Number() kqname.ConfigVersion {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.number
-}
-
 func sound(d kqdocument.Document) error {
 	if problems := kqdocument.Validate(d); len(problems) > 0 {
 		return fmt.Errorf("%d problems, the first at %w: %w", len(problems), problems[0], errInvalid)
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -45,7 +45,9 @@
 	// ones; without an end, an upstream whose every route has become slow would
 	// use half of its slots.
 	shortIdle = time.Second
-	// minRetryAfter is the least that a refused caller is told to stay away.
+	// minRetryAfter is the least that a refused caller is told to stay away: about
+	// two calls' work, in which a queue that is full has changed, and little enough
+	// for the call to make a target of half a second after all.
 	minRetryAfter = 250 * time.Millisecond
 )
 
