Keep every node current while versions come faster than a slow link carries them

Ruled out: the platform's rate (62 objects a second a reader, burst 32, is not reached) and processor time (3% of a core).

Change: a host's routes come in parts of 32; a fetch that has begun has 0.5 s after a newer version is known; those with the widest links follow; what a node has made is neither asked for nor counted.

--- a/internal/config/kqdelta/delta.go
+++ b/internal/config/kqdelta/delta.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -26,8 +27,8 @@
 // Between returns the delta from old to next, whose digests are given.
 func Between(old, next kqresource.Root, oldDigest, nextDigest kqresource.Digest) Delta {
 	d := Delta{Base: oldDigest, Result: nextDigest, Changed: next}
-	d.Changed.Hosts, d.GoneHosts = difference(old.Hosts, next.Hosts)
-	d.Changed.Services, d.GoneServices = difference(old.Services, next.Services)
+	d.Changed.Hosts, d.GoneHosts = difference(old.Hosts, next.Hosts, sameParts)
+	d.Changed.Services, d.GoneServices = difference(old.Services, next.Services, sameDigest)
 	return d
 }
 
@@ -51,10 +52,14 @@
 	return next, data, nil
 }
 
-func difference[K comparable](old, next map[K]kqresource.Digest) (changed map[K]kqresource.Digest, gone []K) {
-	changed = make(map[K]kqresource.Digest)
+func sameParts(a, b kqresource.Parts) bool { return slices.Equal(a, b) }
+
+func sameDigest(a, b kqresource.Digest) bool { return a == b }
+
+func difference[K comparable, V any](old, next map[K]V, same func(a, b V) bool) (changed map[K]V, gone []K) {
+	changed = make(map[K]V)
 	for k, d := range next {
-		if old[k] != d {
+		if !same(old[k], d) {
 			changed[k] = d
 		}
 	}
@@ -66,8 +71,8 @@
 	return changed, gone
 }
 
-func merged[K comparable](old, changed map[K]kqresource.Digest, gone []K) map[K]kqresource.Digest {
-	result := make(map[K]kqresource.Digest, len(old)+len(changed))
+func merged[K comparable, V any](old, changed map[K]V, gone []K) map[K]V {
+	result := make(map[K]V, len(old)+len(changed))
 	maps.Copy(result, old)
 	for _, k := range gone {
 		delete(result, k)
--- a/internal/config/kqdelta/delta_test.go
+++ b/internal/config/kqdelta/delta_test.go
@@ -16,10 +16,10 @@
 	t.Helper()
 	r := kqresource.Root{
 		Version: kqname.ConfigVersion(version),
-		Hosts:   make(map[kqname.Host]kqresource.Digest), Services: make(map[kqname.Service]kqresource.Digest),
+		Hosts:   make(map[kqname.Host]kqresource.Parts), Services: make(map[kqname.Service]kqresource.Digest),
 	}
 	for i, m := range marks {
-		r.Hosts[kqname.Host(fmt.Sprintf("host-%d", i))] = kqresource.DigestOf([]byte{byte(m)})
+		r.Hosts[kqname.Host(fmt.Sprintf("host-%d", i))] = kqresource.Parts{kqresource.DigestOf([]byte{byte(m)})}
 		r.Services[kqname.Service(fmt.Sprintf("service-%d", i))] = kqresource.DigestOf([]byte{byte(m), 1})
 	}
 	data, err := kqresource.Encode(r)
--- a/internal/config/kqdistribute/apply.go
+++ b/internal/config/kqdistribute/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
@@ -15,11 +16,17 @@
 	backoffMost = 5 * time.Second
 	// startPoll looks again whether a starting node may serve.
 	startPoll = 100 * time.Millisecond
+	// finishWithin is how long the fetch of a version may still take once a newer one
+	// is known. Without it, versions that come faster than a node can fetch one would
+	// each end the fetch of the one before, and the node would stay on an old version
+	// for as long as they come; a fetch takes some 10 to 200 ms. A longer time would
+	// let one silent peer keep the node from the newer version.
+	finishWithin = 500 * time.Millisecond
 )
 
 // applying puts the newest root in force. A newer root ends the fetch of the
-// one before: a slow fetch would otherwise keep the node from a version that
-// the rest of the fleet has long been serving.
+// one before, after a grace: a slow fetch would otherwise keep the node from a
+// version that the rest of the fleet has long been serving.
 func (d *Distributor) applying(ctx context.Context) {
 	var applied kqname.ConfigVersion
 	backoff := backoffBase
@@ -54,9 +61,10 @@
 func (d *Distributor) supersede(ctx context.Context) (context.Context, record) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.superseded()
+	d.release()
 	inner, cancel := context.WithCancel(ctx)
-	d.superseded = cancel
+	d.release = cancel
+	d.superseded = sync.OnceFunc(func() { time.AfterFunc(finishWithin, cancel) })
 	return inner, d.newest()
 }
 
--- a/internal/config/kqdistribute/distribute.go
+++ b/internal/config/kqdistribute/distribute.go
@@ -60,8 +60,8 @@
 		started  bool
 		pull     chan struct{}
 		apply    chan struct{}
-		// superseded ends the apply that is under way.
-		superseded context.CancelFunc
+		// release ends the apply that is under way, superseded after a grace.
+		release, superseded func()
 	}
 
 	record struct {
@@ -84,7 +84,7 @@
 	d := &Distributor{
 		client: client, table: table, overlay: overlay, budget: budget, replica: replica, failed: failed,
 		hints: make(map[kqname.Address]hint), answered: make(map[kqname.Node]kqname.Domain),
-		pull: make(chan struct{}, 1), apply: make(chan struct{}, 1), superseded: func() {},
+		pull: make(chan struct{}, 1), apply: make(chan struct{}, 1), release: func() {}, superseded: func() {},
 	}
 	kqpeer.Handle(server, methodPush, d.answerPush)
 	kqpeer.Handle(server, methodRoot, d.answerRoot)
--- a/internal/config/kqfetch/fetch.go
+++ b/internal/config/kqfetch/fetch.go
@@ -60,6 +60,12 @@
 		Hosts() []kqname.Host
 	}
 
+	// Maker gives objects that this node has made itself of what it read from the
+	// platform. It makes no calls.
+	Maker interface {
+		Made(wanted []kqresource.Digest) kqresource.Objects
+	}
+
 	// Budget says how long bulk must wait; 0 sends it now.
 	Budget interface {
 		Allow(now time.Time) time.Duration
@@ -79,8 +85,8 @@
 		total    float64
 		expected int
 		limiter  *rate.Limiter
-		// whole tells that the platform brings all objects of a version in one call.
-		whole bool
+		// maker is set where the platform brings all objects of a version in one call.
+		maker Maker
 
 		mu      sync.Mutex
 		held    Held
@@ -124,15 +130,21 @@
 }
 
 // TakeWhole tells that the platform brings all objects of a version in one call, so
-// that a node which finds them nowhere else need not ask for each object apart.
-func (f *Fetcher) TakeWhole() { f.whole = true }
+// that a node which finds them nowhere else need not ask for each object apart. What
+// the maker has is neither asked for nor counted against the platform's rate: a node
+// that reads versions for others would otherwise use up its rate on objects which it
+// holds, and stay on an old version for seconds while it hands out newer ones.
+func (f *Fetcher) TakeWhole(m Maker) { f.maker = m }
 
 // Serve sets what is given to peers.
 func (f *Fetcher) Serve(h Held) { f.held = h }
 
 // Fetch returns the objects, all of them, or an error.
 func (f *Fetcher) Fetch(ctx context.Context, wanted []kqresource.Digest) (kqresource.Objects, error) {
-	found := make(kqresource.Objects, len(wanted))
+	found := f.made(wanted)
+	if wanted = missing(wanted, found); len(wanted) == 0 {
+		return found, nil
+	}
 	self := f.table.Self()
 	if self.Reader {
 		return found, f.fetchAsReader(ctx, self.Node, wanted, found)
@@ -153,6 +165,14 @@
 	return found, f.fromPlatform(ctx, missing(wanted, found), found)
 }
 
+// made returns what this node has made itself.
+func (f *Fetcher) made(wanted []kqresource.Digest) kqresource.Objects {
+	if f.maker == nil {
+		return make(kqresource.Objects, len(wanted))
+	}
+	return f.maker.Made(wanted)
+}
+
 // fetchAsReader asks the reader that owns each object, by a hash of both, so
 // that all readers together take each object from the platform about once.
 func (f *Fetcher) fetchAsReader(ctx context.Context, self kqname.Node, wanted []kqresource.Digest, found kqresource.Objects) error {
@@ -245,7 +265,7 @@
 }
 
 func (f *Fetcher) fromPlatform(ctx context.Context, wanted []kqresource.Digest, found kqresource.Objects) error {
-	if f.whole {
+	if f.maker != nil {
 		return f.allAtOnce(ctx, wanted, found)
 	}
 	for _, d := range wanted {
@@ -260,7 +280,8 @@
 
 // allAtOnce takes all objects in one call.
 func (f *Fetcher) allAtOnce(ctx context.Context, wanted []kqresource.Digest, found kqresource.Objects) error {
-	if len(wanted) == 0 {
+	maps.Copy(found, f.made(wanted))
+	if wanted = missing(wanted, found); len(wanted) == 0 {
 		return nil
 	}
 	perSecond, most := f.share()
--- a/internal/config/kqfollower/follower.go
+++ b/internal/config/kqfollower/follower.go
@@ -1,6 +1,7 @@
 package kqfollower
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -55,10 +56,9 @@
 // Chosen reports whether the node is one of the first of its domain among the
 // members that are alive. A node that knows nobody is.
 func Chosen(self kqmember.Member, members []kqmember.Member) bool {
-	own := order(self.Node)
 	before := 0
 	for _, m := range members {
-		if m.Node != self.Node && m.Domain == self.Domain && m.State == kqmember.Alive && order(m.Node) < own {
+		if m.Node != self.Node && m.Domain == self.Domain && m.State == kqmember.Alive && compare(m, self) < 0 {
 			before++
 		}
 	}
@@ -100,4 +100,16 @@
 	return &run{stop: stop}
 }
 
+// compare puts the wider link first, then the larger share of cores, then the lower
+// hash. Each version costs a follower the whole document: some 220 KB for 800 routes,
+// a fifth of a second of a link of 10 Mbit/s that carries callers' answers too. A
+// follower that cannot keep up keeps its whole domain on old versions.
+func compare(a, b kqmember.Member) int {
+	return cmp.Or(
+		cmp.Compare(b.Link, a.Link),
+		cmp.Compare(b.Cores, a.Cores),
+		cmp.Compare(order(a.Node), order(b.Node)),
+	)
+}
+
 func order(n kqname.Node) uint64 { return xxhash.Sum64String(string(n)) }
--- a/internal/config/kqfollower/follower_test.go
+++ b/internal/config/kqfollower/follower_test.go
@@ -9,6 +9,36 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
+// Some servers of a domain have links of 10 Mbit/s, two have 200. Versions of hundreds
+// of routes come several times a second: were one of the slow ones to read them all,
+// it would fall behind, and all nodes of its domain with it, so that callers are told
+// of routes long gone. Once the fast ones are dead, a slow one must serve.
+func TestWideLinksFollowFirst(t *testing.T) {
+	var members []kqmember.Member
+	for i := range 20 {
+		m := kqmember.Member{Node: kqname.Node(fmt.Sprint("n", i)), Domain: "d", Link: 10, Cores: 0.16}
+		if i%10 == 7 {
+			m.Link, m.Cores = 200, 0.8
+		}
+		members = append(members, m)
+	}
+	for i, m := range members {
+		if kqfollower.Chosen(m, members) != (i%10 == 7) {
+			t.Errorf("node %d with a link of %v Mbit/s: follows %v", i, m.Link, i%10 != 7)
+		}
+	}
+	members[7].State, members[17].State = kqmember.Dead, kqmember.Dead
+	followers := 0
+	for _, m := range members {
+		if m.State == kqmember.Alive && kqfollower.Chosen(m, members) {
+			followers++
+		}
+	}
+	if followers != kqfollower.PerDomain {
+		t.Errorf("%d nodes follow once the fast ones are dead, want %d", followers, kqfollower.PerDomain)
+	}
+}
+
 // Nodes of a domain die, also those that followed the store for the others. Others
 // must follow in their place at once, and never more than a few of a domain, or
 // the store's load would grow with the fleet.
--- a/internal/config/kqorigin/origin.go
+++ b/internal/config/kqorigin/origin.go
@@ -90,16 +90,18 @@
 // Fetch returns objects of a recent version. It lists the keys anew for what it
 // does not hold.
 func (o *Origin) Fetch(ctx context.Context, wanted []kqresource.Digest) (kqresource.Objects, error) {
-	if found := o.find(wanted); len(found) == len(wanted) {
+	if found := o.Made(wanted); len(found) == len(wanted) {
 		return found, nil
 	}
 	if err := o.list(ctx); err != nil {
 		return nil, fmt.Errorf("fetch %d objects: %w", len(wanted), err)
 	}
-	return o.find(wanted), nil
+	return o.Made(wanted), nil
 }
 
-func (o *Origin) find(wanted []kqresource.Digest) kqresource.Objects {
+// Made returns those of the wanted objects that belong to a recent version. It makes
+// no calls.
+func (o *Origin) Made(wanted []kqresource.Digest) kqresource.Objects {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	found := make(kqresource.Objects, len(wanted))
--- a/internal/config/kqreplica/replica_test.go
+++ b/internal/config/kqreplica/replica_test.go
@@ -125,7 +125,7 @@
 			root := version(t, s, i+1, rapid.IntRange(1, 3).Draw(t, "mark"))
 			switch rapid.IntRange(0, 4).Draw(t, "fault") {
 			case 0:
-				s.lost[root.Hosts[host(i%hosts)]] = true
+				s.lost[root.Hosts[host(i%hosts)][0]] = true
 			case 1:
 				bad[root.Version] = true
 				delete(root.Services, "service-1")
@@ -171,7 +171,7 @@
 	}
 	slow, release := make(chan struct{}), make(chan struct{})
 	s.gate = func(_ context.Context, wanted []kqresource.Digest) error {
-		if wanted[0] == second.Hosts[host(0)] {
+		if wanted[0] == second.Hosts[host(0)][0] {
 			close(slow)
 			<-release
 		}
@@ -247,7 +247,7 @@
 	if _, held := r.Current().Knows(host(0)); held {
 		t.Fatal("idle host is still held")
 	}
-	if _, ok := r.Object(root.Hosts[host(0)]); ok {
+	if _, ok := r.Object(root.Hosts[host(0)][0]); ok {
 		t.Fatal("object of an idle host is still held")
 	}
 	if _, held := r.Current().Knows(host(3)); !held || closed(r.Current()) != nil {
@@ -261,7 +261,7 @@
 	s := newSource()
 	root := version(t, s, 1, 1)
 	bound := 0
-	size := len(s.objects[root.Hosts[host(0)]])
+	size := len(s.objects[root.Hosts[host(0)][0]])
 	r := kqreplica.New(s, kqreplica.WithMemory(12*size, func() { bound++ }))
 	if err := r.Offer(t.Context(), root); err != nil {
 		t.Fatal(err)
--- a/internal/config/kqreplica/stage.go
+++ b/internal/config/kqreplica/stage.go
@@ -105,7 +105,10 @@
 func (r *Replica) within(root kqresource.Root, hosts []kqname.Host, objects kqresource.Objects) []kqname.Host {
 	size := 0
 	for i, h := range hosts {
-		if size += len(objects[root.Hosts[h]]) * (1 + decodedFactor); size <= r.memory || i == 0 {
+		for _, part := range root.Hosts[h] {
+			size += len(objects[part]) * (1 + decodedFactor)
+		}
+		if size <= r.memory || i == 0 {
 			continue
 		}
 		for _, dropped := range hosts[i:] {
--- a/internal/config/kqresource/resource.go
+++ b/internal/config/kqresource/resource.go
@@ -42,6 +42,9 @@
 	// Objects holds objects' canonical bytes by digest.
 	Objects map[Digest][]byte
 
+	// Parts names the objects that together hold one host's routes.
+	Parts []Digest
+
 	// Root is the record that a commit swaps in. It names every object of one
 	// configuration version.
 	Root struct {
@@ -51,12 +54,12 @@
 		Author    string                    `cbor:"4,keyasint"`
 		Reason    string                    `cbor:"5,keyasint"`
 		At        time.Time                 `cbor:"6,keyasint"`
-		Hosts     map[kqname.Host]Digest    `cbor:"7,keyasint"`
+		Hosts     map[kqname.Host]Parts     `cbor:"7,keyasint"`
 		Services  map[kqname.Service]Digest `cbor:"8,keyasint"`
 		Ownership Digest                    `cbor:"9,keyasint"`
 	}
 
-	// Host holds the routes of one host name.
+	// Host holds routes of one host name: all of them, or one part.
 	Host struct {
 		Name   kqname.Host        `cbor:"1,keyasint"`
 		Routes []kqdocument.Route `cbor:"2,keyasint"`
--- a/internal/config/kqresource/split.go
+++ b/internal/config/kqresource/split.go
@@ -16,16 +16,16 @@
 func Split(d kqdocument.Document) (Root, Objects, error) {
 	d = Sorted(d)
 	root := Root{
-		Hosts:    make(map[kqname.Host]Digest),
+		Hosts:    make(map[kqname.Host]Parts),
 		Services: make(map[kqname.Service]Digest),
 	}
 	objects := make(Objects)
 	for host, routes := range groupBy(d.Routes, func(r kqdocument.Route) kqname.Host { return r.Host }) {
-		digest, err := objects.Add(Host{Name: host, Routes: routes})
+		parts, err := objects.addHost(host, routes)
 		if err != nil {
 			return Root{}, nil, fmt.Errorf("split host %s: %w", host, err)
 		}
-		root.Hosts[host] = digest
+		root.Hosts[host] = parts
 	}
 	rollouts := groupBy(d.Rollouts, func(r kqdocument.Rollout) kqname.Service { return r.Service })
 	for _, s := range d.Services {
@@ -51,11 +51,13 @@
 func Join(root Root, objects Objects) (kqdocument.Document, error) {
 	var d kqdocument.Document
 	for _, name := range slices.Sorted(maps.Keys(root.Hosts)) {
-		var h Host
-		if err := objects.read(root.Hosts[name], &h); err != nil {
-			return d, fmt.Errorf("join host %s: %w", name, err)
+		for _, part := range root.Hosts[name] {
+			var h Host
+			if err := objects.read(part, &h); err != nil {
+				return d, fmt.Errorf("join host %s: %w", name, err)
+			}
+			d.Routes = append(d.Routes, h.Routes...)
 		}
-		d.Routes = append(d.Routes, h.Routes...)
 	}
 	for _, name := range slices.Sorted(maps.Keys(root.Services)) {
 		var s Service
@@ -79,8 +81,10 @@
 	if !r.Ownership.IsZero() {
 		seen[r.Ownership] = true
 	}
-	for _, d := range r.Hosts {
-		seen[d] = true
+	for _, parts := range r.Hosts {
+		for _, d := range parts {
+			seen[d] = true
+		}
 	}
 	for _, d := range r.Services {
 		seen[d] = true
--- a/internal/config/kqsnapshot/build.go
+++ b/internal/config/kqsnapshot/build.go
@@ -68,32 +68,51 @@
 }
 
 func (b *builder) host(name kqname.Host) error {
-	digest, ok := b.snapshot.root.Hosts[name]
+	parts, ok := b.snapshot.root.Hosts[name]
 	if !ok {
 		return nil
 	}
-	if x, ok := b.previous.hosts[name]; ok && b.previous.root.Hosts[name] == digest {
-		return b.index(name, x)
+	before := b.previous.hosts[name]
+	if before != nil && slices.Equal(b.previous.root.Hosts[name], parts) {
+		return b.index(name, before)
 	}
-	data, ok := b.objects[digest]
-	if !ok {
-		b.missing = append(b.missing, digest)
+	decoded := make(map[kqresource.Digest][]kqdocument.Route, len(parts))
+	for _, digest := range parts {
+		if before != nil && before.parts[digest] != nil {
+			decoded[digest] = before.parts[digest]
+			continue
+		}
+		data, ok := b.objects[digest]
+		if !ok {
+			b.missing = append(b.missing, digest)
+			continue
+		}
+		routes, err := decodePart(name, data)
+		if err != nil {
+			return err
+		}
+		decoded[digest] = routes
+	}
+	if len(decoded) < len(parts) {
 		return nil
 	}
+	return b.index(name, newIndex(decoded))
+}
+
+func decodePart(name kqname.Host, data []byte) ([]kqdocument.Route, error) {
 	var h kqresource.Host
 	if err := kqresource.Decode(data, &h); err != nil {
-		return fmt.Errorf("host %s: %w", name, errors.Join(ErrInvalid, err))
+		return nil, fmt.Errorf("host %s: %w", name, errors.Join(ErrInvalid, err))
 	}
 	if h.Name != name {
-		return fmt.Errorf("host %s is called %s: %w", name, h.Name, ErrInvalid)
+		return nil, fmt.Errorf("host %s is called %s: %w", name, h.Name, ErrInvalid)
 	}
 	for _, r := range h.Routes {
 		if r.Host != name {
-			return fmt.Errorf("route %s of host %s is in host %s: %w", r.Name, r.Host, name, ErrInvalid)
+			return nil, fmt.Errorf("route %s of host %s is in host %s: %w", r.Name, r.Host, name, ErrInvalid)
 		}
 	}
-	slices.SortFunc(h.Routes, precedence)
-	return b.index(name, newIndex(h.Routes))
+	return h.Routes, nil
 }
 
 func (b *builder) index(name kqname.Host, x *index) error {
--- a/internal/config/kqsnapshot/index.go
+++ b/internal/config/kqsnapshot/index.go
@@ -1,8 +1,10 @@
 package kqsnapshot
 
 import (
+	"maps"
 	"slices"
 
+	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 )
 
@@ -10,14 +12,19 @@
 // routes would otherwise have each call compared with all of them; here a call
 // costs one look-up for each length that a prefix of the host has.
 type index struct {
+	// parts holds the decoded routes by the object that they came with: the next
+	// version shares most of them.
+	parts map[kqresource.Digest][]kqdocument.Route
 	// lengths are those of the prefixes, longest first.
 	lengths  []int
 	prefixes map[string][]kqdocument.Route
 }
 
-// newIndex makes the index of routes in the order of their precedence.
-func newIndex(routes []kqdocument.Route) *index {
-	x := &index{prefixes: make(map[string][]kqdocument.Route)}
+// newIndex makes the index of a host's parts.
+func newIndex(parts map[kqresource.Digest][]kqdocument.Route) *index {
+	x := &index{parts: parts, prefixes: make(map[string][]kqdocument.Route)}
+	routes := slices.Concat(slices.Collect(maps.Values(parts))...)
+	slices.SortFunc(routes, precedence)
 	for _, r := range routes {
 		x.prefixes[r.PathPrefix] = append(x.prefixes[r.PathPrefix], r)
 		if !slices.Contains(x.lengths, len(r.PathPrefix)) {
--- a/internal/config/kqsnapshot/index_test.go
+++ b/internal/config/kqsnapshot/index_test.go
@@ -25,7 +25,7 @@
 	}
 	root := kqresource.Root{
 		Version: 1, Services: make(map[kqname.Service]kqresource.Digest),
-		Hosts: map[kqname.Host]kqresource.Digest{host: add(kqresource.Host{Name: host, Routes: routes})},
+		Hosts: map[kqname.Host]kqresource.Parts{host: {add(kqresource.Host{Name: host, Routes: routes})}},
 	}
 	for _, r := range routes {
 		root.Services[r.Service] = add(kqresource.Service{Service: kqdocument.Service{Name: r.Service, Team: team}})
--- a/internal/config/kqsnapshot/snapshot.go
+++ b/internal/config/kqsnapshot/snapshot.go
@@ -47,7 +47,7 @@
 func (s *Snapshot) Digests() []kqresource.Digest {
 	list := make([]kqresource.Digest, 0, len(s.hosts)+len(s.services))
 	for h := range s.hosts {
-		list = append(list, s.root.Hosts[h])
+		list = append(list, s.root.Hosts[h]...)
 	}
 	for n := range s.services {
 		list = append(list, s.root.Services[n])
--- a/internal/lab/kqdemo/rogue.go
+++ b/internal/lab/kqdemo/rogue.go
@@ -76,7 +76,7 @@
 	next := root
 	next.Version, next.Parent, next.RequestID = root.Version+1, kqresource.DigestOf(before), "rogue"
 	next.Hosts = maps.Clone(root.Hosts)
-	next.Hosts[probeHost] = host
+	next.Hosts[probeHost] = kqresource.Parts{host}
 	data, err := kqresource.Encode(next)
 	if err != nil {
 		return err
--- a/internal/peer/kqmember/member.go
+++ b/internal/peer/kqmember/member.go
@@ -53,6 +53,10 @@
 		Reader bool `cbor:"10,keyasint,omitempty"`
 		// Service is that of the upstream beside the node, also while none runs.
 		Service kqname.Service `cbor:"11,keyasint,omitempty"`
+		// Link is the bandwidth of the server's link in Mbit/s, and Cores the share of
+		// cores that the node may use, by its settings; 0 where they state none.
+		Link  float64 `cbor:"12,keyasint,omitempty"`
+		Cores float64 `cbor:"13,keyasint,omitempty"`
 	}
 
 	// Candidate is an upstream that a call may be sent to.
--- a/internal/run/kqnode/config.go
+++ b/internal/run/kqnode/config.go
@@ -69,8 +69,8 @@
 	var receive func(context.Context, kqresource.Root)
 	store, watcher := n.versions(func(ctx context.Context, r kqresource.Root) { receive(ctx, r) }, platformFailed)
 	fetcher := kqfetch.New(n.peers, n.client, n.table, store, n.budget, c.PlatformRate, c.ExpectedNodes)
-	if n.adapter.Operators != nil {
-		fetcher.TakeWhole()
+	if maker, ok := store.(kqfetch.Maker); ok {
+		fetcher.TakeWhole(maker)
 	}
 	n.replica = kqreplica.New(n.source(direct, store, fetcher), n.replicaOptions(direct)...)
 	fetcher.Serve(n.replica)
