Let starting nodes find their peers before they follow the store

Cause: a node that knows nobody followed the store at once and for 5 s, so that each replaced server read the whole document some 20 times; and each peer that asked a reader for a version which it lacked cost a list of its own.

Ruled out: non-followers reading the store, most of whose readings were cancelled before they were sent (trial with a line at each reading).

Change: a starting node waits 1 s at most for a peer, lingers 2 s instead of 5, and shares one reading among all who want it.

--- a/internal/config/kqfetch/fetch.go
+++ b/internal/config/kqfetch/fetch.go
@@ -88,8 +88,10 @@
 		// maker is set where the platform brings all objects of a version in one call.
 		maker Maker
 
-		mu      sync.Mutex
-		held    Held
+		mu   sync.Mutex
+		held Held
+		// reading is the reading of all objects that is under way.
+		reading *flight
 		flights map[kqresource.Digest]*flight
 		recent  map[kqresource.Digest][]byte
 		order   []kqresource.Digest
@@ -280,10 +282,44 @@
 
 // allAtOnce takes all objects in one call.
 func (f *Fetcher) allAtOnce(ctx context.Context, wanted []kqresource.Digest, found kqresource.Objects) error {
-	maps.Copy(found, f.made(wanted))
-	if wanted = missing(wanted, found); len(wanted) == 0 {
-		return nil
+	for {
+		maps.Copy(found, f.made(wanted))
+		if wanted = missing(wanted, found); len(wanted) == 0 {
+			return nil
+		}
+		own, other := f.join()
+		if own == nil {
+			select {
+			case <-other.done:
+				continue
+			case <-ctx.Done():
+				return fmt.Errorf("wait for %d objects: %w", len(wanted), ctx.Err())
+			}
+		}
+		own.err = f.readAll(ctx, wanted, found)
+		f.mu.Lock()
+		f.reading = nil
+		f.mu.Unlock()
+		close(own.done)
+		return own.err
 	}
+}
+
+// join begins a reading of all objects, or returns the one that is under way. Many
+// peers ask a reader for a new version at once: one reading serves them all, where
+// one each would cost the platform as many calls as the domain has nodes.
+func (f *Fetcher) join() (own, other *flight) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.reading != nil {
+		return nil, f.reading
+	}
+	f.reading = &flight{done: make(chan struct{})}
+	return f.reading, nil
+}
+
+// readAll reads all objects from the platform once.
+func (f *Fetcher) readAll(ctx context.Context, wanted []kqresource.Digest, found kqresource.Objects) error {
 	perSecond, most := f.share()
 	f.limiter.SetLimit(rate.Limit(perSecond))
 	f.limiter.SetBurst(most)
--- a/internal/config/kqfollower/follower.go
+++ b/internal/config/kqfollower/follower.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqpause"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -18,10 +19,16 @@
 	// store a call for each follower.
 	PerDomain = 2
 
-	checkEvery = 250 * time.Millisecond
+	checkEvery  = 250 * time.Millisecond
+	settleCheck = 20 * time.Millisecond
 	// lingers is how long a node goes on after others have come before it. It
 	// keeps nodes that come and go from starting and ending watches.
-	lingers = 5 * time.Second
+	lingers = 2 * time.Second
+	// settles is how long a starting node that knows nobody waits for its peers, who
+	// follow already: it finds them within about half that. Following at once, each
+	// replaced server would read the whole document some 20 times in its first
+	// seconds, and slow ones would be asked for it by their peers.
+	settles = time.Second
 )
 
 type (
@@ -67,13 +74,14 @@
 
 // Run takes part until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.settle(ctx)
 	var group conc.WaitGroup
 	defer group.Wait()
 	ticker := time.NewTicker(checkEvery)
 	defer ticker.Stop()
 	var following *run
-	chosen := time.Now()
-	for now := chosen; ; {
+	var chosen time.Time
+	for now := time.Now(); ; {
 		if Chosen(f.members.Self(), f.members.Members()) {
 			chosen = now
 		}
@@ -93,6 +101,13 @@
 	}
 }
 
+// settle waits until a peer is known, at most for settles.
+func (f *Follower) settle(ctx context.Context) {
+	for waited := time.Duration(0); waited < settles && ctx.Err() == nil && len(f.members.Members()) < 2; waited += settleCheck {
+		kqpause.For(ctx, settleCheck)
+	}
+}
+
 func (f *Follower) start(ctx context.Context, group *conc.WaitGroup) *run {
 	following, stop := context.WithCancel(ctx)
 	group.Go(func() { f.follows(following, true) })
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -151,7 +151,7 @@
 		Node: settings.Node.Name, Domain: settings.Node.Domain, Region: settings.Node.Region, Service: settings.Node.Service,
 		Control: advertised(settings.Node.ControlAddress, n.listeners.control),
 		Gate:    advertised(settings.Node.GateAddress, n.listeners.gate),
-		Link: settings.Node.Link, Cores: settings.Node.Cores,
+		Link:    settings.Node.Link, Cores: settings.Node.Cores,
 		// A node that was replaced must win over its former self's records,
 		// and it keeps nothing: its start time does.
 		Incarnation: uint64(n.started.UnixMilli()),
