Choose among a few upstreams of the own domain, not the best of all

Cause: where its own domain had ample room, an entry chose the upstream that looked best of all there.

Ruled out: too few slots (35% in use on average).

Change: the best of three drawn, as for other domains. With up to three near upstreams nothing changes.

--- a/internal/decide/kqpick/peer.go
+++ b/internal/decide/kqpick/peer.go
@@ -37,11 +37,35 @@
 // best returns the one with the least expected time of a few that are drawn at
 // random from the list, whose order changes.
 func (p *Pool) best(list []*Peer, ample time.Duration, now time.Time, random *rand.Rand) *Peer {
-	if near := p.near(list, ample, now); near != nil {
+	if near := p.near(list, ample, now, random); near != nil {
 		return near
 	}
-	var found *Peer
-	var least float64
+	found, _ := p.least(list, now, random)
+	return found
+}
+
+// near returns the best upstream of the own failure domain if it is expected to
+// answer in ample time, else nil. That faster ones elsewhere stand idle gains
+// nothing then, while the answer would cross between domains.
+func (p *Pool) near(list []*Peer, ample time.Duration, now time.Time, random *rand.Rand) *Peer {
+	own := 0
+	for i, o := range list {
+		if o.Domain == p.domain {
+			list[own], list[i] = list[i], list[own]
+			own++
+		}
+	}
+	found, least := p.least(list[:own], now, random)
+	if least >= ample.Seconds() {
+		return nil
+	}
+	return found
+}
+
+// least returns the one with the least expected time of a few that are drawn from the
+// list, and that time in seconds. The best of all would be the same for every entry,
+// each of which knows only what came back with its own answers: they would meet there.
+func (p *Pool) least(list []*Peer, now time.Time, random *rand.Rand) (found *Peer, least float64) {
 	for i := range min(drawn, len(list)) {
 		j := i + random.IntN(len(list)-i)
 		list[i], list[j] = list[j], list[i]
@@ -53,24 +77,7 @@
 			found, least = list[i], score
 		}
 	}
-	return found
-}
-
-// near returns the best upstream of the own failure domain if it is expected to
-// answer in ample time, else nil. That faster ones elsewhere stand idle gains
-// nothing then, while the answer would cross between domains.
-func (p *Pool) near(list []*Peer, ample time.Duration, now time.Time) *Peer {
-	var found *Peer
-	least := ample.Seconds()
-	for _, o := range list {
-		if o.Domain != p.domain {
-			continue
-		}
-		if score := o.score(p.median, now); score < least {
-			found, least = o, score
-		}
-	}
-	return found
+	return found, least
 }
 
 // score is the time that a call is expected to take there, in seconds: its work,
