Keep calls without work from making an upstream look fast

Cause: an upstream's pace moved by a quarter towards each shorter call, so that a few calls that need hardly any work (2 ms of 380) brought it down to 2 ms, and entries sent it many times its share.

Change: it falls by a sixteenth.

--- a/internal/decide/kqwork/work.go
+++ b/internal/decide/kqwork/work.go
@@ -12,7 +12,12 @@
 
 	maxRoutes = 256
 	step      = 8
-	paceStep  = 4
+	// risePart and fallPart are what the pace moves by towards a call that took longer
+	// and shorter. It rises fast, so that one call of an upstream that became many
+	// times slower shows; it falls slowly, so that a few calls with hardly any work
+	// do not make an upstream look many times faster than it is.
+	risePart = 4
+	fallPart = 16
 	// first is expected of a route before its first call ended.
 	first = 10 * time.Millisecond
 	other = kqname.Route("")
@@ -24,8 +29,7 @@
 	// typical follows the median: it moves by a share of itself towards each
 	// call, however far off that call was, so that a few long ones do not lift it.
 	typical time.Duration
-	// pace follows the calls of routes that are not long, fast enough that one
-	// call of an upstream that became many times slower shows.
+	// pace follows the calls of routes that are not long.
 	pace time.Duration
 }
 
@@ -57,8 +61,11 @@
 	if w.pace == 0 {
 		w.pace = took
 	}
-	if !w.Long(r) || took < w.pace {
-		w.pace += (took - w.pace) / paceStep
+	switch {
+	case took < w.pace:
+		w.pace -= (w.pace - took) / fallPart
+	case !w.Long(r):
+		w.pace += (took - w.pace) / risePart
 	}
 }
 
