Let the stand-in's upstreams serve on for a moment after their goodbye

Cause of the order in some 1,300 that ended as cut while a server left: the stand-in's upstream closed its idle connections in the very moment in which its goodbye was acknowledged. A call that the gate had let in just before was written into such a connection a moment later. The users' upstreams serve on for two seconds or more after the acknowledgement, so that the play asked for what no node can give.

Ruled out: the node's own end (a wait of 700 ms there did not help), and the entries' connections to the gate, which are emptied first.

Change: the stand-in serves on for 0.3 s.

--- a/internal/lab/kqupstream/upstream.go
+++ b/internal/lab/kqupstream/upstream.go
@@ -23,7 +23,14 @@
 // upstream counts how often it ran each.
 const HeaderWork = "Work-Id"
 
-const announceEvery = 500 * time.Millisecond
+const (
+	announceEvery = 500 * time.Millisecond
+	// servesOn is how long an upstream goes on serving once its goodbye is
+	// acknowledged: the users' upstreams do for two seconds or more. A call that its
+	// gate let in just before the goodbye is written a moment after it, and closed at
+	// once its connection would cut that call, whatever the node does.
+	servesOn = 300 * time.Millisecond
+)
 
 type (
 	// Behaviour is how an upstream answers; it may change at any time.
@@ -137,6 +144,7 @@
 		case <-ctx.Done():
 			u.draining.Store(true)
 			u.announce()
+			time.Sleep(servesOn)
 			if err := u.server.Shutdown(); err != nil {
 				return fmt.Errorf("drain upstream of %s: %w", u.announcement.Service, err)
 			}
