Watch an idle fleet for three heartbeats before its bytes are taken off

Cause of bytes per change below nothing: the idle rate was taken over 100 ms, less than a heartbeat's second, so that one heartbeat of all nodes, or the end of their start, stood for the whole time.

Change: the measurement watches for 3 s at least.

--- a/internal/lab/kqnodes/measure.go
+++ b/internal/lab/kqnodes/measure.go
@@ -23,6 +23,11 @@
 	// FaultHerdRestart kills all nodes and starts them again within a second.
 	FaultHerdRestart Fault = "herd_restart"
 
+	// leastIdle is the shortest watch of an idle fleet: three heartbeats of a second.
+	// A watch that is shorter than one counts the bytes of a whole heartbeat, or of
+	// the start, as if they came all the time, and the changes seem to cost less than
+	// nothing.
+	leastIdle  = 3 * time.Second
 	startWait  = 60 * time.Second
 	changeWait = 30 * time.Second
 	// maxReads and maxWrites are the platform's rates, in calls per second.
@@ -133,9 +138,10 @@
 
 // idle watches the fleet without changes and returns its bytes per second.
 func (b *bench) idle() float64 {
-	time.Sleep(b.plan.Idle / 2)
+	watch := max(b.plan.Idle, leastIdle)
+	time.Sleep(watch / 2)
 	before := b.usage()
-	time.Sleep(b.plan.Idle)
+	time.Sleep(watch)
 	after := b.usage()
 	seconds := after.at.Sub(before.at).Seconds()
 	nodes := float64(b.run.Nodes)
