Ask the next peer for a version beside one that is silent

Cause: a node asked its peers for objects one after the other and waited up to 2 s for each.

Ruled out: the version's size, as all other nodes of the domain had it in time.

Change: after 0.25 s the next peer is asked beside the silent one; other readers are waited for 0.5 s, a root 0.5 s instead of 1 s.

--- a/internal/config/kqdistribute/distribute.go
+++ b/internal/config/kqdistribute/distribute.go
@@ -20,6 +20,9 @@
 	methodRoot = "c.r"
 
 	pushTimeout = time.Second
+	// pullTimeout is how long one peer is waited for with a root, or what has changed
+	// of it, some KB: one that is cut off must not keep the node from asking another.
+	pullTimeout = 500 * time.Millisecond
 	// history is how many roots are kept to make deltas from: a node that is
 	// that many versions behind takes the whole root.
 	history = 16
--- a/internal/config/kqdistribute/root.go
+++ b/internal/config/kqdistribute/root.go
@@ -130,7 +130,7 @@
 	d.mu.Lock()
 	old := d.newest()
 	d.mu.Unlock()
-	asking, cancel := context.WithTimeout(ctx, pushTimeout)
+	asking, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	a, err := kqpeer.Call[rootRequest, rootAnswer](asking, d.client, from, methodRoot, rootRequest{Held: old.digest})
 	var r record
--- a/internal/config/kqfetch/fetch.go
+++ b/internal/config/kqfetch/fetch.go
@@ -24,7 +24,14 @@
 	methodObjects = "c.o"
 
 	peerTimeout = 2 * time.Second
-	readTimeout = 5 * time.Second
+	// hedgeAfter is how long one peer is waited for before the next is asked beside
+	// it, and ownerTimeout how long a reader waits for the other readers before it
+	// reads itself. A peer that is cut off is not known to be for some seconds: asked
+	// one after the other, two of them would keep a node on an old version for twice
+	// peerTimeout. An answer takes 2 to 200 ms, the longest over a link of 10 Mbit/s.
+	hedgeAfter   = 250 * time.Millisecond
+	ownerTimeout = 500 * time.Millisecond
+	readTimeout  = 5 * time.Second
 	// passes is how often the list of peers is gone through while some of them
 	// are busy, before the platform is asked.
 	passes = 3
@@ -152,12 +159,9 @@
 		return found, f.fetchAsReader(ctx, self.Node, wanted, found)
 	}
 	for pass := range passes {
-		wait := time.Duration(0)
-		for _, to := range f.peers(self) {
-			if wanted = missing(wanted, found); len(wanted) == 0 {
-				return found, nil
-			}
-			wait = max(wait, f.ask(ctx, to, wanted, found))
+		wait := f.askEach(ctx, f.peers(self), wanted, found)
+		if wanted = missing(wanted, found); len(wanted) == 0 {
+			return found, nil
 		}
 		if wait == 0 || pass == passes-1 {
 			break
@@ -196,6 +200,8 @@
 	var mu sync.Mutex
 	for to, digests := range owned {
 		group.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+			defer cancel()
 			part := make(kqresource.Objects)
 			f.ask(ctx, to, digests, part)
 			mu.Lock()
@@ -209,29 +215,6 @@
 	return f.fromPlatform(ctx, missing(wanted, found), found)
 }
 
-// ask takes from one peer what it has, and returns how long it is busy.
-func (f *Fetcher) ask(ctx context.Context, to kqname.Address, wanted []kqresource.Digest, found kqresource.Objects) time.Duration {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	for len(wanted) > 0 {
-		a, err := kqpeer.Call[request, answer](ctx, f.client, to, methodObjects, request{Digests: wanted})
-		if err != nil {
-			return 0
-		}
-		if a.Busy > 0 {
-			return time.Duration(a.Busy) * time.Millisecond
-		}
-		before := len(wanted)
-		for _, data := range a.Objects {
-			found[kqresource.DigestOf(data)] = data
-		}
-		if wanted = missing(wanted, found); len(wanted) == before {
-			return 0
-		}
-	}
-	return 0
-}
-
 // answer gives a peer the objects held; a reader fetches those that it lacks.
 func (f *Fetcher) answer(ctx context.Context, _ kqname.Node, q request) (answer, error) {
 	if wait := f.budget.Allow(time.Now()); wait > 0 {
