--- a/internal/decide/kqfailing/doc.go
+++ b/internal/decide/kqfailing/doc.go
@@ -8,6 +8,6 @@
 //
 // Grounds for the figures: a share over the last 32 calls tells 10 in 100 from the
 // usual 0.4 in 100 by the second failure, half a second at 40 calls a second. What
-// is known loses half of its weight in 5 s without a call: once entries send elsewhere
+// is known loses half of its weight in 3 s without a call: once entries send elsewhere
 // nobody sees the upstream become well, and it must get calls again to be seen.
 package kqfailing
--- a/internal/decide/kqfailing/failing.go
+++ b/internal/decide/kqfailing/failing.go
@@ -9,7 +9,7 @@
 	// over is how many calls the share is taken over.
 	over = 32
 	// halfLife is in how long without a call half of the share is forgotten.
-	halfLife = 5 * time.Second
+	halfLife = 3 * time.Second
 	// noise is the share below which nothing is told: less than two failures in 32 calls.
 	noise = 0.05
 )
--- a/internal/decide/kqpick/peer.go
+++ b/internal/decide/kqpick/peer.go
@@ -103,7 +103,7 @@
 		work = max(median, time.Millisecond)
 	}
 	used := busy / float64(max(o.Slots, 1))
-	return work.Seconds() * o.cold(now) * (1 + crowd*used + 2*max(used-full, 0)) * (1 + failureCost*o.failing(now))
+	return work.Seconds() * o.cold(now) * (1 + crowd*used + 2*max(used-full, 0)) * (1 + min(failureCost*o.failing(now), mostCost))
 }
 
 // failing is the part of the upstream's calls that fail, as far as is known.
--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -29,9 +29,11 @@
 	// failureCost is how many calls' work a failed call counts for: it is made again
 	// elsewhere, which uses up a budget that all nodes share, or is lost to its caller
 	// if it must not be repeated. An upstream that fails 1 in 10 counts as 5 times
-	// slower. Where half of 14 upstreams do so, 2.8 in 100 calls fail instead of 8.2;
-	// at 20 it is 4.2.
+	// slower. It counts for mostCost calls' work at the most, so that the others are
+	// used up to somewhat over their slots and not beyond: without that bound, all
+	// calls wait in their queues when a burst comes in that time or soon after.
 	failureCost = 40.0
+	mostCost    = 2.0
 	coldFactor  = 4.0
 	coldFor     = 10 * time.Second
 	reportLasts = time.Second
