Weigh failures in a choice only while the service has slots to spare

Cause: with the failing part bounded at two calls' work, entries still kept away from upstreams that fail 1 in 10 while the others were full.

Change: failures count in full while less than half of the service's slots are in use, by the mean of all fresh reports, and not at all above.

--- a/internal/decide/kqpick/peer.go
+++ b/internal/decide/kqpick/peer.go
@@ -69,6 +69,7 @@
 // hold no other. The best of all would be the same for every entry,
 // each of which knows only what came back with its own answers: they would meet there.
 func (p *Pool) least(list []*Peer, now time.Time, random *rand.Rand) (found *Peer, least float64) {
+	calm := p.calm(now)
 	well := 0
 	for i := range min(mostDrawn, len(list)) {
 		if well == drawn {
@@ -76,10 +77,10 @@
 		}
 		j := i + random.IntN(len(list)-i)
 		list[i], list[j] = list[j], list[i]
-		if list[i].failing(now) == 0 {
+		if !calm || list[i].failing(now) == 0 {
 			well++
 		}
-		score := list[i].score(p.median, now)
+		score := list[i].score(p.median, now) * list[i].risk(calm, now)
 		if list[i].Domain == p.domain {
 			score *= nearFactor
 		}
@@ -91,8 +92,7 @@
 }
 
 // score is the time that a call is expected to take there, in seconds: its work,
-// more of it while the upstream is cold, the wait for a slot, and what it costs that
-// the call may fail.
+// more of it while the upstream is cold, and the wait for a slot.
 func (o *Peer) score(median time.Duration, now time.Time) float64 {
 	busy := float64(o.sent + 1)
 	if now.Sub(o.reported) < reportLasts {
@@ -103,7 +103,17 @@
 		work = max(median, time.Millisecond)
 	}
 	used := busy / float64(max(o.Slots, 1))
-	return work.Seconds() * o.cold(now) * (1 + crowd*used + 2*max(used-full, 0)) * (1 + min(failureCost*o.failing(now), mostCost))
+	return work.Seconds() * o.cold(now) * (1 + crowd*used + 2*max(used-full, 0))
+}
+
+// risk is what the expected time counts for as the call may fail. While the service's
+// slots are mostly in use, the others have no room for the calls of those that fail, and
+// a call that may fail is better than one that waits until nobody wants its answer.
+func (o *Peer) risk(calm bool, now time.Time) float64 {
+	if !calm {
+		return 1
+	}
+	return 1 + failureCost*o.failing(now)
 }
 
 // failing is the part of the upstream's calls that fail, as far as is known.
--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -28,12 +28,10 @@
 	announcedCold = 2.0
 	// failureCost is how many calls' work a failed call counts for: it is made again
 	// elsewhere, which uses up a budget that all nodes share, or is lost to its caller
-	// if it must not be repeated. An upstream that fails 1 in 10 counts as 5 times
-	// slower. It counts for mostCost calls' work at the most, so that the others are
-	// used up to somewhat over their slots and not beyond: without that bound, all
-	// calls wait in their queues when a burst comes in that time or soon after.
+	// if it must not be repeated. calmUse is the part of a service's slots up to which
+	// it counts.
 	failureCost = 40.0
-	mostCost    = 2.0
+	calmUse     = 0.5
 	coldFactor  = 4.0
 	coldFor     = 10 * time.Second
 	reportLasts = time.Second
@@ -55,6 +53,9 @@
 		ejector kqeject.Ejector
 		median  time.Duration
 		judged  time.Time
+		// inUse is the part of the service's slots in use when it was counted last.
+		inUse   float64
+		counted time.Time
 		started bool
 	}
 
@@ -239,6 +240,27 @@
 	return p.median
 }
 
+// calm reports whether the service has slots to spare, by the mean of what its
+// upstreams' gates told lately: a single report may be a second old, in which one
+// upstream fills up, while the mean of many follows the load.
+func (p *Pool) calm(now time.Time) bool {
+	if now.Sub(p.counted) < medianLasts {
+		return p.inUse < calmUse
+	}
+	p.counted, p.inUse = now, 0
+	busy, slots := 0, 0
+	for _, o := range p.peers {
+		if now.Sub(o.reported) < reportLasts {
+			busy += o.load.Running + o.load.Waiting
+			slots += o.Slots
+		}
+	}
+	if slots > 0 {
+		p.inUse = float64(busy) / float64(slots)
+	}
+	return p.inUse < calmUse
+}
+
 // gone reports whether the reason tells that the upstream takes no calls at all.
 func gone(r kqcall.Reason) bool {
 	switch r {
