--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -16,7 +16,7 @@
 	// expected time counts for in the entry's own failure domain: the way to
 	// another and back is 1 to 3 ms of calls that take 30 to 150 ms, and answers
 	// that cross are paid for.
-	drawn      = 3
+	drawn      = 4
 	mostDrawn  = 8
 	nearFactor = 0.8
 	// full is the part of the slots in use above which a call is expected to wait,
