Keep the reload signal from ending a node that leaves or starts

Ruled out: the leave's own times, which are 2.2 s at least, and an early end by the kill, which comes after 6 s.

Change: the signal is taken for as long as the process lives. The test ends with 'signal: hangup' without it, with a whole leave with it (3 of 3 under -race).

--- a/internal/run/kqcommand/node.go
+++ b/internal/run/kqcommand/node.go
@@ -26,6 +26,10 @@
 	clause := c.app.Command("node", "Run the node beside an upstream.")
 	file := clause.Flag("settings", "INI file with the node's settings.").Required().String()
 	c.add(clause, func(ctx context.Context) error {
+		// It is taken for as long as the process lives: by default the signal ends a
+		// process, and would cut the calls in flight of a node that starts or leaves.
+		hup := make(chan os.Signal, 1)
+		signal.Notify(hup, syscall.SIGHUP)
 		s, err := kqsettings.Read(*file)
 		if err != nil {
 			return fmt.Errorf("read settings: %w", err)
@@ -54,17 +58,14 @@
 		defer group.Wait()
 		watching, stop := context.WithCancel(ctx)
 		defer stop()
-		group.Go(func() { watchSettings(watching, *file, n, logger) })
+		group.Go(func() { watchSettings(watching, hup, *file, n, logger) })
 		return n.Run(ctx)
 	})
 }
 
 // watchSettings reads the settings again on SIGHUP, and when their file changes
 // without it. A file that cannot be read changes nothing.
-func watchSettings(ctx context.Context, file string, n *kqnode.Node, logger *kqlog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func watchSettings(ctx context.Context, hup <-chan os.Signal, file string, n *kqnode.Node, logger *kqlog.Logger) {
 	ticker := time.NewTicker(settingsEvery)
 	defer ticker.Stop()
 	last, _ := os.ReadFile(file)
