--- a/internal/config/kqfollower/follower.go
+++ b/internal/config/kqfollower/follower.go
@@ -103,7 +103,10 @@
 
 // settle waits until a peer is known, at most for settles.
 func (f *Follower) settle(ctx context.Context) {
-	for waited := time.Duration(0); waited < settles && ctx.Err() == nil && len(f.members.Members()) < 2; waited += settleCheck {
+	for waited := time.Duration(0); waited < settles && ctx.Err() == nil; waited += settleCheck {
+		if peers := len(f.members.Members()) - 1; peers > 0 {
+			return
+		}
 		kqpause.For(ctx, settleCheck)
 	}
 }
--- a/internal/decide/kqpick/peer.go
+++ b/internal/decide/kqpick/peer.go
@@ -64,10 +64,11 @@
 }
 
 // least returns the one with the least expected time of a few that are drawn from the
-// list, and that time in seconds. Those that fail part of their calls do not count
-// among the few: with half of the upstreams failing, one draw of three in eight would
-// hold no other. The best of all would be the same for every entry,
+// list, and that time in seconds. The best of all would be the same for every entry,
 // each of which knows only what came back with its own answers: they would meet there.
+//
+// While the service is calm, those that fail part of their calls do not count among
+// the few: with half of the upstreams failing, every sixteenth draw would hold no other.
 func (p *Pool) least(list []*Peer, now time.Time, random *rand.Rand) (found *Peer, least float64) {
 	calm := p.calm(now)
 	well := 0
--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -12,12 +12,14 @@
 )
 
 const (
-	// drawn is how many upstreams a choice is made among, and nearFactor what the
-	// expected time counts for in the entry's own failure domain: the way to
-	// another and back is 1 to 3 ms of calls that take 30 to 150 ms, and answers
-	// that cross are paid for.
-	drawn      = 4
-	mostDrawn  = 8
+	// drawn is how many upstreams a choice is made among: of two to five, four did best
+	// both where an entry knows all loads and where it knows little. mostDrawn bounds
+	// the draw where some of them fail part of their calls.
+	drawn     = 4
+	mostDrawn = 8
+	// nearFactor is what the expected time counts for in the entry's own failure
+	// domain: the way to another and back is 1 to 3 ms of calls that take 30 to 150 ms,
+	// and answers that cross are paid for.
 	nearFactor = 0.8
 	// full is the part of the slots in use above which a call is expected to wait,
 	// by a report that is some calls old; crowd is what each slot in use below it
