--- a/internal/config/kqfollower/follower_test.go
+++ b/internal/config/kqfollower/follower_test.go
@@ -1,7 +1,9 @@
 package kqfollower_test
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqfollower"
@@ -70,3 +72,51 @@
 		t.Error("a node that knows nobody does not follow")
 	}
 }
+
+type (
+	// arriving is the members of a node that finds its peers a moment after its start.
+	arriving struct {
+		self  kqmember.Member
+		peers []kqmember.Member
+		asked atomic.Int64
+		done  context.CancelFunc
+	}
+
+	// counted is a watcher that counts how often it is run.
+	counted struct{ runs atomic.Int64 }
+)
+
+func (a *arriving) Self() kqmember.Member { return a.self }
+
+func (a *arriving) Members() []kqmember.Member {
+	switch n := a.asked.Add(1); {
+	case n <= 3:
+		return []kqmember.Member{a.self}
+	case n > 8:
+		a.done()
+	}
+	return append([]kqmember.Member{a.self}, a.peers...)
+}
+
+func (c *counted) Run(ctx context.Context) {
+	c.runs.Add(1)
+	<-ctx.Done()
+}
+
+// A server is replaced, and its node knows nobody in its first moments. Its peers
+// follow the store already: if it did so too, each replaced server would read the whole
+// document again and again, over a link that its callers need.
+func TestStartingNodeFindsItsPeersFirst(t *testing.T) {
+	ctx, done := context.WithCancel(t.Context())
+	defer done()
+	members := &arriving{
+		self:  kqmember.Member{Node: "new", Domain: "d", Link: 10},
+		peers: []kqmember.Member{{Node: "a", Domain: "d", Link: 200}, {Node: "b", Domain: "d", Link: 200}},
+		done:  done,
+	}
+	watcher := &counted{}
+	kqfollower.New(members, watcher, func(context.Context, bool) {}).Run(ctx)
+	if n := watcher.runs.Load(); n != 0 {
+		t.Errorf("the starting node followed the store %d times, want none beside its peers", n)
+	}
+}
