Write the choice of an upstream out in smaller steps

Read as a newcomer: one name for the upstream that is weighed, and the part of the slots in use worked out apart from the decision that goes by it.

--- a/internal/decide/kqpick/peer.go
+++ b/internal/decide/kqpick/peer.go
@@ -78,15 +78,16 @@
 		}
 		j := i + random.IntN(len(list)-i)
 		list[i], list[j] = list[j], list[i]
-		if !calm || list[i].failing(now) == 0 {
+		o := list[i]
+		if !calm || o.failing(now) == 0 {
 			well++
 		}
-		score := list[i].score(p.median, now) * list[i].risk(calm, now)
-		if list[i].Domain == p.domain {
+		score := o.score(p.median, now) * o.risk(calm, now)
+		if o.Domain == p.domain {
 			score *= nearFactor
 		}
 		if found == nil || score < least {
-			found, least = list[i], score
+			found, least = o, score
 		}
 	}
 	return found, least
--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -246,10 +246,15 @@
 // upstreams' gates told lately: a single report may be a second old, in which one
 // upstream fills up, while the mean of many follows the load.
 func (p *Pool) calm(now time.Time) bool {
-	if now.Sub(p.counted) < medianLasts {
-		return p.inUse < calmUse
+	if now.Sub(p.counted) >= medianLasts {
+		p.counted, p.inUse = now, p.use(now)
 	}
-	p.counted, p.inUse = now, 0
+	return p.inUse < calmUse
+}
+
+// use returns the part of the slots in use, of the upstreams whose reports are fresh;
+// 0 where none is.
+func (p *Pool) use(now time.Time) float64 {
 	busy, slots := 0, 0
 	for _, o := range p.peers {
 		if now.Sub(o.reported) < reportLasts {
@@ -257,10 +262,7 @@
 			slots += o.Slots
 		}
 	}
-	if slots > 0 {
-		p.inUse = float64(busy) / float64(slots)
-	}
-	return p.inUse < calmUse
+	return float64(busy) / float64(max(slots, 1))
 }
 
 // gone reports whether the reason tells that the upstream takes no calls at all.
