Tell signals, the steps of a leave and peers that came back without a goodbye

What callers saw: connections cut at a node that had been told to stop. Nobody could tell from the logs which end it was: a signal wrote no line, a leave wrote its begin and its end only, a reload that changed nothing wrote none, and a killed process none at all.

Change: a line for each signal, each step of the leave and the end, with the calls and callers under way; peers tell that a member's process is another one and what the former was held to be (goodbye or not), by a field that tells processes apart; what is notable is told again every 3 s for a minute. A settings file that cannot be read is told once. No decision changed. The new tests read these lines from real processes; they fail without them.

--- /dev/null
+++ b/cmd/kumquatgw/process_test.go
@@ -0,0 +1,64 @@
+package main_test
+
+import (
+	"bufio"
+	"os"
+	"os/exec"
+	"sync"
+	"testing"
+)
+
+// process is a node whose output and end a test looks at.
+type process struct {
+	command *exec.Cmd
+	// reader is this test's end of the process's standard output.
+	reader *os.File
+	lines  *bufio.Reader
+	file   string
+
+	mu    sync.Mutex
+	ended chan struct{}
+	err   error
+}
+
+// node starts a node with those settings.
+func node(t *testing.T, file string) *process {
+	t.Helper()
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{command: command(t, "node", "--settings", file), reader: r, lines: bufio.NewReader(r), file: file, ended: make(chan struct{})}
+	p.command.Stdout, p.command.Stderr = w, os.Stderr
+	if err := p.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	_ = w.Close()
+	go func() {
+		p.err = p.command.Wait()
+		close(p.ended)
+	}()
+	t.Cleanup(func() {
+		_ = p.command.Process.Kill()
+		<-p.ended
+		_ = r.Close()
+	})
+	return p
+}
+
+// after reads the process's output up to a line with the mark, and returns what
+// stands behind it.
+func (p *process) after(t *testing.T, mark string) string {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return after(t, p.lines, mark)
+}
+
+// signal sends the process a signal.
+func (p *process) signal(t *testing.T, s os.Signal) {
+	t.Helper()
+	if err := p.command.Process.Signal(s); err != nil {
+		t.Fatalf("send %v: %v", s, err)
+	}
+}
--- a/internal/call/kqhangup/hangup.go
+++ b/internal/call/kqhangup/hangup.go
@@ -50,6 +50,18 @@
 	s.lines = append(s.lines, l)
 }
 
+// Count returns how many calls are watched: those under way at the entry and at the
+// gate.
+func (w *Watch) Count() int {
+	count := 0
+	for i := range w.shards {
+		w.shards[i].mu.Lock()
+		count += len(w.shards[i].lines)
+		w.shards[i].mu.Unlock()
+	}
+	return count
+}
+
 // End stops watching.
 func (w *Watch) End(l *Line) {
 	s := l.shard
--- a/internal/peer/kqmember/member.go
+++ b/internal/peer/kqmember/member.go
@@ -57,6 +57,9 @@
 		// cores that the node may use, by its settings; 0 where they state none.
 		Link  float64 `cbor:"12,keyasint,omitempty"`
 		Cores float64 `cbor:"13,keyasint,omitempty"`
+		// Process tells one process of the node from the next: when it started, in
+		// milliseconds since 1970.
+		Process uint64 `cbor:"14,keyasint,omitempty"`
 	}
 
 	// Candidate is an upstream that a call may be sent to.
--- a/internal/run/kqcommand/node.go
+++ b/internal/run/kqcommand/node.go
@@ -26,10 +26,10 @@
 	clause := c.app.Command("node", "Run the node beside an upstream.")
 	file := clause.Flag("settings", "INI file with the node's settings.").Required().String()
 	c.add(clause, func(ctx context.Context) error {
-		// It is taken for as long as the process lives: by default the signal ends a
+		// They are taken for as long as the process lives: by default each ends a
 		// process, and would cut the calls in flight of a node that starts or leaves.
-		hup := make(chan os.Signal, 1)
-		signal.Notify(hup, syscall.SIGHUP)
+		signals := make(chan os.Signal, 8)
+		signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
 		s, err := kqsettings.Read(*file)
 		if err != nil {
 			return fmt.Errorf("read settings: %w", err)
@@ -56,16 +56,16 @@
 		}
 		var group conc.WaitGroup
 		defer group.Wait()
-		watching, stop := context.WithCancel(ctx)
+		watching, stop := context.WithCancel(context.WithoutCancel(ctx))
 		defer stop()
-		group.Go(func() { watchSettings(watching, hup, *file, n, logger) })
+		group.Go(func() { watchSettings(watching, signals, *file, n, logger) })
 		return n.Run(ctx)
 	})
 }
 
-// watchSettings reads the settings again on SIGHUP, and when their file changes
-// without it. A file that cannot be read changes nothing.
-func watchSettings(ctx context.Context, hup <-chan os.Signal, file string, n *kqnode.Node, logger *kqlog.Logger) {
+// watchSettings notes the signals that come, reads the settings again on SIGHUP, and
+// when their file changes without it. A file that cannot be read changes nothing.
+func watchSettings(ctx context.Context, signals <-chan os.Signal, file string, n *kqnode.Node, logger *kqlog.Logger) {
 	ticker := time.NewTicker(settingsEvery)
 	defer ticker.Stop()
 	last, _ := os.ReadFile(file)
@@ -73,15 +73,19 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case s := <-signals:
+			n.Signalled(s)
 		case <-ticker.C:
 		}
 		data, err := os.ReadFile(file)
-		if err != nil || bytes.Equal(data, last) {
+		if bytes.Equal(data, last) {
 			continue
 		}
 		last = data
-		s, err := kqsettings.Read(file)
+		var s kqsettings.Settings
+		if err == nil {
+			s, err = kqsettings.Read(file)
+		}
 		if err == nil {
 			err = n.Reload(s)
 		}
--- a/internal/run/kqnode/leave.go
+++ b/internal/run/kqnode/leave.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 )
 
@@ -14,16 +16,19 @@
 // calls would meet a closed gate.
 func (n *Node) leave() error {
 	n.leaving.Store(true)
-	n.log.Info("Leaving.")
+	n.note(logrus.Fields{"event": "leaving", "step": "begun", "within_ms": n.drainTimeout().Milliseconds()}, "Leaving.")
 	ctx, cancel := context.WithTimeout(context.Background(), n.drainTimeout())
 	defer cancel()
 	n.entry.Leave()
 	n.deserted(ctx)
 	n.entry.Refuse()
+	n.step("callers have gone, or had the time to")
 	n.table.Update(func(m *kqmember.Member) { m.State = kqmember.Leaving })
 	n.exchange.Announce(ctx)
 	n.rollouts.leave(ctx)
+	n.step("the others know")
 	err := n.leaveCalls(ctx)
+	n.step("no calls are taken")
 	if n.admin != nil {
 		err = errors.Join(err, n.admin.Shutdown())
 	}
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -25,6 +25,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqspread"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqmetric"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqnotable"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqrecord"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqidentity"
@@ -56,6 +57,10 @@
 	// stopMargin is left of the time until the kill for the goodbye and the end
 	// of the process on a slow server.
 	stopMargin = 700 * time.Millisecond
+	// notableEvery is the pause between two lines that tell the last notable events
+	// again: calls that fail at the highest rate the settings allow fill what
+	// collectors keep of a node, 125 KB, in four seconds.
+	notableEvery = 3 * time.Second
 )
 
 // ErrKilled is the cause of Run's context that ends a node without a goodbye,
@@ -98,6 +103,8 @@
 		pending      pending
 		recorder     *kqrecord.Recorder
 		storeLost    atomic.Bool
+		notable      kqnotable.Notable
+		processes    processes
 		// callListeners are the bare listeners that take calls.
 		callListeners map[Role]*net.TCPListener
 	}
@@ -154,7 +161,7 @@
 		Link:    settings.Node.Link, Cores: settings.Node.Cores,
 		// A node that was replaced must win over its former self's records,
 		// and it keeps nothing: its start time does.
-		Incarnation: uint64(n.started.UnixMilli()),
+		Incarnation: uint64(n.started.UnixMilli()), Process: uint64(n.started.UnixMilli()),
 	})
 	n.table.OnNews(n.logMember)
 	if n.adapter.Answered != nil {
@@ -178,12 +185,14 @@
 // and what is in flight is finished.
 func (n *Node) Run(ctx context.Context) error {
 	n.log.WithFields(logrus.Fields{"event": "started", "settings": n.settings.Shown()}).Infof("Started as %s in %s.", n.settings.Node.Name, n.settings.Node.Domain)
+	n.notable.Add("started", n.started)
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group conc.WaitGroup
 	group.Go(func() { n.runConfig(background) })
 	group.Go(func() { every(background, sweepEvery, n.sweep) })
 	group.Go(func() { n.collect(background) })
+	group.Go(func() { every(background, notableEvery, n.tellNotable) })
 	if n.adapter.Answered != nil {
 		group.Go(func() { every(background, storeCallsEvery, n.tellStore) })
 	}
@@ -219,7 +228,7 @@
 	n.client.Close()
 	n.listeners.close()
 	group.Wait()
-	n.log.Info("Stopped.")
+	n.stopped(ctx, err)
 	return err
 }
 
@@ -230,12 +239,13 @@
 		return fmt.Errorf("reload settings: %w", err)
 	}
 	n.recorder.Set(s.Log.Sample, s.Log.PerReason)
-	n.log.WithField("settings", s.Shown()).Info("Settings were read again.")
+	n.note(logrus.Fields{"event": "reload", "settings": s.Shown()}, "Settings were read again.")
 	return nil
 }
 
 // logMember notes what this node believes of a member from now on.
 func (n *Node) logMember(m kqmember.Member) {
+	n.logRestart(m)
 	upstreams := make([]string, 0, len(m.Upstreams))
 	for _, u := range m.Upstreams {
 		text := string(u.Service) + " " + string(u.Version)
