Keep a node alive when the reader of its log goes

Cause: writing to a standard output without a reader raises a signal, whose default ends a Go program where the output is its own. The test's process ended with 'signal: broken pipe', at its first line after the reader had gone, not at the reader's end. The tests of the log's writer beside the calls used a pipe within the process, where no signal comes.

Change: a node ignores the signal, so that the write fails and the line is counted as left out. Other commands keep the default, as one expects of them behind a pager.

--- a/cmd/kumquatgw/ends_test.go
+++ b/cmd/kumquatgw/ends_test.go
@@ -7,9 +7,10 @@
 	"time"
 )
 
-// Whoever collects a node's log goes away: its reader ends, and each further line
-// meets a broken pipe. By default that ends a process, and callers whose calls are
-// under way would be cut off.
+// All calls at a node ended without an answer, and the process was gone, when whoever
+// collects its log had gone away: the next line met a pipe without a reader, whose
+// signal ends a process that writes to its standard output unless it says otherwise.
+// The process ended with "signal: broken pipe", at its next line and not before.
 func TestCallsOutliveTheReaderOfTheLog(t *testing.T) {
 	m := newMesh(t, 700*time.Millisecond)
 	answers := m.calls(t, 8)
--- a/internal/run/kqcommand/node.go
+++ b/internal/run/kqcommand/node.go
@@ -30,6 +30,9 @@
 		// process, and would cut the calls in flight of a node that starts or leaves.
 		signals := make(chan os.Signal, 8)
 		signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+		// Else the first line after the log's reader has gone would end the process.
+		// The write fails instead, and the line is counted as left out.
+		signal.Ignore(syscall.SIGPIPE)
 		s, err := kqsettings.Read(*file)
 		if err != nil {
 			return fmt.Errorf("read settings: %w", err)
