Count the log lines that their output did not take

What on-call saw: nothing. A node whose log's reader had stalled or gone went on without a line, and no counter told that lines were missing, although the writer counted them.

Change: a counter of lines not written, and a line on how many as soon as lines are taken again.

--- a/internal/run/kqcommand/node.go
+++ b/internal/run/kqcommand/node.go
@@ -47,7 +47,7 @@
 		if err != nil {
 			return fmt.Errorf("start node: %w", err)
 		}
-		n, err := kqnode.New(s, store, kqnode.WithLogger(logger), kqnode.WithAdapter(adapter))
+		n, err := kqnode.New(s, store, kqnode.WithLogger(logger), kqnode.WithUnwritten(output.Dropped), kqnode.WithAdapter(adapter))
 		if err != nil {
 			return err
 		}
--- a/internal/run/kqmetric/metric.go
+++ b/internal/run/kqmetric/metric.go
@@ -82,6 +82,13 @@
 	return m
 }
 
+// Unwritten adds a counter of the log's lines that its output did not take.
+func (m *Metrics) Unwritten(count func() uint64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "kumquatgw_log_lines_unwritten_total", Help: "Log lines that the standard output did not take: its reader stalls, or is gone.",
+	}, func() float64 { return float64(count()) }))
+}
+
 // Registry returns the registry, to serve it or to add to it.
 func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
 
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -105,6 +105,10 @@
 		storeLost    atomic.Bool
 		notable      kqnotable.Notable
 		processes    processes
+		// unwritten counts the log's lines that its output did not take, and
+		// toldUnwritten is how many the log told of.
+		unwritten     func() uint64
+		toldUnwritten uint64
 		// callListeners are the bare listeners that take calls.
 		callListeners map[Role]*net.TCPListener
 	}
@@ -123,6 +127,11 @@
 // WithLogger sets where the node logs.
 func WithLogger(l *kqlog.Logger) Option { return func(n *Node) { n.logger = l } }
 
+// WithUnwritten tells how many of the log's lines its output did not take.
+func WithUnwritten(count func() uint64) Option {
+	return func(n *Node) { n.unwritten = count; n.metrics.Unwritten(count) }
+}
+
 // WithListener lets wrap replace each listener that the node opens, so that a
 // test can break its connections.
 func WithListener(wrap func(Role, net.Listener) net.Listener) Option {
@@ -140,6 +149,7 @@
 		settings: settings, store: store, logger: kqlog.Discard(), metrics: kqmetric.New(), started: time.Now(),
 		wrap:          func(_ Role, l net.Listener) net.Listener { return l },
 		callListeners: make(map[Role]*net.TCPListener),
+		unwritten:     func() uint64 { return 0 },
 	}
 	for _, o := range options {
 		o(n)
--- a/internal/run/kqnode/notable.go
+++ b/internal/run/kqnode/notable.go
@@ -60,6 +60,11 @@
 }
 
 func (n *Node) tellNotable(now time.Time) {
+	lines := n.unwritten()
+	if more := lines - n.toldUnwritten; more > 0 {
+		n.toldUnwritten = lines
+		n.notable.Add(fmt.Sprintf("%d log lines were not written.", more), now)
+	}
 	if told := n.notable.Fresh(now); len(told) > 0 {
 		n.log.WithFields(logrus.Fields{"event": "notable", "events": told}).Info("Lately.")
 	}
