Show that calls which wait at an address's new upstream are refused

What callers saw: calls that waited for a slot were refused as "draining" although the upstream was well and had time for them, whenever another version had taken over the address of a former one. Found when looking for what a node believes that makes it end or refuse calls. Suspected: the gate keeps what it knows of an address under the former version for as long as calls keep coming, and closes it at each of its looks, four times a second.

--- /dev/null
+++ b/internal/call/kqgate/beliefs_address_test.go
@@ -0,0 +1,71 @@
+package kqgate_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+// Callers of an upstream that had been replaced by another version at the same address
+// were refused four times a second, whenever some of them waited for a slot, although
+// the upstream was well and had time for them: the gate went on taking the address for
+// the former version's, which is gone, for as long as calls kept coming, and turned
+// away all that waited at each of its looks.
+func TestAddressTakenOverByAnotherVersion(t *testing.T) {
+	work := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-work
+		}
+		fmt.Fprint(w, "ran")
+	}))
+	defer server.Close()
+	address := kqname.Address(server.Listener.Addr().String())
+	local := kqlocal.New(time.Minute, func([]kqmember.Upstream) {})
+	announce := func(v kqname.UpstreamVersion) {
+		if err := local.Announce(kqlocal.Announcement{Service: "store", Version: v, Address: address, Slots: 1}, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	g := kqgate.New(local)
+	do := func(path string) kqcall.Outcome {
+		c := &kqcall.Call{
+			Service: "store", Request: &fasthttp.Request{}, Response: &fasthttp.Response{}, Cancel: &kqcall.Cancel{},
+			Arrived: time.Now(), Deadline: time.Now().Add(10 * time.Second),
+		}
+		c.Request.Header.SetRequestURI(path)
+		c.Request.Header.SetHost("store")
+		o, _ := g.Do(c)
+		return o
+	}
+	announce("v1")
+	if o := do("/"); o != kqcall.OK() {
+		t.Fatalf("first version: %+v", o)
+	}
+	announce("v2")
+	var group sync.WaitGroup
+	outcomes := make([]kqcall.Outcome, 2)
+	for i, path := range []string{"/slow", "/"} {
+		group.Go(func() { outcomes[i] = do(path) })
+		time.Sleep(100 * time.Millisecond)
+	}
+	g.Sweep(time.Now())
+	close(work)
+	group.Wait()
+	for i, o := range outcomes {
+		if o != kqcall.OK() {
+			t.Errorf("call %d ended as %+v, want the new version's answer", i, o)
+		}
+	}
+}
