Take a goodbye for its start and all earlier ones

What callers saw: calls sent to an upstream after its node had acknowledged its goodbye, until the former start's announcement lapsed (8 s as deployed).

Cause: a goodbye that names its start took out an announcement of that very start only. The start that says goodbye may never have been announced; what is held is then an earlier one's, which is over as well. Ruled out: goodbyes that arrive late, which the test beside it shows to leave the next start alone, before and after.

Change: a goodbye takes out its own start and earlier ones, at whatever address they were announced. It holds since starts are told apart by when they began, and a start under a name ends all earlier ones.

--- a/internal/call/kqlocal/local.go
+++ b/internal/call/kqlocal/local.go
@@ -105,20 +105,23 @@
 	return nil
 }
 
-// leave takes out an upstream that has said goodbye.
+// leave takes out an upstream that has said goodbye, and its earlier starts: the
+// start that says goodbye may be one that no announcement has told of.
 func (u *Upstreams) leave(a Announcement, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	born, gone := a.Born, false
 	for address, e := range u.held {
-		if e.Instance != a.Instance || a.Born != 0 && a.Born != e.Born {
+		if e.Instance != a.Instance || a.Born != 0 && a.Born < e.Born {
 			continue
 		}
-		a.Born = e.Born
+		born, gone = max(born, e.Born), true
 		delete(u.held, address)
+	}
+	if gone {
 		u.tell()
-		break
 	}
-	u.ended[a.Instance] = ending{born: max(a.Born, u.ended[a.Instance].born), said: now}
+	u.ended[a.Instance] = ending{born: max(born, u.ended[a.Instance].born), said: now}
 }
 
 // Left notes that an upstream has said goodbye to an earlier process of this node.
