Know upstreams by address, service and version

What callers saw: calls that waited for a slot refused as "draining", up to four times a second, at an upstream that had taken over the address of another version's and was well.

Cause: the gate knew an upstream by its address, with the service and version of whoever was met there first. Looked up by these, the upstream was gone, so that each look closed its queue, and the next call opened it again. The record went only once no call and no connection was left, which under steady calls never comes. Ruled out: a drain (none was announced) and the node's own leave.

Change: an upstream is known by address, service and version, so that a successor has a queue of its own and the former's is closed alone. Calls that run at the former are still finished, and its record goes with the last of them.

--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -65,7 +65,16 @@
 		leaving  atomic.Bool
 
 		mu        sync.Mutex
-		upstreams map[kqname.Address]*upstream
+		upstreams map[place]*upstream
+	}
+
+	// place is an address as one service's version holds it. An address may pass to
+	// another before the former's last call has ended; by the address alone, the
+	// new one's calls would share the fate of the former's.
+	place struct {
+		address kqname.Address
+		service kqname.Service
+		version kqname.UpstreamVersion
 	}
 
 	// Option sets up a Gate.
@@ -141,7 +150,7 @@
 func New(local Finder, options ...Option) *Gate {
 	g := &Gate{
 		local: local, observer: nobody{}, guard: nobody{}, counter: nobody{}, recorder: forgetful{}, now: time.Now, hangup: kqhangup.New(),
-		upstreams: make(map[kqname.Address]*upstream),
+		upstreams: make(map[place]*upstream),
 		queue: func(slots int, address kqname.Address) queue {
 			return kqslots.New(slots, saltOf(address))
 		},
@@ -197,13 +206,13 @@
 func (g *Gate) Sweep(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for address, u := range g.upstreams {
-		a, ok := g.local.Find(u.service, u.version)
-		if !ok || a.Address != address || a.Draining || g.leaving.Load() {
+	for p, u := range g.upstreams {
+		a, ok := g.local.Find(p.service, p.version)
+		if !ok || a.Address != p.address || a.Draining || g.leaving.Load() {
 			u.close()
 		}
-		if u.client.Sweep(now) == 0 && (!ok || a.Address != address) && u.idle() {
-			delete(g.upstreams, address)
+		if u.client.Sweep(now) == 0 && (!ok || a.Address != p.address) && u.idle() {
+			delete(g.upstreams, p)
 		}
 	}
 }
@@ -275,10 +284,11 @@
 func (g *Gate) upstream(a kqlocal.Announcement, now time.Time) *upstream {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	u, ok := g.upstreams[a.Address]
+	p := place{a.Address, a.Service, a.Version}
+	u, ok := g.upstreams[p]
 	if !ok {
 		u = newUpstream(a, g.queue(a.Slots, a.Address), g.dialect)
-		g.upstreams[a.Address] = u
+		g.upstreams[p] = u
 	}
 	u.follow(a, now)
 	return u
--- a/internal/call/kqgate/upstream.go
+++ b/internal/call/kqgate/upstream.go
@@ -37,9 +37,7 @@
 
 	// upstream is one local upstream, its queue and its connections.
 	upstream struct {
-		service kqname.Service
-		version kqname.UpstreamVersion
-		client  *kqsend.Client
+		client *kqsend.Client
 
 		mu    sync.Mutex
 		queue queue
@@ -61,7 +59,7 @@
 		options = append(options, kqsend.WithMatch(d.Belongs))
 	}
 	return &upstream{
-		service: a.Service, version: a.Version, slots: a.Slots, queue: q,
+		slots: a.Slots, queue: q,
 		client: kqsend.New(a.Address, options...),
 	}
 }
