Let calls that may not be repeated bear with a silent node until their deadline

What callers saw: such calls ended as unknown after 1.3 s (a stopped process whose window was full) and 2.1 s (a suspended server that had the call), of a deadline of 10 s, though the node went on after 3 s and answered.

Cause: a connection to another node ends once its peer leaves bytes, or the question whether it lives, unacknowledged for a second; Linux counts a full window as that, also while the peer acknowledges each probe of it. Giving a call up early helps where another upstream can serve it. One that may not be repeated goes nowhere else, and its caller is told that it may have run, which is the same at the deadline. Ruled out: the suspicion among members, which ends idle connections only.

Change: a connection that carries such a call bears with silence; the deadline ends the exchange. The next call that may be repeated on it takes the short bound back. It costs one system call where the two kinds take turns on a connection.

--- a/internal/call/kqhangup/bound_other.go
+++ b/internal/call/kqhangup/bound_other.go
@@ -8,4 +8,4 @@
 )
 
 // Bound does nothing where the kernel has no such option.
-func Bound(*net.TCPConn, time.Duration) {}
+func Bound(net.Conn, time.Duration) {}
--- a/internal/call/kqhangup/peek.go
+++ b/internal/call/kqhangup/peek.go
@@ -19,14 +19,7 @@
 // is encrypted; one that sees nothing if there is no socket beneath.
 func NewProbe(c net.Conn) *Probe {
 	p := &Probe{}
-	for {
-		outer, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		c = outer.NetConn()
-	}
-	if s, ok := c.(syscall.Conn); ok {
+	if s, ok := beneath(c).(syscall.Conn); ok {
 		// A connection that is closed already has no raw one; Look then says so.
 		p.raw, p.failure = s.SyscallConn()
 	}
@@ -37,6 +30,17 @@
 	return p
 }
 
+// beneath returns the connection that an encrypted one, or one of a test's, goes over.
+func beneath(c net.Conn) net.Conn {
+	for {
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return c
+		}
+		c = outer.NetConn()
+	}
+}
+
 // Look reports whether the connection's peer has closed it, and whether bytes
 // wait to be read. It does not block.
 func (p *Probe) Look() (closed, readable bool) {
--- a/internal/call/kqsend/beliefs_silence_linux_test.go
+++ b/internal/call/kqsend/beliefs_silence_linux_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -31,7 +33,11 @@
 	}{
 		{"stopped while a large body comes", 32 << 20, func(_ *testing.T, _ net.Conn, r *bufio.Reader) (string, error) {
 			time.Sleep(away)
-			return request(r)
+			q, err := http.ReadRequest(r)
+			if err == nil {
+				_, err = io.Copy(io.Discard, q.Body)
+			}
+			return "/order", err
 		}},
 		{"suspended while it works", 10, func(t *testing.T, c net.Conn, r *bufio.Reader) (string, error) {
 			path, err := request(r)
@@ -46,7 +52,7 @@
 					answer(conn, path)
 				}
 			})
-			client := kqsend.New(kqname.Address(p.Addr().String()), kqsend.WithDialer(kqsend.Near))
+			client := kqsend.New(kqname.Address(p.Addr().String()), kqsend.WithDialer(kqsend.Near), kqsend.WithPatience())
 			order := call("/order", patience)
 			order.Request.SetBody(make([]byte, c.body))
 			began := time.Now()
@@ -66,7 +72,7 @@
 		}
 		deaf(t, c, 2*away)
 	})
-	client := kqsend.New(kqname.Address(p.Addr().String()), kqsend.WithDialer(kqsend.Near))
+	client := kqsend.New(kqname.Address(p.Addr().String()), kqsend.WithDialer(kqsend.Near), kqsend.WithPatience())
 	if o := client.Do(call("/order", patience)); o != kqcall.OK() {
 		t.Fatalf("first call: %+v", o)
 	}
--- a/internal/call/kqsend/client.go
+++ b/internal/call/kqsend/client.go
@@ -27,6 +27,9 @@
 	// long a peer may leave bytes, or the question whether it lives, unacknowledged.
 	nearTimeout = 300 * time.Millisecond
 	nearSilence = time.Second
+	// patientFor takes nearSilence's place for a call that may not be repeated, and is
+	// the longest time that a route may allow: the call's deadline comes first.
+	patientFor = 10 * time.Minute
 	// bufferSize bounds a response's head, in bytes.
 	bufferSize = 16 << 10
 )
@@ -41,6 +44,8 @@
 		dialer func(address string) (net.Conn, error)
 		most   int
 		echoes bool
+		// patient tells that calls which may not be repeated bear with a silent peer.
+		patient bool
 		// belongs tells whether a response answers the call; nil compares ids.
 		belongs func(*kqcall.Call) bool
 		idleFor time.Duration
@@ -60,6 +65,8 @@
 		probe   *kqhangup.Probe
 		written int
 		since   time.Time
+		// bears tells that the connection bears with a silent peer.
+		bears bool
 	}
 )
 
@@ -79,6 +86,12 @@
 // WithEcho demands that each response carries its call's id, as nodes' do.
 func WithEcho() Option { return func(c *Client) { c.echoes = true } }
 
+// WithPatience lets calls that may not be repeated bear with a silent peer until their
+// deadline, over connections that Near has opened. A process that was stopped, or a
+// server that was suspended, often goes on within seconds and answers; given up before,
+// the call cannot go elsewhere, and its caller cannot tell whether it ran.
+func WithPatience() Option { return func(c *Client) { c.patient = true } }
+
 // WithMatch has f tell whether a response answers the call that was sent, for
 // peers that do not speak our headers.
 func WithMatch(f func(*kqcall.Call) bool) Option { return func(c *Client) { c.belongs = f } }
@@ -182,12 +195,23 @@
 	if err != nil {
 		return nil, err
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		kqhangup.Bound(tcp, nearSilence)
-	}
+	kqhangup.Bound(conn, nearSilence)
 	return conn, nil
 }
 
+// bear has the connection bear with a silent peer, or no longer do so.
+func (n *connection) bear(silent bool) {
+	if n.bears == silent {
+		return
+	}
+	n.bears = silent
+	bound := nearSilence
+	if silent {
+		bound = patientFor
+	}
+	kqhangup.Bound(n.Conn, bound)
+}
+
 func (c *Client) release(n *connection) {
 	n.since = time.Now()
 	c.mu.Lock()
--- a/internal/call/kqsend/exchange.go
+++ b/internal/call/kqsend/exchange.go
@@ -83,6 +83,9 @@
 	if err := n.SetDeadline(call.Deadline); err != nil {
 		return err
 	}
+	if c.patient {
+		n.bear(!call.Idempotent)
+	}
 	if err := write(call.Request, n.writer); err != nil {
 		return err
 	}
