Tell that a move has succeeded once nothing is at work at its old version

What callers saw: 9 to 18 of some 430 calls ended as unknown at the end of each good move, when operators stopped the old upstreams without a drain on reading that it had succeeded.

Cause: the report followed the decision within a tick. The old upstreams had a third of the calls until then, calls take up to 0.7 s there, and other nodes hear a little later. Ruled out: nodes that went on sending long after (calls began at old upstreams for some tens of milliseconds only, and a repeat that met the next stopped one followed a cut).

Change: a gate says each tick that it is at work at the old version of a rollout that is done, to the nodes that report it; these write the end once all nodes have had half a second to hear of it and 0.3 s have passed without such a word. The wait is bounded by a third of what is kept for the store at the end of the ordered time, so that a good move does not miss it; calls that last beyond that are cut as before. Where a rollout is planned in the document nothing changes: its upstreams drain when they are stopped.

--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -217,6 +217,19 @@
 	}
 }
 
+// Working reports whether calls are at work, or wait, at an upstream of the service
+// whose version is one of those that fits.
+func (g *Gate) Working(service kqname.Service, fits func(kqname.UpstreamVersion) bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for p, u := range g.upstreams {
+		if p.service == service && fits(p.version) && !u.idle() {
+			return true
+		}
+	}
+	return false
+}
+
 // run passes the call on and has it recorded.
 func (g *Gate) run(c *kqcall.Call, now time.Time) (kqcall.Outcome, kqcall.Load) {
 	r := Record{Call: c}
--- a/internal/run/kqnode/rollout.go
+++ b/internal/run/kqnode/rollout.go
@@ -45,17 +45,19 @@
 		reported map[kqplan.ID]kqboard.State
 		answered atomic.Int64
 		relayed  relay
+		settling *settling
 	}
 )
 
 // joinRollouts joins the rollout flow: count, collect, weigh, step and tell.
 func (n *Node) joinRollouts() *rollouts {
 	self := kqledger.Source{Node: n.settings.Node.Name, Boot: uint64(n.started.UnixNano())}
-	r := &rollouts{node: n, board: kqboard.New(self, n.table), told: make(map[kqplan.ID]time.Time), reported: make(map[kqplan.ID]kqboard.State)}
+	r := &rollouts{node: n, board: kqboard.New(self, n.table), told: make(map[kqplan.ID]time.Time), reported: make(map[kqplan.ID]kqboard.State), settling: newSettling()}
 	r.owner = kqowner.New(n.settings.Node.Name, n.store, r.board)
 	n.metrics.Registry().MustRegister(r.gauge())
 	n.spreader.Subscribe(topicEvidence, r.hearEvidence)
 	n.spreader.Subscribe(topicProgress, r.hearProgress)
+	n.spreader.Subscribe(topicWorking, r.hearWorking)
 	return r
 }
 
@@ -121,6 +123,7 @@
 			r.told[id] = now
 			r.tell(id, owner, now)
 		}
+		r.tellWorking(v, now)
 	}
 }
 
--- a/internal/run/kqnode/rollout_report.go
+++ b/internal/run/kqnode/rollout_report.go
@@ -18,7 +18,8 @@
 
 // tellOperators writes for operators how an order stands, where the platform
 // has them read it from the store. A final state is told only once it is
-// settled, so that all who tell it tell the same.
+// settled, so that all who tell it tell the same, and that a rollout is done once
+// nothing is at work at its old version: operators then stop the old upstreams.
 func (r *rollouts) tellOperators(ctx context.Context, v kqboard.View, rank int, now time.Time) {
 	if r.node.adapter.Reports == nil || v.Plan.Duration == 0 || v.Gone {
 		return
@@ -34,6 +35,9 @@
 	if r.reported[v.Plan.ID] == state || rank < 0 || !owner && (state == kqboard.Running || rank >= reporters) {
 		return
 	}
+	if state == kqboard.Done && !r.settling.over(v.Plan, now) {
+		return
+	}
 	if err := r.writeReport(ctx, v, state); err != nil {
 		r.node.logger.Part("rollout").WithError(err).Debug("Operators were not told.")
 		return
