Hold no upstream's silence against it while its node was away itself

What callers could see: calls refused for want of an upstream, once a node went on that had been held up for longer than an announcement lasts (8 s as deployed, 3 s by default).

Cause: an announcement lapsed by the time since it came, also where the node could not have read the next one. Ruled out as a cause of cut calls: calls at work at an upstream that lapses are finished, which the test with a silent upstream shows.

Change: what is over a second between two looks, due four times in it, is the node's own absence and is added to each announcement's time, as the detector of lost members does. An upstream that is silent while its node looks lapses as before.

--- a/internal/call/kqlocal/local.go
+++ b/internal/call/kqlocal/local.go
@@ -17,6 +17,10 @@
 // known as such; a network delays them by seconds at most.
 const remember = time.Minute
 
+// attentive is the longest time between two looks for announcements that have lapsed
+// of a node that was not held up itself; they are due four times a second.
+const attentive = time.Second
+
 // ErrAnnouncement tells that an announcement cannot be accepted.
 var ErrAnnouncement = errors.New("announcement refused")
 
@@ -49,6 +53,8 @@
 
 		mu   sync.Mutex
 		held map[kqname.Address]entry
+		// swept is when announcements were last looked at.
+		swept time.Time
 		// ended are the upstreams that have said goodbye. What they said before may
 		// arrive after it.
 		ended map[kqname.Instance]ending
@@ -157,21 +163,33 @@
 	return a == other
 }
 
-// Sweep forgets upstreams that have not renewed in time.
+// Sweep forgets upstreams that have not renewed in time. Where it was not called for
+// long, this node itself was away, and the announcements that came meanwhile may wait to
+// be read: that time is held against no upstream.
 func (u *Upstreams) Sweep(now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	gone := false
+	away := time.Duration(0)
+	if !u.swept.IsZero() {
+		away = max(now.Sub(u.swept)-attentive, 0)
+	}
+	u.swept = now
 	for instance, e := range u.ended {
 		if now.Sub(e.said) > remember {
 			delete(u.ended, instance)
 		}
 	}
 	for address, e := range u.held {
+		if e.renewed = e.renewed.Add(away); e.renewed.After(now) {
+			e.renewed = now
+		}
 		if now.Sub(e.renewed) > u.ttl {
 			delete(u.held, address)
 			gone = true
+			continue
 		}
+		u.held[address] = e
 	}
 	if gone {
 		u.tell()
