Use no connection that its peer is about to close

What callers saw: now and then a call that may not be repeated ended as unknown ("cut") at an upstream that closes idle connections and says in its answers after how long.

Cause: a connection was kept for 5 s without a call whatever the upstream said. Looked at before each call it was open, but the call could cross the close. Ruled out: closes that came before the look, which an earlier test covers.

--- a/internal/call/kqsend/client.go
+++ b/internal/call/kqsend/client.go
@@ -65,6 +65,9 @@
 		probe   *kqhangup.Probe
 		written int
 		since   time.Time
+		// keptFor is how long the peer keeps the connection without a call; 0 says
+		// nothing.
+		keptFor time.Duration
 		// bears tells that the connection bears with a silent peer.
 		bears bool
 	}
@@ -119,9 +122,9 @@
 func (c *Client) sweep(before time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	kept := c.idle[:0]
+	kept, now := c.idle[:0], time.Now()
 	for _, n := range c.idle {
-		if !before.IsZero() && n.since.After(before) {
+		if !before.IsZero() && n.since.After(before) && !n.over(now) {
 			kept = append(kept, n)
 			continue
 		}
@@ -144,7 +147,7 @@
 		if n == nil {
 			return c.dial()
 		}
-		if n.alive() {
+		if n.alive() && !n.over(time.Now()) {
 			n.written = 0
 			return n, nil
 		}
--- a/internal/call/kqsend/exchange.go
+++ b/internal/call/kqsend/exchange.go
@@ -40,6 +40,7 @@
 	}
 	closes := call.Response.ConnectionClose()
 	call.Response.Header.ResetConnectionClose()
+	n.keptFor = keptFor(&call.Response.Header)
 	if a, ok := call.Response.BodyStream().(*answer); ok {
 		a.closes = a.closes || closes
 	} else {
