Count the silence of callers by the steady clock

What callers could see: calls refused at a node that leaves, before whoever places callers has had the time to place them elsewhere, where its time of day steps ahead meanwhile; set back, the node would wait for longer than callers need.

Cause: how long no call has come was counted from a moment since 1970, which has lost the steady clock. Found by reading what in the call path, the members and the decisions turns a time into a number. The others end or refuse nothing: incarnations (a node refutes what its former process said under a later time), the name of a process's evidence, the phase of a rollout's share, when an upstream is warm. Not shown by a test: a step of the clock cannot be made without rights over the machine, and Go's times cannot be made by hand with the two clocks apart. It cuts no call; it refuses some.

--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -87,8 +87,10 @@
 		origin   kqname.Service
 		leaving  atomic.Bool
 		refusing atomic.Bool
-		// arrived is when the last call came, in nanoseconds since 1970.
+		// arrived is when the last call came, in nanoseconds since began: counted
+		// by the time of day, a step of the clock would pass for silence.
 		arrived atomic.Int64
+		began   time.Time
 		now     func() time.Time
 
 		prefix  string
@@ -163,7 +165,7 @@
 func New(self kqname.Node, config Configuration, directory Directory, local Local, options ...Option) *Entry {
 	e := &Entry{
 		self: self, config: config, directory: directory, local: local,
-		splitter: stable{}, counter: silent{}, recorder: forgetful{}, hangup: kqhangup.New(), forged: func() {}, now: time.Now,
+		splitter: stable{}, counter: silent{}, recorder: forgetful{}, hangup: kqhangup.New(), forged: func() {}, began: time.Now(), now: time.Now,
 		// Two nodes, or one before and after a restart, never give out the same id.
 		prefix: strconv.FormatUint(rand.Uint64(), 36) + "-",
 	}
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -37,7 +37,9 @@
 func (e *Entry) Leave() { e.leaving.Store(true) }
 
 // Quiet returns for how long no call has come.
-func (e *Entry) Quiet(now time.Time) time.Duration { return now.Sub(time.Unix(0, e.arrived.Load())) }
+func (e *Entry) Quiet(now time.Time) time.Duration {
+	return now.Sub(e.began) - time.Duration(e.arrived.Load())
+}
 
 // Refuse refuses all calls that come from now on: the process ends before they
 // would have their answers, which would be cut off.
@@ -59,7 +61,7 @@
 
 func (e *Entry) serve(ctx *fasthttp.RequestCtx, caller kqname.Caller, depth int, told kqcall.Told) {
 	now := e.now()
-	e.arrived.Store(now.UnixNano())
+	e.arrived.Store(int64(now.Sub(e.began)))
 	kqcall.Strip(&ctx.Request.Header)
 	stripHop(&ctx.Request.Header)
 	number := e.number.Add(1)
