Show that a large answer is broken off for a short silence

What callers saw: the first part of a large answer and then the end of the connection, 2.1 s after the node that passed it on had been suspended, though it went on after 3 s. Suspected: the bound on a peer's silence goes on while the answer arrives.

--- a/internal/call/kqsend/beliefs_silence_linux_test.go
+++ b/internal/call/kqsend/beliefs_silence_linux_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -105,3 +106,29 @@
 	time.Sleep(d)
 	_ = raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0) })
 }
+
+// A large answer was on its way to its caller when the node that passed it on was
+// suspended for some seconds. Its caller got the first part and no more, although the
+// rest came as soon as the node went on. What has begun to arrive cannot come from
+// another upstream any more.
+func TestSilentPeerComesBackAmidAnAnswer(t *testing.T) {
+	const size = 4 * kqsend.Bound
+	p := newPeer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := request(r); err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, make([]byte, size/2))
+		time.Sleep(100 * time.Millisecond)
+		deaf(t, c, away)
+		_, _ = c.Write(make([]byte, size/2))
+	})
+	client := kqsend.New(kqname.Address(p.Addr().String()), kqsend.WithDialer(kqsend.Near), kqsend.WithPatience())
+	look := call("/download", patience)
+	look.Idempotent = true
+	if o := client.Do(look); o != kqcall.OK() {
+		t.Fatalf("ended as %+v", o)
+	}
+	if n, err := io.Copy(io.Discard, look.Response.BodyStream()); n != size || err != nil {
+		t.Errorf("%d bytes of %d came: %v", n, size, err)
+	}
+}
