Keep a node going that has no descriptor for a new connection

What callers saw: in a storm of callers the node's process ended with 'accept4: too many open files' and status 1, with the calls that outlasted its leave, and nothing listened until it was started again.

Cause: the call library returns from Serve on any failed accept that is no timeout; a server that ends makes the node leave. The peers' server already went on by itself.

Why it holds: Accept returns no error but net.ErrClosed any more, and only the node closes its listeners.

--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqadmin"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqacceptor"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
@@ -359,11 +360,16 @@
 		if tcp, ok := opened.(*net.TCPListener); ok && l.role != RoleControl && l.role != RoleAdmin && l.role != RoleReady {
 			n.callListeners[l.role] = tcp
 		}
-		*l.to = n.wrap(l.role, opened)
+		*l.to = n.wrap(l.role, kqacceptor.New(opened, func(err error) { n.acceptFailed(l.role, err) }))
 	}
 	return nil
 }
 
+// acceptFailed notes that a listener cannot take connections for now.
+func (n *Node) acceptFailed(r Role, err error) {
+	n.note(logrus.Fields{"event": "accept_failed", "listener": r, logrus.ErrorKey: err}, "Cannot take connections for now.")
+}
+
 func (l listeners) close() {
 	for _, one := range []net.Listener{l.control, l.gate, l.entry, l.local, l.ready, l.admin} {
 		if one != nil {
