Pass on an upstream's answer that comes before it has taken the whole body

What callers saw: an upstream that refuses a long body early, and closes, was answered for by the node with 504 unknown: cut, although its own answer had come.

Cause: the exchange wrote the whole request first and gave up at the first failed write, with the answer unread in its buffer. (On Linux a reset leaves what has come before it to be read.)

Change: after a failed write that is neither late nor cancelled, an answer that is there is read, for 0.1 s at most. Only one that is whole by its length counts: one that is streamed or ends with its connection can't be told from a torn one any more. The connection isn't kept.

--- a/internal/call/kqsend/conns_send_test.go
+++ b/internal/call/kqsend/conns_send_test.go
@@ -33,6 +33,25 @@
 	}
 }
 
+// The same upstream's answer has no length, and ends with the connection that it
+// resets. Nobody can tell whether all of it has come, so it must not look complete.
+func TestAnswerBeforeTheBodyWasTakenMayBeTorn(t *testing.T) {
+	p := newPeer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 413 Too Large\r\nConnection: close\r\n\r\na part of")
+		_ = c.Close()
+	})
+	for range 20 {
+		call := call("/", patience)
+		call.Request.SetBody(bytes.Repeat([]byte{'b'}, 16<<20))
+		if o := p.client().Do(call); o != kqcall.Lose(kqcall.Cut) {
+			t.Fatalf("got %+v, want unknown: cut", o)
+		}
+	}
+}
+
 // An upstream states for how long it keeps a connection without a call, and then
 // closes it. A call sent at that moment would be cut, and its caller could not tell
 // whether it ran.
--- a/internal/call/kqsend/exchange.go
+++ b/internal/call/kqsend/exchange.go
@@ -12,8 +12,13 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 )
 
-// fullRetryAfter is what callers are told when all connections are in use.
-const fullRetryAfter = time.Second
+const (
+	// fullRetryAfter is what callers are told when all connections are in use.
+	fullRetryAfter = time.Second
+	// earlyFor bounds the reading of an answer that is there already, in case that
+	// only a part of it is.
+	earlyFor = 100 * time.Millisecond
+)
 
 // Do sends the call's request and reads its response. The outcome is Answered
 // for any whole response, whatever its status.
@@ -83,15 +88,48 @@
 	if err := n.SetDeadline(call.Deadline); err != nil {
 		return err
 	}
-	if err := write(call.Request, n.writer); err != nil {
-		return err
+	err := write(call.Request, n.writer)
+	if err == nil {
+		err = n.writer.Flush()
 	}
-	if err := n.writer.Flush(); err != nil {
-		return err
+	if err != nil {
+		return n.early(c, call, err)
 	}
 	return n.readAnswer(c, call)
 }
 
+// early reads the answer of a peer that gave it before it had taken the whole
+// request, and closed. Left unread, it would be lost, and a call that the peer
+// refused for its size, say, be told as one that may have run. What the peer sent
+// came before the failure that the writing met, so there is nothing to wait for.
+func (n *connection) early(c *Client, call *kqcall.Call, failed error) error {
+	if n.written == 0 || timedOut(failed) || call.Cancel.Done() {
+		return failed
+	}
+	if err := n.SetReadDeadline(earlier(call.Deadline, time.Now().Add(earlyFor))); err != nil {
+		return failed
+	}
+	if err := n.readAnswer(c, call); err != nil {
+		return failed
+	}
+	if a, ok := call.Response.BodyStream().(*answer); ok {
+		// The writing has met the reset already, so that a body cut off by it would
+		// look complete where it ends with its connection.
+		a.closed = true
+		call.Response.Reset()
+		return failed
+	}
+	call.Response.SetConnectionClose()
+	return nil
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // write writes the request as it was read. The library's own way writes the path
 // anew from what it has parsed, with dots and escapes resolved: the upstream would
 // run another request than the caller sent.
