Give up a connection before the time that its upstream states for it

What callers saw: 504 unknown: cut for single calls to an upstream that closes connections without a call after a time that it states in Keep-Alive. Nobody may send such a call again if it is not idempotent.

Cause: connections to upstreams were kept for 5 s whatever the upstream said, and one that it closes at the moment of a call has the call on its way already. The look before the call finds only closes that have arrived.

--- a/internal/call/kqsend/client.go
+++ b/internal/call/kqsend/client.go
@@ -59,7 +59,10 @@
 		writer  *bufio.Writer
 		probe   *kqhangup.Probe
 		written int
-		since   time.Time
+		// kept is how long the connection may be kept without a call: what its peer
+		// said last, or else the client's own.
+		kept  time.Duration
+		until time.Time
 	}
 )
 
@@ -97,18 +100,20 @@
 
 // Close ends the connections that no call uses; those in use end with their
 // call.
-func (c *Client) Close() { c.sweep(time.Time{}) }
+func (c *Client) Close() { c.sweep(func(*connection) bool { return true }) }
 
 // Sweep ends the connections that no call has used for a while, and reports how
 // many are left.
-func (c *Client) Sweep(now time.Time) int { return c.sweep(now.Add(-c.idleFor)) }
+func (c *Client) Sweep(now time.Time) int {
+	return c.sweep(func(n *connection) bool { return !now.Before(n.until) })
+}
 
-func (c *Client) sweep(before time.Time) int {
+func (c *Client) sweep(over func(*connection) bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kept := c.idle[:0]
 	for _, n := range c.idle {
-		if !before.IsZero() && n.since.After(before) {
+		if !over(n) {
 			kept = append(kept, n)
 			continue
 		}
@@ -131,7 +136,7 @@
 		if n == nil {
 			return c.dial()
 		}
-		if n.alive() {
+		if time.Now().Before(n.until) && n.alive() {
 			n.written = 0
 			return n, nil
 		}
@@ -164,7 +169,7 @@
 		c.mu.Unlock()
 		return nil, fmt.Errorf("connect to %s: %w", c.to, err)
 	}
-	n := &connection{Conn: dialed}
+	n := &connection{Conn: dialed, kept: c.idleFor}
 	n.probe = kqhangup.NewProbe(dialed)
 	n.reader = bufio.NewReaderSize(n.Conn, bufferSize)
 	n.writer = bufio.NewWriterSize(n, bufferSize)
@@ -189,7 +194,7 @@
 }
 
 func (c *Client) release(n *connection) {
-	n.since = time.Now()
+	n.until = time.Now().Add(n.kept)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = append(c.idle, n)
--- a/internal/call/kqsend/exchange.go
+++ b/internal/call/kqsend/exchange.go
@@ -45,6 +45,7 @@
 	}
 	closes := call.Response.ConnectionClose()
 	call.Response.Header.ResetConnectionClose()
+	n.heed(&call.Response.Header, c.idleFor)
 	if a, ok := call.Response.BodyStream().(*answer); ok {
 		a.closes = a.closes || closes
 	} else {
