Answer calls that outlast the leave before the process ends

What callers saw: calls still at work when drain_timeout (or kill_after less its margin) was over ended with their connections, without an answer; and the other nodes had no goodbye, as the time for it was used up with the calls'.

Cause: the servers' shutdown returned at the deadline with calls in flight, and the process ended.

Change: such calls are cancelled, by what cancels those of callers who went away: what waits is told not_run, what runs unknown: cancelled (504). They have 150 ms for it. The goodbye has 200 ms of its own. A streamed answer that isn't over by then is still cut; nothing could complete it. The leave of calls has a file of its own.

--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -50,7 +50,7 @@
 	Timeout Reason = "timeout"
 	// Cut tells that the connection broke after the call was sent.
 	Cut Reason = "cut"
-	// Cancelled tells that the caller went away.
+	// Cancelled tells that the caller went away, or the node ended before the call.
 	Cancelled Reason = "cancelled"
 	// Crossed tells that the answer carried another call's id.
 	Crossed Reason = "crossed"
--- a/internal/call/kqhangup/hangup.go
+++ b/internal/call/kqhangup/hangup.go
@@ -74,6 +74,21 @@
 	s.lines = s.lines[:last]
 }
 
+// Cancel cancels all calls under way: the process ends before they do.
+func (w *Watch) Cancel() {
+	for i := range w.shards {
+		w.shards[i].cancel()
+	}
+}
+
+func (s *shard) cancel() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.lines {
+		l.call.Now()
+	}
+}
+
 // Run looks at the connections until ctx ends.
 func (w *Watch) Run(ctx context.Context) {
 	ticker := time.NewTicker(every)
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -1,10 +1,8 @@
 package kqnode
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net"
 	"time"
 
@@ -16,7 +14,6 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
-	"github.com/kumquatgw/kumquatgw/internal/call/kqsend"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqallowance"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqrecord"
@@ -34,19 +31,6 @@
 	// headerSize bounds a call's head, in bytes: 16 KB of the caller's own, and what
 	// nodes add on the way to a gate.
 	headerSize = 18 << 10
-	// callerGrace is how long callers from outside are given at least to go
-	// elsewhere when the node leaves: whoever places them asks once a second
-	// whether the node is ready and needs two answers. callerQuiet without a call
-	// tells that they have gone; where too few other nodes are ready they stay,
-	// and are served until closeMargin before the end: a call that is taken then has
-	// as long to be answered as all but the slowest take.
-	callerGrace = 2200 * time.Millisecond
-	callerQuiet = 700 * time.Millisecond
-	closeMargin = 2300 * time.Millisecond
-	emptyPoll   = 10 * time.Millisecond
-	// ownGrace is how long callers are given where nobody asks whether the node
-	// is ready.
-	ownGrace = time.Second
 )
 
 type (
@@ -134,65 +118,6 @@
 	start(func() error { return s.gate.Serve(l.gate) })
 }
 
-// leaveCalls ends the call flow without cutting a call. Closing a connection
-// that looks idle may meet a call that is on its way, whose caller could not
-// tell whether it ran. So each response asks first for its connection to be
-// closed, and the servers stay until the others have let go of theirs, or have
-// had the time to: nodes keep an idle connection for kqsend.IdleFor only.
-func (n *Node) leaveCalls(ctx context.Context) error {
-	n.gate.Leave()
-	n.quiesce(ctx, RoleEntry, RoleLocal)
-	err := n.servers.shutdown(ctx, n.servers.entry, n.servers.local)
-	n.entry.Close()
-	n.servers.emptied(ctx, kqsend.IdleFor+sweepEvery, n.servers.gate)
-	n.quiesce(ctx, RoleGate)
-	return errors.Join(err, n.servers.shutdown(ctx, n.servers.gate))
-}
-
-// deserted returns once callers come no more, or when it is time to close.
-func (n *Node) deserted(ctx context.Context) {
-	began := time.Now()
-	if n.adapter.Dialect == nil {
-		// Our own callers learn of it from the answers alone.
-		n.servers.emptied(ctx, ownGrace, n.servers.entry)
-		return
-	}
-	end, _ := ctx.Deadline()
-	ticker := time.NewTicker(emptyPoll)
-	defer ticker.Stop()
-	for now := range ticker.C {
-		if now.Sub(began) >= callerGrace && n.entry.Quiet(now) >= callerQuiet || now.After(end.Add(-closeMargin)) {
-			return
-		}
-	}
-}
-
-// emptied returns once a server has no connections, or after at most a while.
-func (s callServers) emptied(ctx context.Context, most time.Duration, server *fasthttp.Server) {
-	ctx, cancel := context.WithTimeout(ctx, most)
-	defer cancel()
-	ticker := time.NewTicker(emptyPoll)
-	defer ticker.Stop()
-	for server.GetOpenConnectionsCount() > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// shutdown closes the listeners and waits for the calls in flight.
-func (s callServers) shutdown(ctx context.Context, servers ...*fasthttp.Server) error {
-	var errs []error
-	for _, server := range servers {
-		if err := server.ShutdownWithContext(ctx); err != nil {
-			errs = append(errs, fmt.Errorf("drain: %w", err))
-		}
-	}
-	return errors.Join(errs...)
-}
-
 // refuse answers, and counts, what the library could not read as a call. Such
 // a call never reaches an entry or a gate, which count all others.
 func refuse(count func(kqcall.Outcome)) func(*fasthttp.RequestCtx, error) {
--- a/internal/run/kqnode/drain.go
+++ b/internal/run/kqnode/drain.go
@@ -2,14 +2,115 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
 	"github.com/kumquatgw/kumquatgw/internal/call/kqquiesce"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqsend"
+)
+
+const (
+	// settleFor is how long a connection takes at most from its first packet to
+	// its being accepted and its call's being begun.
+	settleFor = 100 * time.Millisecond
+	// callerGrace is how long callers from outside are given at least to go
+	// elsewhere when the node leaves: whoever places them asks once a second
+	// whether the node is ready and needs two answers. callerQuiet without a call
+	// tells that they have gone; where too few other nodes are ready they stay,
+	// and are served until closeMargin before the end: a call that is taken then has
+	// as long to be answered as all but the slowest take.
+	callerGrace = 2200 * time.Millisecond
+	callerQuiet = 700 * time.Millisecond
+	closeMargin = 2300 * time.Millisecond
+	emptyPoll   = 10 * time.Millisecond
+	// ownGrace is how long callers are given where nobody asks whether the node
+	// is ready.
+	ownGrace = time.Second
+	// lastAnswers is how long calls that were cancelled have for their answers, and
+	// goodbyeFor how long the others are told of the end; both are part of stopMargin.
+	lastAnswers = 150 * time.Millisecond
+	goodbyeFor  = 200 * time.Millisecond
 )
 
-// settleFor is how long a connection takes at most from its first packet to
-// its being accepted and its call's being begun.
-const settleFor = 100 * time.Millisecond
+// leaveCalls ends the call flow without cutting a call. Closing a connection
+// that looks idle may meet a call that is on its way, whose caller could not
+// tell whether it ran. So each response asks first for its connection to be
+// closed, and the servers stay until the others have let go of theirs, or have
+// had the time to: nodes keep an idle connection for kqsend.IdleFor only.
+func (n *Node) leaveCalls(ctx context.Context) error {
+	n.gate.Leave()
+	n.quiesce(ctx, RoleEntry, RoleLocal)
+	err := n.finish(ctx, n.servers.entry, n.servers.local)
+	n.entry.Close()
+	n.servers.emptied(ctx, kqsend.IdleFor+sweepEvery, n.servers.gate)
+	n.quiesce(ctx, RoleGate)
+	return errors.Join(err, n.finish(ctx, n.servers.gate))
+}
+
+// finish shuts servers down. Calls that outlast the time for it are cancelled, and their
+// callers told so: cut off by the end of the process, they would have no answer.
+func (n *Node) finish(ctx context.Context, servers ...*fasthttp.Server) error {
+	err := n.servers.shutdown(ctx, servers...)
+	if !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	n.note(logrus.Fields{"event": "leaving", "step": "cancelled"}, "Leaving: calls that take longer are cancelled.")
+	n.hangup.Cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	for _, s := range servers {
+		n.servers.emptied(ctx, lastAnswers, s)
+	}
+	return err
+}
+
+// deserted returns once callers come no more, or when it is time to close.
+func (n *Node) deserted(ctx context.Context) {
+	began := time.Now()
+	if n.adapter.Dialect == nil {
+		// Our own callers learn of it from the answers alone.
+		n.servers.emptied(ctx, ownGrace, n.servers.entry)
+		return
+	}
+	end, _ := ctx.Deadline()
+	ticker := time.NewTicker(emptyPoll)
+	defer ticker.Stop()
+	for now := range ticker.C {
+		if now.Sub(began) >= callerGrace && n.entry.Quiet(now) >= callerQuiet || now.After(end.Add(-closeMargin)) {
+			return
+		}
+	}
+}
+
+// emptied returns once a server has no connections, or after at most a while.
+func (s callServers) emptied(ctx context.Context, most time.Duration, server *fasthttp.Server) {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	ticker := time.NewTicker(emptyPoll)
+	defer ticker.Stop()
+	for server.GetOpenConnectionsCount() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// shutdown closes the listeners and waits for the calls in flight.
+func (s callServers) shutdown(ctx context.Context, servers ...*fasthttp.Server) error {
+	var errs []error
+	for _, server := range servers {
+		if err := server.ShutdownWithContext(ctx); err != nil {
+			errs = append(errs, fmt.Errorf("drain: %w", err))
+		}
+	}
+	return errors.Join(errs...)
+}
 
 // quiesce lets nobody connect to some listeners any more and waits until those
 // who just did have their calls begun. Closed without it, a listener would
--- a/internal/run/kqnode/leave.go
+++ b/internal/run/kqnode/leave.go
@@ -29,6 +29,9 @@
 	n.step("the others know")
 	err := n.leaveCalls(ctx)
 	n.step("no calls are taken")
+	// The calls may have used up the time; the others must be told all the same.
+	ctx, cancelGoodbye := context.WithTimeout(context.Background(), goodbyeFor)
+	defer cancelGoodbye()
 	if n.admin != nil {
 		err = errors.Join(err, n.admin.Shutdown())
 	}
