Answer a second call that came with the first before its connection closes

What callers saw: of two idempotent calls sent at once on a connection, the second had no answer when the node was told to stop, though the node had read both long before; at any time the same after a refusal, which closes the connection where callers speak a dialect; and an answer that was ready waited for the second call's.

Cause: the call library reads ahead and doesn't say so. An answer that closes the connection drops the request that lies in its buffer, and an answer before one that lies there isn't sent until that is served.

Change: connections hand the library one request at a time, and tell whether another waits; the answer closes the connection only where none does. Where requests end is found by a simple reading of lengths; where that errs (chunked bodies, a head in pieces), bytes are handed over in other portions, and nothing else changes.

Ruled out: bytes lost or out of order; a test draws requests, pieces and buffers.

--- /dev/null
+++ b/internal/call/kqconnection/listener_test.go
@@ -0,0 +1,138 @@
+package kqconnection_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"pgregory.net/rapid"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqconnection"
+)
+
+func open(t interface {
+	Helper()
+	Fatal(args ...any)
+},
+) (server net.Conn, caller net.Conn, done func()) {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := kqconnection.New(inner)
+	caller, err = net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err = l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return server, caller, func() { _, _, _ = server.Close(), caller.Close(), l.Close() }
+}
+
+// Whatever callers send, in whatever pieces and buffers: the server reads just that.
+// Were a byte lost or moved, a request would run that nobody sent.
+func TestEveryByteIsReadInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		server, caller, done := open(t)
+		defer done()
+		pieces := rapid.SliceOfN(rapid.SampledFrom([]string{
+			"GET / HTTP/1.1\r\nHost: a\r\n\r\n", "PUT / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab", "cde", "\r\n", "\n\n", "\r", "a",
+			"PUT / HTTP/1.1\r\ncontent-length:9999999999999\r\n\r\n", "Content-Length: -1\r\n\r\n", "4\r\nbody\r\n0\r\n\r\n",
+		}), 1, 20).Draw(t, "pieces")
+		sent := strings.Join(pieces, "")
+		go func() {
+			for _, p := range pieces {
+				_, _ = io.WriteString(caller, p)
+			}
+			_ = caller.(*net.TCPConn).CloseWrite()
+		}()
+		var got strings.Builder
+		b := make([]byte, rapid.IntRange(1, 64).Draw(t, "buffer"))
+		for {
+			n, err := server.Read(b)
+			got.Write(b[:n])
+			if err != nil {
+				break
+			}
+		}
+		if got.String() != sent {
+			t.Fatalf("read %q, want %q", got.String(), sent)
+		}
+	})
+}
+
+// A caller sends three requests at once, the second with a body. The server is given
+// one after the other, and can ask whether more has come.
+func TestOneRequestAtATime(t *testing.T) {
+	server, caller, done := open(t)
+	defer done()
+	requests := []string{
+		"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n", "PUT /2 HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody", "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n",
+	}
+	if _, err := io.WriteString(caller, strings.Join(requests, "")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	b := make([]byte, 4096)
+	for i, want := range requests {
+		n, err := server.Read(b)
+		if string(b[:n]) != want || err != nil {
+			t.Errorf("read %q %v, want %q", b[:n], err, want)
+		}
+		if pending := server.(interface{ Pending() bool }).Pending(); pending != (i < 2) {
+			t.Errorf("after request %d of 3: pending is %v", i+1, pending)
+		}
+	}
+}
+
+// Two calls are sent at once, the second of which takes long. The first answer is
+// ready, and its caller must not wait for the second; the library would hold it back.
+func TestFirstAnswerDoesNotWaitForTheSecond(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	release := make(chan struct{})
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == "/second" {
+			<-release
+		}
+		ctx.SetBody(ctx.Path())
+	}}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(kqconnection.New(inner)) }()
+	caller, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	fmt.Fprint(caller, "GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n")
+	_ = caller.SetReadDeadline(time.Now().Add(5 * time.Second))
+	r := bufio.NewReader(caller)
+	for _, want := range []string{"/first", "/second"} {
+		a, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Errorf("the answer to %s does not come: %v", want, err)
+			break
+		}
+		if body, _ := io.ReadAll(a.Body); string(body) != want {
+			t.Errorf("got %q, want %q", body, want)
+		}
+		if want == "/first" {
+			close(release)
+		}
+	}
+	_ = inner.Close()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/run/kqnode/drain.go
+++ b/internal/run/kqnode/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -44,17 +45,18 @@
 func (n *Node) leaveCalls(ctx context.Context) error {
 	n.gate.Leave()
 	n.quiesce(ctx, RoleEntry, RoleLocal)
-	err := n.finish(ctx, n.servers.entry, n.servers.local)
+	err := n.finish(ctx, map[Role]*fasthttp.Server{RoleEntry: n.servers.entry, RoleLocal: n.servers.local})
 	n.entry.Close()
-	n.servers.emptied(ctx, kqsend.IdleFor+sweepEvery, n.servers.gate)
+	emptied(ctx, kqsend.IdleFor+sweepEvery, n.servers.gate)
 	n.quiesce(ctx, RoleGate)
-	return errors.Join(err, n.finish(ctx, n.servers.gate))
+	return errors.Join(err, n.finish(ctx, map[Role]*fasthttp.Server{RoleGate: n.servers.gate}))
 }
 
 // finish shuts servers down. Calls that outlast the time for it are cancelled, and their
 // callers told so: cut off by the end of the process, they would have no answer.
-func (n *Node) finish(ctx context.Context, servers ...*fasthttp.Server) error {
-	err := n.servers.shutdown(ctx, servers...)
+func (n *Node) finish(ctx context.Context, servers map[Role]*fasthttp.Server) error {
+	n.quiet(ctx, servers)
+	err := shutdown(ctx, servers)
 	if !errors.Is(err, context.DeadlineExceeded) {
 		return err
 	}
@@ -63,17 +65,36 @@
 	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
 	defer cancel()
 	for _, s := range servers {
-		n.servers.emptied(ctx, lastAnswers, s)
+		emptied(ctx, lastAnswers, s)
 	}
 	return err
 }
 
+// quiet closes listeners and returns once no call has been under way for a while. From
+// its shutdown on a server closes each connection with the next answer, also one on
+// which its caller has sent two calls; until then the entry sees to both.
+func (n *Node) quiet(ctx context.Context, servers map[Role]*fasthttp.Server) {
+	for role := range servers {
+		if l, ok := n.connections[role]; ok {
+			_ = l.Close()
+		}
+	}
+	ticker := time.NewTicker(emptyPoll)
+	defer ticker.Stop()
+	for last := time.Now(); time.Since(last) < settleFor && ctx.Err() == nil; {
+		<-ticker.C
+		if n.hangup.Count() > 0 {
+			last = time.Now()
+		}
+	}
+}
+
 // deserted returns once callers come no more, or when it is time to close.
 func (n *Node) deserted(ctx context.Context) {
 	began := time.Now()
 	if n.adapter.Dialect == nil {
 		// Our own callers learn of it from the answers alone.
-		n.servers.emptied(ctx, ownGrace, n.servers.entry)
+		emptied(ctx, ownGrace, n.servers.entry)
 		return
 	}
 	end, _ := ctx.Deadline()
@@ -87,7 +108,7 @@
 }
 
 // emptied returns once a server has no connections, or after at most a while.
-func (s callServers) emptied(ctx context.Context, most time.Duration, server *fasthttp.Server) {
+func emptied(ctx context.Context, most time.Duration, server *fasthttp.Server) {
 	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	ticker := time.NewTicker(emptyPoll)
@@ -101,11 +122,11 @@
 	}
 }
 
-// shutdown closes the listeners and waits for the calls in flight.
-func (s callServers) shutdown(ctx context.Context, servers ...*fasthttp.Server) error {
+// shutdown closes idle connections and waits for the calls in flight.
+func shutdown(ctx context.Context, servers map[Role]*fasthttp.Server) error {
 	var errs []error
 	for _, server := range servers {
-		if err := server.ShutdownWithContext(ctx); err != nil {
+		if err := server.ShutdownWithContext(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
 			errs = append(errs, fmt.Errorf("drain: %w", err))
 		}
 	}
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqadmin"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqacceptor"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqconnection"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
@@ -106,8 +107,10 @@
 		storeLost    atomic.Bool
 		notable      kqnotable.Notable
 		processes    processes
-		// callListeners are the bare listeners that take calls.
+		// callListeners are the bare listeners that take calls, and connections what
+		// is over them.
 		callListeners map[Role]*net.TCPListener
+		connections   map[Role]*kqconnection.Listener
 	}
 
 	// Role names what a listener is for.
@@ -140,7 +143,7 @@
 	n := &Node{
 		settings: settings, store: store, logger: kqlog.Discard(), metrics: kqmetric.New(), started: time.Now(),
 		wrap:          func(_ Role, l net.Listener) net.Listener { return l },
-		callListeners: make(map[Role]*net.TCPListener),
+		callListeners: make(map[Role]*net.TCPListener), connections: make(map[Role]*kqconnection.Listener),
 	}
 	for _, o := range options {
 		o(n)
@@ -357,10 +360,12 @@
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", l.at, err)
 		}
+		var patient net.Listener = kqacceptor.New(opened, func(err error) { n.acceptFailed(l.role, err) })
 		if tcp, ok := opened.(*net.TCPListener); ok && l.role != RoleControl && l.role != RoleAdmin && l.role != RoleReady {
-			n.callListeners[l.role] = tcp
+			n.callListeners[l.role], n.connections[l.role] = tcp, kqconnection.New(patient)
+			patient = n.connections[l.role]
 		}
-		*l.to = n.wrap(l.role, kqacceptor.New(opened, func(err error) { n.acceptFailed(l.role, err) }))
+		*l.to = n.wrap(l.role, patient)
 	}
 	return nil
 }
