--- a/internal/call/kqsend/keep.go
+++ b/internal/call/kqsend/keep.go
@@ -8,33 +8,35 @@
 	"github.com/valyala/fasthttp"
 )
 
-// closeMargin is left of the time for which a peer says that it keeps a connection: a
-// call that is written later may cross the peer's close, and its end is then unknown.
-// It covers the way there, and a process that is held up for two of its turns.
-const closeMargin = 200 * time.Millisecond
+// keepMargin is how long before its peer's own end a connection is given up: a call
+// that is sent then is read before the peer's timer ends, whose time also began the
+// way of an answer earlier.
+const keepMargin = 300 * time.Millisecond
 
-// keptFor returns for how long the peer says that it keeps the connection without a
-// call, or 0 where it does not say, and takes that word out: it is for this connection
-// only, and passed on it would be taken to be of the next one.
-func keptFor(h *fasthttp.ResponseHeader) time.Duration {
+// heed takes over for how long the peer says that it keeps the connection without a
+// call, and takes it out of the response: it says nothing of the caller's. A call
+// sent when the peer closes would be cut, and nobody could tell whether it ran.
+func (n *connection) heed(h *fasthttp.ResponseHeader, most time.Duration) {
+	n.kept = most
 	value := h.Peek(fasthttp.HeaderKeepAlive)
 	if len(value) == 0 {
-		return 0
+		return
 	}
-	defer h.Del(fasthttp.HeaderKeepAlive)
-	for _, field := range bytes.Split(value, []byte{','}) {
-		name, count, _ := bytes.Cut(bytes.TrimSpace(field), []byte{'='})
-		if !bytes.EqualFold(name, []byte("timeout")) {
-			continue
-		}
-		if seconds, err := strconv.ParseUint(string(count), 10, 16); err == nil {
-			return max(time.Duration(seconds)*time.Second, time.Nanosecond)
-		}
+	if stated, ok := timeout(value); ok {
+		n.kept = min(most, stated-keepMargin)
 	}
-	return 0
+	h.Del(fasthttp.HeaderKeepAlive)
 }
 
-// over reports whether the peer may be about to close the idle connection.
-func (n *connection) over(now time.Time) bool {
-	return n.keptFor > 0 && now.Sub(n.since) > n.keptFor-closeMargin
+// timeout reads the whole seconds that a Keep-Alive header states.
+func timeout(value []byte) (time.Duration, bool) {
+	for part := range bytes.SplitSeq(value, []byte{','}) {
+		name, text, _ := bytes.Cut(part, []byte{'='})
+		if !bytes.EqualFold(bytes.TrimSpace(name), []byte("timeout")) {
+			continue
+		}
+		seconds, err := strconv.ParseUint(string(bytes.Trim(text, " \t\"")), 10, 31)
+		return time.Duration(seconds) * time.Second, err == nil
+	}
+	return 0, false
 }
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -12,6 +12,8 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqadmin"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqacceptor"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqconnection"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
@@ -109,8 +111,10 @@
 		// toldUnwritten is how many the log told of.
 		unwritten     func() uint64
 		toldUnwritten uint64
-		// callListeners are the bare listeners that take calls.
+		// callListeners are the bare listeners that take calls, and connections what
+		// is over them.
 		callListeners map[Role]*net.TCPListener
+		connections   map[Role]*kqconnection.Listener
 	}
 
 	// Role names what a listener is for.
@@ -148,8 +152,8 @@
 	n := &Node{
 		settings: settings, store: store, logger: kqlog.Discard(), metrics: kqmetric.New(), started: time.Now(),
 		wrap:          func(_ Role, l net.Listener) net.Listener { return l },
-		callListeners: make(map[Role]*net.TCPListener),
-		unwritten:     func() uint64 { return 0 },
+		callListeners: make(map[Role]*net.TCPListener), connections: make(map[Role]*kqconnection.Listener),
+		unwritten: func() uint64 { return 0 },
 	}
 	for _, o := range options {
 		o(n)
@@ -366,14 +370,21 @@
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", l.at, err)
 		}
+		var patient net.Listener = kqacceptor.New(opened, func(err error) { n.acceptFailed(l.role, err) })
 		if tcp, ok := opened.(*net.TCPListener); ok && l.role != RoleControl && l.role != RoleAdmin && l.role != RoleReady {
-			n.callListeners[l.role] = tcp
+			n.callListeners[l.role], n.connections[l.role] = tcp, kqconnection.New(patient)
+			patient = n.connections[l.role]
 		}
-		*l.to = n.wrap(l.role, opened)
+		*l.to = n.wrap(l.role, patient)
 	}
 	return nil
 }
 
+// acceptFailed notes that a listener cannot take connections for now.
+func (n *Node) acceptFailed(r Role, err error) {
+	n.note(logrus.Fields{"event": "accept_failed", "listener": r, logrus.ErrorKey: err}, "Cannot take connections for now.")
+}
+
 func (l listeners) close() {
 	for _, one := range []net.Listener{l.control, l.gate, l.entry, l.local, l.ready, l.admin} {
 		if one != nil {
