Don't let a silent caller's connection fail the leave

What callers saw: nothing at first. A caller that had connected early and said nothing (a connection opened ahead, a monitor's) held up a node that was told to stop until its time was over, 10 s at most; then the leave failed with 'drain: context deadline exceeded' and status 1, the other nodes had no goodbye, and a call in flight was cut.

Cause: the call library holds a connection without a byte to be at work from its first moment on, and waits for it at a shutdown like for a call.

A caller that had begun to speak is left alone (TestOnlySilentConnectionsAreClosed).

--- a/internal/call/kqconnection/listener.go
+++ b/internal/call/kqconnection/listener.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"sync"
+	"sync/atomic"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
 )
@@ -12,12 +14,16 @@
 	// concurrent use.
 	Listener struct {
 		net.Listener
+		mu     sync.Mutex
+		silent map[*connection]struct{}
 	}
 
 	// connection is read by one goroutine at a time.
 	connection struct {
 		*net.TCPConn
-		pace pace
+		listener *Listener
+		spoke    atomic.Bool
+		pace     pace
 		// rest is what has been read of the requests after the one under way.
 		rest []byte
 	}
@@ -26,7 +32,7 @@
 // New returns a listener over l, whose connections are TCP's; others are passed as
 // they are.
 func New(l net.Listener) *Listener {
-	return &Listener{Listener: l}
+	return &Listener{Listener: l, silent: make(map[*connection]struct{})}
 }
 
 // Accept implements net.Listener. The error is bare, as servers compare it.
@@ -36,7 +42,31 @@
 	if err != nil || !ok {
 		return raw, err
 	}
-	return &connection{TCPConn: tcp}, nil
+	c := &connection{TCPConn: tcp, listener: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent[c] = struct{}{}
+	return c, nil
+}
+
+// CloseSilent closes the connections on which nothing has come yet. The library holds
+// them to be at work, and waits for them at a shutdown.
+func (l *Listener) CloseSilent() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.silent {
+		_ = c.TCPConn.Close()
+	}
+	clear(l.silent)
+}
+
+func (l *Listener) forget(c *connection) {
+	if c.spoke.Swap(true) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.silent, c)
 }
 
 // Read implements net.Conn: it stops where a request ends.
@@ -53,6 +83,7 @@
 	if n == 0 {
 		return n, err
 	}
+	c.listener.forget(c)
 	kept := c.pace.cut(b[:n])
 	if kept < n {
 		c.rest = append(c.rest, b[kept:n]...)
@@ -65,6 +96,12 @@
 	return io.Copy(w, struct{ io.Reader }{c})
 }
 
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	c.listener.forget(c)
+	return c.TCPConn.Close()
+}
+
 // Pending reports whether bytes of another request have come. Only the goroutine that
 // reads the connection may ask.
 func (c *connection) Pending() bool {
--- a/internal/call/kqconnection/listener_test.go
+++ b/internal/call/kqconnection/listener_test.go
@@ -136,3 +136,37 @@
 		t.Error(err)
 	}
 }
+
+// One caller has connected and is silent, another has begun its request. Only the
+// silent one's connection may be closed.
+func TestOnlySilentConnectionsAreClosed(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := kqconnection.New(inner)
+	defer func() { _ = l.Close() }()
+	for _, speaks := range []bool{false, true} {
+		caller, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = caller.Close() }()
+		server, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := make([]byte, 8)
+		if speaks {
+			fmt.Fprint(caller, "GET")
+			if _, err := server.Read(b); err != nil {
+				t.Fatal(err)
+			}
+			fmt.Fprint(caller, " /")
+		}
+		l.CloseSilent()
+		if _, err := server.Read(b); (err == nil) != speaks {
+			t.Errorf("speaks %v: read gives %v", speaks, err)
+		}
+	}
+}
--- a/internal/run/kqnode/drain.go
+++ b/internal/run/kqnode/drain.go
@@ -72,7 +72,8 @@
 
 // quiet closes listeners and returns once no call has been under way for a while. From
 // its shutdown on a server closes each connection with the next answer, also one on
-// which its caller has sent two calls; until then the entry sees to both.
+// which its caller has sent two calls; until then the entry sees to both. Connections
+// on which nothing has come by now are closed: the library would wait for them.
 func (n *Node) quiet(ctx context.Context, servers map[Role]*fasthttp.Server) {
 	for role := range servers {
 		if l, ok := n.connections[role]; ok {
@@ -87,6 +88,11 @@
 			last = time.Now()
 		}
 	}
+	for role := range servers {
+		if l, ok := n.connections[role]; ok {
+			l.CloseSilent()
+		}
+	}
 }
 
 // deserted returns once callers come no more, or when it is time to close.
