Bound a node's silence alike over plain and encrypted connections

What callers could see: over TLS, a call waited for a silent node until its deadline, and since calls may be patient, for a second only on a connection that had carried one that was. The bound was set where plain connections are opened; it is now set by the client of nodes' gates for whatever its dialler returns. Over plain TCP nothing changes. The package's and kqentry's tests and the node's tests with TLS pass under -race.

--- a/internal/call/kqsend/client.go
+++ b/internal/call/kqsend/client.go
@@ -89,10 +89,11 @@
 // WithEcho demands that each response carries its call's id, as nodes' do.
 func WithEcho() Option { return func(c *Client) { c.echoes = true } }
 
-// WithPatience lets calls that may not be repeated bear with a silent peer until their
-// deadline, over connections that Near has opened. A process that was stopped, or a
-// server that was suspended, often goes on within seconds and answers; given up before,
-// the call cannot go elsewhere, and its caller cannot tell whether it ran.
+// WithPatience gives a silent peer up after nearSilence, as fits nodes of one fleet, but
+// lets calls that may not be repeated bear with it until their deadline. A process that
+// was stopped, or a server that was suspended, often goes on within seconds and answers;
+// given up before, the call cannot go elsewhere, and its caller cannot tell whether it
+// ran.
 func WithPatience() Option { return func(c *Client) { c.patient = true } }
 
 // WithMatch has f tell whether a response answers the call that was sent, for
@@ -181,6 +182,9 @@
 		return nil, fmt.Errorf("connect to %s: %w", c.to, err)
 	}
 	n := &connection{Conn: dialed}
+	if c.patient {
+		kqhangup.Bound(dialed, nearSilence)
+	}
 	n.probe = kqhangup.NewProbe(dialed)
 	n.reader = bufio.NewReaderSize(n.Conn, bufferSize)
 	n.writer = bufio.NewWriterSize(n, bufferSize)
@@ -194,12 +198,7 @@
 // served by another.
 func Near(address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: nearTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: nearSilence, Interval: nearSilence, Count: 1}}
-	conn, err := dialer.Dial("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	kqhangup.Bound(conn, nearSilence)
-	return conn, nil
+	return dialer.Dial("tcp", address)
 }
 
 // bear has the connection bear with a silent peer, or no longer do so.
