--- /dev/null
+++ b/cmd/kumquatgw/conns_admin_test.go
@@ -0,0 +1,27 @@
+package main_test
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// An operator's browser has opened a connection ahead and is silent. A node that is
+// told to stop must say goodbye and end in its time all the same: killed for it, the
+// others would suspect it first and find its calls' ends by their deadlines.
+func TestSilentOperatorDoesNotHoldTheLeave(t *testing.T) {
+	file := extended(t, settings(t, "front", after(t, start(t, "platform", "--listen", "127.0.0.1:0"), "listens on "), "", ""),
+		"drain_timeout = 2s\n[admin]\nlisten = 127.0.0.1:0\n")
+	p := node(t, file)
+	conn, err := net.Dial("tcp", p.after(t, "admin "))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	p.after(t, "Started as")
+	began := time.Now()
+	p.stop(t)
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("the node ended after %v, want 2 s and a goodbye at most", took)
+	}
+}
