Say goodbye before operators' connections are waited for

What operators and peers saw: a browser's connection without a request held up the end of a node that was told to stop for 10 s, and its goodbye as long.

Cause: the admin server was shut down without a bound, before the goodbye; the library waits for a connection without a byte as for a request.

Change: the goodbye comes right after the calls; operators' requests then have 2 s (as long as the platform may take for a change) of what is left of drain_timeout.

--- a/internal/admin/kqadmin/admin.go
+++ b/internal/admin/kqadmin/admin.go
@@ -137,9 +137,9 @@
 	return nil
 }
 
-// Shutdown stops the server once its requests are answered.
-func (a *Admin) Shutdown() error {
-	if err := a.app.Shutdown(); err != nil {
+// Shutdown stops the server once its requests are answered, or ctx ends.
+func (a *Admin) Shutdown(ctx context.Context) error {
+	if err := a.app.ShutdownWithContext(ctx); err != nil {
 		return fmt.Errorf("stop admin: %w", err)
 	}
 	return nil
--- a/internal/run/kqnode/drain.go
+++ b/internal/run/kqnode/drain.go
@@ -35,6 +35,9 @@
 	// goodbyeFor how long the others are told of the end; both are part of stopMargin.
 	lastAnswers = 150 * time.Millisecond
 	goodbyeFor  = 200 * time.Millisecond
+	// operatorsFor is how long operators' requests have for their answers once the
+	// calls are over: as long as the platform may take for a change.
+	operatorsFor = 2 * time.Second
 )
 
 // leaveCalls ends the call flow without cutting a call. Closing a connection
--- a/internal/run/kqnode/leave.go
+++ b/internal/run/kqnode/leave.go
@@ -29,17 +29,33 @@
 	n.step("the others know")
 	err := n.leaveCalls(ctx)
 	n.step("no calls are taken")
-	// The calls may have used up the time; the others must be told all the same.
-	ctx, cancelGoodbye := context.WithTimeout(context.Background(), goodbyeFor)
-	defer cancelGoodbye()
-	if n.admin != nil {
-		err = errors.Join(err, n.admin.Shutdown())
-	}
+	n.goodbye()
 	n.distribution.reader.Close(ctx)
-	// A goodbye spares the others the suspicion.
+	return errors.Join(err, n.leaveAdmin(ctx))
+}
+
+// goodbye spares the others the suspicion. The calls may have used up the time for the
+// leave; the others must be told all the same.
+func (n *Node) goodbye() {
+	ctx, cancel := context.WithTimeout(context.Background(), goodbyeFor)
+	defer cancel()
 	n.table.Update(func(m *kqmember.Member) { m.State = kqmember.Dead })
 	n.exchange.Announce(ctx)
-	return err
+}
+
+// leaveAdmin answers what operators have asked. Their browsers open connections ahead,
+// which the library waits for: these are not worth the whole time.
+func (n *Node) leaveAdmin(ctx context.Context) error {
+	if n.admin == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, operatorsFor)
+	defer cancel()
+	if err := n.admin.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	n.step("operators' connections are closed")
+	return nil
 }
 
 // drainTimeout is how long calls in flight may take at shutdown. A process that
