Close the entry of a leaving node without a wait for its gate's calls

The wait before the entry's shutdown counted the gate's calls too, so that a node with long calls at its gate left later than need be, and had less time for them. The entry counts its own calls now.

--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -89,7 +89,9 @@
 		refusing atomic.Bool
 		// arrived is when the last call came, in nanoseconds since 1970.
 		arrived atomic.Int64
-		now     func() time.Time
+		// calls is how many are under way.
+		calls atomic.Int64
+		now   func() time.Time
 
 		prefix  string
 		number  atomic.Uint64
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -40,6 +40,9 @@
 // Quiet returns for how long no call has come.
 func (e *Entry) Quiet(now time.Time) time.Duration { return now.Sub(time.Unix(0, e.arrived.Load())) }
 
+// Calls returns how many calls are under way.
+func (e *Entry) Calls() int { return int(e.calls.Load()) }
+
 // Refuse refuses all calls that come from now on: the process ends before they
 // would have their answers, which would be cut off.
 func (e *Entry) Refuse() { e.refusing.Store(true) }
@@ -59,6 +62,8 @@
 func (e *Entry) Sweep(now time.Time) { e.clients.sweep(now) }
 
 func (e *Entry) serve(ctx *fasthttp.RequestCtx, caller kqname.Caller, depth int, told kqcall.Told) {
+	e.calls.Add(1)
+	defer e.calls.Add(-1)
 	now := e.now()
 	e.arrived.Store(now.UnixNano())
 	kqcall.Strip(&ctx.Request.Header)
--- a/internal/run/kqnode/drain.go
+++ b/internal/run/kqnode/drain.go
@@ -48,17 +48,17 @@
 func (n *Node) leaveCalls(ctx context.Context) error {
 	n.gate.Leave()
 	n.quiesce(ctx, RoleEntry, RoleLocal)
-	err := n.finish(ctx, map[Role]*fasthttp.Server{RoleEntry: n.servers.entry, RoleLocal: n.servers.local})
+	err := n.finish(ctx, n.entry.Calls, map[Role]*fasthttp.Server{RoleEntry: n.servers.entry, RoleLocal: n.servers.local})
 	n.entry.Close()
 	emptied(ctx, kqsend.IdleFor+sweepEvery, n.servers.gate)
 	n.quiesce(ctx, RoleGate)
-	return errors.Join(err, n.finish(ctx, map[Role]*fasthttp.Server{RoleGate: n.servers.gate}))
+	return errors.Join(err, n.finish(ctx, n.hangup.Count, map[Role]*fasthttp.Server{RoleGate: n.servers.gate}))
 }
 
 // finish shuts servers down. Calls that outlast the time for it are cancelled, and their
 // callers told so: cut off by the end of the process, they would have no answer.
-func (n *Node) finish(ctx context.Context, servers map[Role]*fasthttp.Server) error {
-	n.quiet(ctx, servers)
+func (n *Node) finish(ctx context.Context, calls func() int, servers map[Role]*fasthttp.Server) error {
+	n.quiet(ctx, calls, servers)
 	err := shutdown(ctx, servers)
 	if !errors.Is(err, context.DeadlineExceeded) {
 		return err
@@ -77,7 +77,7 @@
 // its shutdown on a server closes each connection with the next answer, also one on
 // which its caller has sent two calls; until then the entry sees to both. Connections
 // on which nothing has come by now are closed: the library would wait for them.
-func (n *Node) quiet(ctx context.Context, servers map[Role]*fasthttp.Server) {
+func (n *Node) quiet(ctx context.Context, calls func() int, servers map[Role]*fasthttp.Server) {
 	for role := range servers {
 		if l, ok := n.connections[role]; ok {
 			_ = l.Close()
@@ -87,7 +87,7 @@
 	defer ticker.Stop()
 	for last := time.Now(); time.Since(last) < settleFor && ctx.Err() == nil; {
 		<-ticker.C
-		if n.hangup.Count() > 0 {
+		if calls() > 0 {
 			last = time.Now()
 		}
 	}
