--- a/internal/call/kqconnection/listener_test.go
+++ b/internal/call/kqconnection/listener_test.go
@@ -94,6 +94,26 @@
 	}
 }
 
+// A head comes in two pieces, parted anywhere, with the next request behind it. The
+// next must wait all the same.
+func TestHeadInPieces(t *testing.T) {
+	const first, second = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n", "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+	b := make([]byte, 4096)
+	for at := 1; at < len(first); at++ {
+		server, caller, done := open(t)
+		_, _ = io.WriteString(caller, first[:at])
+		n, err := server.Read(b)
+		if n != at || err != nil {
+			t.Fatalf("read %d bytes, %v, want %d", n, err, at)
+		}
+		_, _ = io.WriteString(caller, first[at:]+second)
+		if n, err = server.Read(b); string(b[:n]) != first[at:] || err != nil {
+			t.Errorf("parted at %d: read %q %v, want %q", at, b[:n], err, first[at:])
+		}
+		done()
+	}
+}
+
 // Two calls are sent at once, the second of which takes long. The first answer is
 // ready, and its caller must not wait for the second; the library would hold it back.
 func TestFirstAnswerDoesNotWaitForTheSecond(t *testing.T) {
--- a/internal/call/kqconnection/pace.go
+++ b/internal/call/kqconnection/pace.go
@@ -5,8 +5,12 @@
 	"strconv"
 )
 
-// lengthName is the header that states a body's length.
-var lengthName = []byte("content-length")
+var (
+	// lengthName is the header that states a body's length.
+	lengthName = []byte("content-length")
+	// headEnd is the empty line after a head.
+	headEnd = []byte("\r\n\r\n")
+)
 
 // pace finds where requests end. It decides how many bytes are read at once and
 // nothing else: where it is wrong, as within a chunked body, the server's library
@@ -36,17 +40,24 @@
 
 // head returns where the head ends, -1 if it goes on.
 func (p *pace) head(data []byte) int {
-	const end = "\r\n\r\n"
-	for i, b := range data {
-		if b != end[p.matched] {
+	from := 0
+	if p.matched == 0 {
+		if i := bytes.Index(data, headEnd); i >= 0 {
+			return i + len(headEnd)
+		}
+		// Only its last bytes may begin what the next ones end.
+		from = max(0, len(data)-len(headEnd)+1)
+	}
+	for i, b := range data[from:] {
+		if b != headEnd[p.matched] {
 			p.matched = 0
 		}
-		if b == end[p.matched] {
+		if b == headEnd[p.matched] {
 			p.matched++
 		}
-		if p.matched == len(end) {
+		if p.matched == len(headEnd) {
 			p.matched = 0
-			return i + 1
+			return from + i + 1
 		}
 	}
 	return -1
@@ -54,12 +65,18 @@
 
 // length returns the body's length that a head states, 0 where it states none.
 func length(head []byte) int {
-	for line := range bytes.Lines(head) {
-		name, value, ok := bytes.Cut(line, []byte{':'})
-		if !ok || !bytes.EqualFold(name, lengthName) {
+	colon := len(lengthName)
+	for len(head) > 0 {
+		end := bytes.IndexByte(head, '\n') + 1
+		if end == 0 {
+			end = len(head)
+		}
+		line := head[:end]
+		head = head[end:]
+		if len(line) <= colon || line[colon] != ':' || !bytes.EqualFold(line[:colon], lengthName) {
 			continue
 		}
-		n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 31)
+		n, err := strconv.ParseUint(string(bytes.TrimSpace(line[colon+1:])), 10, 31)
 		if err != nil {
 			return 0
 		}
