--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -91,7 +91,9 @@
 		// by the time of day, a step of the clock would pass for silence.
 		arrived atomic.Int64
 		began   time.Time
-		now     func() time.Time
+		// calls is how many are under way.
+		calls atomic.Int64
+		now   func() time.Time
 
 		prefix  string
 		number  atomic.Uint64
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -42,6 +42,9 @@
 	return now.Sub(e.began) - time.Duration(e.arrived.Load())
 }
 
+// Calls returns how many calls are under way.
+func (e *Entry) Calls() int { return int(e.calls.Load()) }
+
 // Refuse refuses all calls that come from now on: the process ends before they
 // would have their answers, which would be cut off.
 func (e *Entry) Refuse() { e.refusing.Store(true) }
@@ -61,6 +64,8 @@
 func (e *Entry) Sweep(now time.Time) { e.clients.sweep(now) }
 
 func (e *Entry) serve(ctx *fasthttp.RequestCtx, caller kqname.Caller, depth int, told kqcall.Told) {
+	e.calls.Add(1)
+	defer e.calls.Add(-1)
 	now := e.now()
 	e.arrived.Store(int64(now.Sub(e.began)))
 	kqcall.Strip(&ctx.Request.Header)
