Show that one call's panic cuts all calls, and that a part dies in silence

Callers of all calls under way are cut off when the code that handles one of them panics: the library that serves calls does not recover, and the process ends with exit status 2. A part in the background that panics is caught by its group, which tells only at the end of the process: a node whose first call to the store panics answers 503 no_config for good and logs nothing.

--- a/cmd/kumquatgw/main_test.go
+++ b/cmd/kumquatgw/main_test.go
@@ -26,7 +26,11 @@
 // TestMain lets the test's own program serve as kumquatgw, so that each role
 // runs as a process of its own without a build beside the test's.
 func TestMain(m *testing.M) {
-	run := func() { os.Exit(kqcommand.New(os.Stdout, os.Stderr).Run(os.Args[1:])) }
+	run := func() {
+		command := kqcommand.New(os.Stdout, os.Stderr,
+			kqcommand.WithAdapter(fragileCalls, joinFragileCalls), kqcommand.WithAdapter(fragileParts, joinFragileParts))
+		os.Exit(command.Run(os.Args[1:]))
+	}
 	if os.Getenv(runVariable) != "" {
 		run()
 	}
--- a/cmd/kumquatgw/mesh_test.go
+++ b/cmd/kumquatgw/mesh_test.go
@@ -12,7 +12,7 @@
 // mesh is a small fleet of processes: callers use the front node, and the
 // service's upstream stands beside the back node.
 type mesh struct {
-	front *process
+	front, back *process
 	// local and control are the back node's and the front node's addresses.
 	local, control string
 	entry          string
@@ -20,12 +20,19 @@
 
 // newMesh returns a fleet that serves: a call takes as long as work says.
 func newMesh(t *testing.T, work time.Duration) *mesh {
+	t.Helper()
+	return newMeshWith(t, work, "")
+}
+
+// newMeshWith returns a fleet whose nodes have further settings of their platform.
+func newMeshWith(t *testing.T, work time.Duration, further string) *mesh {
 	t.Helper()
 	platform := after(t, start(t, "platform", "--listen", "127.0.0.1:0"), "listens on ")
-	m := &mesh{front: node(t, settings(t, "front", platform, "", ""))}
+	m := &mesh{front: node(t, settings(t, "front", platform+further, "", ""))}
 	m.entry = m.front.after(t, "entry ")
 	m.control = m.front.after(t, "control ")
-	m.local = after(t, start(t, "node", "--settings", settings(t, "back", platform, m.control, "store")), "local ")
+	m.back = node(t, settings(t, "back", platform+further, m.control, "store"))
+	m.local = m.back.after(t, "local ")
 	start(t, "upstream", "--service", "store", "--node", m.local, "--work", work.String(), "--slots", "64")
 	file := filepath.Join(t.TempDir(), "document.json")
 	if err := os.WriteFile(file, []byte(document), 0o600); err != nil {
--- a/cmd/kumquatgw/process_test.go
+++ b/cmd/kumquatgw/process_test.go
@@ -6,8 +6,12 @@
 	"os/exec"
 	"sync"
 	"testing"
+	"time"
 )
 
+// linePatience is how long a test waits for a line of a process.
+const linePatience = 20 * time.Second
+
 // process is a node whose output and end a test looks at.
 type process struct {
 	command *exec.Cmd
@@ -52,6 +56,9 @@
 	t.Helper()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if err := p.reader.SetReadDeadline(time.Now().Add(linePatience)); err != nil {
+		t.Fatalf("wait for a line with %q: %v", mark, err)
+	}
 	return after(t, p.lines, mark)
 }
 
