End a shared reading also where it panics

Many nodes' requests, and all calls for a host, wait for one reading from the platform. One that panicked left its entry behind: all who waited, and all who wanted the object later, waited for good (a call for 20 s and more in TestPartsOutliveAPanic, seen in the goroutines of the process). The entry is now taken off by a deferred step, with an error for those who wait.

--- a/internal/config/kqfetch/fetch.go
+++ b/internal/config/kqfetch/fetch.go
@@ -51,8 +51,12 @@
 	peersOfService = 2
 )
 
-// errMissing tells that nobody asked had an object.
-var errMissing = errors.New("object is nowhere to be had")
+var (
+	// errMissing tells that nobody asked had an object.
+	errMissing = errors.New("object is nowhere to be had")
+	// errPanicked tells that a fault in this program ended a reading.
+	errPanicked = errors.New("reading panicked")
+)
 
 type (
 	// Platform reads objects from the platform's service.
@@ -276,15 +280,22 @@
 	// Whoever came first may give up; the others still wait for this.
 	reading, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
 	defer cancel()
+	own.err = errPanicked
+	defer f.land(d, own)
 	own.data, own.err = f.read(reading, d)
+	return own.data, own.err
+}
+
+// land ends a reading for all who wait for it, also where it panics: they would
+// wait for good, and so would all who want the object later.
+func (f *Fetcher) land(d kqresource.Digest, own *flight) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	delete(f.flights, d)
 	if own.err == nil {
 		f.keep(d, own.data)
 	}
-	f.mu.Unlock()
 	close(own.done)
-	return own.data, own.err
 }
 
 func (f *Fetcher) keep(d kqresource.Digest, data []byte) {
--- a/internal/config/kqfetch/whole.go
+++ b/internal/config/kqfetch/whole.go
@@ -34,15 +34,20 @@
 				return fmt.Errorf("wait for %d objects: %w", len(wanted), ctx.Err())
 			}
 		}
+		defer f.landAll(own)
 		own.err = f.readAll(ctx, wanted, found)
-		f.mu.Lock()
-		f.reading = nil
-		f.mu.Unlock()
-		close(own.done)
 		return own.err
 	}
 }
 
+// landAll ends a reading of all objects, also where it panics.
+func (f *Fetcher) landAll(own *flight) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reading = nil
+	close(own.done)
+}
+
 // join begins a reading of all objects, or returns the one that is under way. Many
 // peers ask a reader for a new version at once: one reading serves them all, where
 // one each would cost the platform as many calls as the domain has nodes.
