Keep a panic to the call, the message or the part that panicked

One call's panic ended the process, which cut all others: neither the library that serves calls nor the one between nodes catches it. A part's panic was caught by its group, which tells only at the end of the process: the part was dead in silence.

A listener that panics has the node leave in order, and a step of the leave that panics does not keep the calls from being finished.

--- a/cmd/kumquatgw/ends_panic_test.go
+++ b/cmd/kumquatgw/ends_panic_test.go
@@ -62,7 +62,7 @@
 	m := newMeshWith(t, 10*time.Millisecond, "\nadapter = "+fragileParts)
 	answered(t, m.calls(t, 4)())
 	m.front.alive(t)
-	if line := m.front.after(t, "event=panic"); !strings.Contains(line, "part=") {
+	if line := m.front.after(t, "event=panic"); !strings.Contains(line, "panicked=") {
 		t.Errorf("line of the panic %q, want its part", line)
 	}
 }
--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -57,6 +57,8 @@
 	// Moved tells that another upstream has taken over the address, and has not
 	// run the call.
 	Moved Reason = "moved"
+	// Panicked tells that a fault in this program ended the call.
+	Panicked Reason = "panicked"
 )
 
 type (
@@ -129,7 +131,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		NoReason, NoRoute, NoConfig, NoUpstream, QueueFull, Overload, Late, RolledBack, Draining, Shed, ConnectFailed,
-		TooLarge, Malformed, TooSlow, Timeout, Cut, Cancelled, Crossed, Moved,
+		TooLarge, Malformed, TooSlow, Timeout, Cut, Cancelled, Crossed, Moved, Panicked,
 	}
 }
 
--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqallowance"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -34,6 +35,8 @@
 	// retryAfter is what refused callers are told that no gate has told more of, as
 	// long as a gate tells at least.
 	retryAfter = 250 * time.Millisecond
+	// part is the entry's name in what is noted of it.
+	part = "entry"
 	// maxGates bounds how many gates one call is offered to. Each costs about a
 	// tenth of a millisecond of processor time on two servers.
 	maxGates = 6
@@ -80,6 +83,7 @@
 		baseline  bool
 		dialect   kqcall.Dialect
 		recorder  Recorder
+		keeper    *kqkeeper.Keeper
 		// bound is what operators allow of second sendings over all nodes, whose
 		// number is nodes; nil nodes keeps to this program's own budget.
 		bound    kqallowance.Bound
@@ -108,6 +112,8 @@
 		// version and tries are for the record.
 		version kqname.ConfigVersion
 		tries   []Try
+		// sent tells that an upstream may have been sent the call.
+		sent bool
 	}
 
 	stable struct{}
@@ -147,6 +153,9 @@
 // WithDialect sets what callers and upstreams speak in place of our headers.
 func WithDialect(d kqcall.Dialect) Option { return func(e *Entry) { e.dialect = d } }
 
+// WithKeeper has a call that panics end alone.
+func WithKeeper(k *kqkeeper.Keeper) Option { return func(e *Entry) { e.keeper = k } }
+
 // WithOrigin tells the service beside whose upstream the entry stands.
 func WithOrigin(s kqname.Service) Option { return func(e *Entry) { e.origin = s } }
 
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -76,11 +76,16 @@
 		c.Deadline = now.Add(told.Left)
 	}
 	e.hangup.Begin(&f.line, number, ctx.Conn(), &f.cancel, now)
-	o := e.do(f, now)
+	var o kqcall.Outcome
+	if !e.keeper.Try(part, func() { o = e.do(f, now) }) {
+		o = f.panicked()
+	}
 	e.hangup.End(&f.line)
 	e.counter.Ended(o)
 	c.Answer(o)
-	e.recorder.Ended(Record{Call: c, Outcome: o, Status: ctx.Response.StatusCode(), Version: f.version, Tries: f.tries}, e.now())
+	e.keeper.Try("record", func() {
+		e.recorder.Ended(Record{Call: c, Outcome: o, Status: ctx.Response.StatusCode(), Version: f.version, Tries: f.tries}, e.now())
+	})
 	// Refused callers come back on a new connection; the one that they leave behind
 	// would hold a descriptor for as long as callers keep idle connections, and in
 	// a storm of refusals the process would run out of them.
@@ -149,7 +154,11 @@
 		tried = append(tried, gate.Node)
 		var load kqcall.Load
 		var told bool
-		last, load, told = e.send(c, gate)
+		f.sent = true
+		if !e.keeper.Try(part, func() { last, load, told = e.send(c, gate) }) {
+			last = kqcall.Lose(kqcall.Panicked)
+		}
+		f.sent = ran > 0 || last.Result != kqcall.NotRun
 		sent := now
 		now = e.now()
 		s.done(c, to, last, load, told, now)
@@ -174,6 +183,16 @@
 	}
 }
 
+// panicked is the outcome of a call whose handling panicked.
+func (f *flight) panicked() kqcall.Outcome {
+	if f.sent {
+		return kqcall.Lose(kqcall.Panicked)
+	}
+	o := kqcall.Refuse(kqcall.Panicked)
+	o.RetryAfter = retryAfter
+	return o
+}
+
 // attempts returns how many upstreams a call may be sent to.
 func attempts(c *kqcall.Call) int {
 	if c.MaxAttempts > 0 {
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -12,9 +12,13 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqfifo"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqslots"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
+// part is the gate's name in what is noted of it.
+const part = "gate"
+
 type (
 	// Finder finds the local upstream of a service and version.
 	Finder interface {
@@ -61,6 +65,7 @@
 		now      func() time.Time
 		dialect  kqcall.Dialect
 		recorder Recorder
+		keeper   *kqkeeper.Keeper
 		number   atomic.Uint64
 		leaving  atomic.Bool
 
@@ -120,6 +125,9 @@
 // WithDialect sets what upstreams speak in place of our headers.
 func WithDialect(d kqcall.Dialect) Option { return func(g *Gate) { g.dialect = d } }
 
+// WithKeeper has a call that panics end alone.
+func WithKeeper(k *kqkeeper.Keeper) Option { return func(g *Gate) { g.keeper = k } }
+
 // WithExactSlots takes what upstreams announce for what they run at once.
 func WithExactSlots() Option {
 	return func(g *Gate) {
@@ -211,9 +219,13 @@
 // run passes the call on and has it recorded.
 func (g *Gate) run(c *kqcall.Call, now time.Time) (kqcall.Outcome, kqcall.Load) {
 	r := Record{Call: c}
-	r.Outcome, r.Load = g.pass(c, &r, now)
+	if !g.keeper.Try(part, func() { r.Outcome, r.Load = g.pass(c, &r, now) }) {
+		// What the panic left of an answer is not passed on.
+		c.Response.Reset()
+		r.Outcome = kqcall.Lose(kqcall.Panicked)
+	}
 	r.Status = status(c, r.Outcome)
-	g.recorder.Gated(r, g.now())
+	g.keeper.Try("record", func() { g.recorder.Gated(r, g.now()) })
 	return r.Outcome, r.Load
 }
 
@@ -240,7 +252,13 @@
 		u.recycle(t)
 		return o, u.load(now)
 	}
-	began := g.now()
+	began, given := g.now(), false
+	defer func() {
+		// A panic must not keep the slot: after a few the upstream took no calls.
+		if !given {
+			u.leave(t, kqcall.Lose(kqcall.Panicked), true, 0, began)
+		}
+	}()
 	c.Instance = a.Instance
 	o = send(u, c, began)
 	ended := g.now()
@@ -251,6 +269,7 @@
 		Status: status(c, o), Began: began, Took: took,
 	})
 	failed := failed(c, o)
+	given = true
 	if !c.Response.IsBodyStream() {
 		return o, u.leave(t, o, failed, took, ended)
 	}
--- a/internal/call/kqsend/exchange.go
+++ b/internal/call/kqsend/exchange.go
@@ -26,7 +26,22 @@
 		c.release(n)
 		return kqcall.Refuse(kqcall.Cancelled)
 	}
-	err = n.exchange(c, call)
+	settled := false
+	defer func() {
+		// A connection that a panic left in the midst of an exchange must be neither
+		// used again nor counted for good.
+		if !settled {
+			call.Cancel.Attach(nil)
+			c.drop(n)
+		}
+	}()
+	o := c.settle(n, call, n.exchange(c, call))
+	settled = true
+	return o
+}
+
+// settle tells how an exchange ended, and keeps its connection or drops it.
+func (c *Client) settle(n *connection, call *kqcall.Call, err error) kqcall.Outcome {
 	if err != nil {
 		call.Cancel.Attach(nil)
 		c.drop(n)
--- a/internal/config/kqdistribute/distribute.go
+++ b/internal/config/kqdistribute/distribute.go
@@ -12,6 +12,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqstart"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -97,8 +98,9 @@
 // Run pulls and applies until ctx ends.
 func (d *Distributor) Run(ctx context.Context) {
 	defer d.group.Wait()
-	d.group.Go(func() { d.pulling(ctx) })
-	d.applying(ctx)
+	kept := kqkeeper.From(ctx)
+	d.group.Go(func() { kept.Keep(ctx, "pull", func() { d.pulling(ctx) }) })
+	kept.Keep(ctx, "apply", func() { d.applying(ctx) })
 }
 
 // Newest returns the highest version whose root is held.
--- a/internal/config/kqfollower/follower.go
+++ b/internal/config/kqfollower/follower.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqpause"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -49,6 +50,10 @@
 		watcher Watcher
 		// follows is told when this node starts and stops.
 		follows func(ctx context.Context, on bool)
+		// following is the spell that runs, nil while none does, and chosen when this
+		// node was last among the first. Only Run uses them.
+		following *run
+		chosen    time.Time
 	}
 
 	// run is one spell of following.
@@ -79,20 +84,8 @@
 	defer group.Wait()
 	ticker := time.NewTicker(checkEvery)
 	defer ticker.Stop()
-	var following *run
-	var chosen time.Time
 	for now := time.Now(); ; {
-		if Chosen(f.members.Self(), f.members.Members()) {
-			chosen = now
-		}
-		switch wanted := now.Sub(chosen) < lingers; {
-		case wanted && following == nil:
-			following = f.start(ctx, &group)
-		case !wanted && following != nil:
-			following.stop()
-			following = nil
-			f.follows(ctx, false)
-		}
+		kqkeeper.From(ctx).Try("follow", func() { f.step(ctx, &group, now) })
 		select {
 		case <-ctx.Done():
 			return
@@ -101,6 +94,21 @@
 	}
 }
 
+// step starts a spell, or ends it.
+func (f *Follower) step(ctx context.Context, group *conc.WaitGroup, now time.Time) {
+	if Chosen(f.members.Self(), f.members.Members()) {
+		f.chosen = now
+	}
+	switch wanted := now.Sub(f.chosen) < lingers; {
+	case wanted && f.following == nil:
+		f.following = f.start(ctx, group)
+	case !wanted && f.following != nil:
+		f.following.stop()
+		f.following = nil
+		f.follows(ctx, false)
+	}
+}
+
 // settle waits until a peer is known, at most for settles.
 func (f *Follower) settle(ctx context.Context) {
 	for waited := time.Duration(0); waited < settles && ctx.Err() == nil; waited += settleCheck {
@@ -112,9 +120,10 @@
 }
 
 func (f *Follower) start(ctx context.Context, group *conc.WaitGroup) *run {
+	kept := kqkeeper.From(ctx)
 	following, stop := context.WithCancel(ctx)
-	group.Go(func() { f.follows(following, true) })
-	group.Go(func() { f.watcher.Run(following) })
+	group.Go(func() { kept.Keep(following, "hold", func() { f.follows(following, true) }) })
+	group.Go(func() { kept.Keep(following, "watch", func() { f.watcher.Run(following) }) })
 	return &run{stop: stop}
 }
 
--- a/internal/config/kqorigin/origin.go
+++ b/internal/config/kqorigin/origin.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqpause"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
@@ -82,8 +83,9 @@
 // Run follows the keys until ctx ends.
 func (o *Origin) Run(ctx context.Context) {
 	var group conc.WaitGroup
-	group.Go(func() { o.follow(ctx) })
-	group.Go(func() { o.poll(ctx) })
+	kept := kqkeeper.From(ctx)
+	group.Go(func() { kept.Keep(ctx, "watch", func() { o.follow(ctx) }) })
+	group.Go(func() { kept.Keep(ctx, "poll", func() { o.poll(ctx) }) })
 	group.Wait()
 }
 
@@ -183,7 +185,17 @@
 // take takes in entries; whole tells that they are all there are, so that
 // orders which are not among them are gone.
 func (o *Origin) take(ctx context.Context, l kqstore.Listing, whole bool) {
+	if root, changed := o.takeIn(l, whole); changed {
+		o.receive(ctx, root)
+	}
+}
+
+// takeIn takes in entries, and returns the root of the version that they make, if
+// there is one.
+func (o *Origin) takeIn(l kqstore.Listing, whole bool) (kqresource.Root, bool) {
 	o.mu.Lock()
+	// A panic while an entry is read must not leave the lock held for good.
+	defer o.mu.Unlock()
 	changed := false
 	for _, e := range l.Entries {
 		if o.seen[e.Key] >= e.Revision {
@@ -206,15 +218,10 @@
 			o.revision = max(o.revision, l.Revision)
 		}
 	}
-	var root kqresource.Root
-	if changed && o.number > 0 {
-		changed = o.build()
-		root = o.root
-	}
-	o.mu.Unlock()
-	if changed && root.Version > 0 {
-		o.receive(ctx, root)
+	if !changed || o.number == 0 || !o.build() {
+		return kqresource.Root{}, false
 	}
+	return o.root, o.root.Version > 0
 }
 
 // accept takes over one entry, or refuses it whole: what was in force before
--- a/internal/config/kqreader/reader.go
+++ b/internal/config/kqreader/reader.go
@@ -12,6 +12,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqlease"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqpause"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -88,7 +89,7 @@
 	defer r.group.Wait()
 	kqpause.For(ctx, rand.N(r.spread+1))
 	for ctx.Err() == nil {
-		r.step(ctx)
+		kqkeeper.From(ctx).Try("reader", func() { r.step(ctx) })
 		kqpause.For(ctx, stepEvery/2+rand.N(stepEvery))
 	}
 	r.stop()
@@ -224,8 +225,9 @@
 	reading, stop := context.WithCancel(ctx)
 	r.stop = stop
 	r.serves = true
-	r.group.Go(func() { r.reads(ctx, true) })
-	r.group.Go(func() { r.watcher.Run(reading) })
+	kept := kqkeeper.From(ctx)
+	r.group.Go(func() { kept.Keep(ctx, "hold", func() { r.reads(ctx, true) }) })
+	r.group.Go(func() { kept.Keep(reading, "watch", func() { r.watcher.Run(reading) }) })
 	return true
 }
 
--- a/internal/config/kqreplica/replica.go
+++ b/internal/config/kqreplica/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/config/kqinterest"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -29,6 +31,9 @@
 	decodedFactor = 4
 )
 
+// errPanicked ends the fetch of a host that a fault in this program ended.
+var errPanicked = errors.New("fetch panicked")
+
 type (
 	// Source brings objects that the replica lacks.
 	Source interface {
@@ -47,6 +52,7 @@
 		refused   func(reason string)
 		bound     func()
 		memory    int
+		keeper    *kqkeeper.Keeper
 		// fresh takes the whole document anew for each version.
 		fresh bool
 
@@ -81,6 +87,9 @@
 	return func(r *Replica) { r.changed = append(r.changed, f) }
 }
 
+// WithKeeper has a fetch that panics end alone.
+func WithKeeper(k *kqkeeper.Keeper) Option { return func(r *Replica) { r.keeper = k } }
+
 // WithRefused calls f with the reason of each version that is refused.
 func WithRefused(f func(reason string)) Option { return func(r *Replica) { r.refused = f } }
 
@@ -172,11 +181,16 @@
 	r.group.Go(func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flightTimeout)
 		defer cancel()
-		f.err = r.land(ctx, host, now)
-		r.mu.Lock()
-		delete(r.flights, host)
-		r.mu.Unlock()
-		close(f.done)
+		f.err = errPanicked
+		// Done also when it panics: all who wait for the host, now or later, would
+		// wait for this flight.
+		defer func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			delete(r.flights, host)
+			close(f.done)
+		}()
+		r.keeper.Try("fetch", func() { f.err = r.land(ctx, host, now) })
 	})
 	return f
 }
--- a/internal/config/kqwatch/watch.go
+++ b/internal/config/kqwatch/watch.go
@@ -10,6 +10,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 )
 
@@ -55,24 +56,29 @@
 // Run follows the root until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	var group conc.WaitGroup
+	kept := kqkeeper.From(ctx)
 	group.Go(func() {
 		var seen kqstore.Revision
-		w.repeat(ctx, 0, func() error {
-			e, err := w.store.Watch(ctx, kqcommit.RootKey, seen, watchWait)
-			if err != nil {
-				return err
-			}
-			seen = e.Revision
-			return w.take(ctx, e)
+		kept.Keep(ctx, "watch", func() {
+			w.repeat(ctx, 0, func() error {
+				e, err := w.store.Watch(ctx, kqcommit.RootKey, seen, watchWait)
+				if err != nil {
+					return err
+				}
+				seen = e.Revision
+				return w.take(ctx, e)
+			})
 		})
 	})
 	group.Go(func() {
-		w.repeat(ctx, w.poll, func() error {
-			e, err := w.store.Get(ctx, kqcommit.RootKey)
-			if err != nil {
-				return err
-			}
-			return w.take(ctx, e)
+		kept.Keep(ctx, "poll", func() {
+			w.repeat(ctx, w.poll, func() error {
+				e, err := w.store.Get(ctx, kqcommit.RootKey)
+				if err != nil {
+					return err
+				}
+				return w.take(ctx, e)
+			})
 		})
 	})
 	group.Wait()
--- a/internal/peer/kqexchange/beat.go
+++ b/internal/peer/kqexchange/beat.go
@@ -6,6 +6,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -63,7 +64,7 @@
 		}()
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		e.beat(ctx, to)
+		kqkeeper.From(ctx).Try("heartbeat", func() { e.beat(ctx, to) })
 	})
 }
 
--- a/internal/peer/kqexchange/exchange.go
+++ b/internal/peer/kqexchange/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqoverlay"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -95,11 +96,12 @@
 // Run exchanges until ctx ends.
 func (e *Exchanger) Run(ctx context.Context) {
 	defer e.group.Wait()
-	e.group.Go(func() { e.flush(ctx) })
+	kept := kqkeeper.From(ctx)
+	e.group.Go(func() { kept.Keep(ctx, "news", func() { e.flush(ctx) }) })
 	ticker := time.NewTicker(e.every)
 	defer ticker.Stop()
 	for beat := 0; ; beat++ {
-		e.tick(ctx, beat, time.Now())
+		kept.Try("heartbeat", func() { e.tick(ctx, beat, time.Now()) })
 		select {
 		case <-ctx.Done():
 			return
--- /dev/null
+++ b/internal/peer/kqpeer/panic_test.go
@@ -0,0 +1,49 @@
+package kqpeer_test
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+// A peer's message meets a fault in the method that answers it. The library does not
+// catch the panic: the process would end, and cut all callers' calls. Only this
+// request may fail.
+func TestPanicInAMethodFailsOneRequest(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	panics := make(chan kqkeeper.Panic, 1)
+	ctx, stop := context.WithCancel(kqkeeper.New(func(p kqkeeper.Panic) { panics <- p }).With(t.Context()))
+	defer stop()
+	s := kqpeer.NewServer(nil)
+	kqpeer.Handle(s, "t.p", func(_ context.Context, _ kqname.Node, q int) (int, error) {
+		if q == 0 {
+			panic("fault")
+		}
+		return q, nil
+	})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ctx, l) }()
+	c := kqpeer.NewClient("a", nil)
+	to := kqname.Address(l.Addr().String())
+	if _, err := kqpeer.Call[int, int](ctx, c, to, "t.p", 0); err == nil {
+		t.Error("the request that panicked was answered")
+	}
+	if a, err := kqpeer.Call[int, int](ctx, c, to, "t.p", 7); err != nil || a != 7 {
+		t.Errorf("the next request: %d, %v", a, err)
+	}
+	if p := <-panics; p.Value != "fault" || p.Part != "peer" {
+		t.Errorf("noted %+v", p)
+	}
+	stop()
+	c.Close()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/peer/kqpeer/server.go
+++ b/internal/peer/kqpeer/server.go
@@ -16,6 +16,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -31,9 +32,13 @@
 	// ErrSender tells that a request names another sender than its
 	// connection's certificate does.
 	ErrSender = namespace.NewType("sender").New("sender is not the certificate's node")
+	// ErrPanicked tells that a fault in this program ended the request.
+	ErrPanicked = namespace.NewType("panic").New("panicked")
 )
 
 const (
+	// part is the name of the peers' requests in what is noted of them.
+	part = "peer"
 	// guardTimeout bounds what a peer may take to prove who it is.
 	guardTimeout = 5 * time.Second
 	// acceptPause keeps a server that cannot accept from spinning.
@@ -116,7 +121,10 @@
 	if !ok {
 		return fmt.Errorf("%s: %w", rpc, ErrMethod)
 	}
-	return m(stream)
+	err := fmt.Errorf("%s: %w", rpc, ErrPanicked)
+	// The library does not catch a panic, which would end the process.
+	kqkeeper.From(stream.Context()).Try(part, func() { err = m(stream) })
+	return err
 }
 
 // Serve answers peers on the listener until ctx ends.
@@ -138,7 +146,11 @@
 		case err != nil:
 			return fmt.Errorf("serve peers on %s: %w", l.Addr(), err)
 		}
-		tracker.Run(func(ctx context.Context) { s.serveOne(ctx, server, conn) })
+		tracker.Run(func(ctx context.Context) {
+			if !kqkeeper.From(ctx).Try(part, func() { s.serveOne(ctx, server, conn) }) {
+				_ = conn.Close()
+			}
+		})
 	}
 }
 
--- a/internal/peer/kqregister/register.go
+++ b/internal/peer/kqregister/register.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqpause"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -82,8 +83,9 @@
 // Run keeps the entry and looks for peers until ctx ends.
 func (r *Register) Run(ctx context.Context) {
 	var group conc.WaitGroup
-	group.Go(func() { r.keep(ctx) })
-	group.Go(func() { r.look(ctx) })
+	kept := kqkeeper.From(ctx)
+	group.Go(func() { kept.Keep(ctx, "register", func() { r.keep(ctx) }) })
+	group.Go(func() { kept.Keep(ctx, "look", func() { r.look(ctx) }) })
 	group.Wait()
 }
 
--- a/internal/peer/kqspread/flood.go
+++ b/internal/peer/kqspread/flood.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -29,7 +30,7 @@
 		case <-time.After(gather):
 		}
 		for batch := s.batch(); len(batch) > 0; batch = s.batch() {
-			s.flood(ctx, batch)
+			kqkeeper.From(ctx).Try("spread", func() { s.flood(ctx, batch) })
 		}
 	}
 }
--- a/internal/run/kqcommand/node.go
+++ b/internal/run/kqcommand/node.go
@@ -58,7 +58,9 @@
 		defer group.Wait()
 		watching, stop := context.WithCancel(context.WithoutCancel(ctx))
 		defer stop()
-		group.Go(func() { watchSettings(watching, signals, *file, n, logger) })
+		group.Go(func() {
+			n.Keep(watching, "settings", func() { watchSettings(watching, signals, *file, n, logger) })
+		})
 		return n.Run(ctx)
 	})
 }
--- a/internal/run/kqmetric/metric.go
+++ b/internal/run/kqmetric/metric.go
@@ -23,6 +23,7 @@
 	budgetBound    *prometheus.CounterVec
 	spreadDropped  prometheus.Counter
 	leftOut        prometheus.Counter
+	panics         *prometheus.CounterVec
 	seconds        *prometheus.HistogramVec
 	storeCalls     *prometheus.CounterVec
 	storeMu        sync.Mutex
@@ -70,7 +71,10 @@
 		Name: "kumquatgw_call_seconds", Help: "Time of calls by stage: call is the whole at the entry, queue the wait at the gate, upstream the upstream's.",
 		Buckets: []float64{0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 10},
 	}, []string{"stage"})
-	m.registry.MustRegister(m.leftOut, m.storeCalls, m.seconds)
+	m.panics = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kumquatgw_panics_total", Help: "Panics that were caught, by the part that panicked.",
+	}, []string{"part"})
+	m.registry.MustRegister(m.panics, m.leftOut, m.storeCalls, m.seconds)
 	m.registry.MustRegister(m.ended, m.retried, m.gated, m.configRefused, m.platformFailed, m.budgetBound, m.spreadDropped, m.version,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "kumquatgw_control_sent_bytes_total", Help: "Bytes of control traffic sent to peers.",
@@ -120,6 +124,9 @@
 	m.seconds.WithLabelValues(stage).Observe(d.Seconds())
 }
 
+// Panicked counts a panic in a part, of which there are few.
+func (m *Metrics) Panicked(part string) { m.panics.WithLabelValues(part).Inc() }
+
 // LeftOut counts a log line that was over the rate for its reason.
 func (m *Metrics) LeftOut(string) { m.leftOut.Inc() }
 
--- a/internal/run/kqnode/admin.go
+++ b/internal/run/kqnode/admin.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqadmin"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqoperator"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqreload"
@@ -39,13 +37,11 @@
 	return nil
 }
 
-func (n *Node) runAdmin(ctx context.Context) {
-	var group conc.WaitGroup
-	defer group.Wait()
+func (n *Node) runAdmin(ctx context.Context, keep func(part string, f func())) {
 	if n.tokens != nil {
-		group.Go(func() { n.tokens.Run(ctx) })
+		keep("tokens", func() { n.tokens.Run(ctx) })
 	}
 	if n.admin != nil {
-		group.Go(func() { n.admin.Run(ctx) })
+		keep("admin", func() { n.admin.Run(ctx) })
 	}
 }
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -68,10 +68,10 @@
 		n.table.Update(func(m *kqmember.Member) { m.Upstreams = list })
 	})
 	n.hangup = kqhangup.New()
-	gate := []kqgate.Option{kqgate.WithObserver(n.rollouts), kqgate.WithGuard(n.rollouts), kqgate.WithHangup(n.hangup), kqgate.WithCounter(n.metrics)}
+	gate := []kqgate.Option{kqgate.WithObserver(n.rollouts), kqgate.WithGuard(n.rollouts), kqgate.WithHangup(n.hangup), kqgate.WithCounter(n.metrics), kqgate.WithKeeper(n.keeper)}
 	entry := append(n.entryTLSOptions(), kqentry.WithCounter(n.metrics), kqentry.WithSplitter(n.rollouts),
 		kqentry.WithDomain(n.settings.Node.Domain), kqentry.WithHangup(n.hangup),
-		kqentry.WithForged(n.security.Forged))
+		kqentry.WithForged(n.security.Forged), kqentry.WithKeeper(n.keeper))
 	if n.settings.Call.Slots == exactSlots {
 		gate = append(gate, kqgate.WithExactSlots())
 	}
@@ -99,7 +99,7 @@
 
 func (n *Node) server(handler fasthttp.RequestHandler, count func(kqcall.Outcome)) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: handler, Name: "kumquatgw", ReadTimeout: n.settings.Call.ReadTimeout, IdleTimeout: serverIdle,
+		Handler: n.kept(handler, count), Name: "kumquatgw", ReadTimeout: n.settings.Call.ReadTimeout, IdleTimeout: serverIdle,
 		MaxRequestBodySize: n.settings.Call.MaxBody, NoDefaultServerHeader: true, CloseOnShutdown: true,
 		DisablePreParseMultipartForm: true, ReadBufferSize: headerSize, ErrorHandler: refuse(count), Logger: quiet{n.logger.Part("call")},
 	}
--- a/internal/run/kqnode/config.go
+++ b/internal/run/kqnode/config.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqdistribute"
@@ -135,7 +134,7 @@
 func (n *Node) replicaOptions(direct bool) []kqreplica.Option {
 	options := []kqreplica.Option{
 		kqreplica.WithMemory(n.settings.Member.MemoryBudget, func() { n.metrics.BudgetBound("memory") }),
-		kqreplica.WithRefused(n.metrics.ConfigRefused),
+		kqreplica.WithRefused(n.metrics.ConfigRefused), kqreplica.WithKeeper(n.keeper),
 		kqreplica.WithChanged(func(s *kqsnapshot.Snapshot) {
 			n.metrics.Version(s.Version())
 			n.table.SetConfig(n.settings.Node.Name, s.Version())
@@ -199,26 +198,24 @@
 	return list
 }
 
-func (n *Node) runConfig(ctx context.Context) {
-	var group conc.WaitGroup
-	defer group.Wait()
-	group.Go(func() { n.exchange.Run(ctx) })
-	group.Go(func() { n.spreader.Run(ctx) })
+func (n *Node) runConfig(ctx context.Context, keep func(part string, f func())) {
+	keep("exchange", func() { n.exchange.Run(ctx) })
+	keep("spread", func() { n.spreader.Run(ctx) })
 	if n.distribution.register != nil {
-		group.Go(func() { n.distribution.register.Run(ctx) })
+		keep("register", func() { n.distribution.register.Run(ctx) })
 	}
 	if n.distribution.direct {
-		group.Go(func() { n.distribution.watcher.Run(ctx) })
+		keep("watch", func() { n.distribution.watcher.Run(ctx) })
 		return
 	}
-	group.Go(func() { n.distribution.distributor.Run(ctx) })
+	keep("distribute", func() { n.distribution.distributor.Run(ctx) })
 	if n.settings.Config.Prefetch {
-		group.Go(func() { n.prefetch(ctx) })
+		keep("prefetch", func() { n.prefetch(ctx) })
 	}
 	if n.distribution.follower != nil {
-		group.Go(func() { n.learnDepartures(ctx) })
-		n.distribution.follower.Run(ctx)
+		keep("departures", func() { n.learnDepartures(ctx) })
+		keep("follow", func() { n.distribution.follower.Run(ctx) })
 		return
 	}
-	group.Go(func() { n.distribution.reader.Run(ctx) })
+	keep("reader", func() { n.distribution.reader.Run(ctx) })
 }
--- a/internal/run/kqnode/leave.go
+++ b/internal/run/kqnode/leave.go
@@ -19,6 +19,19 @@
 	n.note(logrus.Fields{"event": "leaving", "step": "begun", "within_ms": n.drainTimeout().Milliseconds()}, "Leaving.")
 	ctx, cancel := context.WithTimeout(context.Background(), n.drainTimeout())
 	defer cancel()
+	// What panics on the way must not keep the calls from being finished.
+	n.keeper.Try("leave", func() { n.farewell(ctx) })
+	err := n.leaveCalls(ctx)
+	n.step("no calls are taken")
+	n.keeper.Try("leave", func() { n.goodbye(ctx) })
+	if n.admin != nil {
+		err = errors.Join(err, n.admin.Shutdown())
+	}
+	return err
+}
+
+// farewell lets callers go elsewhere, and then tells the others.
+func (n *Node) farewell(ctx context.Context) {
 	n.entry.Leave()
 	n.deserted(ctx)
 	n.entry.Refuse()
@@ -27,16 +40,13 @@
 	n.exchange.Announce(ctx)
 	n.rollouts.leave(ctx)
 	n.step("the others know")
-	err := n.leaveCalls(ctx)
-	n.step("no calls are taken")
-	if n.admin != nil {
-		err = errors.Join(err, n.admin.Shutdown())
-	}
+}
+
+// goodbye spares the others the suspicion.
+func (n *Node) goodbye(ctx context.Context) {
 	n.distribution.reader.Close(ctx)
-	// A goodbye spares the others the suspicion.
 	n.table.Update(func(m *kqmember.Member) { m.State = kqmember.Dead })
 	n.exchange.Announce(ctx)
-	return err
 }
 
 // drainTimeout is how long calls in flight may take at shutdown. A process that
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -23,6 +23,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqspread"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqmetric"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqnotable"
@@ -63,6 +64,9 @@
 	notableEvery = 3 * time.Second
 )
 
+// errPanicked ends a node whose listener panicked.
+var errPanicked = errors.New("listener panicked")
+
 // ErrKilled is the cause of Run's context that ends a node without a goodbye,
 // the way a lost server does.
 var ErrKilled = errors.New("node killed")
@@ -102,6 +106,7 @@
 		adapter      Adapter
 		pending      pending
 		recorder     *kqrecord.Recorder
+		keeper       *kqkeeper.Keeper
 		storeLost    atomic.Bool
 		notable      kqnotable.Notable
 		processes    processes
@@ -146,6 +151,7 @@
 	}
 	n.logger = n.logger.WithNode(string(settings.Node.Name))
 	n.log = n.logger.Part("node")
+	n.keeper = kqkeeper.New(n.panicked)
 	if err := n.listen(); err != nil {
 		n.listeners.close()
 		return nil, fmt.Errorf("start node %s: %w", settings.Node.Name, err)
@@ -186,24 +192,30 @@
 func (n *Node) Run(ctx context.Context) error {
 	n.log.WithFields(logrus.Fields{"event": "started", "settings": n.settings.Shown()}).Infof("Started as %s in %s.", n.settings.Node.Name, n.settings.Node.Domain)
 	n.notable.Add("started", n.started)
-	background, stop := context.WithCancel(context.Background())
+	background, stop := context.WithCancel(n.keeper.With(context.Background()))
 	defer stop()
 	var group conc.WaitGroup
-	group.Go(func() { n.runConfig(background) })
-	group.Go(func() { every(background, sweepEvery, n.sweep) })
-	group.Go(func() { n.collect(background) })
-	group.Go(func() { every(background, notableEvery, n.tellNotable) })
+	keep := func(part string, f func()) {
+		group.Go(func() { n.keeper.Keep(background, part, f) })
+	}
+	n.runConfig(background, keep)
+	keep("sweep", func() { every(background, sweepEvery, n.sweep) })
+	keep("collect", func() { n.collect(background) })
+	keep("notable", func() { every(background, notableEvery, n.tellNotable) })
 	if n.adapter.Answered != nil {
-		group.Go(func() { every(background, storeCallsEvery, n.tellStore) })
+		keep("store_calls", func() { every(background, storeCallsEvery, n.tellStore) })
 	}
-	group.Go(func() { n.hangup.Run(background) })
-	group.Go(func() { n.runTLS(background) })
-	group.Go(func() { n.runAdmin(background) })
-	group.Go(func() { n.rollouts.run(background) })
+	keep("hangup", func() { n.hangup.Run(background) })
+	keep("tls", func() { n.runTLS(background) })
+	n.runAdmin(background, keep)
+	n.rollouts.run(background, keep)
 	failed := make(chan error, 8)
 	serve := func(f func() error) {
 		group.Go(func() {
-			if err := f(); err != nil {
+			// A listener that panics is not started again; the calls are finished.
+			err := errPanicked
+			n.keeper.Try("listener", func() { err = f() })
+			if err != nil {
 				failed <- err
 			}
 		})
--- a/internal/run/kqnode/rollout.go
+++ b/internal/run/kqnode/rollout.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
@@ -88,11 +86,9 @@
 
 func (r *rollouts) adopt(s *kqsnapshot.Snapshot) { r.board.Adopt(s.Services(), time.Now()) }
 
-func (r *rollouts) run(ctx context.Context) {
-	var group conc.WaitGroup
-	defer group.Wait()
-	group.Go(func() { every(ctx, rolloutTick, r.tick) })
-	group.Go(func() { every(ctx, rolloutTick, func(now time.Time) { r.work(ctx, now) }) })
+func (r *rollouts) run(ctx context.Context, keep func(part string, f func())) {
+	keep("rollout", func() { every(ctx, rolloutTick, r.tick) })
+	keep("rollout_work", func() { every(ctx, rolloutTick, func(now time.Time) { r.work(ctx, now) }) })
 }
 
 // tick weighs the evidence and, on plans that this node owns, decides.
