--- a/internal/lab/kqupstream/upstream.go
+++ b/internal/lab/kqupstream/upstream.go
@@ -24,6 +24,9 @@
 const HeaderWork = "Work-Id"
 
 const (
+	// maxBody is the largest body that an upstream takes, in bytes: the largest that
+	// settings let nodes take.
+	maxBody       = 64 << 20
 	announceEvery = 500 * time.Millisecond
 	// servesOn is how long an upstream goes on serving once its goodbye is
 	// acknowledged: the users' upstreams do for two seconds or more. A call that its
@@ -108,7 +111,7 @@
 		runs:         make(map[string]int),
 	}
 	u.SetBehaviour(b)
-	u.server = &fasthttp.Server{Handler: u.handle, NoDefaultServerHeader: true, IdleTimeout: time.Minute, Logger: silent{}}
+	u.server = &fasthttp.Server{Handler: u.handle, NoDefaultServerHeader: true, IdleTimeout: time.Minute, Logger: silent{}, MaxRequestBodySize: maxBody}
 	return u, nil
 }
 
