--- a/internal/run/kqnode/leave.go
+++ b/internal/run/kqnode/leave.go
@@ -19,6 +19,17 @@
 	n.note(logrus.Fields{"event": "leaving", "step": "begun", "within_ms": n.drainTimeout().Milliseconds()}, "Leaving.")
 	ctx, cancel := context.WithTimeout(context.Background(), n.drainTimeout())
 	defer cancel()
+	// What panics on the way must not keep the calls from being finished.
+	n.keeper.Try("leave", func() { n.farewell(ctx) })
+	err := n.leaveCalls(ctx)
+	n.step("no calls are taken")
+	n.keeper.Try("leave", n.goodbye)
+	n.keeper.Try("leave", func() { n.distribution.reader.Close(ctx) })
+	return errors.Join(err, n.leaveAdmin(ctx))
+}
+
+// farewell lets callers go elsewhere, and then tells the others.
+func (n *Node) farewell(ctx context.Context) {
 	n.entry.Leave()
 	n.deserted(ctx)
 	n.entry.Refuse()
@@ -27,11 +38,6 @@
 	n.exchange.Announce(ctx)
 	n.rollouts.leave(ctx)
 	n.step("the others know")
-	err := n.leaveCalls(ctx)
-	n.step("no calls are taken")
-	n.goodbye()
-	n.distribution.reader.Close(ctx)
-	return errors.Join(err, n.leaveAdmin(ctx))
 }
 
 // goodbye spares the others the suspicion. The calls may have used up the time for the
