Let fake upstreams tell of each run, and nodes of their gate's address

Whoever watches real processes from outside knows neither which calls an upstream ran nor when its goodbye was acknowledged. A call may ask for its own time by Work-Ms. A node prints its gate's address with the others, so that it can be started again where it was.

--- a/internal/lab/kqupstream/upstream.go
+++ b/internal/lab/kqupstream/upstream.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,11 +26,11 @@
 
 const (
 	announceEvery = 500 * time.Millisecond
-	// servesOn is how long an upstream goes on serving once its goodbye is
+	// defaultServesOn is how long an upstream goes on serving once its goodbye is
 	// acknowledged: the users' upstreams do for two seconds or more. A call that its
 	// gate let in just before the goodbye is written a moment after it, and closed at
 	// once its connection would cut that call, whatever the node does.
-	servesOn = 300 * time.Millisecond
+	defaultServesOn = 300 * time.Millisecond
 )
 
 type (
@@ -68,6 +69,8 @@
 	// Upstream is a fake upstream. It is safe for concurrent use.
 	Upstream struct {
 		announcement kqlocal.Announcement
+		servesOn     time.Duration
+		teller       func(Event)
 		node         kqname.Address
 		server       *fasthttp.Server
 		listener     *kqcut.Listener
@@ -93,13 +96,15 @@
 
 // New opens an upstream of a service's version with the given slots; it
 // announces itself to the node whose local address is node.
-func New(service kqname.Service, version kqname.UpstreamVersion, slots int, node kqname.Address, b Behaviour) (*Upstream, error) {
+func New(service kqname.Service, version kqname.UpstreamVersion, slots int, node kqname.Address, b Behaviour, options ...Option) (*Upstream, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("open upstream of %s: %w", service, err)
 	}
 	u := &Upstream{
 		announcement: kqlocal.Announcement{Service: service, Version: version, Address: kqname.Address(l.Addr().String()), Slots: slots},
+		servesOn:     defaultServesOn,
+		teller:       func(Event) {},
 		node:         node,
 		listener:     kqcut.New(l, new(atomic.Int64)),
 		killed:       make(chan struct{}),
@@ -107,6 +112,9 @@
 		started:      time.Now(),
 		runs:         make(map[string]int),
 	}
+	for _, o := range options {
+		o(u)
+	}
 	u.SetBehaviour(b)
 	u.server = &fasthttp.Server{Handler: u.handle, NoDefaultServerHeader: true, IdleTimeout: time.Minute, Logger: silent{}}
 	return u, nil
@@ -142,9 +150,7 @@
 		case err := <-failed:
 			return fmt.Errorf("serve upstream of %s: %w", u.announcement.Service, err)
 		case <-ctx.Done():
-			u.draining.Store(true)
-			u.announce()
-			time.Sleep(servesOn)
+			u.leave()
 			if err := u.server.Shutdown(); err != nil {
 				return fmt.Errorf("drain upstream of %s: %w", u.announcement.Service, err)
 			}
@@ -186,7 +192,9 @@
 	if f := u.watcher.Load(); f != nil {
 		(*f)(Run{Work: work, Service: u.announcement.Service, Version: u.announcement.Version, At: time.Now()})
 	}
-	time.Sleep(u.duration(b, running, ctx.Path()))
+	u.tell(Begun, work)
+	defer u.tell(Ended, work)
+	time.Sleep(u.duration(b, running, ctx))
 	ctx.Response.Header.Set(HeaderWork, work)
 	if bytes.HasPrefix(ctx.Path(), []byte(b.FailPath)) && rand.Float64() < b.FailShare {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
@@ -195,8 +203,11 @@
 	fmt.Fprintf(ctx, "%s %s %s\n", u.announcement.Service, u.announcement.Version, work)
 }
 
-func (u *Upstream) duration(b Behaviour, running int64, path []byte) time.Duration {
-	d := b.Work
+func (u *Upstream) duration(b Behaviour, running int64, ctx *fasthttp.RequestCtx) time.Duration {
+	d, path := b.Work, ctx.Path()
+	if ms, err := strconv.Atoi(string(ctx.Request.Header.Peek(HeaderWorkMS))); err == nil && ms > 0 {
+		d = min(time.Duration(ms)*time.Millisecond, longestWork)
+	}
 	if b.LongPath != "" && bytes.HasPrefix(path, []byte(b.LongPath)) {
 		d = b.LongWork
 	}
@@ -209,16 +220,19 @@
 	return d
 }
 
-func (u *Upstream) announce() {
+// announce reports whether the node acknowledged it.
+func (u *Upstream) announce() bool {
 	a := u.announcement
 	a.Draining = u.draining.Load()
 	body, err := json.Marshal(a)
 	if err != nil {
-		return
+		return false
 	}
 	// A node that is away hears of the upstream at the next announcement.
 	resp, err := u.http.Post("http://"+string(u.node)+"/kq/announce", "application/json", bytes.NewReader(body))
-	if err == nil {
-		_ = resp.Body.Close()
+	if err != nil {
+		return false
 	}
+	_ = resp.Body.Close()
+	return resp.StatusCode < http.StatusMultipleChoices
 }
--- a/internal/run/kqcommand/node.go
+++ b/internal/run/kqcommand/node.go
@@ -54,7 +54,7 @@
 		for _, a := range []struct {
 			name    string
 			address kqname.Address
-		}{{"entry", n.EntryAddress()}, {"local", n.LocalAddress()}, {"control", n.ControlAddress()}, {"admin", n.AdminAddress()}} {
+		}{{"entry", n.EntryAddress()}, {"local", n.LocalAddress()}, {"control", n.ControlAddress()}, {"gate", n.GateAddress()}, {"admin", n.AdminAddress()}} {
 			fmt.Fprintf(output, "%s %s\n", a.name, a.address)
 		}
 		var group conc.WaitGroup
--- a/internal/run/kqcommand/upstream.go
+++ b/internal/run/kqcommand/upstream.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
+	"sync"
+	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqupstream"
@@ -21,6 +24,8 @@
 	cold := clause.Flag("cold-for", "How long it is cold after its start.").Default("0s").Duration()
 	coldWork := clause.Flag("cold-work", "What a call takes more while it is cold.").Default("0s").Duration()
 	fail := clause.Flag("fail-share", "Share of calls that fail, from 0 to 1.").Default("0").Float64()
+	servesOn := clause.Flag("serves-on", "How long it serves on after its goodbye.").Default("300ms").Duration()
+	tell := clause.Flag("tell", "Print a JSON line when a call begins, when it ends, and when the goodbye is acknowledged.").Bool()
 	shed := clause.Flag("shed", "Answer 503 to calls over the slots.").Bool()
 	c.add(clause, func(ctx context.Context) error {
 		host, port, err := net.SplitHostPort(*node)
@@ -31,16 +36,36 @@
 			return fmt.Errorf("upstream: --slots %d is not from 1 to %d", *slots, kqlocal.MaxSlots)
 		case !(*fail >= 0 && *fail <= 1):
 			return fmt.Errorf("upstream: --fail-share %v is not from 0 to 1", *fail)
-		case *work < 0 || *cold < 0 || *coldWork < 0:
+		case *work < 0 || *cold < 0 || *coldWork < 0 || *servesOn < 0:
 			return errors.New("upstream: a time is negative")
 		case err != nil || host == "" || port == "":
 			return fmt.Errorf("upstream: --node %q is not an address like 127.0.0.1:8081", *node)
 		}
 		u, err := kqupstream.New(kqname.Service(*service), kqname.UpstreamVersion(*version), *slots, kqname.Address(*node),
-			kqupstream.Behaviour{Work: *work, ColdFor: *cold, ColdWork: *coldWork, FailShare: *fail, Shed: *shed})
+			kqupstream.Behaviour{Work: *work, ColdFor: *cold, ColdWork: *coldWork, FailShare: *fail, Shed: *shed},
+			c.upstreamOptions(*servesOn, *tell)...)
 		if err != nil {
 			return err
 		}
 		return u.Run(ctx)
 	})
 }
+
+// upstreamOptions has the upstream tell of its runs where that was asked for. Each
+// line is written whole before the run goes on: a killed upstream has told what it did.
+func (c *Command) upstreamOptions(servesOn time.Duration, tell bool) []kqupstream.Option {
+	options := []kqupstream.Option{kqupstream.WithServesOn(servesOn)}
+	if !tell {
+		return options
+	}
+	var mu sync.Mutex
+	return append(options, kqupstream.WithTeller(func(e kqupstream.Event) {
+		line, err := json.Marshal(e)
+		if err != nil {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		fmt.Fprintf(c.out, "%s\n", line)
+	}))
+}
