Look for faults with real processes, seeded faults and checks from outside

kumquatgw soak starts the store's stand-in, nodes and upstreams as processes, lets callers at them, and plays planned work drawn from one seed: nodes that leave and come back at their addresses, alone, in pairs and overlapping, reload signals aimed at leaving and starting nodes, changed settings, series of versions, upstreams that drain. It judges by what callers and upstreams see alone: LOST, TWICE, CROSSED, FALSE, LATE, ENDED, and answers 10 s after the last fault.

--- /dev/null
+++ b/internal/lab/kqsoakrun/caller.go
@@ -0,0 +1,169 @@
+package kqsoakrun
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqsoakcheck"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqupstream"
+)
+
+const (
+	// patience is longer than any route lets a call take.
+	patience    = routeTimeout + 5*time.Second
+	dialTimeout = time.Second
+	shortest    = 5 * time.Millisecond
+	longest     = time.Second
+	longestBody = 4 << 10
+	// pause is the mean time between a caller's calls.
+	pause = 30 * time.Millisecond
+
+	// keeper uses one connection until it ends, opener a new one for each call.
+	keeper habit = "keeper"
+	opener habit = "opener"
+)
+
+var errNoAnswer = errors.New("not an upstream's answer")
+
+type (
+	habit string
+
+	// caller sends one call after another.
+	caller struct {
+		soak   *Soak
+		name   string
+		habit  habit
+		random *rand.Rand
+		serial int
+
+		conn   net.Conn
+		reader *bufio.Reader
+		node   int
+		uses   int
+	}
+)
+
+// run calls until ctx ends; the call in flight is finished.
+func (c *caller) run(ctx context.Context) {
+	defer c.hangUp()
+	for ctx.Err() == nil {
+		if !c.connect() {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		c.call(routes[c.random.IntN(len(routes))])
+		if c.habit == opener {
+			c.hangUp()
+		}
+		time.Sleep(time.Duration(c.random.Int64N(int64(2 * pause))))
+	}
+}
+
+// connect takes a node by chance unless there is a connection. A connection that is
+// refused has carried nothing.
+func (c *caller) connect() bool {
+	if c.conn != nil {
+		return true
+	}
+	c.node, c.uses = c.random.IntN(len(c.soak.nodes)), 0
+	conn, err := net.DialTimeout("tcp", c.soak.nodes[c.node].address("entry"), dialTimeout)
+	if err != nil {
+		return false
+	}
+	c.conn, c.reader = conn, bufio.NewReader(conn)
+	return true
+}
+
+func (c *caller) hangUp() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// answered sends one call to a node and reports whether it was answered.
+func (c *caller) answered(node int, r route) bool {
+	c.hangUp()
+	conn, err := net.DialTimeout("tcp", c.soak.nodes[node].address("entry"), dialTimeout)
+	if err != nil {
+		return false
+	}
+	c.conn, c.reader, c.node, c.uses = conn, bufio.NewReader(conn), node, 0
+	call := c.call(r)
+	c.hangUp()
+	return call.Complete && call.Status == http.StatusOK
+}
+
+func (c *caller) call(r route) kqsoakcheck.Call {
+	c.serial++
+	c.uses++
+	call := kqsoakcheck.Call{
+		Work: fmt.Sprintf("%s-%d", c.name, c.serial), Node: c.node, Route: r.host + r.path, Idempotent: r.idempotent,
+		Habit: string(c.habit), Uses: c.uses, Allowed: routeTimeout, Sent: c.soak.now(),
+	}
+	c.soak.judge.Sends(call.Work, call.Idempotent)
+	request := c.request(r, call.Work)
+	_ = c.conn.SetDeadline(time.Now().Add(patience))
+	_, err := io.WriteString(c.conn, request)
+	call.Whole = err == nil
+	goesOn := false
+	if err == nil {
+		goesOn, err = c.answer(&call)
+	}
+	call.Ended = c.soak.now()
+	if err != nil {
+		call.Error = err.Error()
+	}
+	c.soak.judge.Call(call)
+	if !goesOn {
+		c.hangUp()
+	}
+	return call
+}
+
+func (c *caller) request(r route, work string) string {
+	ms := float64(shortest.Milliseconds()) * math.Pow(float64(longest/shortest), c.random.Float64())
+	head := fmt.Sprintf("Host: %s\r\n%s: %s\r\n%s: %d\r\n", r.host, kqupstream.HeaderWork, work, kqupstream.HeaderWorkMS, int(ms))
+	if r.idempotent {
+		return "GET " + r.path + " HTTP/1.1\r\n" + head + "\r\n"
+	}
+	body := strings.Repeat("x", c.random.IntN(longestBody))
+	return fmt.Sprintf("POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", r.path, head, len(body), body)
+}
+
+// answer reads an answer and reports whether its connection may be used again.
+func (c *caller) answer(call *kqsoakcheck.Call) (bool, error) {
+	a, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return false, fmt.Errorf("read head: %w", err)
+	}
+	defer func() { _ = a.Body.Close() }()
+	body, err := io.ReadAll(a.Body)
+	if err != nil {
+		return false, fmt.Errorf("read body: %w", err)
+	}
+	call.Complete, call.Status = true, a.StatusCode
+	call.Result, call.Reason = a.Header.Get(kqcall.HeaderResult), a.Header.Get(kqcall.HeaderReason)
+	if call.Result == string(kqcall.Answered) {
+		call.Answers = []string{a.Header.Get(kqupstream.HeaderWork)}
+		if words := strings.Fields(string(body)); a.StatusCode == http.StatusOK && len(words) == 3 {
+			call.Answers = append(call.Answers, words[2])
+		} else if a.StatusCode == http.StatusOK {
+			return false, fmt.Errorf("body %.80q: %w", body, errNoAnswer)
+		}
+	}
+	if c.reader.Buffered() > 0 {
+		call.Answers = append(call.Answers, "more bytes than one answer")
+	}
+	return !a.Close, nil
+}
--- /dev/null
+++ b/internal/lab/kqsoakrun/document.go
@@ -0,0 +1,84 @@
+package kqsoakrun
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
+	"github.com/kumquatgw/kumquatgw/internal/store/kqstoreclient"
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	team         = kqname.Team("soak")
+	routeTimeout = 5 * time.Second
+	commitWithin = 10 * time.Second
+)
+
+// route is one that callers use.
+type route struct {
+	host, path string
+	idempotent bool
+}
+
+var (
+	services = []kqname.Service{"alpha", "beta"}
+	routes   = []route{
+		{"alpha.example", "/read/", true},
+		{"alpha.example", "/order/", false},
+		{"beta.example", "/read/", true},
+		{"beta.example", "/order/", false},
+		{"both.example", "/read/", true},
+		{"both.example", "/order/", false},
+	}
+)
+
+// document is the fleet's; each number gives another version, which changes nothing
+// for callers: a route and a service that nobody uses, and the split of a route whose
+// parts are alike.
+func document(number int) kqdocument.Document {
+	d := kqdocument.Document{Teams: []kqdocument.Team{{Name: team}}}
+	for _, s := range services {
+		d.Services = append(d.Services, kqdocument.Service{Name: s, Team: team, TimeoutMS: int(routeTimeout.Milliseconds())})
+	}
+	for i, r := range routes {
+		next := kqdocument.Route{
+			Name: kqname.Route(fmt.Sprintf("route-%d", i)), Team: team, Host: kqname.Host(r.host), PathPrefix: r.path,
+			TimeoutMS: int(routeTimeout.Milliseconds()), Idempotent: r.idempotent, NotIdempotent: !r.idempotent,
+		}
+		if i < len(services)*2 {
+			next.Service = services[i/2]
+		} else {
+			next.Parts = []kqdocument.Part{{Service: services[0], Weight: 1 + float64(number%3)}, {Service: services[1], Weight: 2}}
+		}
+		d.Routes = append(d.Routes, next)
+	}
+	d.Routes = append(d.Routes, kqdocument.Route{
+		Name: "unused", Team: team, Host: kqname.Host(fmt.Sprintf("unused-%d.example", number)), PathPrefix: "/", Service: services[0],
+	})
+	return d
+}
+
+// commit puts the next version in force.
+func (s *Soak) commit(ctx context.Context) error {
+	s.versions.Lock()
+	defer s.versions.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, commitWithin)
+	defer cancel()
+	s.versions.number++
+	o, err := kqcommit.New(kqstoreclient.New(s.storeURL)).Commit(ctx, kqcommit.Request{
+		ID: fmt.Sprintf("soak-%d", s.versions.number), Base: s.versions.last, Author: "soak", Reason: "soak",
+		At: time.Now(), Document: document(s.versions.number),
+	})
+	if err != nil {
+		return fmt.Errorf("commit version: %w", err)
+	}
+	s.versions.last = o.Version
+	s.tell(event{Event: "committed", Text: fmt.Sprintf("%s as version %d", o.Status, o.Version)})
+	if len(o.Problems) > 0 {
+		return fmt.Errorf("commit version: %v", o.Problems)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/kqsoakrun/process.go
@@ -0,0 +1,245 @@
+package kqsoakrun
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqchild"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqupstream"
+)
+
+const (
+	// startWithin bounds a process's start, on a busy machine.
+	startWithin = 20 * time.Second
+	// startTries bounds how often a node is started whose address was taken by a
+	// passing connection while it was away.
+	startTries = 5
+	addressUse = "address already in use"
+	// lastRole is the address that a node tells last.
+	lastRole = "admin"
+	// endWithin is longer than a leave may take by the node's settings.
+	endWithin = drainTimeout + 5*time.Second
+	// servesOn is how long a leaving upstream is there; a late call would show.
+	servesOn = 3 * time.Second
+	slots    = 32
+)
+
+var errNotStarted = errors.New("process did not start")
+
+type (
+	// node is a node's process and the upstream beside it.
+	node struct {
+		soak   *Soak
+		number int
+		name   string
+
+		mu        sync.Mutex
+		child     *kqchild.Child
+		addresses map[string]string
+		changes   int
+
+		upstream upstream
+	}
+
+	upstream struct {
+		mu     sync.Mutex
+		child  *kqchild.Child
+		starts int
+	}
+)
+
+// output opens the file of a process's output.
+func (s *Soak) output(name string) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(s.folder, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("keep output: %w", err)
+	}
+	return f, nil
+}
+
+// launch starts this very program in another role. The process's end is judged
+// unless it was told to end; watch decides about one that was.
+func (s *Soak) launch(name string, arguments []string, each func(string)) (*kqchild.Child, error) {
+	f, err := s.output(name)
+	if err != nil {
+		return nil, err
+	}
+	c, err := s.children.start(func() (*kqchild.Child, error) { return kqchild.Start(s.program, arguments, f, each) })
+	if err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	go func() {
+		<-c.Ended()
+		_ = f.Close()
+	}()
+	return c, nil
+}
+
+// watch judges how a process ends that was started whole.
+func (s *Soak) watch(name string, c *kqchild.Child) {
+	go func() {
+		err := c.Status()
+		s.children.remove(c)
+		status := "status 0"
+		if err != nil {
+			status = err.Error()
+		}
+		s.tell(event{Event: "ended", Target: name, Text: status})
+		if !c.Told() || err != nil && !s.killed(c) {
+			s.judge.End(name, status, s.now())
+		}
+	}()
+}
+
+func (s *Soak) startStore() error {
+	listens := make(chan string, 1)
+	c, err := s.launch("store", []string{"platform", "--listen", "127.0.0.1:0"}, func(line string) {
+		if _, url, ok := strings.Cut(line, "listens on "); ok {
+			listens <- url
+		}
+	})
+	if err != nil {
+		return err
+	}
+	s.watch("store", c)
+	select {
+	case s.storeURL = <-listens:
+		s.store = c
+		return nil
+	case <-time.After(startWithin):
+		return fmt.Errorf("store: %w", errNotStarted)
+	}
+}
+
+// address returns where the node listens.
+func (n *node) address(role string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.addresses[role]
+}
+
+// start starts the node's process, at the addresses that it had; it is told of changed
+// settings at the given ages.
+func (n *node) start(reloads []time.Duration) error {
+	for range startTries {
+		taken, err := n.try(reloads)
+		if err == nil || !taken {
+			return err
+		}
+	}
+	return fmt.Errorf("%s: %w", n.name, errNotStarted)
+}
+
+func (n *node) try(reloads []time.Duration) (taken bool, err error) {
+	if err := n.write(); err != nil {
+		return false, err
+	}
+	up, found := make(chan struct{}), make(map[string]string)
+	c, err := n.soak.launch(n.name, []string{"node", "--settings", n.file()}, func(line string) {
+		name, address, _ := strings.Cut(line, " ")
+		if _, again := found[name]; again || name != lastRole && !slices.Contains(roles, name) {
+			return
+		}
+		if found[name] = address; name == lastRole {
+			close(up)
+		}
+	})
+	if err != nil {
+		return false, err
+	}
+	n.soak.tell(event{Event: "started", Target: n.name, Text: fmt.Sprint("process ", c.ID())})
+	n.mu.Lock()
+	n.child = c
+	n.mu.Unlock()
+	for _, age := range reloads {
+		time.AfterFunc(age, func() { n.reload(c) })
+	}
+	select {
+	case <-up:
+	case <-c.Ended():
+		n.soak.children.remove(c)
+		return n.refused(c)
+	case <-time.After(startWithin):
+		return false, fmt.Errorf("%s: %w", n.name, errNotStarted)
+	}
+	n.mu.Lock()
+	for _, role := range roles {
+		n.addresses[role] = found[role]
+	}
+	n.mu.Unlock()
+	n.soak.watch(n.name, c)
+	return false, nil
+}
+
+// refused tells why a starting node ended.
+func (n *node) refused(c *kqchild.Child) (taken bool, err error) {
+	text, _ := os.ReadFile(filepath.Join(n.soak.folder, n.name+".log"))
+	if last := string(text[max(0, len(text)-200):]); strings.Contains(last, addressUse) {
+		n.soak.tell(event{Event: "address taken", Target: n.name, Text: last})
+		return true, errNotStarted
+	}
+	status := fmt.Sprint(c.Status())
+	n.soak.judge.End(n.name, status+" while it started", n.soak.now())
+	return false, fmt.Errorf("%s: %w: %s", n.name, errNotStarted, status)
+}
+
+// process returns the node's process, which may have ended.
+func (n *node) process() *kqchild.Child {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.child
+}
+
+// reload tells a process of the node that its settings changed.
+func (n *node) reload(c *kqchild.Child) {
+	n.soak.tell(event{Event: "SIGHUP", Target: n.name})
+	if err := c.Signal(syscall.SIGHUP); err != nil {
+		n.soak.tell(event{Event: "not sent", Target: n.name, Text: err.Error()})
+	}
+}
+
+// startUpstream starts the upstream beside the node, at a new address.
+func (n *node) startUpstream() error {
+	u := &n.upstream
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.starts++
+	name := fmt.Sprintf("upstream-%d.%d", n.number, u.starts)
+	c, err := n.soak.launch(name, []string{
+		"upstream", "--service", string(n.service()), "--node", n.address("local"), "--slots", fmt.Sprint(slots),
+		"--tell", "--serves-on", servesOn.String(),
+	}, func(line string) { n.heard(name, line) })
+	if err != nil {
+		return err
+	}
+	u.child = c
+	n.soak.tell(event{Event: "started", Target: name, Text: fmt.Sprint("process ", c.ID())})
+	n.soak.watch(name, c)
+	return nil
+}
+
+// heard takes in what an upstream tells.
+func (n *node) heard(name, line string) {
+	var e kqupstream.Event
+	if err := json.Unmarshal([]byte(line), &e); err != nil {
+		return
+	}
+	at := e.At.Sub(n.soak.began)
+	switch e.Step {
+	case kqupstream.Begun:
+		n.soak.judge.Began(e.Work, name, n.number, at)
+	case kqupstream.Ended:
+		n.soak.judge.RunEnded(e.Work, name, at)
+	case kqupstream.Goodbye:
+		n.soak.judge.Goodbye(name, at)
+		n.soak.tell(event{Event: "goodbye", Target: name})
+	}
+}
--- /dev/null
+++ b/internal/lab/kqsoakrun/settings.go
@@ -0,0 +1,67 @@
+package kqsoakrun
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+const (
+	drainTimeout = 10 * time.Second
+	// unset has the system choose a port, which the node then keeps.
+	unset = "127.0.0.1:0"
+)
+
+// roles are the addresses that a node tells.
+var roles = []string{"entry", "local", "control", "gate"}
+
+func (n *node) file() string { return filepath.Join(n.soak.folder, n.name+".ini") }
+
+func (n *node) service() kqname.Service { return services[n.number%len(services)] }
+
+// change gives the node other settings, without telling it.
+func (n *node) change() error {
+	n.mu.Lock()
+	n.changes++
+	n.mu.Unlock()
+	return n.write()
+}
+
+// write writes the settings file whole before it takes the old one's place.
+func (n *node) write() error {
+	seeds := n.soak.seeds(n)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	text := fmt.Sprintf("[node]\nname = %s\ndomain = domain-%d\nservice = %s\ndrain_timeout = %v\n",
+		n.name, n.number%domains, n.service(), drainTimeout)
+	for _, role := range roles {
+		text += fmt.Sprintf("%s_listen = %s\n", role, n.addresses[role])
+	}
+	text += fmt.Sprintf("[platform]\nurl = %s\n[member]\nseeds = %s\n[log]\nsample = %d\n", n.soak.storeURL, seeds, 1+n.changes)
+	if err := os.WriteFile(n.file()+".new", []byte(text), 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	if err := os.Rename(n.file()+".new", n.file()); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	return nil
+}
+
+// seeds returns the control addresses of two other nodes.
+func (s *Soak) seeds(n *node) string {
+	text := ""
+	for _, other := range s.nodes[:min(len(s.nodes), 3)] {
+		control := other.address("control")
+		if other == n || control == unset {
+			continue
+		}
+		if text != "" {
+			text += ","
+		}
+		text += control
+	}
+	return text
+}
--- a/internal/run/kqcommand/command.go
+++ b/internal/run/kqcommand/command.go
@@ -72,6 +72,7 @@
 	c.addExplain()
 	c.addMeasureNodes()
 	c.addMeasureCalls()
+	c.addSoak()
 	return c
 }
 
