--- a/internal/lab/kqsoakrun/process.go
+++ b/internal/lab/kqsoakrun/process.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqchild"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqsoak"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqupstream"
 )
 
@@ -46,6 +47,8 @@
 		addresses map[string]string
 		changes   int
 
+		// lines are what peers reach the node through; they do not change.
+		lines    map[kqsoak.Role]*line
 		upstream upstream
 	}
 
@@ -173,6 +176,9 @@
 	n.mu.Lock()
 	for _, role := range roles {
 		n.addresses[role] = found[role]
+		if l, ok := n.lines[kqsoak.Role(role)]; ok {
+			l.proxy.Aim(found[role])
+		}
 	}
 	n.mu.Unlock()
 	n.soak.watch(n.name, c)
--- a/internal/run/kqcommand/soak.go
+++ b/internal/run/kqcommand/soak.go
@@ -20,6 +20,7 @@
 	seed := clause.Flag("seed", "Seed of the faults; the same one plays the same faults. 0 draws one.").Default("0").Uint64()
 	length := clause.Flag("for", "Time in which faults begin; start, the last faults and recovery come on top.").Default("30s").Duration()
 	nodes := clause.Flag("nodes", "Nodes, each with an upstream.").Default("4").Int()
+	planned := clause.Flag("planned", "Play planned work only.").Bool()
 	folder := clause.Flag("folder", "Folder for the time line, the report and each process's output; without one, they are kept only if something did not hold.").String()
 	asJSON := clause.Flag("json", "Print one JSON object.").Bool()
 	c.add(clause, func(ctx context.Context) error {
@@ -32,7 +33,7 @@
 		if *seed == 0 {
 			*seed = rand.Uint64N(1 << 32)
 		}
-		o := kqsoak.Options{Seed: *seed, Nodes: *nodes, For: *length}
+		o := kqsoak.Options{Seed: *seed, Nodes: *nodes, For: *length, Planned: *planned}
 		return c.soak(ctx, o, *folder, *asJSON)
 	})
 }
@@ -46,6 +47,9 @@
 		}
 	}
 	again := fmt.Sprintf("kumquatgw soak --seed %d --for %v --nodes %d", o.Seed, o.For, o.Nodes)
+	if o.Planned {
+		again += " --planned"
+	}
 	s, err := kqsoakrun.New(o, folder, again)
 	if err != nil {
 		return fmt.Errorf("soak: %w", err)
