--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -14,6 +14,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqretry"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqshed"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqfault"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -125,7 +126,7 @@
 	if s.allowance != nil {
 		return s.mayRepeat(c, o)
 	}
-	return s.budget(c.Depth).Spend(o, c.Idempotent)
+	return s.budget(c.Depth).Spend(o, c.Idempotent || kqfault.Planted(kqfault.Repeat))
 }
 
 // mayRepeat reports whether a call may go to another upstream by the operators'
--- a/internal/run/kqcommand/node.go
+++ b/internal/run/kqcommand/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqfault"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqnode"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
@@ -33,6 +34,9 @@
 		// Else the first line after the log's reader has gone would end the process.
 		// The write fails instead, and the line is counted as left out.
 		signal.Ignore(syscall.SIGPIPE)
+		if kqfault.Planted(kqfault.Reload) {
+			context.AfterFunc(ctx, func() { signal.Reset(syscall.SIGHUP) })
+		}
 		s, err := kqsettings.Read(*file)
 		if err != nil {
 			return fmt.Errorf("read settings: %w", err)
