--- a/cmd/kumquatgw/soak_fault_test.go
+++ b/cmd/kumquatgw/soak_fault_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqfault"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqsoakcheck"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqsoakrun"
 )
 
 // faultSeeds are how many seeds the soak may need to find a fault: where one is at
@@ -42,3 +43,12 @@
 		})
 	}
 }
+
+// kinds are the kinds of the violations of a run.
+func kinds(r kqsoakrun.Report) map[kqsoakcheck.Kind]int {
+	found := make(map[kqsoakcheck.Kind]int)
+	for _, v := range r.Violations {
+		found[v.Kind]++
+	}
+	return found
+}
--- a/cmd/kumquatgw/soak_test.go
+++ b/cmd/kumquatgw/soak_test.go
@@ -5,7 +5,6 @@
 	"path/filepath"
 	"testing"
 
-	"github.com/kumquatgw/kumquatgw/internal/lab/kqsoakcheck"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqsoakrun"
 )
 
@@ -38,12 +37,3 @@
 		}
 	}
 }
-
-// kinds are the kinds of the violations of a run.
-func kinds(r kqsoakrun.Report) map[kqsoakcheck.Kind]int {
-	found := make(map[kqsoakcheck.Kind]int)
-	for _, v := range r.Violations {
-		found[v.Kind]++
-	}
-	return found
-}
--- a/internal/lab/kqsoakrun/soak.go
+++ b/internal/lab/kqsoakrun/soak.go
@@ -54,10 +54,10 @@
 		store    *kqchild.Child
 		// storeLine is what nodes reach the store through, nil for planned work only.
 		storeLine *line
-		nodes    []*node
-		children children
-		versions versions
-		timeline timeline
+		nodes     []*node
+		children  children
+		versions  versions
+		timeline  timeline
 	}
 
 	versions struct {
