Keep the soak's own addresses free, and wait for an upstream that starts

Nodes and proxies now listen at loopback addresses from which no connection goes out, and an upstream is signalled only once it has told that it listens.

--- a/internal/lab/kqchild/child.go
+++ b/internal/lab/kqchild/child.go
@@ -67,6 +67,16 @@
 // Ended is closed once the process has ended.
 func (c *Child) Ended() <-chan struct{} { return c.ended }
 
+// Over reports whether the process has ended.
+func (c *Child) Over() bool {
+	select {
+	case <-c.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // Status returns how the process ended, nil for a status of 0. It waits for the end.
 func (c *Child) Status() error {
 	<-c.ended
--- a/internal/lab/kqproxy/proxy.go
+++ b/internal/lab/kqproxy/proxy.go
@@ -28,10 +28,9 @@
 	delay       = 150 * time.Millisecond
 	dialTimeout = time.Second
 	piece       = 16 << 10
-	// listenTries bounds the wait for the address, which a passing connection may
-	// have while nobody listens there.
-	listenTries = 200
-	listenPause = 50 * time.Millisecond
+	// home is an address from which no connection goes out: on another, a passing one
+	// may have the port when the proxy takes it again.
+	home = "127.2.0.1:0"
 )
 
 type (
@@ -57,7 +56,7 @@
 
 // New opens a proxy that passes on to a target, which may be told later by Aim.
 func New(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", home)
 	if err != nil {
 		return nil, fmt.Errorf("open proxy: %w", err)
 	}
@@ -113,15 +112,13 @@
 
 // listen takes the address again. The lock is held.
 func (p *Proxy) listen() error {
-	var err error
-	for range listenTries {
-		if p.listener, err = net.Listen("tcp", p.address); err == nil {
-			go p.accept(p.listener)
-			return nil
-		}
-		time.Sleep(listenPause)
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return fmt.Errorf("open proxy again: %w", err)
 	}
-	return fmt.Errorf("open proxy again: %w", err)
+	p.listener = l
+	go p.accept(l)
+	return nil
 }
 
 func (p *Proxy) breakAll() {
--- a/internal/lab/kqsoakrun/disasters.go
+++ b/internal/lab/kqsoakrun/disasters.go
@@ -36,7 +36,7 @@
 			if role == kqsoak.RoleGate && !s.options.Lined(n.number) {
 				continue
 			}
-			if p, err = kqproxy.New(unset); err != nil {
+			if p, err = kqproxy.New(""); err != nil {
 				return fmt.Errorf("put a line before %s: %w", n.name, err)
 			}
 			n.lines[role] = &line{proxy: p}
--- a/internal/lab/kqsoakrun/process.go
+++ b/internal/lab/kqsoakrun/process.go
@@ -20,10 +20,6 @@
 const (
 	// startWithin bounds a process's start, on a busy machine.
 	startWithin = 20 * time.Second
-	// startTries bounds how often a node is started whose address was taken by a
-	// passing connection while it was away.
-	startTries = 5
-	addressUse = "address already in use"
 	// lastRole is the address that a node tells last.
 	lastRole = "admin"
 	// endWithin is longer than a leave may take by the node's settings.
@@ -132,18 +128,8 @@
 // start starts the node's process, at the addresses that it had; it is told of changed
 // settings at the given ages.
 func (n *node) start(reloads []time.Duration) error {
-	for range startTries {
-		taken, err := n.try(reloads)
-		if err == nil || !taken {
-			return err
-		}
-	}
-	return fmt.Errorf("%s: %w", n.name, errNotStarted)
-}
-
-func (n *node) try(reloads []time.Duration) (taken bool, err error) {
 	if err := n.write(); err != nil {
-		return false, err
+		return err
 	}
 	up, found := make(chan struct{}), make(map[string]string)
 	c, err := n.soak.launch(n.name, []string{"node", "--settings", n.file()}, func(line string) {
@@ -156,7 +142,7 @@
 		}
 	})
 	if err != nil {
-		return false, err
+		return err
 	}
 	n.soak.tell(event{Event: "started", Target: n.name, Text: fmt.Sprint("process ", c.ID())})
 	n.mu.Lock()
@@ -169,9 +155,13 @@
 	case <-up:
 	case <-c.Ended():
 		n.soak.children.remove(c)
-		return n.refused(c)
+		status := fmt.Sprint(c.Status())
+		if !c.Told() {
+			n.soak.judge.End(n.name, status+" while it started", n.soak.now())
+		}
+		return fmt.Errorf("%s: %w: %s", n.name, errNotStarted, status)
 	case <-time.After(startWithin):
-		return false, fmt.Errorf("%s: %w", n.name, errNotStarted)
+		return fmt.Errorf("%s: %w", n.name, errNotStarted)
 	}
 	n.mu.Lock()
 	for _, role := range roles {
@@ -182,19 +172,7 @@
 	}
 	n.mu.Unlock()
 	n.soak.watch(n.name, c)
-	return false, nil
-}
-
-// refused tells why a starting node ended.
-func (n *node) refused(c *kqchild.Child) (taken bool, err error) {
-	text, _ := os.ReadFile(filepath.Join(n.soak.folder, n.name+".log"))
-	if last := string(text[max(0, len(text)-200):]); strings.Contains(last, addressUse) {
-		n.soak.tell(event{Event: "address taken", Target: n.name, Text: last})
-		return true, errNotStarted
-	}
-	status := fmt.Sprint(c.Status())
-	n.soak.judge.End(n.name, status+" while it started", n.soak.now())
-	return false, fmt.Errorf("%s: %w: %s", n.name, errNotStarted, status)
+	return nil
 }
 
 // process returns the node's process, which may have ended.
@@ -206,6 +184,9 @@
 
 // reload tells a process of the node that its settings changed.
 func (n *node) reload(c *kqchild.Child) {
+	if c.Over() {
+		return
+	}
 	n.soak.tell(event{Event: "SIGHUP", Target: n.name})
 	if err := c.Signal(syscall.SIGHUP); err != nil {
 		n.soak.tell(event{Event: "not sent", Target: n.name, Text: err.Error()})
@@ -218,28 +199,35 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.starts++
-	name := fmt.Sprintf("upstream-%d.%d", n.number, u.starts)
+	name, up := fmt.Sprintf("upstream-%d.%d", n.number, u.starts), make(chan struct{})
 	c, err := n.soak.launch(name, []string{
 		"upstream", "--service", string(n.service()), "--node", n.address("local"), "--slots", fmt.Sprint(slots),
 		"--tell", "--serves-on", servesOn.String(),
-	}, func(line string) { n.heard(name, line) })
+	}, func(line string) { n.heard(name, line, up) })
 	if err != nil {
 		return err
 	}
 	u.child = c
 	n.soak.tell(event{Event: "started", Target: name, Text: fmt.Sprint("process ", c.ID())})
 	n.soak.watch(name, c)
-	return nil
+	select {
+	case <-up:
+		return nil
+	case <-time.After(startWithin):
+		return fmt.Errorf("%s: %w", name, errNotStarted)
+	}
 }
 
 // heard takes in what an upstream tells.
-func (n *node) heard(name, line string) {
+func (n *node) heard(name, line string, up chan<- struct{}) {
 	var e kqupstream.Event
 	if err := json.Unmarshal([]byte(line), &e); err != nil {
 		return
 	}
 	at := e.At.Sub(n.soak.began)
 	switch e.Step {
+	case kqupstream.Listening:
+		close(up)
 	case kqupstream.Begun:
 		n.soak.judge.Began(e.Work, name, n.number, at)
 	case kqupstream.Ended:
--- a/internal/lab/kqsoakrun/settings.go
+++ b/internal/lab/kqsoakrun/settings.go
@@ -12,8 +12,8 @@
 
 const (
 	drainTimeout = 10 * time.Second
-	// unset has the system choose a port, which the node then keeps.
-	unset = "127.0.0.1:0"
+	// nodesPerNet is how many nodes have an address of their own in one net.
+	nodesPerNet = 200
 )
 
 // roles are the addresses that a node tells.
@@ -21,6 +21,13 @@
 
 func (n *node) file() string { return filepath.Join(n.soak.folder, n.name+".ini") }
 
+// home has the system choose a port, which the node then keeps. Each node has an
+// address of its own, from which no connection goes out: on a shared one, a passing
+// connection may have the port when the node comes back.
+func (n *node) home() string {
+	return fmt.Sprintf("127.1.%d.%d:0", n.number/nodesPerNet, 1+n.number%nodesPerNet)
+}
+
 func (n *node) service() kqname.Service { return services[n.number%len(services)] }
 
 // change gives the node other settings, without telling it.
@@ -59,10 +66,10 @@
 	text := ""
 	for _, other := range s.nodes[:min(len(s.nodes), 3)] {
 		control := other.address("control")
-		if l, ok := other.lines[kqsoak.RoleControl]; ok && control != unset {
+		if l, ok := other.lines[kqsoak.RoleControl]; ok && control != other.home() {
 			control = l.proxy.Address()
 		}
-		if other == n || control == unset {
+		if other == n || control == other.home() {
 			continue
 		}
 		if text != "" {
--- a/internal/lab/kqsoakrun/soak.go
+++ b/internal/lab/kqsoakrun/soak.go
@@ -122,7 +122,7 @@
 	for i := range o.Nodes {
 		n := &node{soak: s, number: i, name: fmt.Sprintf("node-%d", i), addresses: make(map[string]string)}
 		for _, role := range roles {
-			n.addresses[role] = unset
+			n.addresses[role] = n.home()
 		}
 		s.nodes = append(s.nodes, n)
 	}
--- a/internal/lab/kqupstream/tell.go
+++ b/internal/lab/kqupstream/tell.go
@@ -7,6 +7,8 @@
 	// upstream's own time, a minute at most.
 	HeaderWorkMS = "Work-Ms"
 
+	// Listening tells that the upstream takes calls.
+	Listening Step = "listening"
 	// Begun tells that a call's run began.
 	Begun Step = "begin"
 	// Ended tells that it ended.
@@ -21,7 +23,7 @@
 	// Step names what an Event tells.
 	Step string
 
-	// Event is what an upstream tells of its life; Work is empty for a goodbye.
+	// Event is what an upstream tells of its life; Work is empty but for runs.
 	Event struct {
 		Step Step      `json:"step"`
 		Work string    `json:"work,omitempty"`
--- a/internal/lab/kqupstream/upstream.go
+++ b/internal/lab/kqupstream/upstream.go
@@ -140,6 +140,7 @@
 func (u *Upstream) Run(ctx context.Context) error {
 	failed := make(chan error, 1)
 	go func() { failed <- u.server.Serve(u.listener) }()
+	u.tell(Listening, "")
 	ticker := time.NewTicker(announceEvery)
 	defer ticker.Stop()
 	for {
