Roll out a bad version during the soak's faults

Half of its answers are failures; a call that runs at it later than 10 s after its 20th is a violation. Every plan of unplanned faults of 20 s or more has one, drawn last, so that a seed's other faults stay.

--- a/internal/lab/kqsoak/disaster.go
+++ b/internal/lab/kqsoak/disaster.go
@@ -11,8 +11,13 @@
 	RoleGate Role = "gate"
 	// RoleControl is where other nodes exchange configuration and membership.
 	RoleControl Role = "control"
+	// Rollout orders a rollout to a bad version, whose one upstream is beside the
+	// target, and ends it after For.
+	Rollout Kind = "rollout"
 
 	longestFault = 4 * time.Second
+	// rolloutFor leaves a bad version the time to show its badness and to be used on.
+	rolloutFor = 20 * time.Second
 	// linedPart of the nodes have a line that can be harmed before their gate. These
 	// are not stopped: a proxy takes connections for a process that has gone, which
 	// the system would refuse.
@@ -67,3 +72,10 @@
 }
 
 func (d *drawer) mode() kqproxy.Mode { return modes[d.random.IntN(len(modes))] }
+
+// rollout adds the bad version, drawn last: the other faults of a seed stay.
+func (d *drawer) rollout() {
+	if !d.options.Planned && d.options.For >= rolloutFor {
+		d.add(Fault{At: d.between(firstFault, 3*time.Second), Kind: Rollout, Target: d.node(), For: rolloutFor})
+	}
+}
--- a/internal/lab/kqsoak/plan.go
+++ b/internal/lab/kqsoak/plan.go
@@ -105,6 +105,7 @@
 	for at := firstFault; at < o.For; at += d.between(100*time.Millisecond, time.Second) {
 		d.scene(at)
 	}
+	d.rollout()
 	slices.SortStableFunc(d.plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return d.plan
 }
--- a/internal/lab/kqsoakcheck/check.go
+++ b/internal/lab/kqsoakcheck/check.go
@@ -21,11 +21,17 @@
 	Late Kind = "LATE"
 	// Ended is a process that ended by itself, or not as it was told to.
 	Ended Kind = "ENDED"
+	// Exposed is a call that ran at a bad version though its badness had long shown.
+	Exposed Kind = "EXPOSED"
 	// Unrecovered is a fleet that does not answer calls after the last fault.
 	Unrecovered Kind = "UNRECOVERED"
 
 	// lateAfter is how long after its goodbye a call may still reach an upstream.
 	lateAfter = 2 * time.Second
+	// showsAfter is how many runs show a bad version's badness, half of whose answers
+	// are failures, and exposedAfter how long it may be used from then on.
+	showsAfter   = 20
+	exposedAfter = 10 * time.Second
 	// reunion is how long after the end of an unplanned fault its calls may be lost.
 	reunion = 3 * time.Second
 	// settles is how long after a call's end its runs are known: upstreams tell over
@@ -108,6 +114,7 @@
 		stories    map[string]*story
 		goodbyes   map[string]time.Duration
 		touches    []Touch
+		bad        map[string]*showing
 		pending    []*story
 		tally      Tally
 		ends       []end
@@ -122,6 +129,12 @@
 		idempotent bool
 	}
 
+	// showing is how often a bad version's upstream ran calls, and when it had shown.
+	showing struct {
+		runs  int
+		shown time.Duration
+	}
+
 	end struct {
 		sent     time.Duration
 		answered bool
@@ -131,7 +144,8 @@
 // New returns a judge who has seen nothing.
 func New() *Judge {
 	return &Judge{
-		stories: make(map[string]*story), goodbyes: make(map[string]time.Duration), tally: Tally{Reasons: make(map[string]int)},
+		stories: make(map[string]*story), goodbyes: make(map[string]time.Duration),
+		bad: make(map[string]*showing), tally: Tally{Reasons: make(map[string]int)},
 	}
 }
 
@@ -159,11 +173,31 @@
 	if s.call != nil && s.call.refused() {
 		j.add(False, at, work+" was said not to have run, and ran afterwards", s)
 	}
+	if b, ok := j.bad[upstream]; ok {
+		j.expose(b, s, upstream, at)
+	}
 	if left, ok := j.goodbyes[upstream]; ok && at > left+lateAfter && !j.touched(node, left, at) {
 		j.add(Late, at, fmt.Sprintf("%s began %v after the goodbye of %s", work, at-left, upstream), s)
 	}
 }
 
+// Bad tells that an upstream is of a bad version.
+func (j *Judge) Bad(upstream string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.bad[upstream] = &showing{}
+}
+
+// expose judges a run at a bad version's upstream.
+func (j *Judge) expose(b *showing, s *story, upstream string, at time.Duration) {
+	if b.runs++; b.runs == showsAfter {
+		b.shown = at
+	}
+	if b.shown > 0 && at > b.shown+exposedAfter {
+		j.add(Exposed, at, fmt.Sprintf("%s ran a call %v after its badness had shown", upstream, at-b.shown), s)
+	}
+}
+
 // RunEnded notes that an upstream ended a run.
 func (j *Judge) RunEnded(work, upstream string, at time.Duration) {
 	j.mu.Lock()
--- a/internal/lab/kqsoakcheck/check_test.go
+++ b/internal/lab/kqsoakcheck/check_test.go
@@ -104,6 +104,24 @@
 	}
 }
 
+// A bad version that goes on being used is what a rollout is there to prevent.
+func TestBadVersionsAreUsedNoMoreOnceTheyShow(t *testing.T) {
+	j := kqsoakcheck.New()
+	j.Bad("u")
+	j.Sends("a", true)
+	for i := range 20 {
+		j.Began("a", "u", 2, time.Duration(i)*second)
+	}
+	j.Began("a", "u", 2, 28*second)
+	if v := j.Violations(); len(v) > 0 {
+		t.Errorf("found %+v too soon", v)
+	}
+	j.Began("a", "u", 2, 30*second)
+	if v := j.Violations(); len(v) != 1 || v[0].Kind != kqsoakcheck.Exposed {
+		t.Errorf("found %+v, want %s", v, kqsoakcheck.Exposed)
+	}
+}
+
 // A call that may run twice does; it is not held against it.
 func TestIdempotentCallsMayRunTwice(t *testing.T) {
 	j := kqsoakcheck.New()
--- a/internal/lab/kqsoakrun/document.go
+++ b/internal/lab/kqsoakrun/document.go
@@ -2,17 +2,26 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"syscall"
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqsoak"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqstoreclient"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
 const (
-	team         = kqname.Team("soak")
+	team       = kqname.Team("soak")
+	policy     = kqname.Policy("careful")
+	version    = kqname.UpstreamVersion("v1")
+	badVersion = kqname.UpstreamVersion("v2")
+	failShare  = "0.5"
+	// rolloutDelay lets all nodes have the plan before its start.
+	rolloutDelay = time.Second
 	routeTimeout = 5 * time.Second
 	commitWithin = 10 * time.Second
 )
@@ -24,6 +33,8 @@
 }
 
 var (
+	errNotCommitted = errors.New("not committed")
+
 	services = []kqname.Service{"alpha", "beta"}
 	routes   = []route{
 		{"alpha.example", "/read/", true},
@@ -38,10 +49,14 @@
 // document is the fleet's; each number gives another version, which changes nothing
 // for callers: a route and a service that nobody uses, and the split of a route whose
 // parts are alike.
-func document(number int) kqdocument.Document {
-	d := kqdocument.Document{Teams: []kqdocument.Team{{Name: team}}}
+func document(number int, rollouts []kqdocument.Rollout) kqdocument.Document {
+	d := kqdocument.Document{
+		Teams:    []kqdocument.Team{{Name: team}},
+		Policies: []kqdocument.Policy{{Name: policy, Prefer: kqdocument.PreferTakingBack}},
+		Rollouts: rollouts,
+	}
 	for _, s := range services {
-		d.Services = append(d.Services, kqdocument.Service{Name: s, Team: team, TimeoutMS: int(routeTimeout.Milliseconds())})
+		d.Services = append(d.Services, kqdocument.Service{Name: s, Team: team, Version: version, TimeoutMS: int(routeTimeout.Milliseconds())})
 	}
 	for i, r := range routes {
 		next := kqdocument.Route{
@@ -70,15 +85,41 @@
 	s.versions.number++
 	o, err := kqcommit.New(kqstoreclient.New(s.storeURL)).Commit(ctx, kqcommit.Request{
 		ID: fmt.Sprintf("soak-%d", s.versions.number), Base: s.versions.last, Author: "soak", Reason: "soak",
-		At: time.Now(), Document: document(s.versions.number),
+		At: time.Now(), Document: document(s.versions.number, s.versions.rollouts),
 	})
 	if err != nil {
 		return fmt.Errorf("commit version: %w", err)
 	}
 	s.versions.last = o.Version
 	s.tell(event{Event: "committed", Text: fmt.Sprintf("%s as version %d", o.Status, o.Version)})
-	if len(o.Problems) > 0 {
-		return fmt.Errorf("commit version: %v", o.Problems)
+	if o.Status != kqcommit.Committed {
+		return fmt.Errorf("commit version: %s %v: %w", o.Status, o.Problems, errNotCommitted)
 	}
 	return nil
 }
+
+// rollout orders a move to a version half of whose answers are failures.
+func (s *Soak) rollout(ctx context.Context, n *node, f kqsoak.Fault) error {
+	name := "bad-" + n.name
+	s.judge.Bad(name)
+	c, err := n.launchUpstream(name, "--upstream-version", string(badVersion), "--fail-share", failShare)
+	if err != nil {
+		return err
+	}
+	start := time.Now().Add(rolloutDelay)
+	s.versions.Lock()
+	s.versions.rollouts = append(s.versions.rollouts, kqdocument.Rollout{
+		Name: "bad", Team: team, Service: n.service(), From: version, To: badVersion,
+		Start: start, Deadline: start.Add(f.For), Policy: policy,
+	})
+	s.versions.Unlock()
+	for end := s.now() + f.For + rolloutDelay; s.now() < end; {
+		// The store may be away.
+		if err := s.commit(ctx); err == nil {
+			sleep(ctx, end-s.now())
+		} else if s.tell(event{Event: "not committed", Text: err.Error()}); !sleep(ctx, versionsEvery) {
+			return nil
+		}
+	}
+	return c.Signal(syscall.SIGTERM)
+}
--- a/internal/lab/kqsoakrun/faults.go
+++ b/internal/lab/kqsoakrun/faults.go
@@ -61,6 +61,8 @@
 		return s.pause(ctx, n, f)
 	case kqsoak.Line, kqsoak.StoreLine:
 		return s.harm(ctx, n, f)
+	case kqsoak.Rollout:
+		return s.rollout(ctx, n, f)
 	case kqsoak.Settings:
 		return n.change()
 	case kqsoak.Reload:
--- a/internal/lab/kqsoakrun/process.go
+++ b/internal/lab/kqsoakrun/process.go
@@ -199,22 +199,30 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.starts++
-	name, up := fmt.Sprintf("upstream-%d.%d", n.number, u.starts), make(chan struct{})
-	c, err := n.soak.launch(name, []string{
+	c, err := n.launchUpstream(fmt.Sprintf("upstream-%d.%d", n.number, u.starts))
+	if err == nil {
+		u.child = c
+	}
+	return err
+}
+
+// launchUpstream starts an upstream and waits until it takes calls.
+func (n *node) launchUpstream(name string, more ...string) (*kqchild.Child, error) {
+	up := make(chan struct{})
+	c, err := n.soak.launch(name, append([]string{
 		"upstream", "--service", string(n.service()), "--node", n.address("local"), "--slots", fmt.Sprint(slots),
 		"--tell", "--serves-on", servesOn.String(),
-	}, func(line string) { n.heard(name, line, up) })
+	}, more...), func(line string) { n.heard(name, line, up) })
 	if err != nil {
-		return err
+		return nil, err
 	}
-	u.child = c
 	n.soak.tell(event{Event: "started", Target: name, Text: fmt.Sprint("process ", c.ID())})
 	n.soak.watch(name, c)
 	select {
 	case <-up:
-		return nil
+		return c, nil
 	case <-time.After(startWithin):
-		return fmt.Errorf("%s: %w", name, errNotStarted)
+		return nil, fmt.Errorf("%s: %w", name, errNotStarted)
 	}
 }
 
--- a/internal/lab/kqsoakrun/soak.go
+++ b/internal/lab/kqsoakrun/soak.go
@@ -16,6 +16,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqchild"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqsoak"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqsoakcheck"
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -62,8 +63,9 @@
 
 	versions struct {
 		sync.Mutex
-		number int
-		last   kqname.ConfigVersion
+		number   int
+		last     kqname.ConfigVersion
+		rollouts []kqdocument.Rollout
 	}
 
 	timeline struct {
