--- a/internal/lab/kqsoakcheck/check.go
+++ b/internal/lab/kqsoakcheck/check.go
@@ -21,6 +21,8 @@
 	Late Kind = "LATE"
 	// Ended is a process that ended by itself, or not as it was told to.
 	Ended Kind = "ENDED"
+	// FellBack is a node that went back to an older version of the configuration.
+	FellBack Kind = "FELL_BACK"
 	// Exposed is a call that ran at a bad version though its badness had long shown.
 	Exposed Kind = "EXPOSED"
 	// Unrecovered is a fleet that does not answer calls after the last fault.
@@ -259,9 +261,14 @@
 
 // End notes that a process ended that was not told to, or not as it should.
 func (j *Judge) End(name, status string, at time.Duration) {
+	j.Add(Ended, at, name+" ended: "+status)
+}
+
+// Add notes what was found to be so already.
+func (j *Judge) Add(k Kind, at time.Duration, text string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.add(Ended, at, name+" ended: "+status, &story{})
+	j.add(k, at, text, &story{})
 }
 
 // Settle judges the calls whose runs are known by now.
--- a/internal/lab/kqsoakrun/caller.go
+++ b/internal/lab/kqsoakrun/caller.go
@@ -93,15 +93,21 @@
 
 // answered sends one call to a node and reports whether it was answered.
 func (c *caller) answered(node int, r route) bool {
+	call, ok := c.ask(node, r)
+	return ok && call.Complete && call.Status == http.StatusOK
+}
+
+// ask sends one call to a node, and reports false where it takes no connection.
+func (c *caller) ask(node int, r route) (kqsoakcheck.Call, bool) {
 	c.hangUp()
 	conn, err := net.DialTimeout("tcp", c.soak.nodes[node].address("entry"), dialTimeout)
 	if err != nil {
-		return false
+		return kqsoakcheck.Call{}, false
 	}
 	c.conn, c.reader, c.node, c.uses = conn, bufio.NewReader(conn), node, 0
 	call := c.call(r)
 	c.hangUp()
-	return call.Complete && call.Status == http.StatusOK
+	return call, true
 }
 
 func (c *caller) call(r route) kqsoakcheck.Call {
--- a/internal/lab/kqsoakrun/document.go
+++ b/internal/lab/kqsoakrun/document.go
@@ -47,8 +47,8 @@
 )
 
 // document is the fleet's; each number gives another version, which changes nothing
-// for callers: a route and a service that nobody uses, and the split of a route whose
-// parts are alike.
+// for callers but the split of a route whose parts are alike, and a route of its own,
+// which tells that it is in force.
 func document(number int, rollouts []kqdocument.Rollout) kqdocument.Document {
 	d := kqdocument.Document{
 		Teams:    []kqdocument.Team{{Name: team}},
@@ -70,9 +70,12 @@
 		}
 		d.Routes = append(d.Routes, next)
 	}
-	d.Routes = append(d.Routes, kqdocument.Route{
-		Name: "unused", Team: team, Host: kqname.Host(fmt.Sprintf("unused-%d.example", number)), PathPrefix: "/", Service: services[0],
-	})
+	for i := max(1, number-probesKept+1); i <= number; i++ {
+		d.Routes = append(d.Routes, kqdocument.Route{
+			Name: kqname.Route(fmt.Sprintf("from-%d", i)), Team: team, Host: probeHost, PathPrefix: probe(i).path,
+			Service: services[0], Idempotent: true,
+		})
+	}
 	return d
 }
 
@@ -91,6 +94,9 @@
 		return fmt.Errorf("commit version: %w", err)
 	}
 	s.versions.last = o.Version
+	if o.Status == kqcommit.Committed {
+		s.versions.committed = s.versions.number
+	}
 	s.tell(event{Event: "committed", Text: fmt.Sprintf("%s as version %d", o.Status, o.Version)})
 	if o.Status != kqcommit.Committed {
 		return fmt.Errorf("commit version: %s %v: %w", o.Status, o.Problems, errNotCommitted)
--- a/internal/lab/kqsoakrun/soak.go
+++ b/internal/lab/kqsoakrun/soak.go
@@ -63,7 +63,9 @@
 
 	versions struct {
 		sync.Mutex
-		number   int
+		// number is that of the last document sent, committed that of the one in force.
+		number, committed int
+
 		last     kqname.ConfigVersion
 		rollouts []kqdocument.Rollout
 	}
@@ -172,6 +174,8 @@
 		}
 		callers.Go(func() { c.run(ctx) })
 	}
+	prober := &caller{soak: s, name: "probe", habit: opener, random: rand.New(rand.NewPCG(s.options.Seed, uint64(mostCallers)))}
+	callers.Go(func() { s.probe(ctx, prober) })
 	violated := make(chan struct{})
 	callers.Go(func() { s.look(ctx, violated) })
 	done := make(chan error, 1)
