Wait for all that the soak runs beside itself

Its goroutines are held in groups: a run that ends on a violation waits for the faults that were under way, and a proxy's Close for its connections. An upstream that ends while it starts is told at once.

--- a/internal/lab/kqchild/child.go
+++ b/internal/lab/kqchild/child.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+
+	"github.com/sourcegraph/conc"
 )
 
 // Child is a process that this one started. It is safe for concurrent use.
@@ -18,6 +20,7 @@
 	ended   chan struct{}
 	status  error
 	told    atomic.Bool
+	group   conc.WaitGroup
 }
 
 // lines hands on whole lines, and keeps all in a file.
@@ -40,10 +43,10 @@
 	if err := c.command.Start(); err != nil {
 		return nil, fmt.Errorf("start %v: %w", arguments, err)
 	}
-	go func() {
+	c.group.Go(func() {
 		c.status = c.command.Wait()
 		close(c.ended)
-	}()
+	})
 	return c, nil
 }
 
--- a/internal/lab/kqproxy/proxy.go
+++ b/internal/lab/kqproxy/proxy.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -48,6 +50,8 @@
 		listener net.Listener
 		open     map[*pair]bool
 		closed   bool
+
+		group conc.WaitGroup
 	}
 
 	// pair is one connection that is passed on; there is no far one until data goes.
@@ -61,7 +65,7 @@
 		return nil, fmt.Errorf("open proxy: %w", err)
 	}
 	p := &Proxy{address: l.Addr().String(), target: target, changed: make(chan struct{}), listener: l, open: make(map[*pair]bool)}
-	go p.accept(l)
+	p.group.Go(func() { p.accept(l) })
 	return p, nil
 }
 
@@ -98,8 +102,13 @@
 	return nil
 }
 
-// Close ends the proxy and its connections.
+// Close ends the proxy and its connections, and waits for that.
 func (p *Proxy) Close() {
+	p.shut()
+	p.group.Wait()
+}
+
+func (p *Proxy) shut() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
@@ -117,7 +126,7 @@
 		return fmt.Errorf("open proxy again: %w", err)
 	}
 	p.listener = l
-	go p.accept(l)
+	p.group.Go(func() { p.accept(l) })
 	return nil
 }
 
@@ -138,7 +147,7 @@
 			_ = conn.Close()
 			continue
 		}
-		go p.serve(&pair{near: near})
+		p.group.Go(func() { p.serve(&pair{near: near}) })
 	}
 }
 
@@ -169,7 +178,7 @@
 	}
 	p.open[one] = true
 	p.mu.Unlock()
-	var group sync.WaitGroup
+	var group conc.WaitGroup
 	var there, back bool
 	group.Go(func() { there = p.pump(one, one.far, one.near, true) })
 	group.Go(func() { back = p.pump(one, one.near, one.far, false) })
--- a/internal/lab/kqsoakrun/process.go
+++ b/internal/lab/kqsoakrun/process.go
@@ -75,16 +75,16 @@
 	if err != nil {
 		return nil, errors.Join(err, f.Close())
 	}
-	go func() {
+	s.group.Go(func() {
 		<-c.Ended()
 		_ = f.Close()
-	}()
+	})
 	return c, nil
 }
 
 // watch judges how a process ends that was started whole.
 func (s *Soak) watch(name string, c *kqchild.Child) {
-	go func() {
+	s.group.Go(func() {
 		err := c.Status()
 		s.children.remove(c)
 		status := "status 0"
@@ -95,7 +95,7 @@
 		if !c.Told() || err != nil && !s.killed(c) {
 			s.judge.End(name, status, s.now())
 		}
-	}()
+	})
 }
 
 func (s *Soak) startStore() error {
@@ -221,6 +221,8 @@
 	select {
 	case <-up:
 		return c, nil
+	case <-c.Ended():
+		return nil, fmt.Errorf("%s: %w", name, errors.Join(errNotStarted, c.Status()))
 	case <-time.After(startWithin):
 		return nil, fmt.Errorf("%s: %w", name, errNotStarted)
 	}
--- a/internal/lab/kqsoakrun/soak.go
+++ b/internal/lab/kqsoakrun/soak.go
@@ -59,6 +59,8 @@
 		children  children
 		versions  versions
 		timeline  timeline
+		// group holds what follows processes and plays the plan.
+		group conc.WaitGroup
 	}
 
 	versions struct {
@@ -145,6 +147,7 @@
 	err := s.play(ctx, plan, &r)
 	s.children.end()
 	s.closeLines()
+	s.group.Wait()
 	r.Seconds, r.Calls, r.Violations = s.now().Seconds(), s.judge.Tally(), s.judge.Violations()
 	if err == nil && len(r.Violations) > 0 {
 		err = ErrViolated
@@ -179,7 +182,7 @@
 	violated := make(chan struct{})
 	callers.Go(func() { s.look(ctx, violated) })
 	done := make(chan error, 1)
-	go func() { done <- s.faults(ctx, plan) }()
+	s.group.Go(func() { done <- s.faults(ctx, plan) })
 	var err error
 	select {
 	case <-violated:
