Read a leave's lines in the order of each part

Cause: the signal and the leave are told by two goroutines, in either order, and the test read past the line that came first.

Change: the whole rest of the log is read; the signal must be in it, and each step of the leave after the one before, up to the end. As strict as before, without the accident.

--- a/cmd/kumquatgw/sight_test.go
+++ b/cmd/kumquatgw/sight_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"io"
 	"os"
 	"strings"
 	"syscall"
@@ -22,14 +23,24 @@
 		t.Errorf("told again: %q, want the signal", line)
 	}
 	n.signal(t, syscall.SIGTERM)
-	if line := n.after(t, "event=signal"); !strings.Contains(line, "signal=terminated") {
-		t.Errorf("line of the signal %q", line)
+	// The signal and the leave are told by different parts, in no order.
+	rest, err := io.ReadAll(n.lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, last := string(rest), -1
+	if !strings.Contains(text, "event=signal") || !strings.Contains(text, "signal=terminated") {
+		t.Errorf("no line of the signal that ends the node in\n%s", text)
 	}
-	for _, step := range []string{"begun", "callers have gone", "the others know", "no calls are taken"} {
-		n.after(t, step)
+	for _, step := range []string{"step=begun", "callers have gone", "the others know", "no calls are taken", "node: Stopped."} {
+		at := strings.Index(text, step)
+		if at <= last {
+			t.Errorf("%q is not told after the step before in\n%s", step, text)
+		}
+		last = at
 	}
-	if line := n.after(t, "node: Stopped."); !strings.Contains(line, "calls=0") || !strings.Contains(line, "event=stopped") {
-		t.Errorf("line of the end %q", line)
+	if _, end, _ := strings.Cut(text, "node: Stopped."); !strings.Contains(end, "calls=0") || !strings.Contains(end, "event=stopped") {
+		t.Errorf("line of the end %q", end)
 	}
 }
 
