Tell calls that a node ended before apart from those whose callers went away

The answer to calls that outlast a leave said cancelled, which is what is told of callers who went away: an entry elsewhere would not have sent an idempotent one again, as it did while such calls were cut, and operators would have looked for callers' timeouts.

Change: a cancellation bears its reason, and the node's own is draining: not_run where the call waited, unknown (504) where it ran. It counts neither against the upstream nor in a rollout's evidence.

--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -33,7 +33,8 @@
 	Late Reason = "late"
 	// RolledBack tells that the upstream's version was taken back.
 	RolledBack Reason = "rolled_back"
-	// Draining tells that the upstream takes no new work.
+	// Draining tells that the upstream takes no new work, or that a node ended before
+	// the call.
 	Draining Reason = "draining"
 	// Shed tells that the upstream refused with 503 and its service's
 	// configuration states that it then has not run.
@@ -50,7 +51,7 @@
 	Timeout Reason = "timeout"
 	// Cut tells that the connection broke after the call was sent.
 	Cut Reason = "cut"
-	// Cancelled tells that the caller went away, or the node ended before the call.
+	// Cancelled tells that the caller went away.
 	Cancelled Reason = "cancelled"
 	// Crossed tells that the answer carried another call's id.
 	Crossed Reason = "crossed"
--- a/internal/call/kqcall/cancel.go
+++ b/internal/call/kqcall/cancel.go
@@ -5,24 +5,24 @@
 	"sync"
 )
 
-// Cancel ends a call whose caller went away: it wakes the call where it waits,
+// Cancel ends a call whose caller, or whose node, goes away: it wakes the call where it waits,
 // and closes the connection that it was sent on, which passes the cancellation
 // on. The zero value is ready.
 type Cancel struct {
 	mu     sync.Mutex
-	done   bool
+	reason Reason
 	wake   chan struct{}
 	closer io.Closer
 }
 
-// Now cancels the call.
-func (c *Cancel) Now() {
+// Now cancels the call and has it told why; the first reason stands.
+func (c *Cancel) Now(why Reason) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.done {
+	if c.reason != NoReason {
 		return
 	}
-	c.done = true
+	c.reason = why
 	if c.wake != nil {
 		close(c.wake)
 	}
@@ -33,13 +33,16 @@
 }
 
 // Done reports whether the call was cancelled. A nil Cancel never is.
-func (c *Cancel) Done() bool {
+func (c *Cancel) Done() bool { return c.Reason() != NoReason }
+
+// Reason returns why the call was cancelled, NoReason if it was not.
+func (c *Cancel) Reason() Reason {
 	if c == nil {
-		return false
+		return NoReason
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.done
+	return c.reason
 }
 
 // Wake returns a channel that is closed once the call is cancelled; that of a
@@ -52,7 +55,7 @@
 	defer c.mu.Unlock()
 	if c.wake == nil {
 		c.wake = make(chan struct{})
-		if c.done {
+		if c.reason != NoReason {
 			close(c.wake)
 		}
 	}
@@ -68,5 +71,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closer = connection
-	return !c.done
+	return c.reason == NoReason
 }
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -246,10 +246,13 @@
 	ended := g.now()
 	took := ended.Sub(began)
 	r.Took = took
-	g.observer.Observe(Observation{
-		Service: c.Service, Version: a.Version, Route: c.Route, Outcome: o,
-		Status: status(c, o), Began: began, Took: took,
-	})
+	// That this node ended before the call says nothing of the upstream.
+	if o.Reason != kqcall.Draining {
+		g.observer.Observe(Observation{
+			Service: c.Service, Version: a.Version, Route: c.Route, Outcome: o,
+			Status: status(c, o), Began: began, Took: took,
+		})
+	}
 	failed := failed(c, o)
 	if !c.Response.IsBodyStream() {
 		return o, u.leave(t, o, failed, took, ended)
@@ -269,7 +272,7 @@
 	if o.Result == kqcall.Answered {
 		return c.Response.StatusCode() >= fasthttp.StatusInternalServerError
 	}
-	return o.Reason != kqcall.Cancelled
+	return o.Reason != kqcall.Cancelled && o.Reason != kqcall.Draining
 }
 
 func (g *Gate) upstream(a kqlocal.Announcement, now time.Time) *upstream {
--- a/internal/call/kqgate/upstream.go
+++ b/internal/call/kqgate/upstream.go
@@ -128,7 +128,7 @@
 		<-t.Ready
 		return settled(t)
 	case gone:
-		return kqcall.Refuse(kqcall.Cancelled)
+		return kqcall.Refuse(c.Cancel.Reason())
 	default:
 		return t.Refusal
 	}
--- a/internal/call/kqhangup/hangup.go
+++ b/internal/call/kqhangup/hangup.go
@@ -74,18 +74,18 @@
 	s.lines = s.lines[:last]
 }
 
-// Cancel cancels all calls under way: the process ends before they do.
-func (w *Watch) Cancel() {
+// Cancel cancels all calls under way and has them told why.
+func (w *Watch) Cancel(why kqcall.Reason) {
 	for i := range w.shards {
-		w.shards[i].cancel()
+		w.shards[i].cancel(why)
 	}
 }
 
-func (s *shard) cancel() {
+func (s *shard) cancel(why kqcall.Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.lines {
-		l.call.Now()
+		l.call.Now(why)
 	}
 }
 
@@ -118,7 +118,7 @@
 			l.probe = NewProbe(l.caller)
 		}
 		if closed, _ := l.probe.Look(); closed {
-			l.call.Now()
+			l.call.Now(kqcall.Cancelled)
 		}
 	}
 }
--- a/internal/call/kqsend/conns_send_test.go
+++ b/internal/call/kqsend/conns_send_test.go
@@ -80,3 +80,26 @@
 		t.Errorf("%d connections opened, want a new one for the second call", n)
 	}
 }
+
+// A node ends before a call that runs. Told like a caller's going away, the call would
+// not be sent again although it is idempotent and its caller waits at another node.
+func TestCancelTellsWhy(t *testing.T) {
+	began := make(chan struct{})
+	p := newPeer(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+		if _, err := request(r); err == nil {
+			close(began)
+		}
+	})
+	call := call("/", patience)
+	go func() {
+		<-began
+		call.Cancel.Now(kqcall.Draining)
+		call.Cancel.Now(kqcall.Cancelled)
+	}()
+	if o := p.client().Do(call); o != kqcall.Lose(kqcall.Draining) {
+		t.Errorf("got %+v, want unknown: draining", o)
+	}
+	if o := p.client().Do(call); o != kqcall.Refuse(kqcall.Draining) {
+		t.Errorf("a call that is cancelled already: got %+v, want not_run: draining", o)
+	}
+}
--- a/internal/call/kqsend/exchange.go
+++ b/internal/call/kqsend/exchange.go
@@ -29,7 +29,7 @@
 	}
 	if !call.Cancel.Attach(n) {
 		c.release(n)
-		return kqcall.Refuse(kqcall.Cancelled)
+		return kqcall.Refuse(call.Cancel.Reason())
 	}
 	err = n.exchange(c, call)
 	if err != nil {
@@ -150,14 +150,14 @@
 // first byte certainly did not run: the peer may act on a part of a request,
 // and a peer that closed the connection may have read all of it before.
 func (n *connection) judge(call *kqcall.Call, err error) kqcall.Outcome {
-	cancelled := call.Cancel.Done()
+	cancelled := call.Cancel.Reason()
 	switch {
-	case n.written == 0 && cancelled:
-		return kqcall.Refuse(kqcall.Cancelled)
+	case n.written == 0 && cancelled != kqcall.NoReason:
+		return kqcall.Refuse(cancelled)
 	case n.written == 0:
 		return refusal(err, call.Deadline)
-	case cancelled:
-		return kqcall.Lose(kqcall.Cancelled)
+	case cancelled != kqcall.NoReason:
+		return kqcall.Lose(cancelled)
 	case timedOut(err):
 		return kqcall.Lose(kqcall.Timeout)
 	default:
--- a/internal/call/kqsend/send_test.go
+++ b/internal/call/kqsend/send_test.go
@@ -203,7 +203,7 @@
 	c := call("/long", patience)
 	go func() {
 		<-began
-		c.Cancel.Now()
+		c.Cancel.Now(kqcall.Cancelled)
 	}()
 	if o := p.client().Do(c); o != kqcall.Lose(kqcall.Cancelled) {
 		t.Errorf("outcome is %v, want unknown: cancelled", o)
--- a/internal/run/kqnode/drain.go
+++ b/internal/run/kqnode/drain.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqquiesce"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqsend"
 )
@@ -64,7 +65,7 @@
 		return err
 	}
 	n.note(logrus.Fields{"event": "leaving", "step": "cancelled"}, "Leaving: calls that take longer are cancelled.")
-	n.hangup.Cancel()
+	n.hangup.Cancel(kqcall.Draining)
 	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
 	defer cancel()
 	for _, s := range servers {
