--- a/cmd/kumquatgw/conns_fleet_test.go
+++ b/cmd/kumquatgw/conns_fleet_test.go
@@ -53,8 +53,9 @@
 	f.control = f.front.after(t, "control ")
 	f.back = node(t, extended(t, settings(t, "back", f.platform, f.control, "store"), back))
 	f.local = f.back.after(t, "local ")
-	go func() { _, _ = io.Copy(logs(), f.front.lines) }()
-	go func() { _, _ = io.Copy(logs(), f.back.lines) }()
+	for _, p := range []*process{f.front, f.back} {
+		go func() { _, _ = io.Copy(logs(), p.lines) }()
+	}
 	f.upstream = newWorker(t, f.local)
 	file := filepath.Join(t.TempDir(), "document.json")
 	if err := os.WriteFile(file, []byte(document), 0o600); err != nil {
