--- a/cmd/kumquatgw/conns_fleet_test.go
+++ b/cmd/kumquatgw/conns_fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -169,15 +170,22 @@
 	return w.runs[id]
 }
 
-// port returns an address that nobody listens on.
+// port returns an address that is free, out of the range from which the kernel takes
+// ports for connections and for listeners that name none: one of these would be taken
+// again by any other test's connection before a node listens there.
 func port(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const least, span = 20000, 10000
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", least+rand.IntN(span)))
+		if err != nil {
+			continue
+		}
+		defer func() { _ = l.Close() }()
+		return l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 // logs is where the nodes' logs go: nowhere, unless someone looks by hand.
