Hold no silence against an upstream that its node slept through, however short

What callers saw: calls refused for want of an upstream (1 or 2 of 70) right after the node beside it had been held up for 0.7 s, in 1 run of the whole suite beside a busy machine and then in 1 of 16 runs, eight at once. Seen in TestCallsOutliveAPause.

Cause: a node counted its own absence as its upstream's silence unless it was over a second; announcements that waited were read after the look that found them lapsed. Ruled out: peers that held the node to be dead, whose heartbeats allow 1.6 s.

Change: all but the usual time between two looks is the node's own. The new test fails before it.

--- a/internal/call/kqlocal/beliefs_pause_test.go
+++ b/internal/call/kqlocal/beliefs_pause_test.go
@@ -36,3 +36,28 @@
 		t.Error("an upstream that is silent is held for ever")
 	}
 }
+
+// The node is held up for most of a second only, and announcements last hardly less:
+// each such pause made the node forget its upstream, and refuse calls for want of one,
+// if it looked before it had read the announcements that waited. One that is really
+// silent must still lapse, also on a node that is held up again and again.
+func TestAnnouncementsOutliveAShortPause(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var told []kqmember.Upstream
+	u := kqlocal.New(600*time.Millisecond, func(list []kqmember.Upstream) { told = list })
+	if err := u.Announce(kqlocal.Announcement{Service: "store", Version: "v1", Address: "127.0.0.1:1", Slots: 4}, now); err != nil {
+		t.Fatal(err)
+	}
+	u.Sweep(now)
+	now = now.Add(700 * time.Millisecond)
+	if u.Sweep(now); len(told) != 1 {
+		t.Fatal("the upstream was forgotten for the node's own pause")
+	}
+	for range 3 {
+		now = now.Add(700 * time.Millisecond)
+		u.Sweep(now)
+	}
+	if len(told) != 0 {
+		t.Error("a silent upstream was kept for 2.8 s on a node that is held up")
+	}
+}
--- a/internal/call/kqlocal/local.go
+++ b/internal/call/kqlocal/local.go
@@ -18,9 +18,11 @@
 // known as such; a network delays them by seconds at most.
 const remember = time.Minute
 
-// attentive is the longest time between two looks for announcements that have lapsed
-// of a node that was not held up itself; they are due four times a second.
-const attentive = time.Second
+// attentive is the time between two looks for announcements that have lapsed. What a
+// look comes later by, the node was held up itself, and may not have read what waits.
+// Silence counts for this long between two looks even so: on a node that is held up
+// again and again, an upstream that is gone would else never lapse.
+const attentive = 250 * time.Millisecond
 
 // ErrAnnouncement tells that an announcement cannot be accepted.
 var ErrAnnouncement = errors.New("announcement refused")
