Allow a new version what its servers make of it

The ledger now knows from which gate, and so from which upstream, its counts come. The slowest upstream of the new version may be as slow as the slowest of the old one is beyond chance, the next as the next, and by one standard deviation of such a draw at least; where the old ones are alike, next to nothing is allowed. A version that is many times slower for a part of its calls only, on a quick server, would hide behind that, so that a test of far more very slow calls is added.

--- a/internal/rollout/kqevidence/evidence.go
+++ b/internal/rollout/kqevidence/evidence.go
@@ -42,6 +42,9 @@
 		Route kqname.Route `json:"route"`
 		Old   Cell         `json:"old"`
 		New   Cell         `json:"new"`
+		// Margin is by how much, as a log, the new version's calls may take longer
+		// for the sake of the servers that its upstreams run on.
+		Margin float64 `json:"margin,omitzero"`
 	}
 
 	// Sample holds the pairs of one span of time.
@@ -92,6 +95,21 @@
 	}
 }
 
+// Logs returns the number of latencies counted, and the sum and the sum of squares
+// of their logs.
+func (c *Cell) Logs() (calls, sum, squares float64) {
+	for i, n := range c.Latency {
+		if n == 0 {
+			continue
+		}
+		k, x := float64(n), float64(i)*logGrowth
+		calls += k
+		sum += k * x
+		squares += k * x * x
+	}
+	return calls, sum, squares
+}
+
 // Timed returns how many calls have their latency counted.
 func (c *Cell) Timed() uint32 {
 	sum := uint32(0)
--- a/internal/rollout/kqledger/ledger.go
+++ b/internal/rollout/kqledger/ledger.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqevidence"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqmargin"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -45,6 +46,9 @@
 		changed bool
 		reports map[Source]Report
 		taken   map[kqname.Route]*Row
+		// timed are the calls with a latency that were taken of each gate, of the
+		// old version and of the new one.
+		timed map[Source][2]float64
 	}
 )
 
@@ -52,7 +56,7 @@
 func New(self Source) *Ledger {
 	return &Ledger{
 		self: self, own: make(map[kqname.Route]*Row),
-		reports: make(map[Source]Report), taken: make(map[kqname.Route]*Row),
+		reports: make(map[Source]Report), taken: make(map[kqname.Route]*Row), timed: make(map[Source][2]float64),
 	}
 }
 
@@ -130,15 +134,49 @@
 			sum.New.Add(&row.New)
 		}
 	}
+	margin := l.margin()
 	sample := make(kqevidence.Sample, 0, len(sums))
 	for route, sum := range sums {
 		before, ok := l.taken[route]
 		if !ok {
 			before = &Row{}
 		}
-		sample = append(sample, kqevidence.Pair{Route: route, Old: sum.Old.Since(&before.Old), New: sum.New.Since(&before.New)})
+		sample = append(sample, kqevidence.Pair{Route: route, Old: sum.Old.Since(&before.Old), New: sum.New.Since(&before.New), Margin: margin})
 	}
 	l.taken = sums
 	slices.SortFunc(sample, func(a, b kqevidence.Pair) int { return cmp.Compare(a.Route, b.Route) })
 	return sample
 }
+
+// margin returns what the new version's upstreams may be slower by for their servers'
+// sake, in the calls since the last Take. Each gate stands for one upstream.
+func (l *Ledger) margin() float64 {
+	var lists [2][]kqmargin.Upstream
+	for source, r := range l.reports {
+		before := l.timed[source]
+		var now [2]float64
+		for version := range lists {
+			u := r.upstream(version == 1)
+			now[version] = u.Calls
+			u.Lately = u.Calls - before[version]
+			lists[version] = append(lists[version], u)
+		}
+		l.timed[source] = now
+	}
+	return kqmargin.Of(lists[0], lists[1])
+}
+
+// upstream returns the latencies that the gate counted of one version, over all routes.
+func (r *Report) upstream(next bool) kqmargin.Upstream {
+	var u kqmargin.Upstream
+	for i := range r.Rows {
+		if r.Rows[i].Route == kqevidence.Young {
+			continue
+		}
+		calls, sum, squares := r.Rows[i].Of(next).Logs()
+		u.Calls += calls
+		u.Sum += sum
+		u.Squares += squares
+	}
+	return u
+}
--- a/internal/rollout/kqverdict/lane.go
+++ b/internal/rollout/kqverdict/lane.go
@@ -31,6 +31,7 @@
 		slower("slower by 1.3 times", toleratedFactor, 1.3),
 		slower("slower by 2 times", toleratedFactor, 2),
 		tailUp("more very slow calls", 5, 10),
+		farUp("far more very slow calls", 0.25),
 	}}
 }
 
@@ -73,11 +74,13 @@
 		oldCalls: old.calls, oldHits: over(&p.Old, b.edge), newCalls: next.calls, newHits: over(&p.New, b.edge),
 		usual: b.slow.usual(), lately: b.slow.lately(), edge: b.edge,
 	}
+	t.far = t.slow
+	t.slow.newHits = over(&p.New, b.edge+int(math.Ceil(kqevidence.Shift(math.Exp(p.Margin)))))
 	if old.calls < leastTimed || next.calls == 0 {
 		return t
 	}
 	t.timed = true
-	t.shift = next.mean - old.mean
+	t.shift = next.mean - old.mean - p.Margin
 	t.variance = b.variance*(1/old.calls+1/next.calls) + ownSpread*ownSpread
 	return t
 }
@@ -87,13 +90,8 @@
 
 func momentsOf(c *kqevidence.Cell) moments {
 	var m moments
-	first, second := 0.0, 0.0
-	for i, n := range c.Latency {
-		k, x := float64(n), float64(i)*logGrowth
-		m.calls += k
-		first += k * x
-		second += k * x * x
-	}
+	calls, first, second := c.Logs()
+	m.calls = calls
 	if m.calls > 0 {
 		m.mean = first / m.calls
 		m.variance = max(second/m.calls-m.mean*m.mean, 0)
@@ -108,5 +106,3 @@
 	}
 	return float64(sum)
 }
-
-var logGrowth = 1 / kqevidence.Shift(math.E)
--- a/internal/rollout/kqverdict/stream.go
+++ b/internal/rollout/kqverdict/stream.go
@@ -39,9 +39,12 @@
 	// ticked is one tick of one lane with what is known of the old version.
 	ticked struct {
 		errors, slow hits
+		// far are the very slow calls without the margin for the new version's
+		// servers, which slow leaves out.
+		far hits
 		// shift is the mean log of the new version's latencies over the old
-		// one's in this tick, and variance its variance; timed tells that both
-		// versions have any.
+		// one's and the margin in this tick, and variance its variance; timed
+		// tells that both versions have any.
 		timed           bool
 		shift, variance float64
 	}
@@ -76,6 +79,18 @@
 	}}
 }
 
+// farUp bets on far more calls over the old version's 99.5th percentile, by points.
+// Where servers differ, a version that is many times slower for a part of its calls
+// only, on a quick server, is no slower in the mean than the old version on a slow one;
+// it shows here, as the percentile is of the old version's calls on slow servers too.
+func farUp(metric string, points float64) *stream {
+	return &stream{metric: metric, span: 1, gain: func(t *ticked) float64 {
+		return t.far.ratio(
+			func(p float64) float64 { return p + toleratedFar },
+			func(p float64) float64 { return p + points })
+	}}
+}
+
 // slower bets on latencies that are longer by factor. The logs of latencies are
 // compared within the tick, so that what slows both versions cancels out.
 func slower(metric string, tolerated, factor float64) *stream {
--- a/internal/rollout/kqverdict/verdict.go
+++ b/internal/rollout/kqverdict/verdict.go
@@ -16,6 +16,9 @@
 	// toleratedTail is how many times as many very slow calls a tolerated
 	// factor makes where latencies have little spread.
 	toleratedTail = 1.6
+	// toleratedFar is how many more very slow calls, in points, a slow server may
+	// make: it has them all where a tenth of the old version's calls run on such ones.
+	toleratedFar = 0.05
 	// toleratedCold is how much slower an upstream may be that has just
 	// started.
 	toleratedCold = 4
@@ -73,6 +76,7 @@
 		}
 		all.Old.Add(&p.Old)
 		all.New.Add(&p.New)
+		all.Margin = p.Margin
 		j.lane(p.Route).observe(p)
 	}
 	j.pooled.observe(&all)
