Take no time from calls that did not run their course

While upstreams turn calls away, a good version was taken back as "slower by 2 times on all routes" half a second after it began: a call that an upstream turns away in 0.1 ms counted as one that took 0.1 ms, as did a connection that could not be made and a call that broke off. Whichever version turned more away looked the faster one.

Such calls still count, and count as failures where they are; their time does not. Calls that ran until their time was up or their caller left keep theirs, as they would have taken longer still: a version that holds its callers is found by it (TestVersionThatHoldsItsCallersIsFound).

The test's good version was taken back after 120 calls, and now is not.

--- a/internal/rollout/kqboard/traffic.go
+++ b/internal/rollout/kqboard/traffic.go
@@ -125,15 +125,30 @@
 		if !open || !old && o.Version != to {
 			continue
 		}
-		if cold {
+		switch {
+		case !timed(o):
+			e.ledger.Count(o.Route, func(r *kqledger.Row) { r.Of(o.Version == to).CountUntimed(failed(o)) })
+		case cold:
 			e.ledger.Count(kqevidence.Young, func(r *kqledger.Row) { r.Of(o.Version == to).Count(o.Took, failed(o)) })
-			e.ledger.Count(o.Route, func(r *kqledger.Row) { r.Of(o.Version == to).CountCold(failed(o)) })
-			continue
+			e.ledger.Count(o.Route, func(r *kqledger.Row) { r.Of(o.Version == to).CountUntimed(failed(o)) })
+		default:
+			e.ledger.Count(o.Route, func(r *kqledger.Row) { r.Of(o.Version == to).Count(o.Took, failed(o)) })
 		}
-		e.ledger.Count(o.Route, func(r *kqledger.Row) { r.Of(o.Version == to).Count(o.Took, failed(o)) })
 	}
 }
 
+// timed reports whether the time for which the upstream had the call tells how long
+// calls take there. A call that it turned away or never had, or that broke off, ends
+// early: an upstream that turns many away would look many times faster than it is, and
+// the other version slower. One that ran until its time was up or its caller left
+// would have taken longer still.
+func timed(o kqgate.Observation) bool {
+	if o.Outcome.Result == kqcall.Unknown {
+		return o.Outcome.Reason == kqcall.Timeout || o.Outcome.Reason == kqcall.Cancelled
+	}
+	return o.Outcome.Result == kqcall.Answered
+}
+
 // taken returns the versions of a service that ended orders took back.
 func (b *Board) taken(name kqname.Service) []kqname.UpstreamVersion {
 	b.mu.RLock()
--- a/internal/rollout/kqevidence/evidence.go
+++ b/internal/rollout/kqevidence/evidence.go
@@ -86,9 +86,9 @@
 	}
 }
 
-// CountCold adds one call of an upstream that has only just started: its
-// failure counts, its slowness does not.
-func (c *Cell) CountCold(failed bool) {
+// CountUntimed adds one call whose time tells nothing of how long calls take, such as
+// of an upstream that has only just started: its failure counts, its time does not.
+func (c *Cell) CountUntimed(failed bool) {
 	c.Calls++
 	if failed {
 		c.Failed++
