Count a dead server's refusals once, not for each call

Two of the new version's upstreams died without a word, and a good version was taken back as "errors up by 20 points". Callers noticed nothing, as such calls go to other upstreams; but each node tries the dead one, its gate refuses within a fraction of a millisecond, and each refusal counted as one more failed call.

A gate now counts an upstream that cannot be connected to once, again after a second, and then each two, until it takes a call. Calls that break off as it dies count as before.

--- a/internal/rollout/kqboard/entry.go
+++ b/internal/rollout/kqboard/entry.go
@@ -20,6 +20,11 @@
 	longestTick  = time.Second
 	// ticks is how many ticks a short window is cut into at least.
 	ticks = 100
+	// firstPause is how long an upstream that could not be connected to is not
+	// counted as such again: all nodes have heard of it or left it out by then.
+	// Three such counts take a version back that listens to nobody, well before it
+	// would get all traffic.
+	firstPause, longestPause = time.Second, 2 * time.Second
 )
 
 // entry is one plan as this node knows it.
@@ -36,6 +41,10 @@
 	gone     time.Time
 	ticked   time.Time
 	reported time.Time
+	// unreachable is when this node's upstream was last counted as one that could
+	// not be connected to, and pause how long it is not counted so again.
+	unreachable time.Time
+	pause       time.Duration
 	// owner is who last said to own the rollout, and heard when.
 	owner kqname.Node
 	heard time.Time
--- a/internal/rollout/kqboard/traffic.go
+++ b/internal/rollout/kqboard/traffic.go
@@ -122,7 +122,7 @@
 		open := e.progress.Open() && !o.Began.Before(e.plan.Start)
 		old, to, cold := e.plan.Old(o.Version), e.plan.To, o.Began.Before(e.plan.WarmAt(started, warm))
 		e.mu.Unlock()
-		if !open || !old && o.Version != to {
+		if !open || !old && o.Version != to || !e.counts(o) {
 			continue
 		}
 		switch {
@@ -137,6 +137,26 @@
 	}
 }
 
+// counts reports whether the call is to be counted. A server that has died refuses
+// each call that some node still tries, within a fraction of a millisecond and in
+// clusters; counted each, it would speak louder than all servers that work, and a good
+// version be taken back for the death of one. It is counted again after a second,
+// and then each two, until it takes a call, so that a version that listens to nobody
+// shows.
+func (e *entry) counts(o kqgate.Observation) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Outcome.Reason != kqcall.ConnectFailed {
+		e.pause = 0
+		return true
+	}
+	if e.pause > 0 && o.Began.Sub(e.unreachable) < e.pause {
+		return false
+	}
+	e.unreachable, e.pause = o.Began, min(max(2*e.pause, firstPause), longestPause)
+	return true
+}
+
 // timed reports whether the time for which the upstream had the call tells how long
 // calls take there. A call that it turned away or never had, or that broke off, ends
 // early: an upstream that turns many away would look many times faster than it is, and
