Take no caller's leaving for a failure of a new version

Callers hang up for reasons of their own, and more often on the version that has more of them in flight. Each counted as a failed call of the version, and a good one was taken back as "errors up by 20 points" after 124 calls of the test's. The gate has not counted it as its upstream's failure all along.

The call still counts, with the time for which the upstream had it, by which a version is found that holds its callers until they leave.

--- a/internal/rollout/kqboard/traffic.go
+++ b/internal/rollout/kqboard/traffic.go
@@ -185,6 +185,12 @@
 	return b.services[name].entries
 }
 
+// failed reports whether the upstream failed the call. That its caller left is no
+// failure, as at the gate: callers leave the version with more of them in flight more
+// often. A version that holds them shows by how long it had the calls.
 func failed(o kqgate.Observation) bool {
+	if o.Outcome.Reason == kqcall.Cancelled {
+		return false
+	}
 	return o.Outcome.Result == kqcall.Unknown || o.Status >= failureStatus || o.Outcome.Reason == kqcall.ConnectFailed
 }
