--- a/internal/rollout/kqboard/blame_test.go
+++ b/internal/rollout/kqboard/blame_test.go
@@ -33,8 +33,13 @@
 	now       time.Time
 }
 
+// order is the service with a rollout that was ordered by its length.
+func order() kqresource.Service {
+	return service(kqdocument.Rollout{Name: "order", Service: "shed", To: "v2", Policy: "first", DurationMS: 15000})
+}
+
 func newRig(seed uint64) *rig {
-	s := service(kqdocument.Rollout{Name: "order", Service: "shed", To: "v2", Policy: "first", DurationMS: 15000})
+	s := order()
 	r := &rig{random: rand.New(rand.NewPCG(seed, 1)), now: start}
 	for i := range oldGates + newGates + 1 {
 		b := kqboard.New(kqledger.Source{Node: kqname.Node(fmt.Sprintf("n%d", i))}, upstreams{})
