End a rollout only where its traffic has room

At the deadline a good version ended as done with four upstreams beside six old ones, which were then stopped: 0.3 of the old slots were enough, whatever was in use, and from then on two thirds of the calls that rank last were turned away or late.

The nodes that weigh the evidence know how long each call took, and so how many slots are in use: calls a second times their time (Little's law), over 3 s. At the deadline the new version's slots must now hold that at four fifths, unless it has no fewer than the old one. Before the deadline nothing changes: 0.8 of the old slots are needed to go on.

Weighed and not taken: 0.8 of the old slots at the deadline too, which would take good versions back at quiet services for nothing.

--- a/internal/rollout/kqboard/board.go
+++ b/internal/rollout/kqboard/board.go
@@ -155,7 +155,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s := kqstep.State{Plan: e.plan, Progress: e.progress, Finding: e.finding}
+	s := kqstep.State{Plan: e.plan, Progress: e.progress, Finding: e.finding, Busy: e.busy}
 	for _, c := range b.directory.Upstreams(e.plan.Service) {
 		switch {
 		case e.plan.Old(c.Version):
@@ -166,6 +166,7 @@
 			s.ColdSlots += c.Slots
 		}
 	}
+	e.slots = s.OldSlots + s.NewSlots + s.ColdSlots
 	d := kqstep.Decide(now, s)
 	e.apply(d)
 	return d
--- a/internal/rollout/kqboard/entry.go
+++ b/internal/rollout/kqboard/entry.go
@@ -20,6 +20,9 @@
 	longestTick  = time.Second
 	// ticks is how many ticks a short window is cut into at least.
 	ticks = 100
+	// busyOver is the time over which the slots in use are averaged: calls come in
+	// clumps of a second.
+	busyOver = 3 * time.Second
 	// firstPause is how long an upstream that could not be connected to is not
 	// counted as such again: all nodes have heard of it or left it out by then.
 	// Three such counts take a version back that listens to nobody, well before it
@@ -37,6 +40,10 @@
 	judge    *kqverdict.Judge
 	finding  kqverdict.Finding
 	totals   Evidence
+	// busy is how many slots calls have in use, of the slots that both versions had at
+	// the last step.
+	busy     float64
+	slots    int
 	seen     time.Time
 	gone     time.Time
 	ticked   time.Time
@@ -79,8 +86,11 @@
 	if now.Sub(e.ticked) < e.tick() {
 		return
 	}
-	e.ticked = now
 	sample := e.ledger.Take()
+	if !e.ticked.IsZero() {
+		e.use(sample, now.Sub(e.ticked))
+	}
+	e.ticked = now
 	e.judge.Observe(sample)
 	e.finding = e.judge.Finding()
 	for i := range sample {
@@ -94,6 +104,21 @@
 	}
 }
 
+// use follows how many slots are in use: calls that took 100 ms each, 200 a second,
+// have 20 in use on average. A node that has just begun to collect gets the counts of
+// many ticks in one, which cannot be more than all slots.
+func (e *entry) use(s kqevidence.Sample, elapsed time.Duration) {
+	spent := time.Duration(0)
+	for i := range s {
+		spent += s[i].Old.Spent() + s[i].New.Spent()
+	}
+	busy := float64(spent) / float64(max(elapsed, 1))
+	if e.slots > 0 {
+		busy = min(busy, float64(e.slots))
+	}
+	e.busy += (busy - e.busy) * min(float64(elapsed)/float64(busyOver), 1)
+}
+
 func (e *entry) rollback(why string) {
 	e.progress = kqprogress.Join(e.progress, kqprogress.Progress{RolledBack: true, Why: why})
 	e.wish = kqprogress.TakenBack
--- a/internal/rollout/kqevidence/evidence.go
+++ b/internal/rollout/kqevidence/evidence.go
@@ -110,6 +110,19 @@
 	return calls, sum, squares
 }
 
+// Spent returns how long the upstreams had the calls whose latency is counted, all
+// together, to a tenth or so.
+func (c *Cell) Spent() time.Duration {
+	sum := time.Duration(0)
+	for i, n := range c.Latency {
+		if n > 0 {
+			// The middle of the bucket.
+			sum += time.Duration(float64(n) * float64(Edge(i)) / math.Sqrt(growth))
+		}
+	}
+	return sum
+}
+
 // Timed returns how many calls have their latency counted.
 func (c *Cell) Timed() uint32 {
 	sum := uint32(0)
--- a/internal/rollout/kqstep/step.go
+++ b/internal/rollout/kqstep/step.go
@@ -35,6 +35,9 @@
 	// for each step: of a version that fails a third of its calls, one in 20,000
 	// gets so far without a failure.
 	orderedCalls = 25
+	// amply is the part of the slots in use above which calls wait for each other
+	// and bursts are turned away.
+	amply = 0.8
 )
 
 type (
@@ -55,6 +58,8 @@
 		// OldSlots and NewSlots are the slots of the upstreams that take new
 		// work; ColdSlots are those of new ones that have only just started.
 		OldSlots, NewSlots, ColdSlots int
+		// Busy is how many slots of both versions are in use; 0 where it is not known.
+		Busy float64
 	}
 
 	// stage is a step of the schedule: its share, and when it is due as a
@@ -219,8 +224,15 @@
 	return float64(s.NewSlots)+cold*float64(s.ColdSlots) >= 0.8*share*float64(s.OldSlots)
 }
 
+// carries reports whether the upstreams of the new version, few as they are, can take
+// all traffic. The old ones are stopped once it is done: where the traffic has no room,
+// callers would be turned away from then on, which is worse than a good version that
+// has to be ordered once more. Where the old ones are no more, nothing is won by going
+// back to them.
 func carries(s State) bool {
-	return float64(s.NewSlots+s.ColdSlots) >= weightsOf(s.Plan).carry*float64(s.OldSlots) && s.NewSlots+s.ColdSlots > 0
+	slots := float64(s.NewSlots + s.ColdSlots)
+	return slots > 0 && slots >= weightsOf(s.Plan).carry*float64(s.OldSlots) &&
+		(s.Busy <= amply*slots || slots >= float64(s.OldSlots))
 }
 
 func weightsOf(p kqplan.Plan) weights {
