--- a/internal/rollout/kqstep/step_test.go
+++ b/internal/rollout/kqstep/step_test.go
@@ -92,3 +92,27 @@
 		t.Errorf("%+v, want taken back", d)
 	}
 }
+
+// The one upstream that has the small share of an ordered rollout dies within its first
+// calls. When the next step was due, seven calls were known, most of them refused or
+// cut, and the version was taken back for them; its six other upstreams had not been
+// asked once. Too few calls to go on by are too few to go back by, unless they leave no
+// doubt, as long as there is time for more.
+func TestTooFewCallsDoNotTakeAnOrderBack(t *testing.T) {
+	plan := kqplan.Plan{Duration: 15 * time.Second}.Begin(start)
+	s := kqstep.State{
+		Plan: plan, Progress: kqprogress.Progress{Step: 1}, OldSlots: 72, NewSlots: 84,
+		Finding: kqverdict.Finding{Calls: 7, Total: 4.7},
+	}
+	at := func(part float64) time.Time { return start.Add(time.Duration(part * float64(plan.Window()))) }
+	if d := kqstep.Decide(at(0.4), s); d.Action != kqstep.Hold {
+		t.Errorf("after 7 calls: %s, %s", d.Action, d.Why)
+	}
+	if d := kqstep.Decide(at(0.9), s); d.Action != kqstep.TakeBack {
+		t.Errorf("when the time is up: %s, %s", d.Action, d.Why)
+	}
+	s.Finding.Total = 12
+	if d := kqstep.Decide(at(0.4), s); d.Action != kqstep.TakeBack {
+		t.Errorf("beyond doubt: %s, %s", d.Action, d.Why)
+	}
+}
