Wait for more calls before an order leans one way

At its next step an ordered version was taken back for evidence that leans against it, however few its calls, while 25 are needed to go on. Seven calls at one dead upstream were enough to go back by. The order of the two is now the other way round, until the time is nearly up; what leaves no doubt takes a version back at any time, as before.

--- a/internal/rollout/kqstep/step.go
+++ b/internal/rollout/kqstep/step.go
@@ -182,14 +182,14 @@
 		return Decision{Hold, "the next step is not due"}
 	case s.Progress.Step == Small && elapsed < waits && s.Plan.Duration == 0 && max(s.Finding.Total, -s.Finding.Cleared) > 0:
 		return Decision{Hold, "the small share goes on, since the evidence is not clear: " + Words(s.Finding)}
+	case s.Plan.Duration > 0 && to <= Last && s.Finding.Calls < orderedCalls && elapsed < hurry:
+		return Decision{Hold, fmt.Sprintf("%d calls are too few to go on by", s.Finding.Calls)}
 	case leans(s):
 		return Decision{TakeBack, "the time for it is up and the evidence leans against it: " + Words(s.Finding)}
 	case to > Last && s.Finding.Calls < weightsOf(s.Plan).enough:
 		return Decision{TakeBack, fmt.Sprintf("the time is up and %d calls are too few to judge by", s.Finding.Calls)}
 	case to > Last && fits(s, 1, elapsed):
 		return Decision{Done, fmt.Sprintf("no evidence against it after %d calls", s.Finding.Calls)}
-	case s.Plan.Duration > 0 && to <= Last && s.Finding.Calls < orderedCalls && elapsed < hurry:
-		return Decision{Hold, fmt.Sprintf("%d calls are too few to go on", s.Finding.Calls)}
 	case !fits(s, stageOf(s.Plan, to).share, elapsed):
 		return Decision{Hold, fmt.Sprintf("%d slots of the new version are too few for a share of %.2f", s.NewSlots+s.ColdSlots, stageOf(s.Plan, to).share)}
 	}
