Take slowness of some calls for no server's

On a quick server its mean is that of a slow server, and was let pass as such.

A slow server makes the quick calls slower too. No more is allowed now than the 25th percentile of an upstream's own calls is over that of the old version's, beyond its standard error.

TestMoreUpstreamsAreAllowedLess now has slow upstreams of the new version, as quick ones are allowed nothing whatever their number; it asks the same.

--- a/internal/rollout/kqevidence/evidence.go
+++ b/internal/rollout/kqevidence/evidence.go
@@ -110,6 +110,19 @@
 	return calls, sum, squares
 }
 
+// Quantile returns the log of a quantile of the latencies, on the scale of Logs, drawn
+// straight through its bucket; 0 where there are none.
+func (c *Cell) Quantile(q float64) float64 {
+	want, sum := q*float64(c.Timed()), 0.0
+	for i, n := range c.Latency {
+		if n > 0 && sum+float64(n) >= want {
+			return (float64(i) - 0.5 + (want-sum)/float64(n)) * logGrowth
+		}
+		sum += float64(n)
+	}
+	return 0
+}
+
 // Spent returns how long the upstreams had the calls whose latency is counted, all
 // together, to a tenth or so.
 func (c *Cell) Spent() time.Duration {
--- a/internal/rollout/kqledger/ledger.go
+++ b/internal/rollout/kqledger/ledger.go
@@ -14,6 +14,9 @@
 // keeps apart.
 const maxSources = 4096
 
+// low is the percentile by which kqmargin sees that all calls are slower, and not some.
+const low = 0.25
+
 type (
 	// Source names one run of a gate: a restarted gate counts from 0 again.
 	Source struct {
@@ -152,31 +155,38 @@
 // sake, in the calls since the last Take. Each gate stands for one upstream.
 func (l *Ledger) margin() float64 {
 	var lists [2][]kqmargin.Upstream
+	var all kqevidence.Cell
 	for source, r := range l.reports {
 		before := l.timed[source]
 		var now [2]float64
 		for version := range lists {
-			u := r.upstream(version == 1)
+			cell := r.cell(version == 1)
+			u := upstream(&cell)
+			if version == 0 {
+				all.Add(&cell)
+			}
 			now[version] = u.Calls
 			u.Lately = u.Calls - before[version]
 			lists[version] = append(lists[version], u)
 		}
 		l.timed[source] = now
 	}
-	return kqmargin.Of(lists[0], lists[1])
+	return kqmargin.Of(lists[0], lists[1], all.Quantile(low))
 }
 
-// upstream returns the latencies that the gate counted of one version, over all routes.
-func (r *Report) upstream(next bool) kqmargin.Upstream {
-	var u kqmargin.Upstream
+// cell returns what the gate counted of one version, over all routes.
+func (r *Report) cell(next bool) kqevidence.Cell {
+	var c kqevidence.Cell
 	for i := range r.Rows {
-		if r.Rows[i].Route == kqevidence.Young {
-			continue
+		if r.Rows[i].Route != kqevidence.Young {
+			c.Add(r.Rows[i].Of(next))
 		}
-		calls, sum, squares := r.Rows[i].Of(next).Logs()
-		u.Calls += calls
-		u.Sum += sum
-		u.Squares += squares
 	}
+	return c
+}
+
+func upstream(c *kqevidence.Cell) kqmargin.Upstream {
+	u := kqmargin.Upstream{Low: c.Quantile(low)}
+	u.Calls, u.Sum, u.Squares = c.Logs()
 	return u
 }
--- a/internal/rollout/kqmargin/doc.go
+++ b/internal/rollout/kqmargin/doc.go
@@ -14,6 +14,11 @@
 // allowed at least, since the old version may have had the luckier one. Where the old
 // version's upstreams are alike, next to nothing is allowed.
 //
+// A slow server makes all calls slower, the quick ones too. More is thus not allowed
+// than the 25th percentile of the upstream's own calls is over that of the old version's,
+// beyond its standard error: a version that is many times slower for a part of its
+// calls is not taken for one on a slow server.
+//
 // Chance alone makes some upstream the slowest. By how much upstreams really differ
 // is worked out from what their means differ by beyond what their calls' own spread
 // explains (the moment estimate of DerSimonian and Laird), and each one's difference
--- a/internal/rollout/kqmargin/margin_test.go
+++ b/internal/rollout/kqmargin/margin_test.go
@@ -3,21 +3,30 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqmargin"
 )
 
-const spread = 0.35
+const (
+	spread = 0.35
+	// low is the 25th percentile of calls on the servers that are not slow, less a
+	// tenth or so for those that are.
+	low = -0.67 * spread
+)
 
 // upstream is one whose calls take longer by offset, as a log.
 func upstream(random *rand.Rand, offset float64, calls int) kqmargin.Upstream {
 	u := kqmargin.Upstream{Lately: 5, Calls: float64(calls)}
-	for range calls {
-		x := offset + spread*random.NormFloat64()
-		u.Sum += x
-		u.Squares += x * x
+	logs := make([]float64, calls)
+	for i := range logs {
+		logs[i] = offset + spread*random.NormFloat64()
+		u.Sum += logs[i]
+		u.Squares += logs[i] * logs[i]
 	}
+	slices.Sort(logs)
+	u.Low = logs[calls/4]
 	return u
 }
 
@@ -37,7 +46,7 @@
 	sum := 0.0
 	const plays = 500
 	for range plays {
-		sum += kqmargin.Of(upstreams(random, 20, 0, 0, 0, 0, 0, 0), upstreams(random, 20, 0))
+		sum += kqmargin.Of(upstreams(random, 20, 0, 0, 0, 0, 0, 0), upstreams(random, 20, 0), low)
 	}
 	if mean := sum / plays; mean > 0.05 {
 		t.Errorf("a log of %.3f is allowed on average", mean)
@@ -50,7 +59,7 @@
 func TestLoneUpstreamIsAllowedTheSlowestServer(t *testing.T) {
 	random := rand.New(rand.NewPCG(2, 1))
 	slow := math.Log(2.2)
-	got := kqmargin.Of(upstreams(random, 400, 0, 0, slow, 0, 0, slow), upstreams(random, 400, slow))
+	got := kqmargin.Of(upstreams(random, 400, 0, 0, slow, 0, 0, slow), upstreams(random, 400, slow), low)
 	// A third of the old version's calls are as slow.
 	if want := slow * 2 / 3; math.Abs(got-want) > 0.08 {
 		t.Errorf("a log of %.2f is allowed, want about %.2f", got, want)
@@ -65,7 +74,7 @@
 	old := upstreams(random, 400, 0, 0, slow, 0, 0, slow)
 	before := math.Inf(1)
 	for _, n := range []int{1, 3, 6, 12} {
-		got := kqmargin.Of(old, upstreams(random, 400, make([]float64, n)...))
+		got := kqmargin.Of(old, upstreams(random, 400, slices.Repeat([]float64{slow}, n)...), low)
 		if got >= before {
 			t.Errorf("%d upstreams are allowed a log of %.2f, fewer of them %.2f", n, got, before)
 		}
@@ -79,14 +88,35 @@
 	random := rand.New(rand.NewPCG(4, 1))
 	one := upstreams(random, 1, 0)
 	for name, got := range map[string]float64{
-		"none": kqmargin.Of(nil, nil), "no new one": kqmargin.Of(upstreams(random, 10, 0, 1), nil),
-		"one old one": kqmargin.Of(upstreams(random, 10, 1), one), "without calls": kqmargin.Of(make([]kqmargin.Upstream, 3), one),
+		"none": kqmargin.Of(nil, nil, low), "no new one": kqmargin.Of(upstreams(random, 10, 0, 1), nil, low),
+		"one old one": kqmargin.Of(upstreams(random, 10, 1), one, low), "without calls": kqmargin.Of(make([]kqmargin.Upstream, 3), one, low),
 	} {
 		if got != 0 {
 			t.Errorf("%s: a log of %v is allowed", name, got)
 		}
 	}
-	if got := kqmargin.Of(upstreams(random, 1, 0, 0), one); math.IsNaN(got) || got < 0 {
+	if got := kqmargin.Of(upstreams(random, 1, 0, 0), one, low); math.IsNaN(got) || got < 0 {
 		t.Errorf("after one call each, a log of %v is allowed", got)
 	}
 }
+
+// Two calls in five of a version take eight times as long, on a quick server. Its mean
+// is as slow as that of a slow server, but its quick calls are not; taken for a slow
+// server, it was found after 122 to 203 calls instead of 35 to 45.
+func TestSlownessOfSomeCallsIsNoServers(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 1))
+	slow := math.Log(2.2)
+	next := upstream(random, 0, 400)
+	for range 266 {
+		x := math.Log(8) + spread*random.NormFloat64()
+		next.Calls++
+		next.Sum += x
+		next.Squares += x * x
+	}
+	// The 25th percentile of all is the 42nd of the quick ones.
+	next.Low = -0.2 * spread
+	got := kqmargin.Of(upstreams(random, 400, 0, 0, slow, 0, 0, slow), []kqmargin.Upstream{next}, low)
+	if got > 0.25 {
+		t.Errorf("a log of %.2f is allowed", got)
+	}
+}
