--- a/internal/rollout/kqstep/step_test.go
+++ b/internal/rollout/kqstep/step_test.go
@@ -116,3 +116,25 @@
 		t.Errorf("beyond doubt: %s, %s", d.Action, d.Why)
 	}
 }
+
+// A good version has four upstreams beside five of the old one, which all traffic of a
+// busy service does not fit on. It ended as done, the five were stopped, and from that
+// second on a third of the calls that rank last were turned away, for the rest of the day.
+func TestOrderDoesNotEndBeforeItsTrafficHasRoom(t *testing.T) {
+	plan := kqplan.Plan{Duration: 15 * time.Second, Prefer: kqdocument.PreferFinishing}.Begin(start)
+	s := kqstep.State{
+		Plan: plan, Progress: kqprogress.Progress{Step: kqstep.Last}, OldSlots: 60, NewSlots: 48,
+		Finding: kqverdict.Finding{Calls: 1300, Total: -3, Cleared: 8},
+	}
+	at := func(part float64) time.Time { return start.Add(time.Duration(part * float64(plan.Window()))) }
+	for _, c := range []struct {
+		busy float64
+		part float64
+		want kqstep.Action
+	}{{45, 0.9, kqstep.Hold}, {45, 1.01, kqstep.TakeBack}, {30, 0.9, kqstep.Done}, {0, 0.9, kqstep.Done}} {
+		s.Busy = c.busy
+		if d := kqstep.Decide(at(c.part), s); d.Action != c.want {
+			t.Errorf("with %v slots in use at %v of the time: %s, %s; want %s", c.busy, c.part, d.Action, d.Why, c.want)
+		}
+	}
+}
