Ask for room before an order ends, not only at its deadline

The room that its traffic needs is now asked for at either moment; until it is there the last share stays, and at the deadline the version is taken back.

--- a/internal/rollout/kqstep/step.go
+++ b/internal/rollout/kqstep/step.go
@@ -173,7 +173,7 @@
 
 func next(now time.Time, s State) Decision {
 	elapsed := float64(now.Sub(s.Plan.Start)) / float64(s.Plan.Window())
-	if !now.Before(s.Plan.Deadline) && (s.Progress.Step < Last || !fits(s, 1, 1)) {
+	if !now.Before(s.Plan.Deadline) && (s.Progress.Step < Last || !fits(s, 1, 1) || !room(s)) {
 		return overdue(s)
 	}
 	to := s.Progress.Step + 1
@@ -188,6 +188,8 @@
 		return Decision{TakeBack, "the time for it is up and the evidence leans against it: " + Words(s.Finding)}
 	case to > Last && s.Finding.Calls < weightsOf(s.Plan).enough:
 		return Decision{TakeBack, fmt.Sprintf("the time is up and %d calls are too few to judge by", s.Finding.Calls)}
+	case to > Last && !room(s):
+		return Decision{Hold, fmt.Sprintf("%.0f slots in use have no room in %d of the new version", s.Busy, s.NewSlots+s.ColdSlots)}
 	case to > Last && fits(s, 1, elapsed):
 		return Decision{Done, fmt.Sprintf("no evidence against it after %d calls", s.Finding.Calls)}
 	case !fits(s, stageOf(s.Plan, to).share, elapsed):
@@ -225,14 +227,20 @@
 }
 
 // carries reports whether the upstreams of the new version, few as they are, can take
-// all traffic. The old ones are stopped once it is done: where the traffic has no room,
+// all traffic.
+func carries(s State) bool {
+	slots := float64(s.NewSlots + s.ColdSlots)
+	return slots > 0 && slots >= weightsOf(s.Plan).carry*float64(s.OldSlots) && room(s)
+}
+
+// room reports whether the calls that are in flight have room in the new version's
+// slots. The old upstreams are stopped once it is done: where the traffic has no room,
 // callers would be turned away from then on, which is worse than a good version that
 // has to be ordered once more. Where the old ones are no more, nothing is won by going
 // back to them.
-func carries(s State) bool {
-	slots := float64(s.NewSlots + s.ColdSlots)
-	return slots > 0 && slots >= weightsOf(s.Plan).carry*float64(s.OldSlots) &&
-		(s.Busy <= amply*slots || slots >= float64(s.OldSlots))
+func room(s State) bool {
+	slots := s.NewSlots + s.ColdSlots
+	return s.Busy <= amply*float64(slots) || slots >= s.OldSlots
 }
 
 func weightsOf(p kqplan.Plan) weights {
