--- a/internal/rollout/kqboard/traffic.go
+++ b/internal/rollout/kqboard/traffic.go
@@ -122,18 +122,53 @@
 		open := e.progress.Open() && !o.Began.Before(e.plan.Start)
 		old, to, cold := e.plan.Old(o.Version), e.plan.To, o.Began.Before(e.plan.WarmAt(started, warm))
 		e.mu.Unlock()
-		if !open || !old && o.Version != to {
+		if !open || !old && o.Version != to || !e.counts(o) {
 			continue
 		}
-		if cold {
+		switch {
+		case !timed(o):
+			e.ledger.Count(o.Route, func(r *kqledger.Row) { r.Of(o.Version == to).CountUntimed(failed(o)) })
+		case cold:
 			e.ledger.Count(kqevidence.Young, func(r *kqledger.Row) { r.Of(o.Version == to).Count(o.Took, failed(o)) })
-			e.ledger.Count(o.Route, func(r *kqledger.Row) { r.Of(o.Version == to).CountCold(failed(o)) })
-			continue
+			e.ledger.Count(o.Route, func(r *kqledger.Row) { r.Of(o.Version == to).CountUntimed(failed(o)) })
+		default:
+			e.ledger.Count(o.Route, func(r *kqledger.Row) { r.Of(o.Version == to).Count(o.Took, failed(o)) })
 		}
-		e.ledger.Count(o.Route, func(r *kqledger.Row) { r.Of(o.Version == to).Count(o.Took, failed(o)) })
 	}
 }
 
+// counts reports whether the call is to be counted. A server that has died refuses
+// each call that some node still tries, within a fraction of a millisecond and in
+// clusters; counted each, it would speak louder than all servers that work, and a good
+// version be taken back for the death of one. It is counted again after a second,
+// and then each two, until it takes a call, so that a version that listens to nobody
+// shows.
+func (e *entry) counts(o kqgate.Observation) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Outcome.Reason != kqcall.ConnectFailed {
+		e.pause = 0
+		return true
+	}
+	if e.pause > 0 && o.Began.Sub(e.unreachable) < e.pause {
+		return false
+	}
+	e.unreachable, e.pause = o.Began, min(max(2*e.pause, firstPause), longestPause)
+	return true
+}
+
+// timed reports whether the time for which the upstream had the call tells how long
+// calls take there. A call that it turned away or never had, or that broke off, ends
+// early: an upstream that turns many away would look many times faster than it is, and
+// the other version slower. One that ran until its time was up or its caller left
+// would have taken longer still.
+func timed(o kqgate.Observation) bool {
+	if o.Outcome.Result == kqcall.Unknown {
+		return o.Outcome.Reason == kqcall.Timeout || o.Outcome.Reason == kqcall.Cancelled
+	}
+	return o.Outcome.Result == kqcall.Answered
+}
+
 // taken returns the versions of a service that ended orders took back.
 func (b *Board) taken(name kqname.Service) []kqname.UpstreamVersion {
 	b.mu.RLock()
@@ -150,6 +185,12 @@
 	return b.services[name].entries
 }
 
+// failed reports whether the upstream failed the call. That its caller left is no
+// failure, as at the gate: callers leave the version with more of them in flight more
+// often. A version that holds them shows by how long it had the calls.
 func failed(o kqgate.Observation) bool {
+	if o.Outcome.Reason == kqcall.Cancelled {
+		return false
+	}
 	return o.Outcome.Result == kqcall.Unknown || o.Status >= failureStatus || o.Outcome.Reason == kqcall.ConnectFailed
 }
--- a/internal/rollout/kqevidence/evidence.go
+++ b/internal/rollout/kqevidence/evidence.go
@@ -42,6 +42,9 @@
 		Route kqname.Route `json:"route"`
 		Old   Cell         `json:"old"`
 		New   Cell         `json:"new"`
+		// Margin is by how much, as a log, the new version's calls may take longer
+		// for the sake of the servers that its upstreams run on.
+		Margin float64 `json:"margin,omitzero"`
 	}
 
 	// Sample holds the pairs of one span of time.
@@ -83,15 +86,56 @@
 	}
 }
 
-// CountCold adds one call of an upstream that has only just started: its
-// failure counts, its slowness does not.
-func (c *Cell) CountCold(failed bool) {
+// CountUntimed adds one call whose time tells nothing of how long calls take, such as
+// of an upstream that has only just started: its failure counts, its time does not.
+func (c *Cell) CountUntimed(failed bool) {
 	c.Calls++
 	if failed {
 		c.Failed++
 	}
 }
 
+// Logs returns the number of latencies counted, and the sum and the sum of squares
+// of their logs.
+func (c *Cell) Logs() (calls, sum, squares float64) {
+	for i, n := range c.Latency {
+		if n == 0 {
+			continue
+		}
+		k, x := float64(n), float64(i)*logGrowth
+		calls += k
+		sum += k * x
+		squares += k * x * x
+	}
+	return calls, sum, squares
+}
+
+// Quantile returns the log of a quantile of the latencies, on the scale of Logs, drawn
+// straight through its bucket; 0 where there are none.
+func (c *Cell) Quantile(q float64) float64 {
+	want, sum := q*float64(c.Timed()), 0.0
+	for i, n := range c.Latency {
+		if n > 0 && sum+float64(n) >= want {
+			return (float64(i) - 0.5 + (want-sum)/float64(n)) * logGrowth
+		}
+		sum += float64(n)
+	}
+	return 0
+}
+
+// Spent returns how long the upstreams had the calls whose latency is counted, all
+// together, to a tenth or so.
+func (c *Cell) Spent() time.Duration {
+	sum := time.Duration(0)
+	for i, n := range c.Latency {
+		if n > 0 {
+			// The middle of the bucket.
+			sum += time.Duration(float64(n) * float64(Edge(i)) / math.Sqrt(growth))
+		}
+	}
+	return sum
+}
+
 // Timed returns how many calls have their latency counted.
 func (c *Cell) Timed() uint32 {
 	sum := uint32(0)
--- a/internal/rollout/kqledger/ledger.go
+++ b/internal/rollout/kqledger/ledger.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqevidence"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqmargin"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -13,6 +14,9 @@
 // keeps apart.
 const maxSources = 4096
 
+// low is the percentile by which kqmargin sees that all calls are slower, and not some.
+const low = 0.25
+
 type (
 	// Source names one run of a gate: a restarted gate counts from 0 again.
 	Source struct {
@@ -45,6 +49,9 @@
 		changed bool
 		reports map[Source]Report
 		taken   map[kqname.Route]*Row
+		// timed are the calls with a latency that were taken of each gate, of the
+		// old version and of the new one.
+		timed map[Source][2]float64
 	}
 )
 
@@ -52,7 +59,7 @@
 func New(self Source) *Ledger {
 	return &Ledger{
 		self: self, own: make(map[kqname.Route]*Row),
-		reports: make(map[Source]Report), taken: make(map[kqname.Route]*Row),
+		reports: make(map[Source]Report), taken: make(map[kqname.Route]*Row), timed: make(map[Source][2]float64),
 	}
 }
 
@@ -130,15 +137,56 @@
 			sum.New.Add(&row.New)
 		}
 	}
+	margin := l.margin()
 	sample := make(kqevidence.Sample, 0, len(sums))
 	for route, sum := range sums {
 		before, ok := l.taken[route]
 		if !ok {
 			before = &Row{}
 		}
-		sample = append(sample, kqevidence.Pair{Route: route, Old: sum.Old.Since(&before.Old), New: sum.New.Since(&before.New)})
+		sample = append(sample, kqevidence.Pair{Route: route, Old: sum.Old.Since(&before.Old), New: sum.New.Since(&before.New), Margin: margin})
 	}
 	l.taken = sums
 	slices.SortFunc(sample, func(a, b kqevidence.Pair) int { return cmp.Compare(a.Route, b.Route) })
 	return sample
 }
+
+// margin returns what the new version's upstreams may be slower by for their servers'
+// sake, in the calls since the last Take. Each gate stands for one upstream.
+func (l *Ledger) margin() float64 {
+	var lists [2][]kqmargin.Upstream
+	var all kqevidence.Cell
+	for source, r := range l.reports {
+		before := l.timed[source]
+		var now [2]float64
+		for version := range lists {
+			cell := r.cell(version == 1)
+			u := upstream(&cell)
+			if version == 0 {
+				all.Add(&cell)
+			}
+			now[version] = u.Calls
+			u.Lately = u.Calls - before[version]
+			lists[version] = append(lists[version], u)
+		}
+		l.timed[source] = now
+	}
+	return kqmargin.Of(lists[0], lists[1], all.Quantile(low))
+}
+
+// cell returns what the gate counted of one version, over all routes.
+func (r *Report) cell(next bool) kqevidence.Cell {
+	var c kqevidence.Cell
+	for i := range r.Rows {
+		if r.Rows[i].Route != kqevidence.Young {
+			c.Add(r.Rows[i].Of(next))
+		}
+	}
+	return c
+}
+
+func upstream(c *kqevidence.Cell) kqmargin.Upstream {
+	u := kqmargin.Upstream{Low: c.Quantile(low)}
+	u.Calls, u.Sum, u.Squares = c.Logs()
+	return u
+}
--- a/internal/rollout/kqstep/step.go
+++ b/internal/rollout/kqstep/step.go
@@ -35,6 +35,9 @@
 	// for each step: of a version that fails a third of its calls, one in 20,000
 	// gets so far without a failure.
 	orderedCalls = 25
+	// amply is the part of the slots in use above which calls wait for each other
+	// and bursts are turned away.
+	amply = 0.8
 )
 
 type (
@@ -55,6 +58,8 @@
 		// OldSlots and NewSlots are the slots of the upstreams that take new
 		// work; ColdSlots are those of new ones that have only just started.
 		OldSlots, NewSlots, ColdSlots int
+		// Busy is how many slots of both versions are in use; 0 where it is not known.
+		Busy float64
 	}
 
 	// stage is a step of the schedule: its share, and when it is due as a
@@ -168,7 +173,7 @@
 
 func next(now time.Time, s State) Decision {
 	elapsed := float64(now.Sub(s.Plan.Start)) / float64(s.Plan.Window())
-	if !now.Before(s.Plan.Deadline) && (s.Progress.Step < Last || !fits(s, 1, 1)) {
+	if !now.Before(s.Plan.Deadline) && (s.Progress.Step < Last || !fits(s, 1, 1) || !room(s)) {
 		return overdue(s)
 	}
 	to := s.Progress.Step + 1
@@ -177,14 +182,16 @@
 		return Decision{Hold, "the next step is not due"}
 	case s.Progress.Step == Small && elapsed < waits && s.Plan.Duration == 0 && max(s.Finding.Total, -s.Finding.Cleared) > 0:
 		return Decision{Hold, "the small share goes on, since the evidence is not clear: " + Words(s.Finding)}
+	case s.Plan.Duration > 0 && to <= Last && s.Finding.Calls < orderedCalls && elapsed < hurry:
+		return Decision{Hold, fmt.Sprintf("%d calls are too few to go on by", s.Finding.Calls)}
 	case leans(s):
 		return Decision{TakeBack, "the time for it is up and the evidence leans against it: " + Words(s.Finding)}
 	case to > Last && s.Finding.Calls < weightsOf(s.Plan).enough:
 		return Decision{TakeBack, fmt.Sprintf("the time is up and %d calls are too few to judge by", s.Finding.Calls)}
+	case to > Last && !room(s):
+		return Decision{Hold, fmt.Sprintf("%.0f slots in use have no room in %d of the new version", s.Busy, s.NewSlots+s.ColdSlots)}
 	case to > Last && fits(s, 1, elapsed):
 		return Decision{Done, fmt.Sprintf("no evidence against it after %d calls", s.Finding.Calls)}
-	case s.Plan.Duration > 0 && to <= Last && s.Finding.Calls < orderedCalls && elapsed < hurry:
-		return Decision{Hold, fmt.Sprintf("%d calls are too few to go on", s.Finding.Calls)}
 	case !fits(s, stageOf(s.Plan, to).share, elapsed):
 		return Decision{Hold, fmt.Sprintf("%d slots of the new version are too few for a share of %.2f", s.NewSlots+s.ColdSlots, stageOf(s.Plan, to).share)}
 	}
@@ -219,8 +226,21 @@
 	return float64(s.NewSlots)+cold*float64(s.ColdSlots) >= 0.8*share*float64(s.OldSlots)
 }
 
+// carries reports whether the upstreams of the new version, few as they are, can take
+// all traffic.
 func carries(s State) bool {
-	return float64(s.NewSlots+s.ColdSlots) >= weightsOf(s.Plan).carry*float64(s.OldSlots) && s.NewSlots+s.ColdSlots > 0
+	slots := float64(s.NewSlots + s.ColdSlots)
+	return slots > 0 && slots >= weightsOf(s.Plan).carry*float64(s.OldSlots) && room(s)
+}
+
+// room reports whether the calls that are in flight have room in the new version's
+// slots. The old upstreams are stopped once it is done: where the traffic has no room,
+// callers would be turned away from then on, which is worse than a good version that
+// has to be ordered once more. Where the old ones are no more, nothing is won by going
+// back to them.
+func room(s State) bool {
+	slots := s.NewSlots + s.ColdSlots
+	return s.Busy <= amply*float64(slots) || slots >= s.OldSlots
 }
 
 func weightsOf(p kqplan.Plan) weights {
