Bound the bytes of bodies that a node holds at once

Callers that sent large bodies at the same time took the process over its server's memory: 16 of 32 MB took an entry to 927 MB and a gate to 574 MB, where the server gives 184. The kernel ends such a process, with all calls under way.

Room for a body over 64 KB is taken before it is read, by its stated length. A caller's body waits 0.25 s for room and is then refused as not run, with the time to come back; at a gate it waits for half of read_timeout, as a refusal while the calling node sends would leave the call's end unknown. What a refused caller still sends is read and thrown away for a second at most, since it would else meet a reset instead of the answer. One body larger than the bound is taken alone. Bodies of unstated length are not counted yet.

--- a/cmd/kumquatgw/ends_memory_test.go
+++ b/cmd/kumquatgw/ends_memory_test.go
@@ -24,7 +24,7 @@
 // sent on holds all of them, and a process over its server's memory is killed, with
 // all calls under way. Those that there is no room for are told so, as not run.
 func TestLargeBodiesAtOnceKeepWithinMemory(t *testing.T) {
-	m := newMeshWith(t, 200*time.Millisecond, "\n[call]\nmax_body = 64MB")
+	m := newMeshWith(t, 200*time.Millisecond, "\n[call]\nmax_body = 64MB\n[node]\nmemory = 184MB")
 	for _, count := range []int{4, 8, 16} {
 		t.Run(strconv.Itoa(count), func(t *testing.T) {
 			var group sync.WaitGroup
--- /dev/null
+++ b/internal/call/kqbody/bound_test.go
@@ -0,0 +1,68 @@
+package kqbody_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqbody"
+)
+
+const (
+	most    = 64 << 20
+	reading = time.Minute
+)
+
+func header(length int) *fasthttp.RequestHeader {
+	h := &fasthttp.RequestHeader{}
+	h.SetContentLength(length)
+	return h
+}
+
+// Callers send more than a node has room for. What there is no room for is refused
+// before it is read, small calls are not, and once a body has been sent on the next
+// has its room.
+func TestRoomIsBoundedAndGivenBack(t *testing.T) {
+	b := kqbody.New(most)
+	first, second := header(40<<20), header(32<<20)
+	if !b.Take(first, 0, reading) {
+		t.Fatal("the first has no room")
+	}
+	b.Serve(first)
+	if b.Take(second, 10*time.Millisecond, reading) {
+		t.Error("both have room, in a bound of 64 MB")
+	}
+	if !b.Take(header(60<<10), 0, reading) {
+		t.Error("a small call has no room")
+	}
+	time.AfterFunc(20*time.Millisecond, func() { b.Give(first) })
+	if !b.Take(second, 10*time.Second, reading) {
+		t.Error("the second has no room though the first has gone")
+	}
+}
+
+// A server's memory is so small that the bound is below the largest body allowed. It
+// is taken alone, or it would be refused for good.
+func TestBodyOverTheBoundIsTakenAlone(t *testing.T) {
+	b := kqbody.New(1 << 20)
+	if !b.Take(header(32<<20), 0, reading) {
+		t.Error("no room though no other body is held")
+	}
+	if b.Take(header(1<<20), 0, reading) {
+		t.Error("room beside it")
+	}
+}
+
+// A caller goes away while its request is read, and the library does not tell. Its
+// room must not be lost for good.
+func TestRoomOfALostRequestComesBack(t *testing.T) {
+	b := kqbody.New(most)
+	if !b.Take(header(64<<20), 0, time.Millisecond) {
+		t.Fatal("the first has no room")
+	}
+	time.Sleep(5 * time.Millisecond)
+	if !b.Take(header(64<<20), 0, reading) {
+		t.Error("the room of a request that never came is held")
+	}
+}
--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -57,6 +57,8 @@
 	// Moved tells that another upstream has taken over the address, and has not
 	// run the call.
 	Moved Reason = "moved"
+	// NoMemory tells that the node has no room for the call's body now.
+	NoMemory Reason = "no_memory"
 	// Panicked tells that a fault in this program ended the call.
 	Panicked Reason = "panicked"
 )
@@ -131,7 +133,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		NoReason, NoRoute, NoConfig, NoUpstream, QueueFull, Overload, Late, RolledBack, Draining, Shed, ConnectFailed,
-		TooLarge, Malformed, TooSlow, Timeout, Cut, Cancelled, Crossed, Moved, Panicked,
+		TooLarge, Malformed, TooSlow, Timeout, Cut, Cancelled, Crossed, Moved, NoMemory, Panicked,
 	}
 }
 
--- a/internal/run/kqcommand/node.go
+++ b/internal/run/kqcommand/node.go
@@ -34,6 +34,7 @@
 		if err != nil {
 			return fmt.Errorf("read settings: %w", err)
 		}
+		limitMemory(s.Node.Memory)
 		output := kqlog.NewAsync(c.out)
 		defer output.Close()
 		logger, err := kqlog.New(output, s.Log.Level, s.Log.Format)
--- /dev/null
+++ b/internal/run/kqnode/body.go
@@ -0,0 +1,73 @@
+package kqnode
+
+import (
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
+)
+
+const (
+	// defaultBodies is the room for bodies, in bytes, where no memory is stated: four
+	// of the largest.
+	defaultBodies = 256 << 20
+	// bodyShare is the part of the memory that bodies may take: what the library has
+	// read and not collected yet takes as much again, and the rest is the process's.
+	bodyShare = 4
+	// entryRoom is how long a caller's body waits for room: about as long as one takes
+	// to be sent on.
+	entryRoom = 250 * time.Millisecond
+	// roomAfter is what callers are told whose bodies there is no room for.
+	roomAfter = time.Second
+	// discardFor bounds how long a body is read to be thrown away.
+	discardFor = time.Second
+	// noBody is the size of body, in bytes, that is left to those without room.
+	noBody = 1
+)
+
+// bodyMemory is how many bytes of bodies the node may hold at once.
+func bodyMemory(s kqsettings.Settings) int {
+	switch {
+	case s.Call.BodyMemory > 0:
+		return s.Call.BodyMemory
+	case s.Node.Memory > 0:
+		return s.Node.Memory / bodyShare
+	default:
+		return defaultBodies
+	}
+}
+
+// takeRoom takes room for a request's body before it is read, or leaves it none. A
+// gate waits for long: while it does, the node that calls holds the body, and a
+// refusal in the midst of it would leave the call's end unknown.
+func (n *Node) takeRoom(wait time.Duration) func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	return func(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+		if h.ContentLength() > n.settings.Call.MaxBody || n.bodies.Take(h, wait, n.settings.Call.ReadTimeout) {
+			return fasthttp.RequestConfig{}
+		}
+		return fasthttp.RequestConfig{MaxRequestBodySize: noBody}
+	}
+}
+
+// noRoom reports whether a body that was refused as too large is within the bound on
+// one.
+func (n *Node) noRoom(ctx *fasthttp.RequestCtx) bool {
+	length := ctx.Request.Header.ContentLength()
+	return length > noBody && length <= n.settings.Call.MaxBody
+}
+
+// discard reads what a refused caller still sends, for a bounded while. Closed with
+// bytes unread, the connection would be reset, and the caller would not read that
+// its call did not run.
+func discard(ctx *fasthttp.RequestCtx) {
+	c := ctx.Conn()
+	if err := c.SetReadDeadline(time.Now().Add(discardFor)); err != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, c, int64(max(ctx.Request.Header.ContentLength()-headerSize, 0)))
+	if err := c.SetReadDeadline(time.Now().Add(emptyPoll)); err == nil {
+		_, _ = io.CopyN(io.Discard, c, headerSize)
+	}
+}
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/kumquatgw/kumquatgw/internal/call/kqbody"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
@@ -87,21 +88,22 @@
 		bound := kqallowance.Bound{Ratio: c.RepeatRatio, Slack: c.RepeatSlack}
 		entry = append(entry, kqentry.WithBound(bound, n.table.Living))
 	}
+	n.bodies = kqbody.New(bodyMemory(n.settings))
 	n.gate = kqgate.New(n.local, gate...)
 	n.entry = kqentry.New(n.settings.Node.Name, n.replica, n.table, n.gate, entry...)
 	n.servers = callServers{
-		entry: n.server(n.entry.ServeOutside, n.metrics.Ended),
-		local: n.server(n.serveLocal, n.metrics.Ended),
-		gate:  n.server(n.gate.Serve, n.metrics.Gated),
-		ready: n.server(n.serveReady, func(kqcall.Outcome) {}),
+		entry: n.server(n.entry.ServeOutside, n.metrics.Ended, entryRoom),
+		local: n.server(n.serveLocal, n.metrics.Ended, entryRoom),
+		gate:  n.server(n.gate.Serve, n.metrics.Gated, n.settings.Call.ReadTimeout/2),
+		ready: n.server(n.serveReady, func(kqcall.Outcome) {}, 0),
 	}
 }
 
-func (n *Node) server(handler fasthttp.RequestHandler, count func(kqcall.Outcome)) *fasthttp.Server {
+func (n *Node) server(handler fasthttp.RequestHandler, count func(kqcall.Outcome), room time.Duration) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: n.kept(handler, count), Name: "kumquatgw", ReadTimeout: n.settings.Call.ReadTimeout, IdleTimeout: serverIdle,
 		MaxRequestBodySize: n.settings.Call.MaxBody, NoDefaultServerHeader: true, CloseOnShutdown: true,
-		DisablePreParseMultipartForm: true, ReadBufferSize: headerSize, ErrorHandler: refuse(count), Logger: quiet{n.logger.Part("call")},
+		DisablePreParseMultipartForm: true, ReadBufferSize: headerSize, ErrorHandler: n.refuse(count), HeaderReceived: n.takeRoom(room), Logger: quiet{n.logger.Part("call")},
 	}
 }
 
@@ -195,7 +197,7 @@
 
 // refuse answers, and counts, what the library could not read as a call. Such
 // a call never reaches an entry or a gate, which count all others.
-func refuse(count func(kqcall.Outcome)) func(*fasthttp.RequestCtx, error) {
+func (n *Node) refuse(count func(kqcall.Outcome)) func(*fasthttp.RequestCtx, error) {
 	return func(ctx *fasthttp.RequestCtx, err error) {
 		o := kqcall.Refuse(kqcall.Malformed)
 		var small *fasthttp.ErrSmallBuffer
@@ -206,6 +208,12 @@
 		case errors.As(err, &network) && network.Timeout():
 			o.Reason = kqcall.TooSlow
 		}
+		if o.Reason == kqcall.TooLarge && n.noRoom(ctx) {
+			o = kqcall.Refuse(kqcall.NoMemory)
+			o.RetryAfter = roomAfter
+			discard(ctx)
+		}
+		n.bodies.Give(&ctx.Request.Header)
 		count(o)
 		c := &kqcall.Call{Request: &ctx.Request, Response: &ctx.Response}
 		c.Answer(o)
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqadmin"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqbody"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
@@ -107,6 +108,7 @@
 		pending      pending
 		recorder     *kqrecord.Recorder
 		keeper       *kqkeeper.Keeper
+		bodies       *kqbody.Bound
 		storeLost    atomic.Bool
 		notable      kqnotable.Notable
 		processes    processes
--- a/internal/run/kqnode/panic.go
+++ b/internal/run/kqnode/panic.go
@@ -28,6 +28,8 @@
 // here.
 func (n *Node) kept(handler fasthttp.RequestHandler, count func(kqcall.Outcome)) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
+		n.bodies.Serve(&ctx.Request.Header)
+		defer n.bodies.Give(&ctx.Request.Header)
 		if n.keeper.Try("request", func() { handler(ctx) }) {
 			return
 		}
--- a/internal/run/kqsettings/settings.go
+++ b/internal/run/kqsettings/settings.go
@@ -37,6 +37,7 @@
 		ControlAddress kqname.Address `key:"control_address" doc:"Address of control_listen as other nodes reach it; empty takes control_listen."`
 		ReadyListen    kqname.Address `key:"ready_listen" doc:"Where whoever places callers asks whether the node is ready; empty leaves it out."`
 		ReadyPath      string         `key:"ready_path" default:"/ready" doc:"Path that ready_listen answers: 200 while ready, else 503."`
+		Memory         int            `key:"memory" default:"0" min:"0" max:"1024GB" unit:"bytes" doc:"Memory that the process may hold; 0 states none."`
 		KillAfter      time.Duration  `key:"kill_after" default:"0s" min:"0s" max:"1h" doc:"How long after the signal to stop the process is killed; 0s never. It bounds drain_timeout."`
 		DrainTimeout   time.Duration  `key:"drain_timeout" default:"30s" min:"1s" max:"10m" doc:"Longest wait for calls in flight at shutdown."`
 	}
@@ -71,6 +72,7 @@
 	Call struct {
 		ReadTimeout time.Duration `key:"read_timeout" default:"10s" min:"50ms" max:"10m" doc:"Longest time that a call may take to arrive whole."`
 		MaxBody     int           `key:"max_body" default:"4MB" min:"1KB" max:"64MB" unit:"bytes" doc:"Largest request body that is taken."`
+		BodyMemory  int           `key:"body_memory" default:"0" min:"0" max:"16GB" unit:"bytes" doc:"Bytes of request bodies over 64 KB that are held at once, further ones are refused; 0 takes a quarter of [node] memory, or 256MB where it states none."`
 		RepeatRatio float64       `key:"repeat_ratio" default:"0" min:"0" max:"1" doc:"Sendings beyond the first that all nodes together may add to a service's calls, as a part of them; 0 keeps to this program's own budget."`
 		RepeatSlack float64       `key:"repeat_slack" default:"0" min:"0" max:"1000000" doc:"How many may be added beside repeat_ratio in any window of some seconds."`
 		Slots       string        `key:"slots" default:"learnt" one_of:"learnt,exact" doc:"Whether upstreams may run fewer calls at once than they announce, which is then learnt from their latency, or run exactly as many."`
