--- /dev/null
+++ b/cmd/kumquatgw/ends_leave_test.go
@@ -0,0 +1,80 @@
+package main_test
+
+import (
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A node that leaves is told again and again to stop, and of changed settings, while
+// calls are under way: a nervous operator, and a platform that repeats itself. Any of
+// it could end the process early, and the calls would be cut.
+func TestCallsOutliveSignalsDuringTheLeave(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		signals []os.Signal
+	}{
+		{"hangup often", []os.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP}},
+		{"terminate often", []os.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM}},
+		{"interrupt, terminate", []os.Signal{os.Interrupt, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newMesh(t, 600*time.Millisecond)
+			answers := m.calls(t, 6)
+			time.Sleep(100 * time.Millisecond)
+			for _, s := range c.signals {
+				m.front.signal(t, s)
+				time.Sleep(40 * time.Millisecond)
+			}
+			answered(t, answers())
+			<-m.front.ended
+			if m.front.err != nil {
+				t.Errorf("the node ended with %v, want a whole leave", m.front.err)
+			}
+		})
+	}
+}
+
+// The settings file is written anew while the node runs or leaves, and is read in the
+// midst of it: torn, empty, gone, a directory, or not to be read. What the node runs
+// with stays in force.
+func TestCallsOutliveABrokenSettingsFile(t *testing.T) {
+	for name, breakFile := range map[string]func(file string) error{
+		"torn":      func(f string) error { return os.Truncate(f, 25) },
+		"empty":     func(f string) error { return os.Truncate(f, 0) },
+		"deleted":   os.Remove,
+		"binary":    func(f string) error { return os.WriteFile(f, []byte{0, 1, 2, '[', 0xff, '\n', '='}, 0o600) },
+		"directory": func(f string) error { _ = os.Remove(f); return os.Mkdir(f, 0o700) },
+		"huge":      func(f string) error { return os.WriteFile(f, []byte(strings.Repeat("a=", 4<<20)), 0o600) },
+	} {
+		for _, leaving := range []bool{false, true} {
+			state := map[bool]string{false: " while it runs", true: " while it leaves"}[leaving]
+			t.Run(name+state, func(t *testing.T) {
+				t.Parallel()
+				m := newMesh(t, 600*time.Millisecond)
+				answers := m.calls(t, 4)
+				time.Sleep(100 * time.Millisecond)
+				if leaving {
+					m.front.signal(t, syscall.SIGTERM)
+				}
+				if err := breakFile(m.front.file); err != nil {
+					t.Fatal(err)
+				}
+				m.front.signal(t, syscall.SIGHUP)
+				answered(t, answers())
+				if !leaving {
+					m.front.after(t, "Changed settings are not taken over.")
+					answered(t, m.calls(t, 1)())
+					m.front.alive(t)
+					return
+				}
+				<-m.front.ended
+				if m.front.err != nil {
+					t.Errorf("the node ended with %v, want a whole leave", m.front.err)
+				}
+			})
+		}
+	}
+}
