Outlive the reload signal from a node's first moments

A node that was told of changed settings within 6 to 8 ms of its start (12 to 15 on a busy machine with GOMAXPROCS=1) ended by the signal: it took SIGHUP only once all packages were ready and the command line was read. No call is at work then, but the server is ready later, and the process counts as one that ended by itself. Settings are read later, so that the signal tells nothing that would be lost.

--- a/cmd/kumquatgw/main.go
+++ b/cmd/kumquatgw/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/kumquatgw/kumquatgw/internal/run/kqcommand"
+	_ "github.com/kumquatgw/kumquatgw/internal/run/kqearly"
 	"github.com/kumquatgw/kumquatgw/platform/kqplatform"
 )
 
