Show that a node ends when it has no descriptors left

Callers that hold idle connections take all of a node's 64 descriptors: calls under way are finished, but the node leaves and its process ends; callers are refused from then on.

--- a/cmd/kumquatgw/main_test.go
+++ b/cmd/kumquatgw/main_test.go
@@ -27,6 +27,7 @@
 // runs as a process of its own without a build beside the test's.
 func TestMain(m *testing.M) {
 	run := func() {
+		limitFiles()
 		command := kqcommand.New(os.Stdout, os.Stderr,
 			kqcommand.WithAdapter(fragileCalls, joinFragileCalls), kqcommand.WithAdapter(fragileParts, joinFragileParts))
 		os.Exit(command.Run(os.Args[1:]))
