Read whether an upstream is left out under its service's lock

The race detector found a read beside the lock while another call's end was taken in (go test -race ./internal/call/kqentry, once in several runs): the record of a try could tell of the wrong state. Found in passing; it ended nothing. Four runs with the race detector pass.

--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -161,8 +161,8 @@
 		f.sent = ran > 0 || last.Result != kqcall.NotRun
 		sent := now
 		now = e.now()
-		s.done(c, to, last, load, told, now)
-		try.Took, try.Outcome, try.Ejected = now.Sub(sent), last, to.Ejected()
+		try.Ejected = s.done(c, to, last, load, told, now)
+		try.Took, try.Outcome = now.Sub(sent), last
 		if last.Result == kqcall.Answered {
 			try.Status = c.Response.StatusCode()
 		}
--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -106,8 +106,9 @@
 	return p, p.Candidate, chosen(p, c, now)
 }
 
-// done takes in how a try ended.
-func (s *service) done(c *kqcall.Call, to *kqpick.Peer, o kqcall.Outcome, load kqcall.Load, told bool, now time.Time) {
+// done takes in how a try ended, and reports whether the upstream is left out from
+// then on.
+func (s *service) done(c *kqcall.Call, to *kqpick.Peer, o kqcall.Outcome, load kqcall.Load, told bool, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var known *kqcall.Load
@@ -116,6 +117,7 @@
 	}
 	failed := o.Result == kqcall.Answered && c.Response.StatusCode() >= failureStatus
 	s.pool.Done(to, o, failed, known, now)
+	return to.Ejected()
 }
 
 // again reports whether a call may be sent to another upstream, and counts it.
