Wait for descriptors instead of giving a listener up

The library that serves calls gives a listener up when it cannot accept for lack of descriptors. The node then left, and its process ended, because callers had left connections idle: with 64 descriptors, 150 idle connections were enough.

--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -373,7 +373,7 @@
 		if tcp, ok := opened.(*net.TCPListener); ok && l.role != RoleControl && l.role != RoleAdmin && l.role != RoleReady {
 			n.callListeners[l.role] = tcp
 		}
-		*l.to = n.wrap(l.role, opened)
+		*l.to = n.patiently(l.role, n.wrap(l.role, opened))
 	}
 	return nil
 }
