--- a/cmd/kumquatgw/ends_leave_test.go
+++ b/cmd/kumquatgw/ends_leave_test.go
@@ -78,3 +78,20 @@
 		}
 	}
 }
+
+// Calls last longer than the node may take to leave, and are cut at its end. Its last
+// line must say how many: whoever looks into calls that were cut trusts it.
+func TestLastLineTellsOfCallsThatAreCut(t *testing.T) {
+	m := newMeshWith(t, 4*time.Second, "\n[node]\ndrain_timeout = 1s")
+	answers := m.calls(t, 3)
+	time.Sleep(200 * time.Millisecond)
+	m.front.signal(t, syscall.SIGTERM)
+	if line := m.front.after(t, "node: Stopped."); !strings.Contains(line, "calls=3") || !strings.Contains(line, "drain") {
+		t.Errorf("last line %q, want 3 calls and why they are cut", line)
+	}
+	for _, a := range answers() {
+		if strings.HasPrefix(a, "200") {
+			t.Errorf("answer %q of a call that the node's end cut", a)
+		}
+	}
+}
