Show that bodies of unstated length take memory without a bound

16 chunked bodies of 32 MB at once took a node to 1541 MB, of 184 MB that a server gives: room is taken by the stated length, and these state none.

--- a/cmd/kumquatgw/ends_memory_test.go
+++ b/cmd/kumquatgw/ends_memory_test.go
@@ -30,7 +30,7 @@
 			var group sync.WaitGroup
 			answers := make([]string, count)
 			for i := range count {
-				group.Go(func() { answers[i] = m.upload(t, largeBody) })
+				group.Go(func() { answers[i] = m.upload(t, largeBody, largeBody) })
 			}
 			small := m.calls(t, 4)
 			group.Wait()
@@ -48,14 +48,29 @@
 	}
 }
 
-// upload sends a body of zeroes.
-func (m *mesh) upload(t *testing.T, size int64) string {
+// Callers that do not state how long their bodies are can take as much memory as those
+// that do; what they send is bounded by max_body alone.
+func TestBodiesOfUnstatedLengthKeepWithinMemory(t *testing.T) {
+	m := newMeshWith(t, 200*time.Millisecond, "\n[call]\nmax_body = 64MB\n[node]\nmemory = 184MB")
+	var group sync.WaitGroup
+	for range 16 {
+		group.Go(func() { m.upload(t, largeBody, -1) })
+	}
+	group.Wait()
+	m.front.alive(t)
+	if got := max(m.front.peak(t), m.back.peak(t)); got > memoryBound*memoryFactor {
+		t.Errorf("a node has held %d MB, want %d MB at most", got>>20, memoryBound*memoryFactor>>20)
+	}
+}
+
+// upload sends a body of zeroes; the length that it states is -1 for none.
+func (m *mesh) upload(t *testing.T, size, length int64) string {
 	t.Helper()
 	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+m.entry+"/", io.LimitReader(zeroes{}, size))
 	if err != nil {
 		return err.Error()
 	}
-	q.Host, q.ContentLength = "store", size
+	q.Host, q.ContentLength = "store", length
 	q.Header.Set("Expect", "100-continue")
 	a, err := (&http.Client{Transport: &http.Transport{ExpectContinueTimeout: 10 * time.Second}}).Do(q)
 	if err != nil {
