--- a/internal/call/kqacceptor/acceptor.go
+++ b/internal/call/kqacceptor/acceptor.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"syscall"
 	"time"
 )
 
@@ -15,7 +16,8 @@
 	tellEvery = time.Second
 )
 
-// Listener is a listener that fails only once it is closed. One goroutine accepts.
+// Listener is a listener that waits while the process has no descriptors, or the system
+// no memory, for one more connection. One goroutine accepts.
 type Listener struct {
 	net.Listener
 	failed func(error)
@@ -32,7 +34,7 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
-		if err == nil || errors.Is(err, net.ErrClosed) {
+		if err == nil || !passing(err) {
 			return c, err
 		}
 		if time.Since(l.told) >= tellEvery {
@@ -42,3 +44,14 @@
 		time.Sleep(pause)
 	}
 }
+
+// passing reports whether a listener that failed so may accept later. After any other
+// failure it never will, and its node had better leave.
+func passing(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EINTR} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/call/kqacceptor/doc.go
+++ b/internal/call/kqacceptor/doc.go
@@ -1,4 +1,4 @@
-// Package kqacceptor accepts connections for as long as their listener is open.
+// Package kqacceptor accepts connections also after a shortage.
 //
 // Servers of libraries take a failed accept for the end of their listener, and a node
 // one of whose servers ends leaves. A process that is out of file descriptors for a
--- /dev/null
+++ b/internal/run/kqnode/listen.go
@@ -0,0 +1,62 @@
+package kqnode
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqacceptor"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqconnection"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+func (n *Node) listen() error {
+	s := n.settings.Node
+	// Draining needs plain TCP; see kqquiesce.
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	for _, l := range []struct {
+		role Role
+		to   *net.Listener
+		at   kqname.Address
+	}{
+		{RoleControl, &n.listeners.control, s.ControlListen},
+		{RoleGate, &n.listeners.gate, s.GateListen},
+		{RoleEntry, &n.listeners.entry, s.EntryListen},
+		{RoleLocal, &n.listeners.local, s.LocalListen},
+		{RoleReady, &n.listeners.ready, s.ReadyListen},
+		{RoleAdmin, &n.listeners.admin, n.settings.Admin.Listen},
+	} {
+		if l.at == "" {
+			continue
+		}
+		opened, err := config.Listen(context.Background(), "tcp", string(l.at))
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", l.at, err)
+		}
+		bare := opened
+		if tcp, ok := opened.(*net.TCPListener); ok && l.role != RoleControl && l.role != RoleAdmin && l.role != RoleReady {
+			n.callListeners[l.role], n.connections[l.role] = tcp, kqconnection.New(tcp)
+			bare = n.connections[l.role]
+		}
+		*l.to = kqacceptor.New(n.wrap(l.role, bare), func(err error) { n.acceptFailed(l.role, err) })
+	}
+	return nil
+}
+
+// acceptFailed notes that a listener cannot take connections for now.
+func (n *Node) acceptFailed(r Role, err error) {
+	n.note(logrus.Fields{"event": "accept_failed", "listener": r, logrus.ErrorKey: err}, "Cannot take connections for now.")
+}
+
+func (l listeners) close() {
+	for _, one := range []net.Listener{l.control, l.gate, l.entry, l.local, l.ready, l.admin} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
+func address(l net.Listener) kqname.Address { return kqname.Address(l.Addr().String()) }
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -12,7 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqadmin"
-	"github.com/kumquatgw/kumquatgw/internal/call/kqacceptor"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqbody"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqconnection"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
@@ -109,6 +109,7 @@
 		pending      pending
 		recorder     *kqrecord.Recorder
 		keeper       *kqkeeper.Keeper
+		bodies       *kqbody.Bound
 		storeLost    atomic.Bool
 		notable      kqnotable.Notable
 		processes    processes
@@ -358,55 +359,6 @@
 	n.replica.Sweep(now.Add(-n.settings.Config.InterestIdle))
 }
 
-func (n *Node) listen() error {
-	s := n.settings.Node
-	// Draining needs plain TCP; see kqquiesce.
-	var config net.ListenConfig
-	config.SetMultipathTCP(false)
-	for _, l := range []struct {
-		role Role
-		to   *net.Listener
-		at   kqname.Address
-	}{
-		{RoleControl, &n.listeners.control, s.ControlListen},
-		{RoleGate, &n.listeners.gate, s.GateListen},
-		{RoleEntry, &n.listeners.entry, s.EntryListen},
-		{RoleLocal, &n.listeners.local, s.LocalListen},
-		{RoleReady, &n.listeners.ready, s.ReadyListen},
-		{RoleAdmin, &n.listeners.admin, n.settings.Admin.Listen},
-	} {
-		if l.at == "" {
-			continue
-		}
-		opened, err := config.Listen(context.Background(), "tcp", string(l.at))
-		if err != nil {
-			return fmt.Errorf("listen on %s: %w", l.at, err)
-		}
-		var patient net.Listener = kqacceptor.New(opened, func(err error) { n.acceptFailed(l.role, err) })
-		if tcp, ok := opened.(*net.TCPListener); ok && l.role != RoleControl && l.role != RoleAdmin && l.role != RoleReady {
-			n.callListeners[l.role], n.connections[l.role] = tcp, kqconnection.New(patient)
-			patient = n.connections[l.role]
-		}
-		*l.to = n.wrap(l.role, patient)
-	}
-	return nil
-}
-
-// acceptFailed notes that a listener cannot take connections for now.
-func (n *Node) acceptFailed(r Role, err error) {
-	n.note(logrus.Fields{"event": "accept_failed", "listener": r, logrus.ErrorKey: err}, "Cannot take connections for now.")
-}
-
-func (l listeners) close() {
-	for _, one := range []net.Listener{l.control, l.gate, l.entry, l.local, l.ready, l.admin} {
-		if one != nil {
-			_ = one.Close()
-		}
-	}
-}
-
-func address(l net.Listener) kqname.Address { return kqname.Address(l.Addr().String()) }
-
 func advertised(set kqname.Address, l net.Listener) kqname.Address {
 	if set != "" {
 		return set
