Hold the soak's reload signals until a process is old enough to take them

Signals that the plan aims at a start wait for 150 ms, as before that the program may not have begun; one that met the start by chance did not.

--- a/internal/lab/kqchild/child.go
+++ b/internal/lab/kqchild/child.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/sourcegraph/conc"
 )
@@ -21,6 +22,7 @@
 	status  error
 	told    atomic.Bool
 	group   conc.WaitGroup
+	began   time.Time
 }
 
 // lines hands on whole lines, and keeps all in a file.
@@ -34,7 +36,7 @@
 // Start runs a program; its standard output and error go to keep, and each line of
 // its standard output to each.
 func Start(program string, arguments []string, keep io.Writer, each func(string)) (*Child, error) {
-	c := &Child{command: exec.Command(program, arguments...), ended: make(chan struct{})}
+	c := &Child{command: exec.Command(program, arguments...), ended: make(chan struct{}), began: time.Now()}
 	shared := &lines{keep: keep, each: each}
 	c.command.Stdout, c.command.Stderr = shared, keep
 	// In a group of its own, so that a terminal's interrupt reaches the parent alone,
@@ -70,6 +72,9 @@
 // Ended is closed once the process has ended.
 func (c *Child) Ended() <-chan struct{} { return c.ended }
 
+// Age returns how long ago the process was started.
+func (c *Child) Age() time.Duration { return time.Since(c.began) }
+
 // Over reports whether the process has ended.
 func (c *Child) Over() bool {
 	select {
--- a/internal/lab/kqsoak/plan.go
+++ b/internal/lab/kqsoak/plan.go
@@ -45,9 +45,9 @@
 	// leaveLooks is the span after SIGTERM in which reloads are aimed at a leave,
 	// which takes 2 to 4 s.
 	leaveLooks = 4 * time.Second
-	// started is the least age of a starting process that is sent a signal: before,
+	// Youngest is the least age of a starting process that is sent a signal: before,
 	// its program may not have begun, and the signal's default is not its doing.
-	started = 150 * time.Millisecond
+	Youngest = 150 * time.Millisecond
 	// startLooks is the span in which reloads are aimed at a starting node.
 	startLooks = 900 * time.Millisecond
 )
@@ -143,7 +143,7 @@
 		}
 		f := Fault{At: at + d.between(0, within), Kind: Leave, Target: target, For: d.between(0, 1500*time.Millisecond)}
 		for range d.random.IntN(3) {
-			f.AfterStart = append(f.AfterStart, started+d.between(0, startLooks))
+			f.AfterStart = append(f.AfterStart, Youngest+d.between(0, startLooks))
 		}
 		d.busy[target] = f.At + f.For + leaveTakes
 		d.add(f)
--- a/internal/lab/kqsoakrun/process.go
+++ b/internal/lab/kqsoakrun/process.go
@@ -182,8 +182,9 @@
 	return n.child
 }
 
-// reload tells a process of the node that its settings changed.
+// reload tells a process of the node that its settings changed, once it is old enough.
 func (n *node) reload(c *kqchild.Child) {
+	time.Sleep(kqsoak.Youngest - c.Age())
 	if c.Over() {
 		return
 	}
