Let one fault at a time end and start a process of the soak

On a machine so slow that a leave lasts longer than the plan thinks, the next fault would have started a second process at the same addresses.

--- a/internal/lab/kqsoakrun/disasters.go
+++ b/internal/lab/kqsoakrun/disasters.go
@@ -66,6 +66,12 @@
 
 // kill ends a process at once, and starts it again.
 func (s *Soak) kill(ctx context.Context, n *node, f kqsoak.Fault) error {
+	life := &n.life
+	if f.Kind == kqsoak.KillUpstream {
+		life = &n.upstream.life
+	}
+	life.Lock()
+	defer life.Unlock()
 	ended := s.judge.Touch(n.number, s.now())
 	if f.Kind == kqsoak.KillUpstream {
 		s.children.kill(n.upstream.process())
--- a/internal/lab/kqsoakrun/faults.go
+++ b/internal/lab/kqsoakrun/faults.go
@@ -78,7 +78,10 @@
 
 // leave stops a node and starts it again.
 func (s *Soak) leave(ctx context.Context, n *node, f kqsoak.Fault) error {
+	n.life.Lock()
+	defer n.life.Unlock()
 	c := n.process()
+	time.Sleep(kqsoak.Youngest - c.Age())
 	if err := c.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
@@ -96,6 +99,8 @@
 
 // drain stops an upstream, and starts another in its place.
 func (s *Soak) drain(ctx context.Context, n *node, f kqsoak.Fault) error {
+	n.upstream.life.Lock()
+	defer n.upstream.life.Unlock()
 	c := n.upstream.process()
 	if err := c.Signal(syscall.SIGTERM); err != nil {
 		return err
--- a/internal/lab/kqsoakrun/process.go
+++ b/internal/lab/kqsoakrun/process.go
@@ -37,6 +37,9 @@
 		soak   *Soak
 		number int
 		name   string
+		// life is held by whoever ends the process and starts the next, on a machine so
+		// slow that faults last longer than the plan thinks.
+		life sync.Mutex
 
 		mu        sync.Mutex
 		child     *kqchild.Child
@@ -49,6 +52,7 @@
 	}
 
 	upstream struct {
+		life   sync.Mutex
 		mu     sync.Mutex
 		child  *kqchild.Child
 		starts int
