--- a/internal/lab/kqsoakrun/process.go
+++ b/internal/lab/kqsoakrun/process.go
@@ -37,6 +37,9 @@
 		soak   *Soak
 		number int
 		name   string
+		// life is held by whoever ends the process and starts the next, on a machine so
+		// slow that faults last longer than the plan thinks.
+		life sync.Mutex
 
 		mu        sync.Mutex
 		child     *kqchild.Child
@@ -49,6 +52,7 @@
 	}
 
 	upstream struct {
+		life   sync.Mutex
 		mu     sync.Mutex
 		child  *kqchild.Child
 		starts int
@@ -182,8 +186,9 @@
 	return n.child
 }
 
-// reload tells a process of the node that its settings changed.
+// reload tells a process of the node that its settings changed, once it is old enough.
 func (n *node) reload(c *kqchild.Child) {
+	time.Sleep(kqsoak.Youngest - c.Age())
 	if c.Over() {
 		return
 	}
