Keep the connection of a call that lies unread when silent ones are closed

What callers saw: a call on a new connection ended without an answer at a node that was being stopped, if the node had not yet come to read it.

Cause: a connection counted as silent until the node had read from it. Now each is looked at before it is closed; one on which bytes wait goes on, and the shutdown waits for its call. Ruled out: connections that are silent in truth are closed as before (TestOnlySilentConnectionsAreClosed).

--- a/internal/call/kqconnection/listener.go
+++ b/internal/call/kqconnection/listener.go
@@ -50,14 +50,18 @@
 }
 
 // CloseSilent closes the connections on which nothing has come yet. The library holds
-// them to be at work, and waits for them at a shutdown.
+// them to be at work, and waits for them at a shutdown. A call that has come and lies
+// unread keeps its connection.
 func (l *Listener) CloseSilent() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.silent {
+		if _, readable := kqhangup.NewProbe(c.TCPConn).Look(); readable {
+			continue
+		}
 		_ = c.TCPConn.Close()
+		delete(l.silent, c)
 	}
-	clear(l.silent)
 }
 
 func (l *Listener) forget(c *connection) {
