End a closed reader's request to the platform

What was seen: a node with kill_after = 6s ended 6.35 s after it was told to stop, where its platform was frozen and calls outlasted its leave.

Cause: a reader's step asks the platform under the reader's lock, with the time of the whole node in place of the leave's; giving back the slot waited for that lock, up to the platform's timeout of 2 s. Ruled out: the calls (5.32 s where the platform answers), the shares of rollouts, whose lock no request holds.

Change: closing a reader first ends the request that is under way; it takes no slot again.

--- a/internal/config/kqreader/reader.go
+++ b/internal/config/kqreader/reader.go
@@ -54,6 +54,9 @@
 		reads  func(ctx context.Context, on bool)
 		failed func(error)
 		spread time.Duration
+		// halt ends Run and its requests to the platform, which hold mu.
+		halt   func()
+		halted chan struct{}
 
 		mu     sync.Mutex
 		closed bool
@@ -74,7 +77,9 @@
 func New(store Store, table *kqmember.Table, watcher Watcher, spread time.Duration,
 	contact func(context.Context, kqname.Address), reads func(context.Context, bool), failed func(error),
 ) *Reader {
+	halted := make(chan struct{})
 	return &Reader{
+		halt: sync.OnceFunc(func() { close(halted) }), halted: halted,
 		store: store, table: table, watcher: watcher, spread: spread, contact: contact, reads: reads, failed: failed,
 		lonely: make(map[string]int), stop: func() {},
 	}
@@ -84,9 +89,18 @@
 // address of the reader.
 func SlotKey(d kqname.Domain, slot int) string { return fmt.Sprintf("%s%s/%d", slotPrefix, d, slot) }
 
-// Run takes part until ctx ends.
+// Run takes part until ctx ends or the reader is closed.
 func (r *Reader) Run(ctx context.Context) {
 	defer r.group.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.group.Go(func() {
+		select {
+		case <-r.halted:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
 	kqpause.For(ctx, rand.N(r.spread+1))
 	for ctx.Err() == nil {
 		kqkeeper.From(ctx).Try("reader", func() { r.step(ctx) })
@@ -96,8 +110,10 @@
 }
 
 // Close frees the slot, so that the next reader need not wait for its lease to
-// lapse, and takes none again.
+// lapse, and takes none again. A request that is under way is ended: the platform may
+// take longer for it than the node has.
 func (r *Reader) Close(ctx context.Context) {
+	r.halt()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.closed = true
