Count a leave's connections by what was accepted and is not closed

What on-call saw: lines of a leave with callers=0 beside calls=1, and callers=-1.

Cause: the library takes one off its count for the listener, also once that is closed, which the leave does first. The same count told the node when the answers to cancelled calls had gone, so that the last one was not waited for. Now listeners of calls count their connections themselves. Ruled out: the count of calls, which was right throughout.

It costs two atomic additions a connection, none a call.

--- a/internal/call/kqconnection/listener.go
+++ b/internal/call/kqconnection/listener.go
@@ -14,6 +14,7 @@
 	// concurrent use.
 	Listener struct {
 		net.Listener
+		open   atomic.Int64
 		mu     sync.Mutex
 		silent map[*connection]struct{}
 	}
@@ -23,6 +24,7 @@
 		*net.TCPConn
 		listener *Listener
 		spoke    atomic.Bool
+		closed   atomic.Bool
 		pace     pace
 		// rest is what has been read of the requests after the one under way.
 		rest []byte
@@ -43,12 +45,17 @@
 		return raw, err
 	}
 	c := &connection{TCPConn: tcp, listener: l}
+	l.open.Add(1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.silent[c] = struct{}{}
 	return c, nil
 }
 
+// Open returns how many connections are open. The library's own count is one too low
+// once its listener is closed.
+func (l *Listener) Open() int { return int(l.open.Load()) }
+
 // CloseSilent closes the connections on which nothing has come yet. The library holds
 // them to be at work, and waits for them at a shutdown. A call that has come and lies
 // unread keeps its connection.
@@ -103,6 +110,9 @@
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	c.listener.forget(c)
+	if !c.closed.Swap(true) {
+		c.listener.open.Add(-1)
+	}
 	return c.TCPConn.Close()
 }
 
--- a/internal/run/kqnode/drain.go
+++ b/internal/run/kqnode/drain.go
@@ -50,7 +50,7 @@
 	n.quiesce(ctx, RoleEntry, RoleLocal)
 	err := n.finish(ctx, n.entry.Calls, map[Role]*fasthttp.Server{RoleEntry: n.servers.entry, RoleLocal: n.servers.local})
 	n.entry.Close()
-	emptied(ctx, kqsend.IdleFor+sweepEvery, n.servers.gate)
+	n.emptied(ctx, kqsend.IdleFor+sweepEvery, RoleGate)
 	n.quiesce(ctx, RoleGate)
 	return errors.Join(err, n.finish(ctx, n.hangup.Count, map[Role]*fasthttp.Server{RoleGate: n.servers.gate}))
 }
@@ -67,8 +67,8 @@
 	n.hangup.Cancel()
 	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
 	defer cancel()
-	for _, s := range servers {
-		emptied(ctx, lastAnswers, s)
+	for role := range servers {
+		n.emptied(ctx, lastAnswers, role)
 	}
 	return err
 }
@@ -103,7 +103,7 @@
 	began := time.Now()
 	if n.adapter.Dialect == nil {
 		// Our own callers learn of it from the answers alone.
-		emptied(ctx, ownGrace, n.servers.entry)
+		n.emptied(ctx, ownGrace, RoleEntry)
 		return
 	}
 	end, _ := ctx.Deadline()
@@ -116,13 +116,21 @@
 	}
 }
 
-// emptied returns once a server has no connections, or after at most a while.
-func emptied(ctx context.Context, most time.Duration, server *fasthttp.Server) {
+// open returns how many connections of a role are open.
+func (n *Node) open(r Role) int {
+	if l, ok := n.connections[r]; ok {
+		return l.Open()
+	}
+	return 0
+}
+
+// emptied returns once a role has no connections, or after at most a while.
+func (n *Node) emptied(ctx context.Context, most time.Duration, r Role) {
 	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	ticker := time.NewTicker(emptyPoll)
 	defer ticker.Stop()
-	for server.GetOpenConnectionsCount() > 0 {
+	for n.open(r) > 0 {
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/run/kqnode/notable.go
+++ b/internal/run/kqnode/notable.go
@@ -39,7 +39,7 @@
 func (n *Node) note(fields logrus.Fields, text string) {
 	now := time.Now()
 	n.notable.Add(text, now)
-	fields["calls"], fields["callers"] = n.hangup.Count(), n.servers.entry.GetOpenConnectionsCount()
+	fields["calls"], fields["callers"] = n.hangup.Count(), n.open(RoleEntry)
 	fields["up_ms"] = now.Sub(n.started).Milliseconds()
 	n.log.WithFields(fields).Info(text)
 }
