Show that a caller that still sends at the end of a leave has no answer

What callers saw: the end of their connection without an answer, when their node's leave ran out of time while they still sent the call's body. It did not run. Suspected: calls are cancelled and told so only once they have been read whole; those that are being read end with the process.

Not mended here: reading would have to be ended by a deadline on each open connection, for which the library answers by itself.

--- /dev/null
+++ b/cmd/kumquatgw/conns_upload_test.go
@@ -0,0 +1,41 @@
+package main_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A caller still sent its call's body, slowly, when its node was told to stop. The leave
+// ended before the body did, and the caller's connection with it, without an answer: no
+// call was under way yet by the node's count, so that none was cancelled and told so. Its
+// caller is due a whole answer, which may say that the call did not run.
+func TestCallerThatStillSendsAtTheEndIsAnswered(t *testing.T) {
+	f := newFleet(t, "drain_timeout = 1s\n", "")
+	conn, err := net.Dial("tcp", f.entry)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	fmt.Fprintf(conn, "POST /?ms=5 HTTP/1.1\r\nHost: store\r\n%s: slow\r\nContent-Length: 40\r\n\r\n", workHeader)
+	go func() {
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			if _, err := io.WriteString(conn, "b"); err != nil {
+				return
+			}
+		}
+	}()
+	time.Sleep(200 * time.Millisecond)
+	f.front.signal(t, syscall.SIGTERM)
+	a, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v; the call ran %d times", err, f.upstream.ran("slow"))
+	}
+	_ = a.Body.Close()
+}
