--- a/internal/config/kqfetch/ask.go
+++ b/internal/config/kqfetch/ask.go
@@ -37,8 +37,9 @@
 			to, lacking := peers[asked], wanted
 			group.Go(func() {
 				r := reply{objects: make(kqresource.Objects)}
+				// Also where it panics: each peer that is asked is waited for.
+				defer func() { replies <- r }()
 				r.busy = f.ask(ctx, to, lacking, r.objects)
-				replies <- r
 			})
 			asked++
 			open++
--- a/internal/run/kqnode/leave.go
+++ b/internal/run/kqnode/leave.go
@@ -21,7 +21,8 @@
 	defer cancel()
 	// What panics on the way must not keep the calls from being finished.
 	n.keeper.Try("leave", func() { n.farewell(ctx) })
-	err := n.leaveCalls(ctx)
+	var err error
+	n.keeper.Try("leave", func() { err = n.leaveCalls(ctx) })
 	n.step("no calls are taken")
 	n.keeper.Try("leave", n.goodbye)
 	n.keeper.Try("leave", func() { n.distribution.reader.Close(ctx) })
