Let the test of a reload signal tell of the calls, not of the signal

What was seen in the review: with the mend taken out, the test failed on sending its next signal to the process that had ended, and hid the answers that were cut, which is what it is about. A signal that cannot be sent is an error now and no end; what is asked stays.

--- a/cmd/kumquatgw/process_test.go
+++ b/cmd/kumquatgw/process_test.go
@@ -66,6 +66,6 @@
 func (p *process) signal(t *testing.T, s os.Signal) {
 	t.Helper()
 	if err := p.command.Process.Signal(s); err != nil {
-		t.Fatalf("send %v: %v", s, err)
+		t.Errorf("send %v: %v", s, err)
 	}
 }
--- a/cmd/kumquatgw/signal_test.go
+++ b/cmd/kumquatgw/signal_test.go
@@ -15,7 +15,7 @@
 // told of that as well. It had stopped listening for the reload signal when it was told
 // to stop, and by default that signal ends a process: the connections ended in the very
 // millisecond of the signal, at a leaving node only, and the process was back sooner
-// than a leave takes. Without the mend this test ends with "signal: hangup".
+// than a leave takes. With the default in force the node ends with "signal: hangup" here.
 func TestReloadSignalDoesNotEndALeavingNode(t *testing.T) {
 	platform := after(t, start(t, "platform", "--listen", "127.0.0.1:0"), "listens on ")
 	c := command(t, "node", "--settings", settings(t, "front", platform, "", ""))
