Take sizes with a fraction in settings

Sizes with a suffix may have a fraction; out of bounds, without a suffix or misspelt they are refused as before.

--- a/internal/run/kqsettings/field.go
+++ b/internal/run/kqsettings/field.go
@@ -157,7 +157,11 @@
 			}
 		}
 	}
-	n, err := strconv.ParseInt(strings.TrimSpace(text), 10, 64)
+	text = strings.TrimSpace(text)
+	if part, err := strconv.ParseFloat(text, 64); err == nil && factor > 1 && strings.Contains(text, ".") && math.Abs(part) < 1<<30 {
+		return int64(part * float64(factor)), nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
 	if err != nil {
 		return 0, fmt.Errorf("%q is not a whole number%s", text, map[bool]string{true: ", such as 64KB"}[f.tag.Get("unit") == "bytes"])
 	}
