Take room for bodies of unstated length as they come

Sixteen callers that sent 32 MB each without stating a length had a node hold 1,541 MB, where its server ends it at 184: room for a body was taken from its stated length alone. Now the connection that brings such a body takes more room as more of it comes, and where there is none its caller is told that the call did not run. Ruled out: one fixed share for each such body, which would let a dozen small ones wait for each other.

A new test asks for the answers: alone 200, among seven others 200 or not run. It failed on the first form (reset while the caller still sent: the request had been cleared, and with it the mark of the unstated length).

--- a/cmd/kumquatgw/ends_memory_test.go
+++ b/cmd/kumquatgw/ends_memory_test.go
@@ -63,6 +63,30 @@
 	}
 }
 
+// A caller that does not state how long its body is must be served like any other while
+// there is room, and be told that its call did not run where there is none: cut off
+// without an answer it could not know whether it ran.
+func TestBodiesOfUnstatedLengthAreAnswered(t *testing.T) {
+	m := newMeshWith(t, 200*time.Millisecond, "\n[call]\nmax_body = 64MB\n[node]\nmemory = 184MB")
+	if a := m.upload(t, largeBody, -1); !strings.HasPrefix(a, "200 ") {
+		t.Errorf("alone: answer %q, want the upstream's", a)
+	}
+	var group sync.WaitGroup
+	answers := make([]string, 8)
+	for i := range answers {
+		group.Go(func() { answers[i] = m.upload(t, largeBody, -1) })
+	}
+	group.Wait()
+	for _, a := range answers {
+		if !strings.HasPrefix(a, "200 ") && !strings.HasPrefix(a, "503 not_run") {
+			t.Errorf("among others: answer %q, want the upstream's, or not run", a)
+		}
+	}
+	if a := m.upload(t, largeBody, -1); !strings.HasPrefix(a, "200 ") {
+		t.Errorf("afterwards: answer %q, want the upstream's", a)
+	}
+}
+
 // upload sends a body of zeroes; the length that it states is -1 for none.
 func (m *mesh) upload(t *testing.T, size, length int64) string {
 	t.Helper()
--- a/internal/call/kqbody/bound_test.go
+++ b/internal/call/kqbody/bound_test.go
@@ -66,3 +66,22 @@
 		t.Error("the room of a request that never came is held")
 	}
 }
+
+// Two callers send bodies without stating how long they are. As they come they must not
+// together outgrow the bound, and what the first has must come free at its end.
+func TestBodiesOfUnstatedLengthShareTheBound(t *testing.T) {
+	b := kqbody.New(8 << 20)
+	if !b.Grow("first", 3<<20, 0) {
+		t.Fatal("the first has no room")
+	}
+	if b.Grow("second", 3<<20, 0) {
+		t.Error("the second has room beside the first")
+	}
+	if !b.Grow("first", 30<<20, 0) {
+		t.Error("a body that is alone has no room")
+	}
+	b.Release("first")
+	if !b.Grow("second", 3<<20, 0) {
+		t.Error("the second has no room though the first has gone")
+	}
+}
--- a/internal/call/kqconnection/listener.go
+++ b/internal/call/kqconnection/listener.go
@@ -1,22 +1,41 @@
 package kqconnection
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
 )
 
+// ErrNoRoom tells that there is no room for a body of unstated length.
+var ErrNoRoom = errors.New("no room for the body")
+
 type (
+	// Room is shared by the bodies of unstated length; a connection takes more as more
+	// of its body comes.
+	Room interface {
+		Grow(connection any, size int, wait time.Duration) bool
+		Release(connection any)
+	}
+
+	// Option sets up a Listener.
+	Option func(*Listener)
+
 	// Listener accepts connections that are read one request at a time. It is safe for
 	// concurrent use.
 	Listener struct {
 		net.Listener
-		open   atomic.Int64
-		mu     sync.Mutex
-		silent map[*connection]struct{}
+		room     Room
+		patience time.Duration
+
+		mu sync.Mutex
+		// held are the open connections, and silent those of them on which nothing has
+		// come yet.
+		held, silent map[*connection]struct{}
 	}
 
 	// connection is read by one goroutine at a time.
@@ -24,17 +43,30 @@
 		*net.TCPConn
 		listener *Listener
 		spoke    atomic.Bool
-		closed   atomic.Bool
 		pace     pace
+		// unstated is how many bytes have come of a body whose length its head does not
+		// state; refused tells that there was no room for more of it.
+		unstated int
+		refused  bool
 		// rest is what has been read of the requests after the one under way.
 		rest []byte
 	}
 )
 
+// WithRoom has bodies of unstated length take room while they come, and wait for it
+// that long; reading then fails with ErrNoRoom.
+func WithRoom(r Room, wait time.Duration) Option {
+	return func(l *Listener) { l.room, l.patience = r, wait }
+}
+
 // New returns a listener over l, whose connections are TCP's; others are passed as
 // they are.
-func New(l net.Listener) *Listener {
-	return &Listener{Listener: l, silent: make(map[*connection]struct{})}
+func New(l net.Listener, options ...Option) *Listener {
+	n := &Listener{Listener: l, held: make(map[*connection]struct{}), silent: make(map[*connection]struct{})}
+	for _, o := range options {
+		o(n)
+	}
+	return n
 }
 
 // Accept implements net.Listener. The error is bare, as servers compare it.
@@ -45,16 +77,27 @@
 		return raw, err
 	}
 	c := &connection{TCPConn: tcp, listener: l}
-	l.open.Add(1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.silent[c] = struct{}{}
+	l.held[c], l.silent[c] = struct{}{}, struct{}{}
 	return c, nil
 }
 
 // Open returns how many connections are open. The library's own count is one too low
 // once its listener is closed.
-func (l *Listener) Open() int { return int(l.open.Load()) }
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.held)
+}
+
+// Served notes that the request on a connection has been answered: what comes next is
+// another one.
+func Served(raw net.Conn) {
+	if c, ok := raw.(*connection); ok {
+		c.served()
+	}
+}
 
 // CloseSilent closes the connections on which nothing has come yet. The library holds
 // them to be at work, and waits for them at a shutdown. A call that has come and lies
@@ -80,6 +123,16 @@
 	delete(l.silent, c)
 }
 
+// release takes a connection out that is closed, with its room.
+func (l *Listener) release(c *connection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.held, c)
+	if l.room != nil {
+		l.room.Release(c)
+	}
+}
+
 // Read implements net.Conn: it stops where a request ends.
 func (c *connection) Read(b []byte) (int, error) {
 	if len(c.rest) > 0 {
@@ -99,9 +152,30 @@
 	if kept < n {
 		c.rest = append(c.rest, b[kept:n]...)
 	}
+	if c.pace.unstated && !c.grow(kept) {
+		return 0, ErrNoRoom
+	}
 	return kept, err
 }
 
+// grow takes room for more of a body of unstated length. What comes after a refusal is
+// only read to be thrown away.
+func (c *connection) grow(n int) bool {
+	if c.listener.room == nil || c.refused {
+		return true
+	}
+	c.unstated += n
+	c.refused = !c.listener.room.Grow(c, c.unstated, c.listener.patience)
+	return !c.refused
+}
+
+func (c *connection) served() {
+	if c.pace.unstated && c.listener.room != nil {
+		c.listener.room.Release(c)
+	}
+	c.unstated, c.refused, c.pace.unstated = 0, false, false
+}
+
 // WriteTo implements io.WriterTo in place of TCP's own, which knows of no rest.
 func (c *connection) WriteTo(w io.Writer) (int64, error) {
 	return io.Copy(w, struct{ io.Reader }{c})
@@ -110,9 +184,7 @@
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	c.listener.forget(c)
-	if !c.closed.Swap(true) {
-		c.listener.open.Add(-1)
-	}
+	c.listener.release(c)
 	return c.TCPConn.Close()
 }
 
--- a/internal/call/kqconnection/pace.go
+++ b/internal/call/kqconnection/pace.go
@@ -8,6 +8,8 @@
 var (
 	// lengthName is the header that states a body's length.
 	lengthName = []byte("content-length")
+	// encodingName is the header that says, in chunked's place, that it is unstated.
+	encodingName = []byte("transfer-encoding")
 	// headEnd is the empty line after a head.
 	headEnd = []byte("\r\n\r\n")
 )
@@ -20,6 +22,9 @@
 	// empty line that ends a head has come.
 	body    int
 	matched int
+	// unstated tells that a body follows whose length its head does not state. Where it
+	// ends is not known here: whoever serves the request tells.
+	unstated bool
 }
 
 // cut returns how many of the bytes, at least one, belong to the request under way.
@@ -33,8 +38,13 @@
 	if end < 0 {
 		return len(data)
 	}
-	n := min(length(data[:end]), len(data)-end)
-	p.body = length(data[:end]) - n
+	if p.unstated {
+		return len(data)
+	}
+	head := data[:end]
+	p.unstated = has(head, encodingName)
+	n := min(length(head), len(data)-end)
+	p.body = length(head) - n
 	return end + n
 }
 
@@ -65,7 +75,25 @@
 
 // length returns the body's length that a head states, 0 where it states none.
 func length(head []byte) int {
-	colon := len(lengthName)
+	value, ok := field(head, lengthName)
+	if !ok {
+		return 0
+	}
+	n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 31)
+	if err != nil {
+		return 0
+	}
+	return int(n)
+}
+
+func has(head, name []byte) bool {
+	_, ok := field(head, name)
+	return ok
+}
+
+// field returns the value of a head's first line of that name, which is in lower case.
+func field(head, name []byte) ([]byte, bool) {
+	colon := len(name)
 	for len(head) > 0 {
 		end := bytes.IndexByte(head, '\n') + 1
 		if end == 0 {
@@ -73,14 +101,9 @@
 		}
 		line := head[:end]
 		head = head[end:]
-		if len(line) <= colon || line[colon] != ':' || !bytes.EqualFold(line[:colon], lengthName) {
-			continue
-		}
-		n, err := strconv.ParseUint(string(bytes.TrimSpace(line[colon+1:])), 10, 31)
-		if err != nil {
-			return 0
+		if len(line) > colon && line[colon] == ':' && bytes.EqualFold(line[:colon], name) {
+			return line[colon+1:], true
 		}
-		return int(n)
 	}
-	return 0
+	return nil, false
 }
--- a/internal/run/kqnode/body.go
+++ b/internal/run/kqnode/body.go
@@ -2,10 +2,12 @@
 
 import (
 	"io"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
 )
 
@@ -23,6 +25,8 @@
 	roomAfter = time.Second
 	// discardFor bounds how long a body is read to be thrown away.
 	discardFor = time.Second
+	// quietFor is the pause that tells that no more of a body of unstated length comes.
+	quietFor = 50 * time.Millisecond
 	// noBody is the size of body, in bytes, that is left to those without room.
 	noBody = 1
 )
@@ -51,6 +55,13 @@
 	}
 }
 
+// noMemory is the outcome of a call whose body there is no room for.
+func noMemory() kqcall.Outcome {
+	o := kqcall.Refuse(kqcall.NoMemory)
+	o.RetryAfter = roomAfter
+	return o
+}
+
 // noRoom reports whether a body that was refused as too large is within the bound on
 // one.
 func (n *Node) noRoom(ctx *fasthttp.RequestCtx) bool {
@@ -58,9 +69,9 @@
 	return length > noBody && length <= n.settings.Call.MaxBody
 }
 
-// discard reads what a refused caller still sends, for a bounded while. Closed with
-// bytes unread, the connection would be reset, and the caller would not read that
-// its call did not run.
+// discard reads what a refused caller still sends of a body of a stated length, for a
+// bounded while. Closed with bytes unread, the connection would be reset, and the caller
+// would not read that its call did not run.
 func discard(ctx *fasthttp.RequestCtx) {
 	c := ctx.Conn()
 	if err := c.SetReadDeadline(time.Now().Add(discardFor)); err != nil {
@@ -71,3 +82,19 @@
 		_, _ = io.CopyN(io.Discard, c, headerSize)
 	}
 }
+
+// discardUnstated does so for a body of unstated length, whose end is not known: nothing
+// more of it has come for a moment.
+func discardUnstated(c net.Conn) {
+	room := make([]byte, headerSize)
+	for end := time.Now().Add(discardFor); ; {
+		now := time.Now()
+		pause := now.Add(quietFor)
+		if !now.Before(end) || c.SetReadDeadline(pause) != nil {
+			return
+		}
+		if _, err := c.Read(room); err != nil {
+			return
+		}
+	}
+}
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -9,8 +9,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
-	"github.com/kumquatgw/kumquatgw/internal/call/kqbody"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqconnection"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
@@ -72,7 +72,6 @@
 		bound := kqallowance.Bound{Ratio: c.RepeatRatio, Slack: c.RepeatSlack}
 		entry = append(entry, kqentry.WithBound(bound, n.table.Living))
 	}
-	n.bodies = kqbody.New(bodyMemory(n.settings))
 	n.gate = kqgate.New(n.local, gate...)
 	n.entry = kqentry.New(n.settings.Node.Name, n.replica, n.table, n.gate, entry...)
 	n.servers = callServers{
@@ -133,9 +132,12 @@
 		case errors.As(err, &network) && network.Timeout():
 			o.Reason = kqcall.TooSlow
 		}
-		if o.Reason == kqcall.TooLarge && n.noRoom(ctx) {
-			o = kqcall.Refuse(kqcall.NoMemory)
-			o.RetryAfter = roomAfter
+		switch {
+		case errors.Is(err, kqconnection.ErrNoRoom):
+			o = noMemory()
+			discardUnstated(ctx.Conn())
+		case o.Reason == kqcall.TooLarge && n.noRoom(ctx):
+			o = noMemory()
 			discard(ctx)
 		}
 		n.bodies.Give(&ctx.Request.Header)
