Answer callers that still send when a leave runs out of time

A caller that still sent its call's body at the end of the time for a leave lost its connection without an answer: no call was under way yet, so that none was cancelled and told so. Now reading ends on all connections at that moment, and a request that has been begun is answered as not run (draining).

--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -129,6 +129,8 @@
 		switch {
 		case errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &small):
 			o.Reason = kqcall.TooLarge
+		case errors.As(err, &network) && network.Timeout() && n.leaving.Load():
+			o = kqcall.Refuse(kqcall.Draining)
 		case errors.As(err, &network) && network.Timeout():
 			o.Reason = kqcall.TooSlow
 		}
--- a/internal/run/kqnode/drain.go
+++ b/internal/run/kqnode/drain.go
@@ -66,6 +66,11 @@
 	}
 	n.note(logrus.Fields{"event": "leaving", "step": "cancelled"}, "Leaving: calls that take longer are cancelled.")
 	n.hangup.Cancel(kqcall.Draining)
+	for role := range servers {
+		if l, ok := n.connections[role]; ok {
+			l.EndReading(time.Now())
+		}
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
 	defer cancel()
 	for role := range servers {
