Serve requests that a caller sends behind each other at once

Those callers send further requests before the first is answered; each was read only after the one before it had its answer. Ruled out: slots (free), the choice of upstream (none over 350 ms).

Safe requests are now served as they come and answered in their order, 16 of a connection at most.

It depends on no deployment: whoever sends behind itself waits less.

--- a/internal/call/kqconnection/ending.go
+++ b/internal/call/kqconnection/ending.go
@@ -13,3 +13,11 @@
 		_ = c.SetReadDeadline(now)
 	}
 }
+
+// InOrder has no more requests served before their turn. A server that shuts down closes
+// each connection with the next answer, and what is served behind it would have none.
+func (l *Listener) InOrder() { l.stopping.Store(true) }
+
+// Early returns how many requests are served before their turn, or wait with their
+// answers for it.
+func (l *Listener) Early() int { return int(l.early.Load()) }
--- a/internal/call/kqconnection/listener.go
+++ b/internal/call/kqconnection/listener.go
@@ -4,10 +4,13 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
 )
 
@@ -31,6 +34,12 @@
 		net.Listener
 		room     Room
 		patience time.Duration
+		// lingering counts connections that are closed but for what still comes.
+		lingering atomic.Int64
+		// stopping tells that no request is served before its turn any more.
+		stopping atomic.Bool
+		// early counts the requests that are, or wait with their answers.
+		early atomic.Int64
 
 		mu sync.Mutex
 		// held are the open connections, and silent those of them on which nothing has
@@ -48,8 +57,18 @@
 		// state; refused tells that there was no room for more of it.
 		unstated int
 		refused  bool
-		// rest is what has been read of the requests after the one under way.
-		rest []byte
+		// inOrder tells that requests are served one after the other.
+		inOrder bool
+		group   conc.WaitGroup
+
+		mu sync.Mutex
+		// rest is what has been read of the requests after the one under way, begun how
+		// much of it belongs to those in ahead, which are served already, and failure
+		// what ended the reading behind it.
+		rest    []byte
+		begun   int
+		ahead   []*early
+		failure error
 	}
 )
 
@@ -91,14 +110,6 @@
 	return len(l.held)
 }
 
-// Served notes that the request on a connection has been answered: what comes next is
-// another one.
-func Served(raw net.Conn) {
-	if c, ok := raw.(*connection); ok {
-		c.served()
-	}
-}
-
 // CloseSilent closes the connections on which nothing has come yet. The library holds
 // them to be at work, and waits for them at a shutdown. A call that has come and lies
 // unread keeps its connection.
@@ -123,25 +134,23 @@
 	delete(l.silent, c)
 }
 
-// release takes a connection out that is closed, with its room.
-func (l *Listener) release(c *connection) {
+// release takes a connection out that is closed, with its room, and reports whether it
+// was still held.
+func (l *Listener) release(c *connection) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	_, held := l.held[c]
 	delete(l.held, c)
 	if l.room != nil {
 		l.room.Release(c)
 	}
+	return held
 }
 
 // Read implements net.Conn: it stops where a request ends.
 func (c *connection) Read(b []byte) (int, error) {
-	if len(c.rest) > 0 {
-		n := copy(b, c.rest)
-		n = c.pace.cut(b[:n])
-		if c.rest = c.rest[n:]; len(c.rest) == 0 {
-			c.rest = nil
-		}
-		return n, nil
+	if n, err := c.readRest(b); n > 0 || err != nil {
+		return n, err
 	}
 	n, err := c.TCPConn.Read(b)
 	if n == 0 {
@@ -150,7 +159,9 @@
 	c.listener.forget(c)
 	kept := c.pace.cut(b[:n])
 	if kept < n {
+		c.mu.Lock()
 		c.rest = append(c.rest, b[kept:n]...)
+		c.mu.Unlock()
 	}
 	if c.pace.unstated && !c.grow(kept) {
 		return 0, ErrNoRoom
@@ -158,6 +169,22 @@
 	return kept, err
 }
 
+// readRest reads of what has come already, or returns what ended it.
+func (c *connection) readRest(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.rest) == 0 {
+		return 0, c.failure
+	}
+	n := copy(b, c.rest)
+	n = c.pace.cut(b[:n])
+	if c.rest = c.rest[n:]; len(c.rest) == 0 {
+		c.rest = nil
+	}
+	c.begun = max(c.begun-n, 0)
+	return n, nil
+}
+
 // grow takes room for more of a body of unstated length. What comes after a refusal is
 // only read to be thrown away.
 func (c *connection) grow(n int) bool {
@@ -169,11 +196,16 @@
 	return !c.refused
 }
 
+// served notes that the request under way has been answered: what comes next is another
+// one. What came behind a body of unstated length may have been read with it already.
 func (c *connection) served() {
-	if c.pace.unstated && c.listener.room != nil {
+	if !c.pace.unstated {
+		return
+	}
+	if c.listener.room != nil {
 		c.listener.room.Release(c)
 	}
-	c.unstated, c.refused, c.pace.unstated = 0, false, false
+	c.unstated, c.refused, c.pace.unstated, c.inOrder = 0, false, false, true
 }
 
 // WriteTo implements io.WriterTo in place of TCP's own, which knows of no rest.
@@ -184,16 +216,29 @@
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	c.listener.forget(c)
-	c.listener.release(c)
-	return c.TCPConn.Close()
+	if !c.listener.release(c) {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropAhead()
+	if c.failure != nil {
+		return c.TCPConn.Close()
+	}
+	return c.linger()
 }
 
 // Pending reports whether bytes of another request have come. Only the goroutine that
 // reads the connection may ask.
 func (c *connection) Pending() bool {
-	if len(c.rest) > 0 {
+	c.mu.Lock()
+	waits := len(c.rest) > 0
+	c.mu.Unlock()
+	if waits {
 		return true
 	}
 	_, readable := kqhangup.NewProbe(c.TCPConn).Look()
 	return readable
 }
+
+func timedOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net"
 	"strconv"
 	"time"
 
@@ -97,18 +96,11 @@
 	// Refused callers come back on a new connection; the one that they leave behind
 	// would hold a descriptor for as long as callers keep idle connections, and in
 	// a storm of refusals the process would run out of them.
-	if (e.leaving.Load() || e.dialect != nil && o.Result == kqcall.NotRun) && !pending(ctx.Conn()) {
+	if e.leaving.Load() || e.dialect != nil && o.Result == kqcall.NotRun {
 		ctx.SetConnectionClose()
 	}
 }
 
-// pending reports whether another call waits on the connection already. Closed with
-// this answer it would have none, and the answer to it closes as well.
-func pending(c net.Conn) bool {
-	p, ok := c.(interface{ Pending() bool })
-	return ok && p.Pending()
-}
-
 func (e *Entry) do(f *flight, now time.Time) kqcall.Outcome {
 	c := &f.call
 	if c.Depth > kqcall.MaxDepth {
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -84,7 +84,7 @@
 
 func (n *Node) server(handler fasthttp.RequestHandler, count func(kqcall.Outcome), room time.Duration) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: n.kept(handler, count), Name: "kumquatgw", ReadTimeout: n.settings.Call.ReadTimeout, IdleTimeout: serverIdle,
+		Handler: kqconnection.Serve(n.kept(handler, count)), Name: "kumquatgw", ReadTimeout: n.settings.Call.ReadTimeout, IdleTimeout: serverIdle,
 		MaxRequestBodySize: n.settings.Call.MaxBody, NoDefaultServerHeader: true, CloseOnShutdown: true,
 		DisablePreParseMultipartForm: true, ReadBufferSize: headerSize, ErrorHandler: n.refuse(count), HeaderReceived: n.takeRoom(room), Logger: quiet{n.logger.Part("call")},
 	}
--- a/internal/run/kqnode/drain.go
+++ b/internal/run/kqnode/drain.go
@@ -59,24 +59,59 @@
 // finish shuts servers down. Calls that outlast the time for it are cancelled, and their
 // callers told so: cut off by the end of the process, they would have no answer.
 func (n *Node) finish(ctx context.Context, calls func() int, servers map[Role]*fasthttp.Server) error {
-	n.quiet(ctx, calls, servers)
+	busy := func() int { return calls() + n.early(servers) }
+	n.quiet(ctx, busy, servers)
+	cancelled := ctx.Err() != nil && busy() > 0
+	if cancelled {
+		n.cancel(busy)
+	}
 	err := shutdown(ctx, servers)
-	if !errors.Is(err, context.DeadlineExceeded) {
-		return err
+	if errors.Is(err, context.DeadlineExceeded) {
+		n.endReading(servers)
+	} else if cancelled {
+		err = errors.Join(err, fmt.Errorf("drain: calls were cancelled: %w", context.DeadlineExceeded))
 	}
+	return err
+}
+
+// cancel ends the calls that are still under way, and waits for their answers. A server
+// that is shut down before would close a connection with its next answer, whatever else
+// is due on it.
+func (n *Node) cancel(busy func() int) {
 	n.note(logrus.Fields{"event": "leaving", "step": "cancelled"}, "Leaving: calls that take longer are cancelled.")
 	n.hangup.Cancel(kqcall.Draining)
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	ticker := time.NewTicker(emptyPoll)
+	defer ticker.Stop()
+	for busy() > 0 && ctx.Err() == nil {
+		<-ticker.C
+	}
+}
+
+// endReading has callers that still send told of the end.
+func (n *Node) endReading(servers map[Role]*fasthttp.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
 	for role := range servers {
 		if l, ok := n.connections[role]; ok {
 			l.EndReading(time.Now())
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
-	defer cancel()
 	for role := range servers {
 		n.emptied(ctx, lastAnswers, role)
 	}
-	return err
+}
+
+// early returns how many calls are served before their turn on their connections.
+func (n *Node) early(servers map[Role]*fasthttp.Server) int {
+	count := 0
+	for role := range servers {
+		if l, ok := n.connections[role]; ok {
+			count += l.Early()
+		}
+	}
+	return count
 }
 
 // quiet closes listeners and returns once no call has been under way for a while. From
@@ -87,6 +122,7 @@
 	for role := range servers {
 		if l, ok := n.connections[role]; ok {
 			_ = l.Close()
+			l.InOrder()
 		}
 	}
 	ticker := time.NewTicker(emptyPoll)
--- a/internal/run/kqnode/panic.go
+++ b/internal/run/kqnode/panic.go
@@ -8,7 +8,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
-	"github.com/kumquatgw/kumquatgw/internal/call/kqconnection"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 )
 
@@ -31,7 +30,6 @@
 	return func(ctx *fasthttp.RequestCtx) {
 		n.bodies.Serve(&ctx.Request.Header)
 		defer n.bodies.Give(&ctx.Request.Header)
-		defer kqconnection.Served(ctx.Conn())
 		if n.keeper.Try("request", func() { handler(ctx) }) {
 			return
 		}
