Serve first who can still be in time, and know callers who come back

A gate promised a wait by the route's target from each try anew, so that second tries, whose target had passed, were queued before first ones, and calls were given up only after eight times their work.

A gate now serves first the calls that can still make their target; the others have what slots those leave, and where that is nothing they are refused at once. How long calls wait is corrected by how long they did wait. The entry remembers who was not served, by who asks for what, and counts the target from the first try. Ruled out: what callers tell of their patience (it varies by 15 in 100, more than a return takes), giving calls up at their target without a second line (a burst is refused that could be served).

--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqallowance"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqreturn"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -98,6 +99,8 @@
 		// calls is how many are under way.
 		calls atomic.Int64
 		now   func() time.Time
+		// returns knows callers from outside who come back.
+		returns returns
 
 		prefix  string
 		number  atomic.Uint64
@@ -118,6 +121,10 @@
 		tries   []Try
 		// sent tells that an upstream may have been sent the call.
 		sent bool
+		// first is since when the caller has been asking, patience until when it waits,
+		// where it tells, and key who asks for what.
+		first, patience time.Time
+		key             kqreturn.Key
 	}
 
 	stable struct{}
@@ -178,7 +185,8 @@
 		self: self, config: config, directory: directory, local: local,
 		splitter: stable{}, counter: silent{}, recorder: forgetful{}, hangup: kqhangup.New(), forged: func() {}, began: time.Now(), now: time.Now,
 		// Two nodes, or one before and after a restart, never give out the same id.
-		prefix: strconv.FormatUint(rand.Uint64(), 36) + "-",
+		prefix:  strconv.FormatUint(rand.Uint64(), 36) + "-",
+		returns: newReturns(),
 	}
 	for _, o := range options {
 		o(e)
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -82,6 +82,7 @@
 	if told.Left > 0 {
 		c.Deadline = now.Add(told.Left)
 	}
+	e.returns.began(f, now)
 	e.hangup.Begin(&f.line, number, ctx.Conn(), &f.cancel, now)
 	var o kqcall.Outcome
 	if !e.keeper.Try(part, func() { o = e.do(f, now) }) {
@@ -89,6 +90,7 @@
 	}
 	e.hangup.End(&f.line)
 	e.counter.Ended(o)
+	e.returns.ended(f, o)
 	c.Answer(o)
 	e.keeper.Try("record", func() {
 		e.recorder.Ended(Record{Call: c, Outcome: o, Status: ctx.Response.StatusCode(), Version: f.version, Tries: f.tries}, e.now())
@@ -122,6 +124,9 @@
 	f.version = snapshot.Version()
 	found, _ := snapshot.Service(route.Choose(rand.Float64()))
 	fill(c, route, found, now)
+	if !c.Target.IsZero() {
+		c.Target = c.Target.Add(f.first.Sub(now))
+	}
 	if !now.Before(c.Deadline) {
 		return kqcall.Refuse(kqcall.Late)
 	}
--- a/internal/decide/kqslots/queue.go
+++ b/internal/decide/kqslots/queue.go
@@ -10,39 +10,59 @@
 // enqueue takes the call in if it is going to begin in time, and refuses it at
 // once if not.
 func (s *Slots) enqueue(t *Ticket, expected, left time.Duration, now time.Time) {
-	wait := s.expectWait(t, expected, now)
-	allowed := s.allowed(t, wait, expected, left, now)
+	t.promised = s.expectWait(t, expected, now)
+	wait := time.Duration(float64(t.promised) * s.misjudged())
+	share := [levels]float64{nestedWait, criticalWait, normalWait, backgroundWait}[t.level]
+	allowed := s.allowed(t, wait, time.Duration(share*float64(left)), now)
+	// A call that has waited twice as long as it was promised at most, and for
+	// some calls more than that, has met an upstream that became slower.
+	most := max(2*allowed, allowed+slack*expected)
+	if t.aims() {
+		t.begin = t.Target.Add(-time.Duration(spread * float64(expected)))
+		if t.tardy = now.Add(wait).After(t.begin); t.tardy {
+			wait += s.expectTardy(t, expected)
+		} else {
+			allowed = max(allowed, t.begin.Sub(now))
+		}
+		most = allowed
+	}
 	if wait > allowed || wait+expected > left {
 		t.refuse(kqcall.QueueFull, s.retryAfter())
 		return
 	}
 	t.Verdict = Wait
-	// A call that has waited twice as long as it was promised at most, and for
-	// some calls more than that, has met an upstream that became slower.
-	most := max(2*allowed, allowed+slack*expected)
 	t.GiveUp = now.Add(min(most, max(left-expected, 0)))
-	t.place = kqfair.Place{Caller: t.Caller, Work: expected, Since: now, Owner: t}
+	s.push(t, expected, now)
+}
+
+// aims reports whether the call is served by what is left until its target. A nested one
+// is not: without an answer, late or not, the work of the call that waits for it is lost.
+func (t *Ticket) aims() bool { return !t.Nested && !t.Target.IsZero() }
+
+func (s *Slots) push(t *Ticket, expected time.Duration, since time.Time) {
+	t.place = kqfair.Place{Caller: t.Caller, Work: expected, Since: since, Owner: t}
 	s.lane(t).Push(&t.place)
 }
 
-// allowed returns how long the call may be expected to wait.
-func (s *Slots) allowed(t *Ticket, wait, expected, left time.Duration, now time.Time) time.Duration {
-	allowed := time.Duration(float64(left) * [classes]float64{criticalWait, normalWait, backgroundWait}[t.level])
-	s.lane(t).Note(t.Caller, wait < allowed/standingWait/calm, now)
-	stands := s.lane(t).Standing(t.Caller, now) > standing
-	if stands {
-		allowed /= standingWait
+// allowed returns how long a call may wait that cannot make its target, or has none: most,
+// or less once its caller's calls have had to wait for long.
+func (s *Slots) allowed(t *Ticket, wait, most time.Duration, now time.Time) time.Duration {
+	line := s.lanes(t)[t.level]
+	line.Note(t.Caller, wait < most/standingWait/calm, now)
+	if line.Standing(t.Caller, now) > standing {
+		most /= standingWait
 	}
-	if t.Target.IsZero() {
-		return allowed
-	}
-	inTime := t.Target.Sub(now) - time.Duration(spread*float64(expected))
-	if stands {
-		inTime /= standingTarget
+	return max(most, leastWait)
+}
+
+// expectTardy returns how much longer a call waits that cannot make its target: for those
+// alike before it, by the part of the slots that the others have left them lately.
+func (s *Slots) expectTardy(t *Ticket, expected time.Duration) time.Duration {
+	ahead := s.tardyLanes[t.level].Ahead(t.Caller) + expected
+	for i := range t.level {
+		ahead += s.tardyLanes[i].Work()
 	}
-	// Where the target cannot be made any more, an answer is still worth
-	// something: the call waits as one without a target does.
-	return max(allowed, inTime, leastWait)
+	return time.Duration(float64(ahead) / (max(s.spare, leastSpare) * float64(max(s.limit.Allowed(), 1))))
 }
 
 // expectWait returns how long a call that came now would wait, by the work of
@@ -72,12 +92,21 @@
 			break
 		}
 		t := s.pop(lanes, now)
-		// Its time to give up has come while the slot was taken; the caller is
-		// told now rather than by a call that would be done too late.
-		if !now.Before(t.GiveUp) {
+		s.learn(t, now)
+		switch {
+		case !now.Before(t.GiveUp):
+			// Its time to give up has come while the slot was taken; the caller is
+			// told now rather than by a call that would be done too late.
 			t.refuse(kqcall.Late, s.retryAfter())
-		} else {
-			s.start(t)
+		case !t.tardy && t.aims() && now.After(t.begin):
+			t.tardy = true
+			if now.Add(s.expectTardy(t, t.place.Work)).Before(t.GiveUp) {
+				s.push(t, t.place.Work, t.place.Since)
+				continue
+			}
+			t.refuse(kqcall.Late, s.retryAfter())
+		default:
+			s.start(t, t.tardy)
 		}
 		settled = append(settled, t)
 	}
@@ -86,7 +115,7 @@
 
 // next returns the lanes that the next free slot goes to: short calls until
 // they have the half that is kept for them, then long jobs up to their most.
-func (s *Slots) next(now time.Time) *[classes]*kqfair.Queue {
+func (s *Slots) next(now time.Time) *[levels]*kqfair.Queue {
 	short, long := lengthOf(&s.shortLanes) > 0, lengthOf(&s.longLanes) > 0 && s.room(true, now)
 	kept := s.limit.Allowed() - s.longMost(now)
 	switch {
@@ -94,13 +123,15 @@
 		return &s.shortLanes
 	case long:
 		return &s.longLanes
+	case lengthOf(&s.tardyLanes) > 0:
+		return &s.tardyLanes
 	default:
 		return nil
 	}
 }
 
 // pop takes the next call of the most important class that waits.
-func (s *Slots) pop(lanes *[classes]*kqfair.Queue, now time.Time) *Ticket {
+func (s *Slots) pop(lanes *[levels]*kqfair.Queue, now time.Time) *Ticket {
 	for _, q := range lanes {
 		if q.Len() == 0 {
 			continue
@@ -123,7 +154,31 @@
 	return t
 }
 
-func (s *Slots) start(t *Ticket) {
+// misjudged is how many times longer calls have waited lately than they were expected to.
+func (s *Slots) misjudged() float64 {
+	if s.promised <= 0 {
+		return 1
+	}
+	return min(max(s.waited/s.promised, 1), mostMisjudged)
+}
+
+// learn takes in how long a call waited.
+func (s *Slots) learn(t *Ticket, now time.Time) {
+	if t.tardy {
+		return
+	}
+	s.waited += (now.Sub(t.place.Since).Seconds() - s.waited) / learnOver
+	s.promised += (t.promised.Seconds() - s.promised) / learnOver
+}
+
+// start gives the ticket a slot; spare tells that nobody had to wait for it who could
+// still make a target.
+func (s *Slots) start(t *Ticket, spare bool) {
+	share := 0.0
+	if spare {
+		share = 1
+	}
+	s.spare += (share - s.spare) / spareOver
 	t.Verdict = Run
 	s.running++
 	if t.long {
@@ -151,18 +206,25 @@
 	return max(s.limit.Allowed()/2, 1)
 }
 
-func (s *Slots) lanes(t *Ticket) *[classes]*kqfair.Queue {
+func (s *Slots) lanes(t *Ticket) *[levels]*kqfair.Queue {
 	if t.long {
 		return &s.longLanes
 	}
 	return &s.shortLanes
 }
 
-func (s *Slots) lane(t *Ticket) *kqfair.Queue { return s.lanes(t)[t.level] }
+func (s *Slots) lane(t *Ticket) *kqfair.Queue {
+	if t.tardy {
+		return s.tardyLanes[t.level]
+	}
+	return s.lanes(t)[t.level]
+}
 
-func (s *Slots) waiting() int { return lengthOf(&s.shortLanes) + lengthOf(&s.longLanes) }
+func (s *Slots) waiting() int {
+	return lengthOf(&s.shortLanes) + lengthOf(&s.longLanes) + lengthOf(&s.tardyLanes)
+}
 
-func lengthOf(lanes *[classes]*kqfair.Queue) int {
+func lengthOf(lanes *[levels]*kqfair.Queue) int {
 	n := 0
 	for _, q := range lanes {
 		n += q.Len()
@@ -174,8 +236,8 @@
 // done.
 func (s *Slots) retryAfter() time.Duration {
 	work := time.Duration(0)
-	for i := range classes {
-		work += s.shortLanes[i].Work() + s.longLanes[i].Work()
+	for i := range levels {
+		work += s.shortLanes[i].Work() + s.longLanes[i].Work() + s.tardyLanes[i].Work()
 	}
 	return max(work/time.Duration(max(s.limit.Allowed(), 1)), minRetryAfter)
 }
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -19,9 +19,10 @@
 	// Refuse tells that the call does not run; its Refusal says why.
 	Refuse
 
-	classes = 3
+	// levels are the order in which calls are served: nested ones, then the classes.
+	levels = 4
 	// shares of the time left that a class's call may wait.
-	criticalWait, normalWait, backgroundWait = 0.6, 0.6, 0.125
+	nestedWait, criticalWait, normalWait, backgroundWait = 0.6, 0.6, 0.6, 0.125
 	// standing is when a line is in no burst any more; standingWait then divides
 	// the shares further, until a wait is under a calm-th of what that leaves.
 	standing     = 4 * time.Second
@@ -29,12 +30,20 @@
 	calm         = 4
 	// spread is how many times its expected work a call may take and still make
 	// its target: nine calls in ten take less.
-	spread = 1.7
+	spread = 1.2
 	// standingTarget divides what is left for the wait once a line is in no burst
 	// any more, and leastWait is what is allowed then at least: a few calls in the
 	// queue keep the slots in use between two arrivals.
 	standingTarget = 2
 	leastWait      = 20 * time.Millisecond
+	// spareOver is how many calls the spare part of the slots is taken over, and
+	// leastSpare what is reckoned with at least.
+	spareOver  = 32
+	leastSpare = 0.01
+	// learnOver is how many calls a mistaken expectation is taken over, and mostMisjudged
+	// the most that it is corrected by.
+	learnOver     = 32
+	mostMisjudged = 4
 	// slack is how many calls' work a short wait may be mistaken by.
 	slack = 8
 	// noticed is the mean time between two slots that long jobs free from which on
@@ -57,9 +66,11 @@
 
 	// Ticket is one call at the gate. The gate fills in the first fields.
 	Ticket struct {
-		Caller   kqname.Caller
-		Route    kqname.Route
-		Class    kqdocument.Class
+		Caller kqname.Caller
+		Route  kqname.Route
+		Class  kqdocument.Class
+		// Nested tells that another call waits for this one at its upstream.
+		Nested   bool
 		Deadline time.Time
 		// Target is until when an answer has its full worth; zero states nothing.
 		Target time.Time
@@ -75,6 +86,12 @@
 		place kqfair.Place
 		level int
 		long  bool
+		// begin is until when the call must have begun to make its target, and tardy
+		// tells that it cannot.
+		begin time.Time
+		tardy bool
+		// promised is how long it was expected to wait.
+		promised time.Duration
 	}
 
 	// Option sets up Slots.
@@ -85,10 +102,18 @@
 		count                 int
 		limit                 *kqlimit.Limit
 		work                  *kqwork.Work
-		shortLanes, longLanes [classes]*kqfair.Queue
-		running               int
-		runningLong           int
-		closed                bool
+		shortLanes, longLanes [levels]*kqfair.Queue
+		// tardyLanes are for calls that cannot make their targets any more.
+		tardyLanes [levels]*kqfair.Queue
+		// spare is the part of the last calls' slots that nobody waited for who could
+		// still make a target.
+		spare float64
+		// waited and promised are the means, in seconds, of what calls have waited lately
+		// and of what they were expected to.
+		waited, promised float64
+		running          int
+		runningLong      int
+		closed           bool
 		// exact tells that the announced slots are what the upstream runs at once.
 		exact bool
 		// shortSeen is when a short call came last.
@@ -99,9 +124,10 @@
 // New returns slots for an upstream that runs count calls at once; salt parts
 // callers that another gate's hash brought together.
 func New(count int, salt uint64, options ...Option) *Slots {
-	s := &Slots{count: count, limit: kqlimit.New(count), work: kqwork.New()}
-	for i := range classes {
-		s.shortLanes[i], s.longLanes[i] = kqfair.New(salt+uint64(i)), kqfair.New(salt+classes+uint64(i))
+	s := &Slots{count: count, limit: kqlimit.New(count), work: kqwork.New(), spare: 1}
+	for i := range levels {
+		s.shortLanes[i], s.longLanes[i] = kqfair.New(salt+uint64(i)), kqfair.New(salt+levels+uint64(i))
+		s.tardyLanes[i] = kqfair.New(salt + 2*levels + uint64(i))
 	}
 	for _, o := range options {
 		o(s)
@@ -116,7 +142,10 @@
 
 // Enter settles the ticket's verdict.
 func (s *Slots) Enter(t *Ticket, now time.Time) {
-	t.level, t.long = t.Class.Rank(), s.long(t.Route)
+	t.level, t.long = 1+t.Class.Rank(), s.long(t.Route)
+	if t.Nested {
+		t.level = 0
+	}
 	if !t.long {
 		s.shortSeen = now
 	}
@@ -129,7 +158,7 @@
 		t.refuse(kqcall.Late, 0)
 	case s.room(t.long, now) && lengthOf(s.lanes(t)) == 0:
 		s.lane(t).Passed(t.Caller, expected, now)
-		s.start(t)
+		s.start(t, true)
 	default:
 		s.enqueue(t, expected, left, now)
 	}
@@ -181,7 +210,7 @@
 func (s *Slots) Close() []*Ticket {
 	s.closed = true
 	var settled []*Ticket
-	for _, lanes := range []*[classes]*kqfair.Queue{&s.shortLanes, &s.longLanes} {
+	for _, lanes := range []*[levels]*kqfair.Queue{&s.shortLanes, &s.longLanes, &s.tardyLanes} {
 		for lengthOf(lanes) > 0 {
 			t := s.pop(lanes, time.Time{})
 			t.refuse(kqcall.Draining, minRetryAfter)
