Give refused callers a third of their time where they can only be late

A caller whose target has passed when it comes back was told the same 250 ms as one that could make it: its three tries fell within half a second, and within the same burst. It is now told a third of what it still waits, which callers here take at most.

--- a/internal/call/kqentry/returns.go
+++ b/internal/call/kqentry/returns.go
@@ -10,6 +10,9 @@
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqreturn"
 )
 
+// patienceParts is into how many parts a caller's patience is shared out over its tries.
+const patienceParts = 3
+
 type (
 	// returns knows callers who come back, in shards by what they ask for.
 	returns struct {
@@ -56,6 +59,17 @@
 	s.returns.Unserved(f.key, f.first, f.patience)
 }
 
+// settle gives a refused caller time where its answer can only be late: whatever it is
+// told, it has lost its target when it comes back. A third of its time, for each of its
+// tries, has it come back when a burst is over, rather than twice more within it.
+func (f *flight) settle(o *kqcall.Outcome, now time.Time) {
+	c := &f.call
+	if o.RetryAfter == 0 || c.Target.IsZero() || f.patience.IsZero() || now.Add(o.RetryAfter).Before(c.Target) {
+		return
+	}
+	o.RetryAfter = max(o.RetryAfter, f.patience.Sub(now)/patienceParts)
+}
+
 // key tells who asks for what. The request's header is as the caller sent it.
 func key(c *kqcall.Call) kqreturn.Key {
 	var d xxhash.Digest
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -92,6 +92,9 @@
 		o = f.panicked()
 	}
 	e.hangup.End(&f.line)
+	if o.Result == kqcall.NotRun {
+		f.settle(&o, e.now())
+	}
 	e.counter.Ended(o)
 	e.returns.ended(f, o)
 	c.Answer(o)
