--- a/internal/decide/kqslots/queue.go
+++ b/internal/decide/kqslots/queue.go
@@ -45,11 +45,12 @@
 }
 
 // allowed returns how long a call may wait that cannot make its target, or has none: most,
-// or less once its caller's calls have had to wait for long.
+// or less once its caller's calls have had to wait for long. A nested call's have their
+// lane to themselves: what they wait for is the work of the calls that run, not a burst.
 func (s *Slots) allowed(t *Ticket, wait, most time.Duration, now time.Time) time.Duration {
 	line := s.lanes(t)[t.level]
 	line.Note(t.Caller, wait < most/standingWait/calm, now)
-	if line.Standing(t.Caller, now) > standing {
+	if !t.Nested && line.Standing(t.Caller, now) > standing {
 		most /= standingWait
 	}
 	return max(most, leastWait)
