Count the lookups of repeated runs, and do not repeat runs that were starved

Cause: a run that is sent again makes its lookups again, which count as second at the service they go to; at 100 browse calls a second, 150 repeats in 10 s brought 210 of them, known to nobody there.

Repeats are told on (an entry knows whether the run above is one), and take from the allowance; a new node saves up first. A run whose own lookup had no room is not sent to another upstream, which would ask for the same. Ruled out: a smaller part of the bound (it takes repeats from those who are served by them).

--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -110,7 +110,10 @@
 		Depth int
 		// Repeat tells that an upstream may have been sent the call, or one above it,
 		// before.
-		Repeat   bool
+		Repeat bool
+		// Starved tells that the upstream failed the call because one that it made in turn
+		// was not served for want of room.
+		Starved  bool
 		Arrived  time.Time
 		Deadline time.Time
 		// Target is until when an answer has its full worth; zero states nothing.
--- a/internal/call/kqcall/header.go
+++ b/internal/call/kqcall/header.go
@@ -33,6 +33,9 @@
 	// headerRetry tells between nodes what Retry-After tells callers, in
 	// milliseconds, as callers may need it in another form.
 	headerRetry = "Kq-Retry-Ms"
+	// headerStarved tells between nodes that a failure is one of a service behind the
+	// upstream.
+	headerStarved = "Kq-Starved"
 
 	// MaxDepth bounds how deep calls may go; a loop of calls ends there.
 	MaxDepth = 32
@@ -168,6 +171,7 @@
 	}
 	h := &c.Response.Header
 	h.Del(headerLoad)
+	h.Del(headerStarved)
 	h.Set(HeaderID, string(c.ID))
 	h.Set(HeaderResult, string(o.Result))
 	if o.Reason != NoReason {
@@ -196,6 +200,17 @@
 	return o
 }
 
+// WriteStarved puts into the response whether the call was starved, and ReadStarved reads
+// it.
+func (c *Call) WriteStarved() {
+	if c.Starved {
+		c.Response.Header.Set(headerStarved, "1")
+	}
+}
+
+// ReadStarved takes over what WriteStarved put into the response.
+func (c *Call) ReadStarved() { c.Starved = len(c.Response.Header.Peek(headerStarved)) > 0 }
+
 // Write puts the load into a response.
 func (l Load) Write(h *fasthttp.ResponseHeader) {
 	var space [64]byte
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -97,6 +97,9 @@
 	}
 	e.counter.Ended(o)
 	e.returns.ended(f, o)
+	if c.Depth > 0 && scarce(o) {
+		e.nesting.Starve(told.Above)
+	}
 	c.Answer(o)
 	e.keeper.Try("record", func() {
 		e.recorder.Ended(Record{Call: c, Outcome: o, Status: ctx.Response.StatusCode(), Version: f.version, Tries: f.tries}, e.now())
@@ -201,6 +204,16 @@
 	}
 }
 
+// scarce reports whether a call was not served for want of room.
+func scarce(o kqcall.Outcome) bool {
+	switch o.Reason {
+	case kqcall.QueueFull, kqcall.Overload, kqcall.Shed, kqcall.Late:
+		return true
+	default:
+		return false
+	}
+}
+
 // panicked is the outcome of a call whose handling panicked.
 func (f *flight) panicked() kqcall.Outcome {
 	if f.sent {
@@ -249,6 +262,7 @@
 	if o.Result != kqcall.Answered {
 		return o, kqcall.Load{}, false
 	}
+	c.ReadStarved()
 	load, told := kqcall.ReadLoad(&c.Response.Header)
 	return c.Outcome(), load, told && load.Slots > 0
 }
--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -89,7 +89,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.allowance != nil {
-		s.allowance.Earn(s.nodes())
+		if c.Repeat {
+			s.allowance.Repeated(s.nodes())
+		} else {
+			s.allowance.Earn(s.nodes())
+		}
 	} else {
 		s.budget(c.Depth).Earn()
 	}
@@ -139,6 +143,10 @@
 		return unreachable(o.Reason)
 	case o.Result == kqcall.NotRun:
 		return s.allowance.Spend(s.nodes())
+	case c.Starved:
+		// Another upstream would ask the same service for the same, in vain as well, and
+		// hold a slot meanwhile.
+		return false
 	case !c.Idempotent || o.Reason == kqcall.Timeout || o.Reason == kqcall.Cancelled:
 		return false
 	case o.Result == kqcall.Answered && !repeatable(c.Response.StatusCode()):
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -191,6 +191,7 @@
 	g.hangup.End(&line)
 	g.counter.Gated(o)
 	c.Answer(o)
+	c.WriteStarved()
 	load.Write(&ctx.Response.Header)
 	if g.leaving.Load() {
 		// The node that calls closes the connection itself; the server's own
@@ -290,6 +291,7 @@
 	g.nesting.Begin(c)
 	defer g.nesting.End(c.ID)
 	o = send(u, c, began)
+	c.Starved = g.nesting.Starved(c.ID)
 	ended := g.now()
 	took := ended.Sub(began)
 	r.Took = took
--- a/internal/call/kqnesting/nesting.go
+++ b/internal/call/kqnesting/nesting.go
@@ -32,6 +32,8 @@
 
 	held struct {
 		Above
+		// starved tells that a call made for it was not served for want of room.
+		starved bool
 		// sendings counts the runs under that id; a call may be sent to one upstream again.
 		sendings int
 	}
@@ -51,12 +53,31 @@
 	s := c.shard(call.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.held[call.ID] = held{
-		Above:    Above{Caller: call.Caller, Depth: call.Depth, Repeat: call.Repeat},
-		sendings: s.held[call.ID].sendings + 1,
+	h := s.held[call.ID]
+	h.Above = Above{Caller: call.Caller, Depth: call.Depth, Repeat: call.Repeat}
+	h.sendings++
+	s.held[call.ID] = h
+}
+
+// Starve notes that a call made for the call of that id was not served for want of room.
+func (c *Calls) Starve(id kqcall.ID) {
+	s := c.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h, ok := s.held[id]; ok {
+		h.starved = true
+		s.held[id] = h
 	}
 }
 
+// Starved reports whether that was noted of the call.
+func (c *Calls) Starved(id kqcall.ID) bool {
+	s := c.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held[id].starved
+}
+
 // End notes that a call has ended.
 func (c *Calls) End(id kqcall.ID) {
 	s := c.shard(id)
--- a/internal/decide/kqallowance/allowance.go
+++ b/internal/decide/kqallowance/allowance.go
@@ -15,20 +15,23 @@
 	Allowance struct {
 		bound  Bound
 		tokens float64
-		earned bool
 	}
 )
 
-// New returns an allowance that has saved up its part of the slack.
+// New returns an allowance that has nothing saved up: a node that starts again may have
+// used up its part of the slack just before, and in a fleet whose nodes are restarted
+// one after the other each would have it twice.
 func New(b Bound) *Allowance { return &Allowance{bound: b} }
 
 // Earn counts a call that is sent for the first time, by one of nodes nodes.
 func (a *Allowance) Earn(nodes int) {
-	most := a.most(nodes)
-	if !a.earned {
-		a.earned, a.tokens = true, most
-	}
-	a.tokens = min(a.tokens+used*a.bound.Ratio, most)
+	a.tokens = min(a.tokens+used*a.bound.Ratio, a.most(nodes))
+}
+
+// Repeated counts a call that comes because another was sent again, which the bound counts
+// like a second sending. It has no choice any more, so that later ones make up for it.
+func (a *Allowance) Repeated(nodes int) {
+	a.tokens = max(a.tokens-1, -a.most(nodes))
 }
 
 // Spend reports whether a call may be sent to another upstream, and counts it.
--- a/internal/decide/kqallowance/allowance_test.go
+++ b/internal/decide/kqallowance/allowance_test.go
@@ -34,3 +34,47 @@
 		}
 	}
 }
+
+// Lookups come at a service because runs that made them before are sent again; the bound
+// counts them there like second sendings. With every eighth call of that kind, the node's
+// own second sendings must leave room for them.
+func TestRepeatsOfRepeatsCount(t *testing.T) {
+	bound := kqallowance.Bound{Ratio: 0.2, Slack: 56}
+	const calls, nodes = 4000, 10
+	a := kqallowance.New(bound)
+	again := 0
+	for n := range calls {
+		if n%8 == 0 {
+			a.Repeated(nodes)
+			again++
+		} else {
+			a.Earn(nodes)
+		}
+		if a.Spend(nodes) {
+			again++
+		}
+	}
+	if most := bound.Ratio*calls + bound.Slack/nodes; float64(again) > most {
+		t.Errorf("%d came again, the bound is %.0f", again, most)
+	}
+}
+
+// Nodes are restarted one after the other while every call fails. Each must not bring its
+// part of the slack along anew.
+func TestRestartsBringNoNewSlack(t *testing.T) {
+	bound := kqallowance.Bound{Ratio: 0.2, Slack: 56}
+	const calls, nodes, restarts = 20, 10, 50
+	again := 0
+	for range restarts {
+		a := kqallowance.New(bound)
+		for range calls {
+			a.Earn(nodes)
+			if a.Spend(nodes) {
+				again++
+			}
+		}
+	}
+	if most := bound.Ratio * calls * restarts; float64(again) > most {
+		t.Errorf("%d came again, the bound's ratio allows %.0f", again, most)
+	}
+}
