--- a/internal/decide/kqslots/overload_test.go
+++ b/internal/decide/kqslots/overload_test.go
@@ -252,3 +252,24 @@
 		t.Errorf("%d of %d nested calls were answered, want 99 in 100", g.inTime+g.late, g.asked)
 	}
 }
+
+// An important route's calls take 140 ms at a slow upstream, and their target is 150 ms.
+// None of them can be in time for certain; they must not be refused for that while less
+// important calls that can are served.
+func TestTargetOutOfReachDoesNotPutCallsBehind(t *testing.T) {
+	status := stream{
+		route: "status", class: "normal", callers: 11, rate: 25, work: 140 * time.Millisecond,
+		target: 150 * time.Millisecond, deadline: time.Second, spread: 0.45,
+	}
+	photos := stream{
+		route: "photos", class: "background", callers: 11, rate: 20, work: 200 * time.Millisecond,
+		target: 400 * time.Millisecond, deadline: 2500 * time.Millisecond, spread: 0.45,
+	}
+	all := sum(load{slots: 6, lasts: 30 * time.Second, again: 2, streams: []stream{status, photos}})
+	important, other := all["status"], all["photos"]
+	t.Logf("important %+v, others %+v", *important, *other)
+	served := func(g *got) float64 { return float64(g.inTime+g.late) / float64(g.asked) }
+	if served(important) < served(other)-0.05 {
+		t.Errorf("%.2f of the important calls were answered, and %.2f of the others", served(important), served(other))
+	}
+}
--- a/internal/decide/kqslots/queue.go
+++ b/internal/decide/kqslots/queue.go
@@ -17,7 +17,7 @@
 	// A call that has waited twice as long as it was promised at most, and for
 	// some calls more than that, has met an upstream that became slower.
 	most := max(2*allowed, allowed+slack*expected)
-	if t.aims() {
+	if t.aims() && !s.outOfReach(t, expected, now) {
 		t.begin = t.Target.Add(-time.Duration(spread * float64(expected)))
 		if t.tardy = now.Add(wait).After(t.begin); t.tardy {
 			wait += s.expectTardy(t, expected)
@@ -35,6 +35,17 @@
 	s.push(t, expected, now)
 }
 
+// outOfReach reports whether the upstream is too slow for the route's target even when
+// nobody waits. All of the route's calls would count as late then, and be refused for the
+// sake of less important ones that are not.
+func (s *Slots) outOfReach(t *Ticket, expected time.Duration, now time.Time) bool {
+	longest := max(s.targets[t.Route], t.Target.Sub(now))
+	if _, ok := s.targets[t.Route]; ok || len(s.targets) < mostTargets {
+		s.targets[t.Route] = longest - longest/forgetTarget
+	}
+	return time.Duration(spread*float64(expected)) > longest
+}
+
 // aims reports whether the call is served by what is left until its target. A nested one
 // is not: without an answer, late or not, the work of the call that waits for it is lost.
 func (t *Ticket) aims() bool { return !t.Nested && !t.Target.IsZero() }
@@ -99,7 +110,7 @@
 			// Its time to give up has come while the slot was taken; the caller is
 			// told now rather than by a call that would be done too late.
 			t.refuse(kqcall.Late, s.retryAfter())
-		case !t.tardy && t.aims() && now.After(t.begin):
+		case !t.tardy && !t.begin.IsZero() && now.After(t.begin):
 			t.tardy = true
 			if now.Add(s.expectTardy(t, t.place.Work)).Before(t.GiveUp) {
 				s.push(t, t.place.Work, t.place.Since)
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -44,6 +44,10 @@
 	// the most that it is corrected by.
 	learnOver     = 32
 	mostMisjudged = 4
+	// mostTargets bounds the routes whose targets are known, and forgetTarget is the part
+	// of one that is forgotten with each call: operators may change it.
+	mostTargets  = 256
+	forgetTarget = 1000
 	// slack is how many calls' work a short wait may be mistaken by.
 	slack = 8
 	// noticed is the mean time between two slots that long jobs free from which on
@@ -99,9 +103,12 @@
 
 	// Slots decides for one upstream. It is not safe for concurrent use.
 	Slots struct {
-		count                 int
-		limit                 *kqlimit.Limit
-		work                  *kqwork.Work
+		count int
+		limit *kqlimit.Limit
+		work  *kqwork.Work
+		// targets is the longest time that calls of a route have had left until their
+		// target, which first tries have.
+		targets               map[kqname.Route]time.Duration
 		shortLanes, longLanes [levels]*kqfair.Queue
 		// tardyLanes are for calls that cannot make their targets any more.
 		tardyLanes [levels]*kqfair.Queue
@@ -124,7 +131,7 @@
 // New returns slots for an upstream that runs count calls at once; salt parts
 // callers that another gate's hash brought together.
 func New(count int, salt uint64, options ...Option) *Slots {
-	s := &Slots{count: count, limit: kqlimit.New(count), work: kqwork.New(), spare: 1}
+	s := &Slots{count: count, limit: kqlimit.New(count), work: kqwork.New(), spare: 1, targets: make(map[kqname.Route]time.Duration)}
 	for i := range levels {
 		s.shortLanes[i], s.longLanes[i] = kqfair.New(salt+uint64(i)), kqfair.New(salt+levels+uint64(i))
 		s.tardyLanes[i] = kqfair.New(salt + 2*levels + uint64(i))
