Put what every part stands on at the foot, and drop a pause nobody needs

kqkeeper and kqpause stood in internal/run, the top floor, and some fifteen packages of call, config and peer imported up to them: they are internal/base now. kqpeer's server paused after failed accepts, as the listener that it is always given does already (kqacceptor); it takes an error for final. No behaviour changes: kqpeer's and the node's tests pass.

--- a/internal/run/kqkeeper/keeper.go
+++ b/internal/base/kqkeeper/keeper.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/kumquatgw/kumquatgw/internal/run/kqpause"
+	"github.com/kumquatgw/kumquatgw/internal/base/kqpause"
 )
 
 const (
--- a/internal/run/kqkeeper/keeper_test.go
+++ b/internal/base/kqkeeper/keeper_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
+	"github.com/kumquatgw/kumquatgw/internal/base/kqkeeper"
 )
 
 // A part panics twice and would be dead in silence, while the node serves on without
--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqnesting"
@@ -19,7 +20,6 @@
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqreturn"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -7,13 +7,13 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqnesting"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqfifo"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqslots"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/config/kqdistribute/distribute.go
+++ b/internal/config/kqdistribute/distribute.go
@@ -8,11 +8,11 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqstart"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/config/kqfetch/fetch.go
+++ b/internal/config/kqfetch/fetch.go
@@ -12,10 +12,10 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqpause"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqpause"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/config/kqfollower/follower.go
+++ b/internal/config/kqfollower/follower.go
@@ -8,9 +8,9 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqkeeper"
+	"github.com/kumquatgw/kumquatgw/internal/base/kqpause"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqpause"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/config/kqorigin/origin.go
+++ b/internal/config/kqorigin/origin.go
@@ -12,9 +12,9 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqkeeper"
+	"github.com/kumquatgw/kumquatgw/internal/base/kqpause"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqpause"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
--- a/internal/config/kqreader/reader.go
+++ b/internal/config/kqreader/reader.go
@@ -10,10 +10,10 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqkeeper"
+	"github.com/kumquatgw/kumquatgw/internal/base/kqpause"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqlease"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqpause"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
--- a/internal/config/kqreplica/replica.go
+++ b/internal/config/kqreplica/replica.go
@@ -10,10 +10,10 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqinterest"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/config/kqwatch/watch.go
+++ b/internal/config/kqwatch/watch.go
@@ -8,9 +8,9 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 )
 
--- a/internal/peer/kqexchange/beat.go
+++ b/internal/peer/kqexchange/beat.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/peer/kqexchange/exchange.go
+++ b/internal/peer/kqexchange/exchange.go
@@ -8,11 +8,11 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqsuspicion"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqoverlay"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/peer/kqpeer/panic_test.go
+++ b/internal/peer/kqpeer/panic_test.go
@@ -5,8 +5,8 @@
 	"net"
 	"testing"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/peer/kqpeer/server.go
+++ b/internal/peer/kqpeer/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -16,7 +15,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
-	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
+	"github.com/kumquatgw/kumquatgw/internal/base/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -41,8 +40,6 @@
 	part = "peer"
 	// guardTimeout bounds what a peer may take to prove who it is.
 	guardTimeout = 5 * time.Second
-	// acceptPause keeps a server that cannot accept from spinning.
-	acceptPause = 100 * time.Millisecond
 )
 
 type (
@@ -127,7 +124,8 @@
 	return err
 }
 
-// Serve answers peers on the listener until ctx ends.
+// Serve answers peers on the listener until ctx ends. A listener whose failures pass waits
+// for that itself, as kqacceptor's do; any error is taken for final.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	server := drpcserver.NewWithOptions(s, drpcserver.Options{Manager: managerOptions()})
 	tracker := drpcctx.NewTracker(ctx)
@@ -140,9 +138,6 @@
 		switch {
 		case ctx.Err() != nil:
 			return nil
-		case isTemporary(err):
-			time.Sleep(acceptPause)
-			continue
 		case err != nil:
 			return fmt.Errorf("serve peers on %s: %w", l.Addr(), err)
 		}
@@ -173,14 +168,6 @@
 	_ = server.ServeOne(ctx, secured)
 }
 
-// isTemporary reports whether accepting may succeed later: a node that stopped
-// listening because it was out of file descriptors for a moment would stay out
-// of the fleet for good.
-func isTemporary(err error) bool {
-	var t interface{ Temporary() bool }
-	return errors.As(err, &t) && t.Temporary()
-}
-
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxFrameBytes + 4096}}
 }
--- a/internal/peer/kqspread/flood.go
+++ b/internal/peer/kqspread/flood.go
@@ -7,8 +7,8 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqadmin"
+	"github.com/kumquatgw/kumquatgw/internal/base/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqbody"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqconnection"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
@@ -25,7 +26,6 @@
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqspread"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqmetric"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqnotable"
--- a/internal/run/kqnode/panic.go
+++ b/internal/run/kqnode/panic.go
@@ -7,8 +7,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqkeeper"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
-	"github.com/kumquatgw/kumquatgw/internal/run/kqkeeper"
 )
 
 // panicked counts a panic that was caught and, now and then, notes it.
