Keep the lab out of the product's files, and standard output to structured lines

kqentry, kqlocal and the node's command imported the lab's planted faults; the import now stands in files that only a build with the tag kqfault has.

--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -14,7 +14,6 @@
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqretry"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqshed"
-	"github.com/kumquatgw/kumquatgw/internal/lab/kqfault"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -133,7 +132,7 @@
 	if s.allowance != nil {
 		return s.mayRepeat(c, o)
 	}
-	return s.budget(c.Depth).Spend(o, c.Idempotent || kqfault.Planted(kqfault.Repeat))
+	return s.budget(c.Depth).Spend(o, c.Idempotent || repeatsAll)
 }
 
 // mayRepeat reports whether a call may go to another upstream by the operators'
--- a/internal/call/kqlocal/local.go
+++ b/internal/call/kqlocal/local.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/kumquatgw/kumquatgw/internal/lab/kqfault"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -97,7 +96,7 @@
 	if !kqname.Valid(a.Service) || !kqname.Valid(a.Version) || a.Address == "" || a.Slots < 1 || a.Slots > MaxSlots {
 		return fmt.Errorf("announce %q %q at %q with %d slots: %w", a.Service, a.Version, a.Address, a.Slots, ErrAnnouncement)
 	}
-	if kqfault.Planted(kqfault.Goodbye) {
+	if ignoresDrain {
 		a.Draining = false
 	}
 	u.mu.Lock()
--- a/internal/run/kqcommand/node.go
+++ b/internal/run/kqcommand/node.go
@@ -4,14 +4,15 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
-	"github.com/kumquatgw/kumquatgw/internal/lab/kqfault"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqnode"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
@@ -34,7 +35,7 @@
 		// Else the first line after the log's reader has gone would end the process.
 		// The write fails instead, and the line is counted as left out.
 		signal.Ignore(syscall.SIGPIPE)
-		if kqfault.Planted(kqfault.Reload) {
+		if dropsReload {
 			context.AfterFunc(ctx, func() { signal.Reset(syscall.SIGHUP) })
 		}
 		s, err := kqsettings.Read(*file)
@@ -56,12 +57,7 @@
 		if err != nil {
 			return err
 		}
-		for _, a := range []struct {
-			name    string
-			address kqname.Address
-		}{{"entry", n.EntryAddress()}, {"local", n.LocalAddress()}, {"control", n.ControlAddress()}, {"gate", n.GateAddress()}, {"admin", n.AdminAddress()}} {
-			fmt.Fprintf(output, "%s %s\n", a.name, a.address)
-		}
+		tellAddresses(n, s.Log.Format, output, logger)
 		var group conc.WaitGroup
 		defer group.Wait()
 		watching, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -73,6 +69,25 @@
 	})
 }
 
+// tellAddresses tells where the node listens: in plain words to whoever reads text, as one
+// structured line to what reads structured lines only.
+func tellAddresses(n *kqnode.Node, format string, output io.Writer, logger *kqlog.Logger) {
+	addresses := []struct {
+		name    string
+		address kqname.Address
+	}{{"entry", n.EntryAddress()}, {"local", n.LocalAddress()}, {"control", n.ControlAddress()}, {"gate", n.GateAddress()}, {"admin", n.AdminAddress()}}
+	fields := logrus.Fields{"event": "listening"}
+	for _, a := range addresses {
+		if format != kqlog.JSON {
+			fmt.Fprintf(output, "%s %s\n", a.name, a.address)
+		}
+		fields[a.name] = a.address
+	}
+	if format == kqlog.JSON {
+		logger.Part("node").WithFields(fields).Info("Listening.")
+	}
+}
+
 // watchSettings notes the signals that come, reads the settings again on SIGHUP, and
 // when their file changes without it. A file that cannot be read changes nothing.
 func watchSettings(ctx context.Context, signals <-chan os.Signal, file string, n *kqnode.Node, logger *kqlog.Logger) {
--- a/internal/run/kqlog/log.go
+++ b/internal/run/kqlog/log.go
@@ -8,6 +8,9 @@
 	"github.com/sirupsen/logrus"
 )
 
+// JSON is the format of one JSON object a line.
+const JSON = "json"
+
 type (
 	// Logger makes parts' loggers that share one output.
 	Logger struct {
@@ -21,7 +24,7 @@
 )
 
 // New returns a logger that writes to w at the given level ("debug" to
-// "error"), as "text" or "json".
+// "error"), as "text" or JSON.
 func New(w io.Writer, level, format string) (*Logger, error) {
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
@@ -31,7 +34,7 @@
 	base.SetOutput(w)
 	base.SetLevel(parsed)
 	base.SetFormatter(prefixed{next: &logrus.TextFormatter{FullTimestamp: true, DisableColors: true}})
-	if format == "json" {
+	if format == JSON {
 		base.SetFormatter(prefixed{next: &logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano}})
 	}
 	return &Logger{base: base}, nil
