--- a/internal/decide/kqallowance/doc.go
+++ b/internal/decide/kqallowance/doc.go
@@ -9,9 +9,6 @@
 //
 // A node earns its part of the ratio with each of its own calls, and may save up
 // its part of the slack. What a gate refuses has not been at an upstream and costs
-// nothing.
-//
-// Grounds for the figures: three quarters are used. The rest covers calls that
-// sent-again calls cause at other services, which count there, windows that end
-// between a call and its second sending, and nodes that join.
+// nothing. A call that comes because the run above it was sent again counts like a second
+// sending at the service that it goes to, so that it takes from the allowance too.
 package kqallowance
--- a/internal/decide/kqeject/doc.go
+++ b/internal/decide/kqeject/doc.go
@@ -11,14 +11,4 @@
 // upstreams. It comes back by a probe: after the ejection's time one call, and
 // no other until that is answered; a good answer readmits it, a bad one doubles
 // the time.
-//
-// Grounds for the figures: 3 times the median is beyond what a cold start or a
-// neighbour on the host does to a healthy upstream's typical call. The first
-// ejection lasts 2 s, the time in which a restart or a drain is heard of from
-// peers; doubling up to 30 s holds the probes of many entries to a small share of
-// the calls. At most a third of a service's upstreams, rounded down, is ejected
-// for being slow or failing: if more look bad, the load or the network is the
-// cause, and sending the rest all the work would make them fail next. One that
-// cannot be reached or drains is ejected beyond that cap, since a call sent there
-// cannot be answered.
 package kqeject
--- a/internal/decide/kqfair/doc.go
+++ b/internal/decide/kqfair/doc.go
@@ -8,10 +8,4 @@
 // lines take turns by the work that they have been given (start-time fair
 // queueing), so that a backlog delays only the caller that built it. It is a
 // share and not a rate: whoever is alone gets the whole upstream.
-//
-// Grounds for the figures: a queue has 512 lines, which bounds its memory to
-// 50 KB; a decision looks at the busy ones only. A caller takes the first line
-// that is its own or idle among 8 from its hash under the queue's salt, and
-// shares its hash's line only where all 8 are taken. Hashed into fixed lines,
-// some caller met the hot one's line at one of six gates and lost 7% of its calls.
 package kqfair
--- a/internal/decide/kqfair/fair.go
+++ b/internal/decide/kqfair/fair.go
@@ -14,8 +14,8 @@
 	probes = 8
 
 	// window is the number of calls after which what lines were lately given
-	// counts half: some tens of calls for each of ten busy lines. With 64 the
-	// shares waver, and twice as many of a hot caller's calls are given up late.
+	// counts half: some tens of calls for each of ten busy lines, below which
+	// the shares waver.
 	window = 256
 
 	// calmStreak is how many calls in a row find nobody by more than chance.
--- a/internal/decide/kqlimit/doc.go
+++ b/internal/decide/kqlimit/doc.go
@@ -13,9 +13,4 @@
 // been taken away and calls do not get faster, the load is not the cause, such
 // as behind a slow database: all slots are given back and the new time becomes
 // the measure.
-//
-// Grounds for the figures: a limit moves after 32 calls with all slots taken, of
-// which a straggler or two cannot double the mean; at 6 slots and 40 ms that is
-// every 0.2 s, so that 6 slots become 3 in under a second. Twice is beyond what
-// a busy but sound upstream shows at its full slots.
 package kqlimit
--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// drawn is how many upstreams a choice is made among: of two to five, four did best
-	// both where an entry knows all loads and where it knows little. mostDrawn bounds
-	// the draw where some of them fail part of their calls.
+	// drawn is how many upstreams a choice is made among: with two, calls meet slow ones
+	// by chance; with all, every entry chooses the same one. mostDrawn bounds the draw
+	// where some of them fail part of their calls.
 	drawn     = 4
 	mostDrawn = 8
 	// nearFactor is what the expected time counts for in the entry's own failure
--- a/internal/decide/kqretry/doc.go
+++ b/internal/decide/kqretry/doc.go
@@ -13,10 +13,4 @@
 // stay within the whole. A gate's own word that its upstream drains or was taken
 // back costs nothing: the entry leaves that upstream out from then on, so that
 // it is the few calls on their way that meet it.
-//
-// Grounds for the figures: at depth 0 a call earns a twentieth for load and
-// 1/300 for churn, at other depths 1/300 for churn alone: (1 + 1/20 + 1/300) ×
-// (1 + 1/300)^12 = 1.096, under the 10% that retries may add in all. The reserve
-// of 10 that a service has at the start and after a calm spell lets the calls
-// that a dying node held be sent elsewhere; the node is ejected after the first.
 package kqretry
--- a/internal/decide/kqshed/doc.go
+++ b/internal/decide/kqshed/doc.go
@@ -9,10 +9,6 @@
 // with older ones counting less; the rest is taken in, or on its way. It refuses
 // a call with the chance (calls - factor × taken in) / calls. The load that reaches the gates
 // settles at factor times what they take in, so that they stay full and a
-// change for the better is seen at once.
-//
-// Grounds for the figures: at factor 2 every second call that is sent is still
-// refused by a gate, which keeps the gates' queues full through chance lulls;
-// background calls get 1.2, since they are to make room first; critical ones 4.
-// Counts halve every second, so that the entry follows a change within two.
+// change for the better is seen at once. The factor is smaller for less important
+// classes, which are to make room first.
 package kqshed
