--- a/internal/call/kqentry/refuse_test.go
+++ b/internal/call/kqentry/refuse_test.go
@@ -31,6 +31,8 @@
 		asked      atomic.Int64
 		// everyOther refuses every other call; it is set before the first.
 		everyOther bool
+		// told is what the entry told of its last call.
+		told atomic.Value
 	}
 
 	fixed struct{ snapshot *kqsnapshot.Snapshot }
@@ -59,6 +61,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		fields := r.Header.Get("Kq-Call")
+		g.told.Store(fields)
 		var id string
 		for i := range fields {
 			if fields[i] == ';' {
@@ -71,6 +74,7 @@
 		if g.everyOther && asked%2 == 0 || g.full.Load() {
 			w.Header().Set(kqcall.HeaderResult, string(kqcall.NotRun))
 			w.Header().Set(kqcall.HeaderReason, string(kqcall.QueueFull))
+			w.Header().Set("Kq-Retry-Ms", "250")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
