Keep the last answers of a leave within their time

Since answers to calls that came behind each other are waited for before the servers shut down, the last answers of a leave had up to 150 ms for the cancelled calls and as many for those that callers still sent, on two listeners and beside 200 ms for the goodbye: 800 ms of the 700 that are kept for them. Both are told at once now and share 150 ms. Ruled out: a longer margin (it takes time from calls).

--- a/internal/run/kqnode/drain.go
+++ b/internal/run/kqnode/drain.go
@@ -61,46 +61,40 @@
 func (n *Node) finish(ctx context.Context, calls func() int, servers map[Role]*fasthttp.Server) error {
 	busy := func() int { return calls() + n.early(servers) }
 	n.quiet(ctx, busy, servers)
-	cancelled := ctx.Err() != nil && busy() > 0
-	if cancelled {
-		n.cancel(busy)
+	if ctx.Err() != nil {
+		return n.cutShort(busy, servers)
 	}
 	err := shutdown(ctx, servers)
 	if errors.Is(err, context.DeadlineExceeded) {
-		n.endReading(servers)
-	} else if cancelled {
-		err = errors.Join(err, fmt.Errorf("drain: calls were cancelled: %w", context.DeadlineExceeded))
+		err = errors.Join(err, n.cutShort(busy, servers))
 	}
 	return err
 }
 
-// cancel ends the calls that are still under way, and waits for their answers. A server
-// that is shut down before would close a connection with its next answer, whatever else
-// is due on it.
-func (n *Node) cancel(busy func() int) {
-	n.note(logrus.Fields{"event": "leaving", "step": "cancelled"}, "Leaving: calls that take longer are cancelled.")
-	n.hangup.Cancel(kqcall.Draining)
+// cutShort ends the calls that are still under way, and the reading of those that callers
+// still send, and lets both have their answers. A server that is shut down before would
+// close a connection with its next answer, whatever else is due on it. All of it has
+// lastAnswers: a process that takes longer is killed in its leave.
+func (n *Node) cutShort(busy func() int, servers map[Role]*fasthttp.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
 	defer cancel()
-	ticker := time.NewTicker(emptyPoll)
-	defer ticker.Stop()
-	for busy() > 0 && ctx.Err() == nil {
-		<-ticker.C
+	var err error
+	if busy() > 0 {
+		n.note(logrus.Fields{"event": "leaving", "step": "cancelled"}, "Leaving: calls that take longer are cancelled.")
+		err = fmt.Errorf("drain: calls were cancelled: %w", context.DeadlineExceeded)
 	}
-}
-
-// endReading has callers that still send told of the end.
-func (n *Node) endReading(servers map[Role]*fasthttp.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
-	defer cancel()
+	n.hangup.Cancel(kqcall.Draining)
 	for role := range servers {
 		if l, ok := n.connections[role]; ok {
 			l.EndReading(time.Now())
 		}
 	}
-	for role := range servers {
-		n.emptied(ctx, lastAnswers, role)
+	ticker := time.NewTicker(emptyPoll)
+	defer ticker.Stop()
+	for busy() > 0 && ctx.Err() == nil {
+		<-ticker.C
 	}
+	return errors.Join(err, shutdown(ctx, servers))
 }
 
 // early returns how many calls are served before their turn on their connections.
