--- a/internal/call/kqconnection/doc.go
+++ b/internal/call/kqconnection/doc.go
@@ -7,4 +7,8 @@
 // second request has none. A caller would see a call that the node has read end without
 // an answer. With one request at a time each answer goes out when it is ready, and the
 // server can ask whether another request waits before it closes.
+//
+// Requests that come behind the one under way are read meanwhile, and safe ones are served
+// before their turn; the library is given each in its turn all the same, and its answer
+// then.
 package kqconnection
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -28,14 +28,12 @@
 	standing     = 4 * time.Second
 	standingWait = 10
 	calm         = 4
-	// spread is how many times its expected work a call may take and still make
-	// its target: nine calls in ten take less.
+	// spread is how many times its expected work a call must begin before its target: one
+	// that begins later seldom makes it, and has another come too late in its place.
 	spread = 1.2
-	// standingTarget divides what is left for the wait once a line is in no burst
-	// any more, and leastWait is what is allowed then at least: a few calls in the
-	// queue keep the slots in use between two arrivals.
-	standingTarget = 2
-	leastWait      = 20 * time.Millisecond
+	// leastWait is what is allowed at least: a few calls in the queue keep the slots in
+	// use between two arrivals.
+	leastWait = 20 * time.Millisecond
 	// spareOver is how many calls the spare part of the slots is taken over, and
 	// leastSpare what is reckoned with at least.
 	spareOver  = 32
