--- a/internal/run/kqearly/early_test.go
+++ b/internal/run/kqearly/early_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"syscall"
 	"testing"
 	"time"
@@ -30,6 +31,11 @@
 // that ended by itself, and a server that is ready later. A command at a terminal ends
 // with it, as users expect.
 func TestReloadSignalBeforeTheStart(t *testing.T) {
+	// Run where the signal is ignored, as under nohup, the processes would inherit that. One
+	// that is taken here is back to its default in them.
+	taken := make(chan os.Signal, 1)
+	signal.Notify(taken, syscall.SIGHUP)
+	defer signal.Stop(taken)
 	for command, want := range map[string]string{"node": "", "demo": "signal: hangup"} {
 		c := exec.CommandContext(t.Context(), os.Args[0], command)
 		c.Env = append(os.Environ(), childVariable+"=1")
