--- a/internal/call/kqconnection/ahead_test.go
+++ b/internal/call/kqconnection/ahead_test.go
@@ -93,18 +93,14 @@
 func TestRequestsThatChangeSomethingAreServedAlone(t *testing.T) {
 	var under, most atomic.Int64
 	caller, done := served(t, func(ctx *fasthttp.RequestCtx) {
-		if n := under.Add(1); !ctx.IsGet() || most.Load() < 0 {
-			if n > 1 {
+		look := func(n int64) {
+			if !ctx.IsGet() && n > 1 {
 				most.Store(n)
 			}
-			if !ctx.IsGet() {
-				time.Sleep(20 * time.Millisecond)
-				if under.Load() > 1 {
-					most.Store(under.Load())
-				}
-			}
 		}
-		time.Sleep(10 * time.Millisecond)
+		look(under.Add(1))
+		time.Sleep(20 * time.Millisecond)
+		look(under.Load())
 		under.Add(-1)
 		ctx.SetBody(ctx.Path())
 	})
