Leave time for the last calls where a quiet service moves to a new version

What callers saw: one or two calls of some 450 ended as "unknown" when operators stopped the old upstreams on reading that the move had succeeded.

Cause, by the traces: with thirty calls a second the small share is one or two, and a step of an order waits for 25 calls of the new version until 0.88 of the window. All further steps then fell into half a second, done came 0.73 s before the bound on waiting for what is at work at the old version, other nodes heard it up to 0.27 s later, and calls last up to 0.7 s: the bound passed with calls at work.

Change: a step may come late for want of calls by 0.15 of the window; only where something speaks against the version does it still wait until 0.88. The bound and the test stay.

The new test of kqstep plays the quiet service by its figures; without the change it ends at step 1 one second before the deadline.

--- a/internal/rollout/kqstep/step.go
+++ b/internal/rollout/kqstep/step.go
@@ -31,6 +31,9 @@
 	// upstreams are taken as they are.
 	waits = 0.85
 	hurry = 0.88
+	// sparse is the part of the window by which a step of an ordered rollout may come
+	// late for want of calls to go on by.
+	sparse = 0.15
 	// orderedCalls is how many calls of the new version an ordered rollout needs
 	// for each step: of a version that fails a third of its calls, one in 20,000
 	// gets so far without a failure.
@@ -182,7 +185,7 @@
 		return Decision{Hold, "the next step is not due"}
 	case s.Progress.Step == Small && elapsed < waits && s.Plan.Duration == 0 && max(s.Finding.Total, -s.Finding.Cleared) > 0:
 		return Decision{Hold, "the small share goes on, since the evidence is not clear: " + Words(s.Finding)}
-	case s.Plan.Duration > 0 && to <= Last && s.Finding.Calls < orderedCalls && elapsed < hurry:
+	case s.Plan.Duration > 0 && to <= Last && s.Finding.Calls < orderedCalls && elapsed < awaits(s, to):
 		return Decision{Hold, fmt.Sprintf("%d calls are too few to go on by", s.Finding.Calls)}
 	case leans(s):
 		return Decision{TakeBack, "the time for it is up and the evidence leans against it: " + Words(s.Finding)}
@@ -210,6 +213,18 @@
 	return Decision{TakeBack, "the deadline came without enough evidence for it"}
 }
 
+// awaits returns until when, as a part of the window, an ordered rollout waits with a
+// step for calls to go on by. A service of few calls never has them at the small share:
+// if every step waited until the time is short, the last ones would fall into one
+// moment, and the old upstreams be stopped with calls at work there. Only where
+// something speaks against the version is the time used up.
+func awaits(s State, to int) float64 {
+	if leans(s) {
+		return hurry
+	}
+	return stageOf(s.Plan, to).due + sparse
+}
+
 func leans(s State) bool {
 	w := weightsOf(s.Plan)
 	return s.Finding.Total >= w.lean || -s.Finding.Cleared >= w.doubt
--- a/internal/rollout/kqstep/step_test.go
+++ b/internal/rollout/kqstep/step_test.go
@@ -117,6 +117,34 @@
 	}
 }
 
+// A quiet service has thirty calls a second, of which the small share is one or two. Its
+// good version waited there for calls to go on by until seven eighths of the time were
+// up, and went through all other steps within half a second. Operators were told just in
+// time that it was done, and stopped the old upstreams while calls were at work there.
+func TestOrderOfQuietServiceLeavesTimeForItsLastCalls(t *testing.T) {
+	const (
+		rate    = 30.0
+		tick    = 100 * time.Millisecond
+		longest = time.Second
+	)
+	plan := kqplan.Plan{Duration: 8 * time.Second, Prefer: kqdocument.PreferFinishing, SmallShare: 0.05}.Begin(start)
+	s := kqstep.State{Plan: plan, OldSlots: 192, NewSlots: 192}
+	calls := 0.0
+	for now := start; now.Before(plan.Deadline.Add(-longest)); now = now.Add(tick) {
+		calls += rate * tick.Seconds() * kqstep.Share(plan, s.Progress.Step)
+		s.Finding.Calls = uint64(calls)
+		switch d := kqstep.Decide(now, s); d.Action {
+		case kqstep.Advance:
+			s.Progress.Step++
+		case kqstep.TakeBack:
+			t.Fatalf("taken back after %s: %s", now.Sub(start), d.Why)
+		case kqstep.Done:
+			return
+		}
+	}
+	t.Errorf("at step %d when calls of %s have no time left to end in", s.Progress.Step, longest)
+}
+
 // A good version has four upstreams beside five of the old one, which all traffic of a
 // busy service does not fit on. It ended as done, the five were stopped, and from that
 // second on a third of the calls that rank last were turned away, for the rest of the day.
