Shed first the calls that cannot make their targets any more

What callers saw: with a service at twice what it can do, entries refused callers at random, many who asked for the first time among them, while calls of callers who came back, whose answers can only be late, went on to gates that had room for them.

Change: the shedder counts, for each class, calls that cannot make their targets any more, by the least time that an upstream's gate told of the route, and takes what is too much off those first. How much is refused stays as it is.

--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -96,7 +96,13 @@
 	} else {
 		s.budget(c.Depth).Earn()
 	}
-	return baseline || !s.shedder.Refuse(c.Class, now, s.random)
+	return baseline || !s.shedder.Refuse(c.Class, s.tardy(c, now), now, s.random)
+}
+
+// tardy reports whether the call cannot make its target any more, by the least time that
+// an upstream's gate told of the route's calls.
+func (s *service) tardy(c *kqcall.Call, now time.Time) bool {
+	return c.Depth == 0 && !c.Target.IsZero() && now.Add(s.pool.Work(c.Route)).After(c.Target)
 }
 
 func (s *service) pick(c *kqcall.Call, all []kqmember.Candidate, target kqpick.Target, tried []kqname.Node, now time.Time) (*kqpick.Peer, kqmember.Candidate, Try) {
--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -151,6 +151,18 @@
 	return false
 }
 
+// Work returns the least time that calls of the route take at one of the upstreams, by
+// what their gates told; 0 where none did.
+func (p *Pool) Work(route kqname.Route) time.Duration {
+	least := time.Duration(0)
+	for _, o := range p.peers {
+		if k, ok := o.routes[route]; ok && !o.state.Ejected() && (least == 0 || k.work < least) {
+			least = k.work
+		}
+	}
+	return least
+}
+
 // Done takes in how a call ended that Pick chose the upstream for, and the load
 // that the gate told, if it did. A failed answer is one with a status of 5xx.
 func (p *Pool) Done(o *Peer, end kqcall.Outcome, failed bool, load *kqcall.Load, now time.Time) {
--- a/internal/decide/kqshed/doc.go
+++ b/internal/decide/kqshed/doc.go
@@ -11,4 +11,8 @@
 // settles at factor times what they take in, so that they stay full and a
 // change for the better is seen at once. The factor is smaller for less important
 // classes, which are to make room first.
+//
+// Within a class, calls that cannot make their targets any more are refused before those
+// that can: refused at random, callers who have just come would give way to others whose
+// answers are late in any case.
 package kqshed
--- a/internal/lab/kqloadmodel/model.go
+++ b/internal/lab/kqloadmodel/model.go
@@ -169,7 +169,7 @@
 	m.next++
 	c := &call{Stream: s, arrived: m.now, deadline: m.now.Add(ms(s.DeadlineMS)), entry: e}
 	e.budget.Earn()
-	if !m.settings.Baseline && e.shedder.Refuse(s.Class, m.now, m.random) {
+	if !m.settings.Baseline && e.shedder.Refuse(s.Class, false, m.now, m.random) {
 		m.end(c, kqcall.Refuse(kqcall.Overload))
 		return
 	}
