Keep for short calls the slots that they need, not half of all

Cause, by the gate's lines: five times slower, its calls counted as long jobs beside the tiny requests that it also answers, and half of the slots were kept for these.

Change: short calls have twice the slots kept that they have asked for over the last second, one at least and half at most.

--- a/internal/decide/kqslots/doc.go
+++ b/internal/decide/kqslots/doc.go
@@ -26,8 +26,8 @@
 // Nested calls are served before all others, and only their deadline counts: another call
 // holds a slot at its upstream while it waits for one, and all its work is lost with it.
 //
-// Short calls and long jobs wait apart, and half of the slots never go to long
-// jobs: otherwise a few long jobs take every slot and each short call waits for
-// as long as a long job lasts. Callers within a line share by kqfair; a class
-// is served before the less important ones.
+// Short calls and long jobs wait apart, and what short calls have needed lately, up to
+// half of the slots, never goes to long jobs: otherwise a few long jobs take every slot
+// and each short call waits for as long as a long job lasts. Callers within a line share
+// by kqfair; a class is served before the less important ones.
 package kqslots
--- a/internal/decide/kqslots/overload_test.go
+++ b/internal/decide/kqslots/overload_test.go
@@ -273,3 +273,27 @@
 		t.Errorf("%.2f of the important calls were answered, and %.2f of the others", served(important), served(other))
 	}
 }
+
+// An upstream becomes five times slower and takes 700 ms for each call. Beside these it
+// answers ten tiny calls a second, so that its ordinary ones count as long jobs. Half of
+// its slots were kept from them for the sake of the tiny ones, which use a hundredth of
+// one, and callers were refused by the dozen each second with slots free.
+func TestSlowUpstreamUsesItsSlotsBesideTinyCalls(t *testing.T) {
+	const slots = 6
+	tiny := stream{
+		route: "tiny", class: "critical", callers: 3, rate: 10, work: 2 * time.Millisecond,
+		target: 100 * time.Millisecond, deadline: time.Second, spread: 0.3,
+	}
+	slow := browse(20)
+	slow.work, slow.deadline, slow.spread = 700*time.Millisecond, patience, 0.3
+	all := sum(load{slots: slots, lasts: 30 * time.Second, again: 2, streams: []stream{tiny, slow}})
+	g := all["browse"]
+	capacity := float64(g.asked) * slots / (slow.rate * slow.work.Seconds())
+	t.Logf("tiny %+v, slow %+v, %.0f could be answered", *all["tiny"], *g, capacity)
+	if got := float64(g.inTime+g.late) / capacity; got < 0.8 {
+		t.Errorf("%.2f of what the upstream can do was answered, want 0.8", got)
+	}
+	if g := all["tiny"]; float64(g.inTime) < 0.95*float64(g.asked) {
+		t.Errorf("%d of %d tiny calls were answered in time, want 95 in 100", g.inTime, g.asked)
+	}
+}
--- a/internal/decide/kqslots/queue.go
+++ b/internal/decide/kqslots/queue.go
@@ -1,6 +1,7 @@
 package kqslots
 
 import (
+	"math"
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
@@ -209,13 +210,16 @@
 	return s.running < s.limit.Allowed() && (!long || s.runningLong < s.longMost(now))
 }
 
-// longMost is how many slots long jobs may have: half, and one at least, or all
-// while no short calls come.
+// longMost is how many slots long jobs may have: all but what short calls need, which is
+// at most half, and one at least, or all while no short calls come. An upstream that has
+// become slow and answers a few requests of a millisecond beside its calls would serve
+// half of what it can if half were kept for those.
 func (s *Slots) longMost(now time.Time) int {
 	if now.Sub(s.shortSeen) > shortIdle {
 		return s.limit.Allowed()
 	}
-	return max(s.limit.Allowed()/2, 1)
+	kept := max(int(math.Ceil(bursts*s.short.slots(now))), 1)
+	return max(s.limit.Allowed()-min(kept, s.limit.Allowed()/2), 1)
 }
 
 func (s *Slots) lanes(t *Ticket) *[levels]*kqfair.Queue {
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -121,8 +121,9 @@
 		closed           bool
 		// exact tells that the announced slots are what the upstream runs at once.
 		exact bool
-		// shortSeen is when a short call came last.
+		// shortSeen is when a short call came last, and short what such calls ask for.
 		shortSeen time.Time
+		short     demand
 	}
 )
 
@@ -151,10 +152,11 @@
 	if t.Nested {
 		t.level = 0
 	}
+	expected := s.work.Expect(t.Route)
 	if !t.long {
 		s.shortSeen = now
+		s.short.add(expected, now)
 	}
-	expected := s.work.Expect(t.Route)
 	left := t.Deadline.Sub(now)
 	switch {
 	case s.closed:
