Don't offer a call to one full gate after the other

Cause, by all nodes' lines: a call took 1 ms from its entry to the gates of catalogue and reading services, and 60 to 660 ms (median, by gate; p90 up to 1.1 s) to those of the enrolment service, whose servers have links of 10 Mbit/s. Each order of 4 KB was offered to six gates one after the other (2,319 of the refused ones after second 14), some 280 offers a second at each gate, 1.3 MB/s. Lookups of calls that ran already timed out on the same links (1,626 after one try), and with them the runs. Orders went round because an upstream that an entry had not heard of for 100 ms counted as one with room; with twenty upstreams an entry hears of each once a second. Ruled out: gates that answer late themselves (they noted no wait), hanging upstreams (their lines show one time-out), processor time (not charged).

Change: where a service has more calls than slots, by the reports of the last second, only an upstream that said within this second that it has a slot free counts as one with room.

--- a/internal/decide/kqpick/peer.go
+++ b/internal/decide/kqpick/peer.go
@@ -152,10 +152,15 @@
 	return 1
 }
 
-// spare reports whether the upstream has a slot free as far as is known.
-func (o *Peer) spare(now time.Time) bool {
-	if now.Sub(o.reported) >= spareLasts {
-		return o.sent < o.Slots
+// spare reports whether the upstream has a slot free as far as is known; where the
+// service is crowded, only one that said so lately has.
+func (o *Peer) spare(crowded bool, now time.Time) bool {
+	lasts := spareLasts
+	if crowded {
+		lasts = reportLasts
+	}
+	if now.Sub(o.reported) >= lasts {
+		return !crowded && o.sent < o.Slots
 	}
 	return o.load.Waiting == 0 && max(o.sent, o.load.Running) < o.Slots
 }
--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -34,6 +34,9 @@
 	// it counts.
 	failureCost = 40.0
 	calmUse     = 0.5
+	// crowdedUse is the part of a service's slots, with those who wait, from which on it
+	// has more calls than it can run at once.
+	crowdedUse  = 1.0
 	coldFactor  = 4.0
 	coldFor     = 10 * time.Second
 	reportLasts = time.Second
@@ -141,10 +144,14 @@
 // Spare reports whether, by what is known, an upstream that the target allows and
 // whose node was not tried has a slot free. A report that is old says nothing, and
 // counts as room: asking is cheap beside refusing a caller whom somebody could
-// have served.
+// have served. Where the service as a whole has more calls than slots, it counts as none:
+// each entry hears of each of many upstreams so seldom that every call would be offered
+// to one gate after the other, with its body each time, until the links of the servers
+// are full and even those calls are late that have a slot.
 func (p *Pool) Spare(target Target, tried []kqname.Node, now time.Time) bool {
+	crowded := p.usage(now) >= crowdedUse
 	for _, o := range p.peers {
-		if target.allows(o.Candidate) && !slices.Contains(tried, o.Node) && !o.state.Ejected() && o.spare(now) {
+		if target.allows(o.Candidate) && !slices.Contains(tried, o.Node) && !o.state.Ejected() && o.spare(crowded, now) {
 			return true
 		}
 	}
@@ -261,11 +268,14 @@
 // calm reports whether the service has slots to spare, by the mean of what its
 // upstreams' gates told lately: a single report may be a second old, in which one
 // upstream fills up, while the mean of many follows the load.
-func (p *Pool) calm(now time.Time) bool {
+func (p *Pool) calm(now time.Time) bool { return p.usage(now) < calmUse }
+
+// usage returns the part of the service's slots in use as it was counted lately.
+func (p *Pool) usage(now time.Time) float64 {
 	if now.Sub(p.counted) >= medianLasts {
 		p.counted, p.inUse = now, p.use(now)
 	}
-	return p.inUse < calmUse
+	return p.inUse
 }
 
 // use returns the part of the slots in use, of the upstreams whose reports are fresh;
