Part what a call may go to, and what is known of a service, from the choice itself

kqpick's pick.go held three jobs in 321 lines: the target of a call, the choice of an upstream, and what entries know of the service as a whole.

--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -64,26 +64,6 @@
 		started bool
 	}
 
-	// Target says which upstreams of a service a call may go to.
-	Target struct {
-		// Version is the wanted upstream version; empty accepts any.
-		Version kqname.UpstreamVersion
-		// Nodes limits the choice to these nodes' upstreams; nil accepts all.
-		Nodes map[kqname.Node]bool
-		// Fallback is the version to turn to once the target has refused a
-		// call or has nobody to take it; empty leaves no other.
-		Fallback kqname.UpstreamVersion
-		// Not are versions that the call must not go to, and FallbackNot those of
-		// the target to turn to in place of Fallback.
-		Not, FallbackNot []kqname.UpstreamVersion
-		// Ample is an expected time that is well within what the call's answer is
-		// wanted in; an upstream of the own failure domain that is expected to
-		// take no longer goes first. 0 states none.
-		Ample time.Duration
-		// Route is the call's; empty where upstreams tell of no route.
-		Route kqname.Route
-	}
-
 	// Option sets up a Pool.
 	Option func(*Pool)
 )
@@ -141,35 +121,6 @@
 	return chosen
 }
 
-// Spare reports whether, by what is known, an upstream that the target allows and
-// whose node was not tried has a slot free. A report that is old says nothing, and
-// counts as room: asking is cheap beside refusing a caller whom somebody could
-// have served. Where the service as a whole has more calls than slots, it counts as none:
-// each entry hears of each of many upstreams so seldom that every call would be offered
-// to one gate after the other, with its body each time, until the links of the servers
-// are full and even those calls are late that have a slot.
-func (p *Pool) Spare(target Target, tried []kqname.Node, now time.Time) bool {
-	crowded := p.usage(now) >= crowdedUse
-	for _, o := range p.peers {
-		if target.allows(o.Candidate) && !slices.Contains(tried, o.Node) && !o.state.Ejected() && o.spare(crowded, now) {
-			return true
-		}
-	}
-	return false
-}
-
-// Work returns the least time that calls of the route take at one of the upstreams, by
-// what their gates told; 0 where none did.
-func (p *Pool) Work(route kqname.Route) time.Duration {
-	least := time.Duration(0)
-	for _, o := range p.peers {
-		if k, ok := o.routes[route]; ok && !o.state.Ejected() && (least == 0 || k.work < least) {
-			least = k.work
-		}
-	}
-	return least
-}
-
 // Done takes in how a call ended that Pick chose the upstream for, and the load
 // that the gate told, if it did. A failed answer is one with a status of 5xx.
 func (p *Pool) Done(o *Peer, end kqcall.Outcome, failed bool, load *kqcall.Load, now time.Time) {
@@ -245,52 +196,6 @@
 	return o
 }
 
-// typical returns the median of what the upstreams' calls took lately.
-func (p *Pool) typical(now time.Time) time.Duration {
-	if now.Sub(p.judged) < medianLasts {
-		return p.median
-	}
-	p.judged, p.median = now, 0
-	var works []time.Duration
-	for _, o := range p.peers {
-		if o.load.Work > 0 {
-			works = append(works, o.load.Work)
-		}
-	}
-	// The median of two would be one of them: neither tells which is off.
-	if len(works) > 2 {
-		slices.Sort(works)
-		p.median = works[len(works)/2]
-	}
-	return p.median
-}
-
-// calm reports whether the service has slots to spare, by the mean of what its
-// upstreams' gates told lately: a single report may be a second old, in which one
-// upstream fills up, while the mean of many follows the load.
-func (p *Pool) calm(now time.Time) bool { return p.usage(now) < calmUse }
-
-// usage returns the part of the service's slots in use as it was counted lately.
-func (p *Pool) usage(now time.Time) float64 {
-	if now.Sub(p.counted) >= medianLasts {
-		p.counted, p.inUse = now, p.use(now)
-	}
-	return p.inUse
-}
-
-// use returns the part of the slots in use, of the upstreams whose reports are fresh;
-// 0 where none is.
-func (p *Pool) use(now time.Time) float64 {
-	busy, slots := 0, 0
-	for _, o := range p.peers {
-		if now.Sub(o.reported) < reportLasts {
-			busy += o.load.Running + o.load.Waiting
-			slots += o.Slots
-		}
-	}
-	return float64(busy) / float64(max(slots, 1))
-}
-
 // gone reports whether the reason tells that the upstream takes no calls at all.
 func gone(r kqcall.Reason) bool {
 	switch r {
@@ -300,22 +205,3 @@
 		return false
 	}
 }
-
-// Next returns the target for a call that this one did not take.
-func (t Target) Next() Target {
-	switch {
-	case t.Fallback != "":
-		return Target{Version: t.Fallback, Ample: t.Ample, Route: t.Route}
-	case len(t.FallbackNot) > 0:
-		return Target{Not: t.FallbackNot, Ample: t.Ample, Route: t.Route}
-	default:
-		return t
-	}
-}
-
-// HasNext reports whether there is another target to turn to.
-func (t Target) HasNext() bool { return t.Fallback != "" || len(t.FallbackNot) > 0 }
-
-func (t Target) allows(c kqmember.Candidate) bool {
-	return (t.Version == "" || c.Version == t.Version) && (t.Nodes == nil || t.Nodes[c.Node]) && !slices.Contains(t.Not, c.Version)
-}
