--- a/internal/decide/kqslots/demand.go
+++ b/internal/decide/kqslots/demand.go
@@ -8,8 +8,9 @@
 const (
 	// demandOver is the time over which demand is taken.
 	demandOver = time.Second
-	// bursts is how many times their mean demand short calls have slots kept for.
-	bursts = 2
+	// keptTimes is how many times their mean demand short calls have slots kept for, as
+	// they don't come evenly.
+	keptTimes = 2
 )
 
 // demand is how many slots calls have asked for lately.
--- a/internal/decide/kqslots/queue.go
+++ b/internal/decide/kqslots/queue.go
@@ -218,7 +218,7 @@
 	if now.Sub(s.shortSeen) > shortIdle {
 		return s.limit.Allowed()
 	}
-	kept := max(int(math.Ceil(bursts*s.short.slots(now))), 1)
+	kept := max(int(math.Ceil(keptTimes*s.short.slots(now))), 1)
 	return max(s.limit.Allowed()-min(kept, s.limit.Allowed()/2), 1)
 }
 
