Let the upstreams die before the move would end in the test of a herd's death

Traced with thirty runs, ten at once, beside plays at a load of 20 to 27: in the runs that ended so, the test took 0.6 to 0.8 s to drain the four upstreams, and was through with it 0.3 s before the move's deadline and 0.5 s after it.

--- a/internal/run/kqnode/rollout_fault_test.go
+++ b/internal/run/kqnode/rollout_fault_test.go
@@ -113,7 +113,8 @@
 func TestNewUpstreamsDieInAHerd(t *testing.T) {
 	t.Parallel()
 	w := newTown(t, kqupstream.Behaviour{Work: 2 * time.Millisecond})
-	w.commit(0, plan(time.Now(), 6*time.Second))
+	// Long enough for the upstreams to be gone well before the move would end.
+	w.commit(0, plan(time.Now(), 12*time.Second))
 	w.load()
 	w.until("a larger share", func(s *kqfleet.Server) bool { return share(s) > 0.2 })
 	for _, s := range w.next {
