--- a/internal/call/kqconnection/ahead_test.go
+++ b/internal/call/kqconnection/ahead_test.go
@@ -19,25 +19,18 @@
 )
 
 // served starts a server with the handler and returns a caller's connection to it.
-func served(t interface {
-	Helper()
-	Fatal(args ...any)
-}, handler fasthttp.RequestHandler,
-) (caller net.Conn, done func()) {
+func served(t failer, handler fasthttp.RequestHandler) (caller net.Conn, done func()) {
 	t.Helper()
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := listen(t)
 	server := &fasthttp.Server{Handler: kqconnection.Serve(handler), ReadTimeout: 10 * time.Second, MaxRequestBodySize: 1 << 20}
 	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(kqconnection.New(inner)) }()
-	caller, err = net.Dial("tcp", inner.Addr().String())
+	go func() { ended <- server.Serve(l) }()
+	caller, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	return caller, func() {
-		_, _, _ = caller.Close(), inner.Close(), <-ended
+		_, _, _ = caller.Close(), l.Close(), <-ended
 	}
 }
 
--- a/internal/call/kqconnection/listener_test.go
+++ b/internal/call/kqconnection/listener_test.go
@@ -16,28 +16,6 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqconnection"
 )
 
-func open(t interface {
-	Helper()
-	Fatal(args ...any)
-},
-) (server net.Conn, caller net.Conn, done func()) {
-	t.Helper()
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := kqconnection.New(inner)
-	caller, err = net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	server, err = l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return server, caller, func() { _, _, _ = server.Close(), caller.Close(), l.Close() }
-}
-
 // Whatever callers send, in whatever pieces and buffers: the server reads just that.
 // Were a byte lost or moved, a request would run that nobody sent.
 func TestEveryByteIsReadInOrder(t *testing.T) {
@@ -160,22 +138,11 @@
 // One caller has connected and is silent, another has begun its request. Only the
 // silent one's connection may be closed.
 func TestOnlySilentConnectionsAreClosed(t *testing.T) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := kqconnection.New(inner)
+	l := listen(t)
 	defer func() { _ = l.Close() }()
 	for _, speaks := range []bool{false, true} {
-		caller, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = caller.Close() }()
-		server, err := l.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
+		server, caller, done := accept(t, l)
+		defer done()
 		b := make([]byte, 8)
 		if speaks {
 			fmt.Fprint(caller, "GET")
