Send a rollout's messages from one place

Evidence, and the word that calls are at work at an old version, were each encoded and sent to the first few nodes of a service and its owner in lines of their own. Behaviour is the same; kqnode's tests and the platform's test of a move's end pass.

--- a/internal/run/kqnode/rollout_message.go
+++ b/internal/run/kqnode/rollout_message.go
@@ -84,21 +84,24 @@
 	return rank >= 0 && rank < collecting || v.Owner == r.node.settings.Node.Name
 }
 
-// report sends this gate's evidence to the nodes that weigh it: the first few of
-// the service, and the owner.
-func (r *rollouts) report(v kqboard.View, m evidenceMessage) {
+// report sends this gate's evidence to the nodes that weigh it.
+func (r *rollouts) report(v kqboard.View, m evidenceMessage) { r.send(v, collecting, topicEvidence, m) }
+
+// send sends a message of a rollout to the first few nodes of its service, and to its
+// owner.
+func (r *rollouts) send(v kqboard.View, first int, topic kqspread.Topic, m any) {
 	payload, err := cbor.Marshal(m)
 	if err != nil {
-		r.node.logger.Part("rollout").WithError(err).Warn("Evidence cannot be encoded.")
+		r.node.logger.Part("rollout").WithError(err).Warnf("Message %s cannot be encoded.", topic)
 		return
 	}
 	var to []kqname.Address
 	for i, n := range r.beside(v.Plan.Service) {
-		if n.Node != r.node.settings.Node.Name && (i < collecting || n.Node == v.Owner) {
+		if n.Node != r.node.settings.Node.Name && (i < first || n.Node == v.Owner) {
 			to = append(to, n.Control)
 		}
 	}
-	r.node.spreader.Send(context.Background(), topicEvidence, payload, to)
+	r.node.spreader.Send(context.Background(), topic, payload, to)
 }
 
 func (r *rollouts) hearEvidence(_ kqname.Node, payload []byte) {
--- a/internal/run/kqnode/rollout_settle.go
+++ b/internal/run/kqnode/rollout_settle.go
@@ -1,7 +1,6 @@
 package kqnode
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -91,18 +90,7 @@
 		return
 	}
 	r.settling.work(v.Plan.ID, now)
-	payload, err := cbor.Marshal(workingMessage{v.Plan.ID})
-	if err != nil {
-		r.node.logger.Part("rollout").WithError(err).Warn("Message cannot be encoded.")
-		return
-	}
-	var to []kqname.Address
-	for i, n := range r.beside(v.Plan.Service) {
-		if n.Node != r.node.settings.Node.Name && (i < reporters || n.Node == v.Owner) {
-			to = append(to, n.Control)
-		}
-	}
-	r.node.spreader.Send(context.Background(), topicWorking, payload, to)
+	r.send(v, reporters, topicWorking, workingMessage{v.Plan.ID})
 }
 
 func (r *rollouts) hearWorking(_ kqname.Node, payload []byte) {
