Take orders through their steps in one place in kqstep's tests

Two tests had the same loop. The check that the new upstreams are used before half of the time is up now looks at a state before it is decided on, a tick stricter.

--- a/internal/rollout/kqstep/step_test.go
+++ b/internal/rollout/kqstep/step_test.go
@@ -11,6 +11,9 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 )
 
+// tick is how often a rollout is decided on.
+const tick = 100 * time.Millisecond
+
 var start = time.Unix(1000, 0)
 
 func state(prefer kqdocument.Preference, step int) kqstep.State {
@@ -67,20 +70,31 @@
 func TestGoodOrderIsDoneInTime(t *testing.T) {
 	plan := kqplan.Plan{Duration: 12 * time.Second, Prefer: kqdocument.PreferFinishing, SmallShare: 0.05}.Begin(start)
 	s := kqstep.State{Plan: plan, OldSlots: 36, NewSlots: 60, Finding: kqverdict.Finding{Calls: 133, Total: 1.1, Cleared: -3}}
-	for now := start; now.Before(start.Add(12 * time.Second)); now = now.Add(100 * time.Millisecond) {
+	if !step(t, s, plan.Start.Add(plan.Duration), func(now time.Time, s *kqstep.State) {
+		if now.Sub(start) > 6*time.Second && s.Progress.Step < 2 {
+			t.Fatalf("still at step %d after half of the time", s.Progress.Step)
+		}
+	}) {
+		t.Error("not done in time")
+	}
+}
+
+// step takes a good version through its steps, ten times a second until end, and reports
+// whether it was done by then. see looks at each state before it is decided on.
+func step(t *testing.T, s kqstep.State, end time.Time, see func(now time.Time, s *kqstep.State)) bool {
+	t.Helper()
+	for now := s.Plan.Start; now.Before(end); now = now.Add(tick) {
+		see(now, &s)
 		switch d := kqstep.Decide(now, s); d.Action {
 		case kqstep.Advance:
 			s.Progress.Step++
 		case kqstep.TakeBack:
-			t.Fatalf("taken back after %s: %s", now.Sub(start), d.Why)
+			t.Fatalf("taken back after %s: %s", now.Sub(s.Plan.Start), d.Why)
 		case kqstep.Done:
-			return
-		}
-		if now.Sub(start) > 6*time.Second && s.Progress.Step < 2 {
-			t.Fatalf("still at step %d after half of the time", s.Progress.Step)
+			return true
 		}
 	}
-	t.Error("not done in time")
+	return false
 }
 
 // A version fails every second call. Whatever its order's time, the evidence of a
@@ -124,25 +138,17 @@
 func TestOrderOfQuietServiceLeavesTimeForItsLastCalls(t *testing.T) {
 	const (
 		rate    = 30.0
-		tick    = 100 * time.Millisecond
 		longest = time.Second
 	)
 	plan := kqplan.Plan{Duration: 8 * time.Second, Prefer: kqdocument.PreferFinishing, SmallShare: 0.05}.Begin(start)
 	s := kqstep.State{Plan: plan, OldSlots: 192, NewSlots: 192}
 	calls := 0.0
-	for now := start; now.Before(plan.Deadline.Add(-longest)); now = now.Add(tick) {
+	if !step(t, s, plan.Deadline.Add(-longest), func(_ time.Time, s *kqstep.State) {
 		calls += rate * tick.Seconds() * kqstep.Share(plan, s.Progress.Step)
 		s.Finding.Calls = uint64(calls)
-		switch d := kqstep.Decide(now, s); d.Action {
-		case kqstep.Advance:
-			s.Progress.Step++
-		case kqstep.TakeBack:
-			t.Fatalf("taken back after %s: %s", now.Sub(start), d.Why)
-		case kqstep.Done:
-			return
-		}
+	}) {
+		t.Errorf("not done when calls of %s have no time left to end in", longest)
 	}
-	t.Errorf("at step %d when calls of %s have no time left to end in", s.Progress.Step, longest)
 }
 
 // A good version has four upstreams beside five of the old one, which all traffic of a
