Keep the time of the last short call once

The slots held it beside what short calls ask for, which notes the same moment. The tests of the slots, gates, entries and of the load model pass; what callers get in them is the same.

--- a/internal/decide/kqslots/demand.go
+++ b/internal/decide/kqslots/demand.go
@@ -17,7 +17,8 @@
 type demand struct {
 	// work is what has come, in seconds, with what came earlier counting less.
 	work float64
-	at   time.Time
+	// at is when a call came last.
+	at time.Time
 }
 
 // add takes in a call that is expected to run for so long.
--- a/internal/decide/kqslots/queue.go
+++ b/internal/decide/kqslots/queue.go
@@ -215,7 +215,7 @@
 // become slow and answers a few requests of a millisecond beside its calls would serve
 // half of what it can if half were kept for those.
 func (s *Slots) longMost(now time.Time) int {
-	if now.Sub(s.shortSeen) > shortIdle {
+	if now.Sub(s.short.at) > shortIdle {
 		return s.limit.Allowed()
 	}
 	kept := max(int(math.Ceil(keptTimes*s.short.slots(now))), 1)
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -121,9 +121,8 @@
 		closed           bool
 		// exact tells that the announced slots are what the upstream runs at once.
 		exact bool
-		// shortSeen is when a short call came last, and short what such calls ask for.
-		shortSeen time.Time
-		short     demand
+		// short is what short calls ask for.
+		short demand
 	}
 )
 
@@ -154,7 +153,6 @@
 	}
 	expected := s.work.Expect(t.Route)
 	if !t.long {
-		s.shortSeen = now
 		s.short.add(expected, now)
 	}
 	left := t.Deadline.Sub(now)
