Wait for a descriptor where a call has none to connect with

What callers saw: after a storm of idle connections had gone, calls of a node with few descriptors were refused with 503 connect_failed, though node and upstream were well.

Cause: as the idle connections end, those that queue at the entry are accepted one by one and take each descriptor that becomes free. A call accepted among them finds none for its own connection to the upstream's node, and one failed connect was told at once. Other ways were ruled out by the answers seen: all were connect_failed of the entry, the processes lived, no call under way was lost.

Now a call that meets a lack of descriptors, buffers or memory tries again every 5 ms, for 0.5 s and its deadline at most. What counts as such a lack is told in one place for both who accepts and who connects (kqshortage).

--- a/internal/call/kqacceptor/acceptor.go
+++ b/internal/call/kqacceptor/acceptor.go
@@ -5,6 +5,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/base/kqshortage"
 )
 
 const (
@@ -48,10 +50,5 @@
 // passing reports whether a listener that failed so may accept later. After any other
 // failure it never will, and its node had better leave.
 func passing(err error) bool {
-	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EINTR} {
-		if errors.Is(err, e) {
-			return true
-		}
-	}
-	return false
+	return kqshortage.Is(err) || errors.Is(err, syscall.ECONNABORTED) || errors.Is(err, syscall.EINTR)
 }
--- a/internal/call/kqsend/client.go
+++ b/internal/call/kqsend/client.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqshortage"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhangup"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -30,6 +31,10 @@
 	// patientFor takes nearSilence's place for a call that may not be repeated, and is
 	// the longest time that a route may allow: the call's deadline comes first.
 	patientFor = 10 * time.Minute
+	// shortageFor is how long a call waits for a descriptor, and shortagePause for how
+	// long between two tries.
+	shortageFor   = 500 * time.Millisecond
+	shortagePause = 5 * time.Millisecond
 	// bufferSize bounds a response's head, in bytes.
 	bufferSize = 16 << 10
 )
@@ -141,14 +146,14 @@
 
 // acquire returns an idle connection that its peer has not closed, the one used
 // last first, or else a new one.
-func (c *Client) acquire() (*connection, error) {
+func (c *Client) acquire(call *kqcall.Call) (*connection, error) {
 	for {
 		n, err := c.take()
 		if err != nil {
 			return nil, err
 		}
 		if n == nil {
-			return c.dial()
+			return c.dial(call)
 		}
 		if time.Now().Before(n.until) && n.alive() {
 			n.written = 0
@@ -175,8 +180,8 @@
 	return nil, nil
 }
 
-func (c *Client) dial() (*connection, error) {
-	dialed, err := c.dialer(string(c.to))
+func (c *Client) dial(call *kqcall.Call) (*connection, error) {
+	dialed, err := c.connect(call)
 	if err != nil {
 		c.mu.Lock()
 		c.open--
@@ -193,6 +198,21 @@
 	return n, nil
 }
 
+// connect makes a connection for the call, and waits a while for a descriptor where the
+// process has none left. As callers who held them all go, the connections that queue at
+// the entry take each one that becomes free; a call accepted among them would be refused
+// for want of the one descriptor that leads to its upstream, although both are well.
+func (c *Client) connect(call *kqcall.Call) (net.Conn, error) {
+	last := earlier(call.Deadline, time.Now().Add(shortageFor))
+	for {
+		dialed, err := c.dialer(string(c.to))
+		if err == nil || !kqshortage.Is(err) || call.Cancel.Done() || !time.Now().Before(last) {
+			return dialed, err
+		}
+		time.Sleep(shortagePause)
+	}
+}
+
 func plain(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, dialTimeout) }
 
 // Near connects to a node of the same fleet over plain TCP. A server without
--- a/internal/call/kqsend/exchange.go
+++ b/internal/call/kqsend/exchange.go
@@ -23,7 +23,7 @@
 // Do sends the call's request and reads its response. The outcome is Answered
 // for any whole response, whatever its status.
 func (c *Client) Do(call *kqcall.Call) kqcall.Outcome {
-	n, err := c.acquire()
+	n, err := c.acquire(call)
 	if err != nil {
 		return refusal(err, call.Deadline)
 	}
