Answer a refused caller before its body is read away

What callers saw: beside other load three callers in a play that sent bodies of tens of MB got "broken pipe" where the node had refused them as not run (TestBodiesOfUnstatedLengthAreAnswered and TestLargeBodiesAtOnceKeepWithinMemory).

Cause: the node read what such a caller still sent for 1 s at most, for a body of unstated length only up to a pause of 50 ms, wrote the refusal after it, and then took in 1 MB or 0.5 s more. A busy machine needs longer for the rest of the body; the connection was closed with bytes unread, and its reset took the answer with it.

The second, shorter reading in kqnode is gone.

--- a/internal/run/kqnode/body.go
+++ b/internal/run/kqnode/body.go
@@ -1,8 +1,6 @@
 package kqnode
 
 import (
-	"io"
-	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -23,10 +21,6 @@
 	entryRoom = 250 * time.Millisecond
 	// roomAfter is what callers are told whose bodies there is no room for.
 	roomAfter = time.Second
-	// discardFor bounds how long a body is read to be thrown away.
-	discardFor = time.Second
-	// quietFor is the pause that tells that no more of a body of unstated length comes.
-	quietFor = 50 * time.Millisecond
 	// noBody is the size of body, in bytes, that is left to those without room.
 	noBody = 1
 )
@@ -68,33 +62,3 @@
 	length := ctx.Request.Header.ContentLength()
 	return length > noBody && length <= n.settings.Call.MaxBody
 }
-
-// discard reads what a refused caller still sends of a body of a stated length, for a
-// bounded while. Closed with bytes unread, the connection would be reset, and the caller
-// would not read that its call did not run.
-func discard(ctx *fasthttp.RequestCtx) {
-	c := ctx.Conn()
-	if err := c.SetReadDeadline(time.Now().Add(discardFor)); err != nil {
-		return
-	}
-	_, _ = io.CopyN(io.Discard, c, int64(max(ctx.Request.Header.ContentLength()-headerSize, 0)))
-	if err := c.SetReadDeadline(time.Now().Add(emptyPoll)); err == nil {
-		_, _ = io.CopyN(io.Discard, c, headerSize)
-	}
-}
-
-// discardUnstated does so for a body of unstated length, whose end is not known: nothing
-// more of it has come for a moment.
-func discardUnstated(c net.Conn) {
-	room := make([]byte, headerSize)
-	for end := time.Now().Add(discardFor); ; {
-		now := time.Now()
-		pause := now.Add(quietFor)
-		if !now.Before(end) || c.SetReadDeadline(pause) != nil {
-			return
-		}
-		if _, err := c.Read(room); err != nil {
-			return
-		}
-	}
-}
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -137,13 +137,8 @@
 		case errors.As(err, &network) && network.Timeout():
 			o.Reason = kqcall.TooSlow
 		}
-		switch {
-		case errors.Is(err, kqconnection.ErrNoRoom):
-			o = noMemory()
-			discardUnstated(ctx.Conn())
-		case o.Reason == kqcall.TooLarge && n.noRoom(ctx):
+		if errors.Is(err, kqconnection.ErrNoRoom) || o.Reason == kqcall.TooLarge && n.noRoom(ctx) {
 			o = noMemory()
-			discard(ctx)
 		}
 		n.bodies.Give(&ctx.Request.Header)
 		count(o)
