Expect of a route that an upstream has not run what it takes elsewhere

What callers saw: with slots in use nearly everywhere, lookups waited 10 ms at two upstreams of their service (5.0 of 6 slots in use each) while the quickest, twice as fast and near by for a third of them, used 2.0 of its 6. In 4 s it got 1 of 540 lookups.

Cause: what a call is expected to take is learnt by route, from answers. Of a route that an upstream has never run the entry took the work of calls of any kind there: 120 ms and more, as it ran orders only. So no lookup went there, and nothing was ever learnt. The entry's choices, printed in a patched copy, show it (120 ms against 26 to 53). A failing share was ruled out: it was 0.

Now such a route is expected to take the least that it takes at the others.

--- a/internal/decide/kqpick/peer.go
+++ b/internal/decide/kqpick/peer.go
@@ -84,7 +84,7 @@
 		if !calm || o.failing(now) == 0 {
 			well++
 		}
-		score := o.expect(route, p.median, now) * o.risk(calm, now)
+		score := p.expect(o, route, now) * o.risk(calm, now)
 		if o.Domain == p.domain {
 			score *= nearFactor
 		}
@@ -96,11 +96,18 @@
 }
 
 // expect is the time, in seconds, that a call of the route is expected to take there: what
-// its gate told of such calls, or else the score by calls of any kind.
-func (o *Peer) expect(route kqname.Route, median time.Duration, now time.Time) float64 {
+// its gate told of such calls. Where it told of none, it is what they take elsewhere: by
+// calls of other kinds, an upstream whose orders take 100 ms would be taken to need as
+// long for a lookup of 20 ms, would be sent none, and would never be known better while
+// the others have more lookups than slots. Where nobody told, calls of any kind count.
+func (p *Pool) expect(o *Peer, route kqname.Route, now time.Time) float64 {
 	k := o.routes.known(route, now)
 	if k.work == 0 {
-		return o.score(median, now)
+		work := p.Work(route)
+		if work == 0 {
+			work = o.work(p.median)
+		}
+		return o.score(work, now)
 	}
 	slots := float64(max(o.Slots, 1))
 	work := k.work.Seconds() * o.cold(now)
@@ -108,17 +115,22 @@
 	return work*(1+crowd*float64(o.sent+1)/slots+ahead) + k.wait.Seconds()
 }
 
-// score is the time that a call is expected to take there, in seconds: its work,
+// work is what calls of any kind take there, or at the median upstream where it told
+// nothing.
+func (o *Peer) work(median time.Duration) time.Duration {
+	if o.load.Work > 0 {
+		return o.load.Work
+	}
+	return max(median, time.Millisecond)
+}
+
+// score is the time, in seconds, that a call with that work is expected to take there:
 // more of it while the upstream is cold, and the wait for a slot.
-func (o *Peer) score(median time.Duration, now time.Time) float64 {
+func (o *Peer) score(work time.Duration, now time.Time) float64 {
 	busy := float64(o.sent + 1)
 	if now.Sub(o.reported) < reportLasts {
 		busy += float64(o.load.Running + o.load.Waiting)
 	}
-	work := o.load.Work
-	if work == 0 {
-		work = max(median, time.Millisecond)
-	}
 	used := busy / float64(max(o.Slots, 1))
 	return work.Seconds() * o.cold(now) * (1 + crowd*used + 2*max(used-full, 0))
 }
--- a/internal/decide/kqpick/route_test.go
+++ b/internal/decide/kqpick/route_test.go
@@ -62,3 +62,28 @@
 		t.Errorf("went to %s, want the upstream with slots free", o.Node)
 	}
 }
+
+// The quickest of three upstreams ran orders of 120 ms and not one lookup. Taken to need
+// 120 ms for those too, it was sent none for as long as the others needed less: their
+// slots were all in use, and calls waited, while it had four of six free. Lookups must be
+// tried there, and once it tells that they take 15 ms most must go there.
+func TestUpstreamThatRanOnlyOrdersGetsLookups(t *testing.T) {
+	now := time.Unix(1000, 0)
+	random := rand.New(rand.NewPCG(1, 7))
+	p := fleet(now, []kqname.Domain{"x", "x", "x"}, 120*time.Millisecond, 30*time.Millisecond, 30*time.Millisecond)
+	tell := func(o *kqpick.Peer) *kqcall.Load {
+		if o.Node == "0" {
+			return &kqcall.Load{Slots: 6, Running: 2, Work: 120 * time.Millisecond, Route: "lookup", Expected: 15 * time.Millisecond}
+		}
+		return &kqcall.Load{Slots: 6, Running: 6, Waiting: 1, Work: 30 * time.Millisecond, Route: "lookup", Expected: 30 * time.Millisecond, Wait: 6 * time.Millisecond}
+	}
+	went := make(map[kqname.Node]int)
+	for range 100 {
+		o := p.Pick(kqpick.Target{Route: "lookup"}, nil, now, random)
+		went[o.Node]++
+		p.Done(o, kqcall.OK(), false, tell(o), now)
+	}
+	if went["0"] < 80 {
+		t.Errorf("%d of 100 lookups went to the quickest upstream, want 80 at least: %v", went["0"], went)
+	}
+}
