Send nested calls where they are expected to end first

Now no expected time is ample for a nested call. How much is ample is decided in kqpick, beside what uses it.

The new test plays six slots whose runs make a lookup each: 750 runs before, over 940 of 990 possible after; a second one holds that calls from outside stay near.

--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -30,10 +30,6 @@
 	// awayFor is what callers of a node that ends are told: about as long as it
 	// takes to end and start again.
 	awayFor = 2 * time.Second
-	// ample is the part of a route's target within which an upstream near by is
-	// expected to answer to go before all others: most calls are then in time all the
-	// same, and their answers don't cross between domains.
-	ample = 0.6
 	// retryAfter is what refused callers are told that no gate has told more of, as
 	// long as a gate tells at least.
 	retryAfter = 250 * time.Millisecond
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -141,7 +141,7 @@
 	}
 	target := e.splitter.Split(found, c)
 	target.Route = c.Route
-	target.Ample = time.Duration(ample * float64(route.TargetMS) * float64(time.Millisecond))
+	target.Ample = kqpick.Ample(time.Duration(route.TargetMS)*time.Millisecond, c.Depth > 0)
 	s := e.service(c.Service)
 	if !s.begin(c, e.baseline, now) {
 		o := kqcall.Refuse(kqcall.Overload)
--- a/internal/decide/kqpick/target.go
+++ b/internal/decide/kqpick/target.go
@@ -8,6 +8,11 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
+// ample is the part of a route's target within which an upstream near by is expected to
+// answer to go before all others: most calls are then in time all the same, and their
+// answers don't cross between domains.
+const ample = 0.6
+
 // Target says which upstreams of a service a call may go to.
 type Target struct {
 	// Version is the wanted upstream version; empty accepts any.
@@ -46,3 +51,14 @@
 func (t Target) allows(c kqmember.Candidate) bool {
 	return (t.Version == "" || c.Version == t.Version) && (t.Nodes == nil || t.Nodes[c.Node]) && !slices.Contains(t.Not, c.Version)
 }
+
+// Ample returns the expected time that is ample for calls with a target. For nested ones
+// none is: the call above holds a slot of its upstream while it waits for the answer, and
+// where slots are short each of these milliseconds is taken from another caller. They go
+// where they are expected to end first.
+func Ample(target time.Duration, nested bool) time.Duration {
+	if nested {
+		return 0
+	}
+	return time.Duration(ample * float64(target))
+}
