Keep nested calls near by where no queue stands

With many upstreams there is always a quicker one in another domain, and all entries go there.

Now up to 0.35 of its target is ample for a nested call, 0.6 for any other: a third of the target is a lookup's work and hardly a queue.

--- a/internal/decide/kqpick/target.go
+++ b/internal/decide/kqpick/target.go
@@ -8,10 +8,14 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
-// ample is the part of a route's target within which an upstream near by is expected to
-// answer to go before all others: most calls are then in time all the same, and their
-// answers don't cross between domains.
-const ample = 0.6
+const (
+	// ample is the part of a route's target within which an upstream near by is expected
+	// to answer to go before all others: most calls are then in time all the same, and
+	// their answers don't cross between domains.
+	ample = 0.6
+	// nestedAmple is that part for nested calls.
+	nestedAmple = 0.35
+)
 
 // Target says which upstreams of a service a call may go to.
 type Target struct {
@@ -53,12 +57,12 @@
 }
 
 // Ample returns the expected time that is ample for calls with a target. For nested ones
-// none is: the call above holds a slot of its upstream while it waits for the answer, and
-// where slots are short each of these milliseconds is taken from another caller. They go
-// where they are expected to end first.
+// it is less: the call above holds a slot of its upstream while it waits for the answer,
+// and where slots are short each of these milliseconds is taken from another caller. A
+// queue near by is then reason enough to go elsewhere.
 func Ample(target time.Duration, nested bool) time.Duration {
 	if nested {
-		return 0
+		return time.Duration(nestedAmple * float64(target))
 	}
 	return time.Duration(ample * float64(target))
 }
