Leave slow upstreams out only while the others have room

What callers saw: where an upstream became three times as slow as the median it was left out for 2 s, then 4, 8 and more. With all slots of its service in use, a third of them stood idle, and callers were refused in its place.

Now the slow part acts only while the service has slots to spare. The new tests play three upstreams, one four times as slow: with the others full 10 of 100 calls went there before and 20 and more now, with room one at most.

--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -138,7 +138,7 @@
 	case end.Result == kqcall.Unknown && end.Reason != kqcall.Cancelled, failed, end.Reason == kqcall.Shed:
 		p.ejector.Failed(&o.state, len(p.peers), now)
 	default:
-		p.ejector.Answered(&o.state, len(p.peers), o.load.Work, p.typical(now), now)
+		p.ejector.Answered(&o.state, len(p.peers), o.load.Work, p.outlying(now), now)
 	}
 }
 
--- a/internal/decide/kqpick/usage.go
+++ b/internal/decide/kqpick/usage.go
@@ -56,6 +56,17 @@
 	return p.median
 }
 
+// outlying returns the work beside which an upstream may be left out as a slow one, 0 if
+// none may. While the others have room, what it would have run is run sooner elsewhere.
+// While they have none, a slow answer is better than the refusal that comes in its place:
+// left out, a third of a full service's slots stand idle for seconds.
+func (p *Pool) outlying(now time.Time) time.Duration {
+	if !p.calm(now) {
+		return 0
+	}
+	return p.typical(now)
+}
+
 // calm reports whether the service has slots to spare, by the mean of what its
 // upstreams' gates told lately: a single report may be a second old, in which one
 // upstream fills up, while the mean of many follows the load.
