Count the median of a service's upstreams also while it is full

What callers saw: an upstream that joined a service whose slots were all in use, and had told nothing yet, was sent every call until its first answer.

The choice now counts it itself.

The new test: 30 of 30 calls to the one that joins before, 17 of 30 now, which makes it as full as the others.

--- a/internal/decide/kqpick/peer.go
+++ b/internal/decide/kqpick/peer.go
@@ -105,7 +105,7 @@
 	if k.work == 0 {
 		work := p.Work(route)
 		if work == 0 {
-			work = o.work(p.median)
+			work = o.work(p.typical(now))
 		}
 		return o.score(work, now)
 	}
--- a/internal/decide/kqpick/slow_test.go
+++ b/internal/decide/kqpick/slow_test.go
@@ -1,12 +1,15 @@
 package kqpick_test
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -60,3 +63,40 @@
 		t.Errorf("%d of 100 calls went to the slow upstream, want one at most", got)
 	}
 }
+
+// An upstream joins a service whose slots are all in use, and has told nothing yet. Taken
+// to need a millisecond, as nobody counted the median of the others while they were full,
+// it was sent every call until its first answer: thirty for six slots. It is due what makes
+// it as full as the others: a quarter of what all four have then.
+func TestUpstreamThatJoinsAFullServiceIsNotFlooded(t *testing.T) {
+	const others, held, calls = 3, 12, 30
+	const fair = (others*held + calls + others) / (others + 1)
+	now := time.Unix(1000, 0)
+	random := rand.New(rand.NewPCG(1, 11))
+	p := kqpick.New("here")
+	var all []kqmember.Candidate
+	join := func() {
+		all = append(slices.Clone(all), kqmember.Candidate{
+			Upstream: kqmember.Upstream{Slots: 6, Warm: now.Add(-time.Second)}, Node: kqname.Node(fmt.Sprint(len(all))), Domain: "x",
+		})
+		p.Set(all, now)
+	}
+	for range others {
+		join()
+	}
+	for range calls {
+		now = now.Add(10 * time.Millisecond)
+		o := p.Pick(kqpick.Target{}, nil, now, random)
+		p.Done(o, kqcall.OK(), false, &kqcall.Load{Slots: 6, Running: 6, Waiting: 6, Work: 100 * time.Millisecond}, now)
+	}
+	join()
+	count := 0
+	for range calls {
+		if p.Pick(kqpick.Target{}, nil, now, random).Node == "3" {
+			count++
+		}
+	}
+	if count > fair {
+		t.Errorf("%d of %d calls went to the upstream that has told nothing, want %d at most", count, calls, fair)
+	}
+}
