Begin a test's stall with its first call

The stall's end was set before the generator started its own clock, from which the samples count; on a busy machine 1.9 ms lay between the two, and a correct sample looked early.

The stall now begins with the first call, later than the generator's clock.

--- a/internal/lab/kqopenloop/openloop_test.go
+++ b/internal/lab/kqopenloop/openloop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,8 +22,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	until := time.Now().Add(stall)
-	s := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) { time.Sleep(time.Until(until)) }}
+	// The stall begins with the first call, so that it cannot end before the generator's
+	// own clock says so, however late that starts.
+	until := sync.OnceValue(func() time.Time { return time.Now().Add(stall) })
+	s := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) { time.Sleep(time.Until(until())) }}
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(l) }()
 	g := kqopenloop.New(kqname.Address(l.Addr().String()))
