Tell why a request was not read, whatever the library makes of it

What callers saw: a whole, well-formed request in small chunks was refused as 400 malformed where the node had no room for it; between two chunks, so was one whose time or whose node's time was up. A caller takes 400 for its own fault and does not come back.

Cause: the library wraps what ends its reading of a chunk's frame in an error that does not unwrap, and a refusal that asked it for the reason was told none. Evidence: after "5" and after a whole chunk the reason was true; after "5\r", "5;a=" and in the midst of the next size it was not, 6 of 10 shapes. Ruled out: the bodies, which were whole, and want of room alone.

The connection now keeps what its last read failed with. That holds wherever the library stands in the request.

--- a/cmd/kumquatgw/conns_upload_test.go
+++ b/cmd/kumquatgw/conns_upload_test.go
@@ -39,3 +39,44 @@
 	}
 	_ = a.Body.Close()
 }
+
+// Guards against callers that are told that their request is malformed where it was on
+// its way, between two chunks, when its time or its node's was up.
+func TestCallerBetweenChunksIsToldTheTrueReason(t *testing.T) {
+	for reason, c := range map[string]struct {
+		settings string
+		stop     bool
+		status   int
+	}{
+		"too_slow": {settings: "[call]\nread_timeout = 1s\n", status: http.StatusRequestTimeout},
+		"draining": {settings: "drain_timeout = 1s\n", stop: true, status: http.StatusServiceUnavailable},
+	} {
+		for _, sent := range []string{"5", "5\r", "5;a=", "5\r\nabcde\r\n", "5\r\nabcde\r\n4\r"} {
+			t.Run(fmt.Sprintf("%s after %q", reason, sent), func(t *testing.T) {
+				f := newFleet(t, c.settings, "")
+				conn, err := net.Dial("tcp", f.entry)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = conn.Close() }()
+				fmt.Fprintf(conn, "POST /?ms=5 HTTP/1.1\r\nHost: store\r\nTransfer-Encoding: chunked\r\n\r\n%s", sent)
+				time.Sleep(200 * time.Millisecond)
+				if c.stop {
+					f.front.signal(t, syscall.SIGTERM)
+				}
+				a, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil {
+					t.Fatalf("no answer: %v", err)
+				}
+				defer func() { _ = a.Body.Close() }()
+				text, err := io.ReadAll(a.Body)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if want := "not_run: " + reason + "\n"; a.StatusCode != c.status || string(text) != want {
+					t.Errorf("answer %d %q, want %d %q", a.StatusCode, text, c.status, want)
+				}
+			})
+		}
+	}
+}
--- a/cmd/kumquatgw/ends_crowd_test.go
+++ b/cmd/kumquatgw/ends_crowd_test.go
@@ -121,3 +121,18 @@
 		})
 	}
 }
+
+// Guards against refusals that blame a whole request: a caller that is told that its
+// request is malformed never sends it again.
+func TestBodiesInTinyChunksAreNotCalledMalformed(t *testing.T) {
+	m := newMeshWith(t, 20*time.Millisecond, smallMemory)
+	for _, count := range []int{64, 128} {
+		answers := crowdOf(m.entry, count, piecemeal{size: 400_000, piece: 1})
+		t.Logf("%d callers: %v; front %d MB at most", count, answers, m.front.peak(t)>>20)
+		for a, count := range answers {
+			if !strings.HasPrefix(a, "200") && !strings.HasPrefix(a, "503 not_run: no_memory") {
+				t.Errorf("%d callers were told %q, want the upstream's answer, or that there is no memory", count, a)
+			}
+		}
+	}
+}
--- a/internal/call/kqconnection/listener.go
+++ b/internal/call/kqconnection/listener.go
@@ -57,6 +57,8 @@
 		// state; refused tells that there was no room for more of it.
 		unstated int
 		refused  bool
+		// ended is what the last read failed with, nil if it did not.
+		ended error
 		// inOrder tells that requests are served one after the other.
 		inOrder bool
 		group   conc.WaitGroup
@@ -149,6 +151,12 @@
 
 // Read implements net.Conn: it stops where a request ends.
 func (c *connection) Read(b []byte) (int, error) {
+	n, err := c.read(b)
+	c.ended = err
+	return n, err
+}
+
+func (c *connection) read(b []byte) (int, error) {
 	if n, err := c.readRest(b); n > 0 || err != nil {
 		return n, err
 	}
@@ -169,6 +177,17 @@
 	return kept, err
 }
 
+// ReadError returns what the last read of a listener's connection failed with, nil if it
+// did not. A library that gives up a request says that it is malformed wherever its
+// reading ends, and does not always say why it ended. Only the goroutine that reads the
+// connection may ask.
+func ReadError(conn net.Conn) error {
+	if c, ok := conn.(*connection); ok {
+		return c.ended
+	}
+	return nil
+}
+
 // readRest reads of what has come already, or returns what ended it.
 func (c *connection) readRest(b []byte) (int, error) {
 	c.mu.Lock()
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -126,23 +126,33 @@
 // a call never reaches an entry or a gate, which count all others.
 func (n *Node) refuse(count func(kqcall.Outcome)) func(*fasthttp.RequestCtx, error) {
 	return func(ctx *fasthttp.RequestCtx, err error) {
-		o := kqcall.Refuse(kqcall.Malformed)
-		var small *fasthttp.ErrSmallBuffer
-		var network net.Error
-		switch {
-		case errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &small):
-			o.Reason = kqcall.TooLarge
-		case errors.As(err, &network) && network.Timeout() && n.leaving.Load():
-			o = kqcall.Refuse(kqcall.Draining)
-		case errors.As(err, &network) && network.Timeout():
-			o.Reason = kqcall.TooSlow
-		}
-		if errors.Is(err, kqconnection.ErrNoRoom) || o.Reason == kqcall.TooLarge && n.noRoom(ctx) {
-			o = noMemory()
-		}
+		o := n.unread(ctx, errors.Join(err, kqconnection.ReadError(ctx.Conn())))
 		n.bodies.Give(&ctx.Request.Header)
 		count(o)
 		c := &kqcall.Call{Request: &ctx.Request, Response: &ctx.Response}
 		c.Answer(o)
 	}
 }
+
+// unread is the outcome of a call that was not read whole, by what kept it from that.
+func (n *Node) unread(ctx *fasthttp.RequestCtx, err error) kqcall.Outcome {
+	var small *fasthttp.ErrSmallBuffer
+	var network net.Error
+	switch {
+	case errors.Is(err, kqconnection.ErrNoRoom):
+		return noMemory()
+	case errors.Is(err, fasthttp.ErrBodyTooLarge) && n.noRoom(ctx):
+		return noMemory()
+	case errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &small):
+		return kqcall.Refuse(kqcall.TooLarge)
+	case !errors.As(err, &network):
+		return kqcall.Refuse(kqcall.Malformed)
+	case !network.Timeout():
+		// The caller has broken off.
+		return kqcall.Refuse(kqcall.Cancelled)
+	case n.leaving.Load():
+		return kqcall.Refuse(kqcall.Draining)
+	default:
+		return kqcall.Refuse(kqcall.TooSlow)
+	}
+}
