Count chunked bodies also where their head comes in pieces

What callers saw: 16 callers with chunked bodies of 32 MB whose heads came in two packets had a node with 184 MB of memory hold 1,469 MB. A server ends such a process, and all calls under way with it.

Cause: whether a body's length is unstated was looked for in the piece of data that ends the head. Where the header stood in an earlier piece, the body took no room at all.

A head that comes in pieces is kept until its end, up to 64 KB, more than servers take. One that comes whole is looked at in place, as before.

--- a/cmd/kumquatgw/ends_crowd_test.go
+++ b/cmd/kumquatgw/ends_crowd_test.go
@@ -18,6 +18,8 @@
 	size, piece int
 	pause       time.Duration
 	stated      bool
+	// apart has the head come in two pieces.
+	apart bool
 }
 
 // send calls the entry and returns the status and the reason of its answer, or what went
@@ -55,6 +57,10 @@
 		head = fmt.Sprintf("content-length: %d", p.size)
 	}
 	_, _ = fmt.Fprintf(out, "POST / HTTP/1.1\r\nhost: store\r\n%s\r\n", head)
+	if p.apart {
+		_ = out.Flush()
+		time.Sleep(50 * time.Millisecond)
+	}
 	_, _ = out.WriteString("\r\n")
 	for left := p.size; left > 0; left -= p.piece {
 		piece := strings.Repeat("x", min(p.piece, left))
@@ -99,8 +105,9 @@
 func TestManySmallBodiesKeepWithinMemory(t *testing.T) {
 	const size = 60 << 10
 	for name, p := range map[string]piecemeal{
-		"chunked": {size: size, piece: 1 << 10, pause: 3 * time.Second},
-		"stated":  {size: size, piece: 1 << 10, pause: 3 * time.Second, stated: true},
+		"chunked":                            {size: size, piece: 1 << 10, pause: 3 * time.Second},
+		"stated":                             {size: size, piece: 1 << 10, pause: 3 * time.Second, stated: true},
+		"chunked, with a head in two pieces": {size: size, piece: 1 << 10, pause: 3 * time.Second, apart: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := newMeshWith(t, 20*time.Millisecond, smallMemory)
@@ -136,3 +143,15 @@
 		}
 	}
 }
+
+// Guards against large bodies of unstated length that are not counted, as their head came
+// in pieces.
+func TestBodiesBehindAHeadInPiecesKeepWithinMemory(t *testing.T) {
+	m := newMeshWith(t, 20*time.Millisecond, smallMemory)
+	answers := crowdOf(m.entry, 16, piecemeal{size: largeBody, piece: 64 << 10, apart: true})
+	t.Logf("answers: %v; front %d MB, back %d MB at most", answers, m.front.peak(t)>>20, m.back.peak(t)>>20)
+	m.front.alive(t)
+	if got := max(m.front.peak(t), m.back.peak(t)); got > memoryBound*memoryFactor {
+		t.Errorf("a node has held %d MB, want %d MB at most", got>>20, memoryBound*memoryFactor>>20)
+	}
+}
--- a/internal/call/kqconnection/pace.go
+++ b/internal/call/kqconnection/pace.go
@@ -5,6 +5,9 @@
 	"strconv"
 )
 
+// headMost is how much of a head is kept, in bytes: more than servers take.
+const headMost = 64 << 10
+
 var (
 	// lengthName is the header that states a body's length.
 	lengthName = []byte("content-length")
@@ -25,6 +28,8 @@
 	// unstated tells that a body follows whose length its head does not state. Where it
 	// ends is not known here: whoever serves the request tells.
 	unstated bool
+	// begun is what has come of a head that comes in pieces.
+	begun []byte
 }
 
 // cut returns how many of the bytes, at least one, belong to the request under way.
@@ -34,20 +39,34 @@
 		p.body -= n
 		return n
 	}
+	if p.unstated {
+		return len(data)
+	}
 	end := p.head(data)
 	if end < 0 {
+		p.keep(data)
 		return len(data)
 	}
-	if p.unstated {
+	head := data[:end]
+	if len(p.begun) > 0 {
+		head, p.begun = append(p.begun, head...), nil
+	}
+	if p.unstated = has(head, encodingName); p.unstated {
 		return len(data)
 	}
-	head := data[:end]
-	p.unstated = has(head, encodingName)
 	n := min(length(head), len(data)-end)
 	p.body = length(head) - n
 	return end + n
 }
 
+// keep keeps the beginning of a head: its last piece alone does not tell what follows. A
+// head that is longer than the bound is refused by the server.
+func (p *pace) keep(piece []byte) {
+	if len(p.begun)+len(piece) <= headMost {
+		p.begun = append(p.begun, piece...)
+	}
+}
+
 // head returns where the head ends, -1 if it goes on.
 func (p *pace) head(data []byte) int {
 	from := 0
