Take room for a chunked body without its framing

What callers saw: of 64 callers with 400 KB each in chunks of one byte, a node with 184 MB of memory answered 8 to 15 and turned the others away, though the bodies together are 26 MB.

Cause: the room was taken by bytes on the wire, six for each of such a body, and twice that as for any body that grows.

The connection counts the chunks' data. What is not made of well-formed chunks counts whole, so that nothing can be hidden from the bound. The property test draws chunks, extensions and buffers; on the code before it fails at once.

--- /dev/null
+++ b/internal/call/kqconnection/chunks_test.go
@@ -0,0 +1,49 @@
+package kqconnection_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqconnection"
+)
+
+// Guards against room that is taken for a chunked body's framing: callers with small
+// chunks would be refused for several times what is held of their bodies.
+func TestRoomIsTakenForTheBodyAlone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		room := &recorder{}
+		l := kqconnection.New(inner, kqconnection.WithRoom(room, 0))
+		defer func() { _ = l.Close() }()
+		server, caller, done := accept(t, l)
+		defer done()
+		chunks := rapid.SliceOfN(rapid.IntRange(1, 300), 1, 40).Draw(t, "chunks")
+		extension := rapid.SampledFrom([]string{"", ";a=b", " "}).Draw(t, "extension")
+		want := 0
+		go func() {
+			_, _ = io.WriteString(caller, "PUT / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n")
+			for _, n := range chunks {
+				_, _ = fmt.Fprintf(caller, "%X%s\r\n%s\r\n", n, extension, make([]byte, n))
+			}
+			_, _ = io.WriteString(caller, "0\r\nx: y\r\n\r\n")
+			_ = caller.(*net.TCPConn).CloseWrite()
+		}()
+		for _, n := range chunks {
+			want += n
+		}
+		b := make([]byte, rapid.IntRange(1, 64).Draw(t, "buffer"))
+		for err == nil {
+			_, err = server.Read(b)
+		}
+		if room.size != want {
+			t.Fatalf("room was taken for %d bytes, want %d", room.size, want)
+		}
+	})
+}
--- a/internal/call/kqconnection/listener.go
+++ b/internal/call/kqconnection/listener.go
@@ -53,10 +53,9 @@
 		listener *Listener
 		spoke    atomic.Bool
 		pace     pace
-		// unstated is how many bytes have come of a body whose length its head does not
-		// state; refused tells that there was no room for more of it.
-		unstated int
-		refused  bool
+		// refused tells that there was no room for more of a body whose length its head
+		// does not state.
+		refused bool
 		// ended is what the last read failed with, nil if it did not.
 		ended error
 		// inOrder tells that requests are served one after the other.
@@ -152,6 +151,9 @@
 // Read implements net.Conn: it stops where a request ends.
 func (c *connection) Read(b []byte) (int, error) {
 	n, err := c.read(b)
+	if n > 0 && c.pace.unstated && !c.grow() {
+		n, err = 0, ErrNoRoom
+	}
 	c.ended = err
 	return n, err
 }
@@ -171,9 +173,6 @@
 		c.rest = append(c.rest, b[kept:n]...)
 		c.mu.Unlock()
 	}
-	if c.pace.unstated && !c.grow(kept) {
-		return 0, ErrNoRoom
-	}
 	return kept, err
 }
 
@@ -206,12 +205,11 @@
 
 // grow takes room for more of a body of unstated length. What comes after a refusal is
 // only read to be thrown away.
-func (c *connection) grow(n int) bool {
+func (c *connection) grow() bool {
 	if c.listener.room == nil || c.refused {
 		return true
 	}
-	c.unstated += n
-	c.refused = !c.listener.room.Grow(c, c.unstated, c.listener.patience)
+	c.refused = !c.listener.room.Grow(c, c.pace.chunks.body, c.listener.patience)
 	return !c.refused
 }
 
@@ -224,7 +222,8 @@
 	if c.listener.room != nil {
 		c.listener.room.Release(c)
 	}
-	c.unstated, c.refused, c.pace.unstated, c.inOrder = 0, false, false, true
+	c.refused, c.inOrder = false, true
+	c.pace.unstated, c.pace.chunks = false, chunks{}
 }
 
 // WriteTo implements io.WriterTo in place of TCP's own, which knows of no rest.
--- a/internal/call/kqconnection/pace.go
+++ b/internal/call/kqconnection/pace.go
@@ -26,8 +26,9 @@
 	body    int
 	matched int
 	// unstated tells that a body follows whose length its head does not state. Where it
-	// ends is not known here: whoever serves the request tells.
+	// ends is not known here: whoever serves the request tells. chunks counts it.
 	unstated bool
+	chunks   chunks
 	// begun is what has come of a head that comes in pieces.
 	begun []byte
 }
@@ -40,6 +41,7 @@
 		return n
 	}
 	if p.unstated {
+		p.chunks.add(data)
 		return len(data)
 	}
 	end := p.head(data)
@@ -52,6 +54,7 @@
 		head, p.begun = append(p.begun, head...), nil
 	}
 	if p.unstated = has(head, encodingName); p.unstated {
+		p.chunks.add(data[end:])
 		return len(data)
 	}
 	n := min(length(head), len(data)-end)
