Log what a rollout's steps rest on

Each line of a rollout's change now has its id, step and owner, the calls and failures of both versions as far as the node knows them, and the evidence with its metric and route. One line a change, as before.

--- a/internal/run/kqnode/rollout.go
+++ b/internal/run/kqnode/rollout.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
@@ -110,7 +112,7 @@
 		}
 		text, changed := r.board.Event(id)
 		if changed {
-			r.node.logger.Part("rollout").Info(text)
+			r.node.logger.Part("rollout").WithFields(r.inputs(id, now)).Info(text)
 		}
 		// A node that has just met a plan tells that it knows nothing of it, and
 		// those who know more answer.
@@ -123,6 +125,17 @@
 	}
 }
 
+// inputs are what a plan's decisions rest on, as far as this node knows it.
+func (r *rollouts) inputs(id kqplan.ID, now time.Time) logrus.Fields {
+	s, _ := r.board.Status(id, now)
+	return logrus.Fields{
+		"rollout": s.Rollout, "step": s.Step, "owner": s.Owner,
+		"old_calls": s.Evidence.OldCalls, "old_failed": s.Evidence.OldFailed,
+		"new_calls": s.Evidence.NewCalls, "new_failed": s.Evidence.NewFailed,
+		"nats": s.Evidence.Nats, "metric": s.Evidence.Metric, "where": s.Evidence.Where,
+	}
+}
+
 // owns reports whether this node may step a plan: it holds the lease or, while
 // the platform is away, it is the first by name of those that could.
 func (r *rollouts) owns(v kqboard.View, now time.Time) bool {
