Weigh a new version also while the old one has no calls

What callers saw: a version that fails half of its calls had 226 of them in 3 s in which the old version had no upstream, 2 to 4 a second for ten more, and then 25% and 50% of all.

Cause: a tick in which the old version has no calls said nothing, and a node that began to weigh later had all counts of before as one tick's, thrown away or bounded as such. Ruled out: failures of the old version (0 of 422), a wrong share (no other upstream was left) and lost reports (the owner knew of 203 calls).

The verdict now weighs such ticks against the old version's last calls, by the test of great badness alone and slowly, since what fails both versions for a second looks the same. A node collects for four ticks before it weighs, and what came by then counts without what upstreams that died may have failed. That holds for as long as 20 calls of the old version are known.

--- a/internal/rollout/kqboard/entry.go
+++ b/internal/rollout/kqboard/entry.go
@@ -20,6 +20,9 @@
 	longestTick  = time.Second
 	// ticks is how many ticks a short window is cut into at least.
 	ticks = 100
+	// listens is how many ticks a node collects before it weighs: gates report all that
+	// they have counted, and what comes later would pass for one tick's calls.
+	listens = 4
 	// busyOver is the time over which the slots in use are averaged: calls come in
 	// clumps of a second.
 	busyOver = 3 * time.Second
@@ -42,11 +45,13 @@
 	totals   Evidence
 	// busy is how many slots calls have in use, of the slots that both versions had at
 	// the last step.
-	busy     float64
-	slots    int
-	seen     time.Time
-	gone     time.Time
-	ticked   time.Time
+	busy   float64
+	slots  int
+	seen   time.Time
+	gone   time.Time
+	ticked time.Time
+	// collects is when this node began to weigh the evidence.
+	collects time.Time
 	reported time.Time
 	// unreachable is when this node's upstream was last counted as one that could
 	// not be connected to, and pause how long it is not counted so again.
@@ -83,7 +88,10 @@
 // whoever owns the rollout: waiting for the owner would let a bad version have
 // its share for as long as the owner is away.
 func (e *entry) weigh(now time.Time) {
-	if now.Sub(e.ticked) < e.tick() {
+	if e.collects.IsZero() {
+		e.collects = now
+	}
+	if now.Sub(e.ticked) < e.tick() || now.Sub(e.collects) < listens*e.tick() {
 		return
 	}
 	sample := e.ledger.Take()
--- a/internal/rollout/kqverdict/baseline.go
+++ b/internal/rollout/kqverdict/baseline.go
@@ -14,6 +14,13 @@
 	// leastRate keeps a version that never failed from making one failure
 	// infinitely surprising.
 	leastRate = 2e-4
+	// leastRecalled is how many of the old version's calls the new one's are compared
+	// with at least where they are of other seconds: where all of twenty went well, at
+	// most one in seven fails.
+	leastRecalled = 20
+	// recalled is how many of the old version's calls are remembered, however long ago
+	// they were, for seconds in which it has none.
+	recalled = 200
 	// tailQuantile parts the very slow calls from the others.
 	tailQuantile = 0.995
 )
@@ -33,11 +40,26 @@
 	rate struct {
 		calls, hits         float64
 		soonCalls, soonHits float64
+		// pastCalls and pastHits are the last calls, which do not fade while there
+		// are none.
+		pastCalls, pastHits float64
 	}
 )
 
 func (b *baseline) ready() bool { return b.errors.calls >= warm }
 
+// apart puts the new version's calls beside the old one's last ones and those of this
+// tick; false where these are too few to compare with.
+func (b *baseline) apart(p *kqevidence.Pair) (hits, bool) {
+	known := b.errors
+	known.add(float64(p.Old.Calls), float64(p.Old.Failed))
+	return hits{
+		oldCalls: known.pastCalls, oldHits: known.pastHits,
+		newCalls: float64(p.New.Calls), newHits: float64(p.New.Failed),
+		usual: known.usual(), lately: known.lately(),
+	}, known.pastCalls >= leastRecalled
+}
+
 func (b *baseline) add(c *kqevidence.Cell) {
 	b.errors.add(float64(c.Calls), float64(c.Failed))
 	m := momentsOf(c)
@@ -85,6 +107,12 @@
 	r.hits += hits
 	r.soonCalls = r.soonCalls*soon + calls
 	r.soonHits = r.soonHits*soon + hits
+	r.pastCalls += calls
+	r.pastHits += hits
+	if fade := recalled / r.pastCalls; fade < 1 {
+		r.pastCalls *= fade
+		r.pastHits *= fade
+	}
 }
 
 func (r *rate) usual() float64 { return max(r.hits/max(r.calls, 1), leastRate) }
--- a/internal/rollout/kqverdict/lane.go
+++ b/internal/rollout/kqverdict/lane.go
@@ -27,7 +27,7 @@
 	return &lane{route: route, streams: []*stream{
 		errorsUp("errors up by 0.5 points", 0.005, 20),
 		errorsUp("errors up by 2 points", 0.02, 5),
-		errorsUp("errors up by 20 points", 0.2, 1),
+		errorsUp("errors up by 20 points", 0.2, 1).lasting(),
 		slower("slower by 1.3 times", toleratedFactor, 1.3),
 		slower("slower by 2 times", toleratedFactor, 2),
 		tailUp("more very slow calls", 5, 10),
@@ -43,15 +43,39 @@
 // observe takes in one tick and then lets the old version's calls of this tick
 // into the baseline, so that no call is weighed by rates that it has shaped.
 func (l *lane) observe(p *kqevidence.Pair) {
-	if l.baseline.ready() && p.Old.Calls > 0 && p.New.Calls > 0 {
+	switch {
+	case p.New.Calls == 0:
+	case l.baseline.ready() && p.Old.Calls > 0:
 		t := l.baseline.tick(p)
 		for _, s := range l.streams {
 			s.observe(&t)
 		}
+	default:
+		l.observeApart(p)
 	}
 	l.baseline.add(&p.Old)
 }
 
+// observeApart weighs calls of the new version against calls of the old one from other
+// seconds: the old version has none in this tick, or the tick holds all that was counted
+// before this node began to weigh. Only great badness can be told so.
+func (l *lane) observeApart(p *kqevidence.Pair) {
+	e, ok := l.baseline.apart(p)
+	if !ok {
+		return
+	}
+	most := apartClip
+	if p.Old.Calls > 0 {
+		e, most = e.withoutDeaths(), backlogClip
+	}
+	t := ticked{errors: e}
+	for _, s := range l.streams {
+		if s.outlasts {
+			s.add(s.gain(&t), most)
+		}
+	}
+}
+
 func (l *lane) name() string {
 	if l.route == "" {
 		return "all routes"
--- a/internal/rollout/kqverdict/stream.go
+++ b/internal/rollout/kqverdict/stream.go
@@ -10,7 +10,15 @@
 	// spanClip bounds a span of several ticks. Within one, a tick's failures
 	// are bounded by burstPoints, so that a herd that dies in it does not
 	// settle the span.
-	spanClip    = 7
+	spanClip = 7
+	// apartClip bounds a tick in which the old version has no calls: what fails both
+	// versions cannot be seen then, and ends within a second or so as a rule.
+	apartClip = 0.9
+	// backlogClip bounds what was counted before this node began to weigh, and deadCalls
+	// is how many failures of it are left out: upstreams that died with calls in flight
+	// may have made them, and when is not known.
+	backlogClip = 2 * spanClip
+	deadCalls   = 25
 	burstPoints = 0.06
 	// floor keeps a stream that has long spoken for the new version from
 	// having to be paid back in full.
@@ -28,6 +36,8 @@
 		// Small badness is lost in one tick's chance, great badness cannot wait.
 		span, ticks int
 		held        ticked
+		// outlasts tells that the test also weighs calls of different seconds.
+		outlasts bool
 		// total is the log of the test's wealth since the start, in nats.
 		total float64
 		// recent is the same since the best moment to have begun, and began
@@ -70,6 +80,12 @@
 	}}
 }
 
+// lasting has the test weigh calls of different seconds too.
+func (s *stream) lasting() *stream {
+	s.outlasts = true
+	return s
+}
+
 // tailUp bets on more calls over the old version's 99.5th percentile.
 func tailUp(metric string, factor float64, span int) *stream {
 	return &stream{metric: metric, span: span, gain: func(t *ticked) float64 {
@@ -127,11 +143,15 @@
 // settle weighs the ticks that are held.
 func (s *stream) settle() {
 	s.ticks = 0
-	gain := s.gain(&s.held)
+	s.add(s.gain(&s.held), s.most())
+}
+
+// add takes in what a span of ticks is worth, at most most.
+func (s *stream) add(gain, most float64) {
 	if math.IsNaN(gain) {
 		return
 	}
-	gain = min(gain, s.most())
+	gain = min(gain, most)
 	s.total = max(s.total+gain, floor)
 	if s.recent <= 0 && gain > 0 {
 		s.began++
@@ -161,6 +181,14 @@
 	return h
 }
 
+// withoutDeaths leaves out the failures that upstreams which died may have made.
+func (h hits) withoutDeaths() hits {
+	dead := min(h.newHits, deadCalls)
+	h.newCalls -= dead
+	h.newHits -= dead
+	return h
+}
+
 // late returns the recent evidence less what having had many moments to set
 // out is worth: the j-th of them is given a part 1/j of the false alarms.
 func (s *stream) late() float64 { return s.recent - math.Log(float64(max(s.began, 1))) }
