Hold an ordered rollout's share while recent evidence is against it

Ruled out: an owner without reports, and calls that were not counted.

A good version is held for that long at most.

--- a/internal/rollout/kqstep/step.go
+++ b/internal/rollout/kqstep/step.go
@@ -38,6 +38,10 @@
 	// for each step: of a version that fails a third of its calls, one in 20,000
 	// gets so far without a failure.
 	orderedCalls = 25
+	// doubt is the recent evidence, in nats, on which an ordered rollout waits with a
+	// step. Of bad versions whose upstreams' surroundings fail calls of both versions,
+	// little more is known for seconds.
+	doubt = 2.3
 	// amply is the part of the slots in use above which calls wait for each other
 	// and bursts are turned away.
 	amply = 0.8
@@ -187,6 +191,8 @@
 		return Decision{Hold, "the small share goes on, since the evidence is not clear: " + Words(s.Finding)}
 	case s.Plan.Duration > 0 && to <= Last && s.Finding.Calls < orderedCalls && elapsed < awaits(s, to):
 		return Decision{Hold, fmt.Sprintf("%d calls are too few to go on by", s.Finding.Calls)}
+	case s.Plan.Duration > 0 && to <= Last && doubted(s) && elapsed < awaits(s, to):
+		return Decision{Hold, "the share does not grow while the evidence is against it: " + Words(s.Finding)}
 	case leans(s):
 		return Decision{TakeBack, "the time for it is up and the evidence leans against it: " + Words(s.Finding)}
 	case to > Last && s.Finding.Calls < weightsOf(s.Plan).enough:
@@ -225,6 +231,10 @@
 	return stageOf(s.Plan, to).due + sparse
 }
 
+// doubted reports whether the calls of late speak against the version, though not enough
+// to take it back.
+func doubted(s State) bool { return s.Finding.Recent >= doubt }
+
 func leans(s State) bool {
 	w := weightsOf(s.Plan)
 	return s.Finding.Total >= w.lean || -s.Finding.Cleared >= w.doubt
--- a/internal/rollout/kqstep/step_test.go
+++ b/internal/rollout/kqstep/step_test.go
@@ -172,3 +172,21 @@
 		}
 	}
 }
+
+// Guards against a bad version whose share grows to a half and more while its evidence
+// grows slowly, as calls of the old version fail too.
+func TestShareDoesNotGrowOnRecentEvidence(t *testing.T) {
+	plan := kqplan.Plan{Duration: 15 * time.Second}.Begin(start)
+	s := kqstep.State{
+		Plan: plan, Progress: kqprogress.Progress{Step: 2}, OldSlots: 60, NewSlots: 60,
+		Finding: kqverdict.Finding{Calls: 60, Total: 0.9, Recent: 3.3},
+	}
+	at := func(part float64) time.Time { return start.Add(time.Duration(part * float64(plan.Window()))) }
+	if d := kqstep.Decide(at(0.5), s); d.Action != kqstep.Hold {
+		t.Errorf("%s, %s; want hold", d.Action, d.Why)
+	}
+	s.Finding.Recent = 0.5
+	if d := kqstep.Decide(at(0.5), s); d.Action != kqstep.Advance {
+		t.Errorf("once the evidence has passed: %s, %s; want advance", d.Action, d.Why)
+	}
+}
