Answer operators who still send when a leave runs out of time

What callers saw: an operator who was still sending a change when the node's time was up had no answer, and could not tell whether it was committed.

Cause: the admin server's shutdown waits for a connection that is still read until the time is over, and the process's end closes it. Ruled out: the answer's way, as nothing was written; the linger, which comes after it.

At the end of the time the reading ends on all its connections, and what has been begun is refused as 503 leaving: nothing was changed.

--- a/cmd/kumquatgw/conns_admin_test.go
+++ b/cmd/kumquatgw/conns_admin_test.go
@@ -1,7 +1,11 @@
 package main_test
 
 import (
+	"bufio"
+	"fmt"
 	"net"
+	"net/http"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -25,3 +29,31 @@
 		t.Errorf("the node ended after %v, want 2 s and a moment", took)
 	}
 }
+
+// Guards against operators who cannot tell what became of a change that they still sent
+// when their node's time was up.
+func TestOperatorThatStillSendsAtTheEndIsAnswered(t *testing.T) {
+	file := extended(t, settings(t, "front", after(t, start(t, "platform", "--listen", "127.0.0.1:0"), "listens on "), "", ""),
+		"drain_timeout = 2s\n[admin]\nlisten = 127.0.0.1:0\n")
+	p := node(t, file)
+	conn, err := net.Dial("tcp", p.after(t, "admin "))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	p.after(t, "Started as")
+	fmt.Fprint(conn, "PUT /api/v1/document HTTP/1.1\r\nHost: admin\r\nContent-Length: 100\r\n\r\n{")
+	time.Sleep(200 * time.Millisecond)
+	p.signal(t, syscall.SIGTERM)
+	if err := conn.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	a, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	defer func() { _ = a.Body.Close() }()
+	if a.StatusCode != http.StatusServiceUnavailable && a.StatusCode != http.StatusRequestTimeout {
+		t.Errorf("answer %d, want one that says that nothing was changed", a.StatusCode)
+	}
+}
--- a/internal/admin/kqadmin/admin.go
+++ b/internal/admin/kqadmin/admin.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -38,9 +40,11 @@
 	MaxHeaders = 8 << 10
 
 	defaultReadTimeout = 10 * time.Second
-	idleTimeout        = time.Minute
-	maxConnections     = 1024
-	maxPerSource       = 128
+	// lastAnswers is how long those who still send at the end have for being told so.
+	lastAnswers    = 150 * time.Millisecond
+	idleTimeout    = time.Minute
+	maxConnections = 1024
+	maxPerSource   = 128
 )
 
 type (
@@ -73,6 +77,11 @@
 		console  *kqconsole.Console
 		trail    *kqtrail.Trail
 		rollouts func() []kqboard.Status
+		// leaving tells that reading has ended for the server's own end.
+		leaving atomic.Bool
+
+		mu       sync.Mutex
+		listener *kqlinger.Listener
 	}
 
 	// Option sets up an Admin.
@@ -127,7 +136,11 @@
 
 // Serve answers on the listener until Shutdown, under TLS unless config is nil.
 func (a *Admin) Serve(l net.Listener, config *tls.Config) error {
-	var served net.Listener = kqlinger.New(l, maxPerSource)
+	lingering := kqlinger.New(l, maxPerSource)
+	a.mu.Lock()
+	a.listener = lingering
+	a.mu.Unlock()
+	var served net.Listener = lingering
 	if config != nil {
 		served = tls.NewListener(served, config)
 	}
@@ -137,14 +150,36 @@
 	return nil
 }
 
-// Shutdown stops the server once its requests are answered, or ctx ends.
+// Shutdown stops the server once its requests are answered, or ctx ends. Requests that are
+// still sent then are refused: operators could not tell what became of their change.
 func (a *Admin) Shutdown(ctx context.Context) error {
-	if err := a.app.ShutdownWithContext(ctx); err != nil {
+	err := a.app.ShutdownWithContext(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		a.endReading()
+	}
+	if err != nil {
 		return fmt.Errorf("stop admin: %w", err)
 	}
 	return nil
 }
 
+// endReading ends the reading of requests and lets them have their answers.
+func (a *Admin) endReading() {
+	a.leaving.Store(true)
+	a.mu.Lock()
+	listener := a.listener
+	a.mu.Unlock()
+	if listener == nil {
+		return
+	}
+	listener.EndReading(time.Now())
+	ticker := time.NewTicker(lastAnswers / 15)
+	defer ticker.Stop()
+	for end := time.Now().Add(lastAnswers); listener.Open() > 0 && time.Now().Before(end); {
+		<-ticker.C
+	}
+}
+
 func (a *Admin) routes(parts Parts) {
 	a.app.Use(recover.New())
 	a.app.Use(secure)
@@ -173,7 +208,11 @@
 // failed answers requests that no handler answered: they are refused by the
 // library for their size or slowness, or have no route.
 func (a *Admin) failed(c *fiber.Ctx, err error) error {
-	return a.api.Refuse(c, kqproblem.New(codeOf(err), err.Error()))
+	code := codeOf(err)
+	if code == kqproblem.TooSlow && a.leaving.Load() {
+		code = kqproblem.Leaving
+	}
+	return a.api.Refuse(c, kqproblem.New(code, err.Error()))
 }
 
 func codeOf(err error) kqproblem.Code {
--- a/internal/admin/kqlinger/linger.go
+++ b/internal/admin/kqlinger/linger.go
@@ -23,20 +23,24 @@
 
 		mu   sync.Mutex
 		held map[string]int
+		// open are the connections that are read.
+		open map[*conn]struct{}
 	}
 
 	conn struct {
 		*net.TCPConn
 		once sync.Once
-		done func()
-		err  error
+		// closed is told of the end of what is read, and done of the connection's.
+		closed func(*conn)
+		done   func()
+		err    error
 	}
 )
 
 // New returns a listener over l that holds up to most connections of one
 // address: with slow requests one source would otherwise shut all others out.
 func New(l net.Listener, most int) *Listener {
-	return &Listener{Listener: l, most: most, held: make(map[string]int)}
+	return &Listener{Listener: l, most: most, held: make(map[string]int), open: make(map[*conn]struct{})}
 }
 
 // Accept implements net.Listener.
@@ -55,14 +59,47 @@
 			_ = c.Close()
 			continue
 		}
-		return &conn{TCPConn: t, done: func() { l.give(source) }}, nil
+		return l.hold(t, source), nil
 	}
 }
 
+// EndReading has the connections stop waiting for what their clients still send: a server
+// answers those whose request it has begun to read.
+func (l *Listener) EndReading(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		// A connection that is closed meanwhile has nobody to answer.
+		_ = c.SetReadDeadline(now)
+	}
+}
+
+// Open returns how many connections are read.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
+func (l *Listener) hold(t *net.TCPConn, source string) *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := &conn{TCPConn: t, done: func() { l.give(source) }, closed: l.forget}
+	l.open[c] = struct{}{}
+	return c
+}
+
+func (l *Listener) forget(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
+
 // Close ends what is sent, and takes in what still comes, for a bounded time
 // and size, before it closes the connection.
 func (c *conn) Close() error {
 	c.once.Do(func() {
+		c.closed(c)
 		if c.err = c.CloseWrite(); c.err != nil {
 			c.done()
 			c.err = c.TCPConn.Close()
--- a/internal/admin/kqproblem/problem.go
+++ b/internal/admin/kqproblem/problem.go
@@ -32,6 +32,9 @@
 	HeadersTooLarge Code = "headers_too_large"
 	// TooSlow tells that the request did not arrive whole in time.
 	TooSlow Code = "too_slow"
+	// Leaving tells that the node ended before the request had arrived whole: nothing
+	// was changed.
+	Leaving Code = "leaving"
 	// NotFound tells that nothing has this path or name.
 	NotFound Code = "not_found"
 	// BadMethod tells that the path does not take this method.
@@ -95,6 +98,7 @@
 	TooLarge:        {http.StatusRequestEntityTooLarge, "The body is too large"},
 	HeadersTooLarge: {http.StatusRequestHeaderFieldsTooLarge, "The headers are too large"},
 	TooSlow:         {http.StatusRequestTimeout, "The request came too slowly"},
+	Leaving:         {http.StatusServiceUnavailable, "The node is leaving"},
 	NotFound:        {http.StatusNotFound, "There is no such thing"},
 	BadMethod:       {http.StatusMethodNotAllowed, "The path does not take this method"},
 	Invalid:         {http.StatusUnprocessableEntity, "The document has problems"},
