Compare latencies once the old version's spread is known

What callers saw: a good version was taken back as 1.3 or 2 times slower after 28 to 68 calls, and its upstreams stood idle. TestGoodVersionGetsAllTraffic and TestNewUpstreamsDieInAHerd failed so at times beside busy processes.

Cause, from a line a tick on a scratch copy: the first tick with times was compared with a variance of 0.006 (later ticks: 0.1 to 0.5), and gained all that one tick may, 4.2 nats, from 3 calls. Latencies were compared once 50 calls of the old version were known, of which those of upstreams that have just started have no time. Ruled out: the load, which slows both versions in a tick alike.

50 timed calls are needed now. The new test: evidence of e^4.3 from 6 equal calls before, under e^0.5 now.

--- a/internal/rollout/kqverdict/absent_test.go
+++ b/internal/rollout/kqverdict/absent_test.go
@@ -1,6 +1,7 @@
 package kqverdict_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -92,3 +93,42 @@
 		}
 	}
 }
+
+// Guards against a good version that is taken back as slower by its first few timed calls:
+// the old version's calls until then were of upstreams that had just started, whose times
+// do not count, so that nothing was known of how much times differ.
+func TestFirstTimesAreNotComparedWithoutASpread(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 6))
+	worst := kqverdict.Finding{}
+	for range plays {
+		judge := kqverdict.New()
+		for range 10 {
+			judge.Observe(both(untimed(perTick), untimed(1)))
+		}
+		for range 3 {
+			judge.Observe(both(spread(random, perTick), spread(random, 2)))
+			if f := judge.Finding(); f.Recent > worst.Recent {
+				worst = f
+			}
+		}
+	}
+	if worst.Recent > 0.5 {
+		t.Errorf("evidence of e^%.1f (%s) after 6 calls that are as slow as the old version's", worst.Recent, worst.What)
+	}
+}
+
+func untimed(calls int) kqevidence.Cell {
+	var c kqevidence.Cell
+	for range calls {
+		c.CountUntimed(false)
+	}
+	return c
+}
+
+func spread(random *rand.Rand, calls int) kqevidence.Cell {
+	var c kqevidence.Cell
+	for range calls {
+		c.Count(time.Duration(float64(typicalCall)*math.Exp(0.7*random.NormFloat64())), false)
+	}
+	return c
+}
--- a/internal/rollout/kqverdict/baseline.go
+++ b/internal/rollout/kqverdict/baseline.go
@@ -28,7 +28,10 @@
 type (
 	// baseline is how the old version has been doing.
 	baseline struct {
-		calls    float64
+		calls float64
+		// timed is how many calls told how long they took, of however long ago: those of
+		// upstreams that have just started do not.
+		timed    float64
 		latency  [kqevidence.Buckets]float64
 		variance float64
 		// edge is the latency bucket that holds the tail's threshold.
@@ -48,6 +51,10 @@
 
 func (b *baseline) ready() bool { return b.errors.calls >= warm }
 
+// readyTimes reports whether latencies can be compared: their spread is not known before,
+// and a few calls' chance would pass for a difference.
+func (b *baseline) readyTimes() bool { return b.timed >= warm }
+
 // apart puts the new version's calls beside the old one's last ones and those of this
 // tick; false where these are too few to compare with.
 func (b *baseline) apart(p *kqevidence.Pair) (hits, bool) {
@@ -66,6 +73,7 @@
 	if m.calls == 0 {
 		return
 	}
+	b.timed += m.calls
 	b.slow.add(m.calls, over(c, b.edge))
 	b.calls = b.calls*forget + m.calls
 	if m.calls > 1 {
--- a/internal/rollout/kqverdict/lane.go
+++ b/internal/rollout/kqverdict/lane.go
@@ -93,6 +93,9 @@
 		newCalls: float64(p.New.Calls), newHits: float64(p.New.Failed),
 		usual: b.errors.usual(), lately: b.errors.lately(),
 	}}
+	if !b.readyTimes() {
+		return t
+	}
 	old, next := momentsOf(&p.Old), momentsOf(&p.New)
 	t.slow = hits{
 		oldCalls: old.calls, oldHits: over(&p.Old, b.edge), newCalls: next.calls, newHits: over(&p.New, b.edge),
