Look for a waiting call's caller again when its turn comes

What callers saw: nothing, as they had left; an upstream ran a call that its entry had counted as cancelled and not run. TestCallersWhoLeaveFreeTheirPlaces failed so at times beside busy processes (1 of 60, ten at once).

Cause: a gate looks at its calls' connections every 25 ms, one after the other. Callers of calls that ran had left as well; once the look had cancelled these, their slots came free, and the waiting call had its turn before the look came to it. Ruled out: the entry, which closes its connection before it counts, and a repeat, as it was sent once.

A call that has waited 1 ms or more has its connection looked at once more before it is sent.

--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -134,6 +134,9 @@
 		Dialect Dialect
 		// Cancel ends the call when its caller goes away; nil where nobody can.
 		Cancel *Cancel
+		// Look has the call cancelled if its caller has gone by now; nil where nobody can
+		// tell.
+		Look func()
 		// Finish is called once a streamed answer has been passed on or cut off;
 		// nil where nobody needs to know.
 		Finish   func()
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -76,6 +76,7 @@
 		Cancel: &f.cancel, Request: &ctx.Request, Response: &ctx.Response,
 	}
 	c := &f.call
+	c.Look = f.line.Look
 	if c.ID == "" {
 		c.ID = e.id(number)
 	}
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -17,8 +17,13 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
-// part is the gate's name in what is noted of it.
-const part = "gate"
+const (
+	// part is the gate's name in what is noted of it.
+	part = "gate"
+	// looksAfter is how long a call waits before its caller is looked for again: each
+	// look costs a system call.
+	looksAfter = time.Millisecond
+)
 
 type (
 	// Finder finds the local upstream of a service and version.
@@ -197,7 +202,7 @@
 	}
 	var cancel kqcall.Cancel
 	var line kqhangup.Line
-	c.Cancel, c.Dialect = &cancel, g.dialect
+	c.Cancel, c.Dialect, c.Look = &cancel, g.dialect, line.Look
 	g.hangup.Begin(&line, g.number.Add(1), ctx.Conn(), &cancel, now)
 	o, load := g.run(c, now)
 	g.hangup.End(&line)
@@ -293,6 +298,10 @@
 		u.recycle(t)
 		return o, load
 	}
+	if reason := left(c, r.Waited); reason != kqcall.NoReason {
+		o = kqcall.Refuse(reason)
+		return o, u.leave(t, o, false, 0, g.now())
+	}
 	began, given := g.now(), false
 	defer func() {
 		// A panic must not keep the slot: after a few the upstream took no calls.
@@ -332,6 +341,14 @@
 	return o, u.load(t, ended)
 }
 
+// left returns why a call that has waited must not run any more.
+func left(c *kqcall.Call, waited time.Duration) kqcall.Reason {
+	if waited >= looksAfter && c.Look != nil {
+		c.Look()
+	}
+	return c.Cancel.Reason()
+}
+
 // failed reports whether the upstream failed the call: it answered so, broke off, or
 // turned away a call that it had a slot for.
 func failed(c *kqcall.Call, o kqcall.Outcome) bool {
--- /dev/null
+++ b/internal/call/kqgate/left_test.go
@@ -0,0 +1,65 @@
+package kqgate_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+// Guards against a call that waited and has its turn just after its caller has gone: its
+// upstream would work for nobody, or run what its caller was told has not run.
+func TestCallWhoseCallerHasGoneDoesNotGetItsTurn(t *testing.T) {
+	var runs atomic.Int32
+	work := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		<-work
+		fmt.Fprint(w, "ran")
+	}))
+	defer server.Close()
+	local := kqlocal.New(time.Minute, func([]kqmember.Upstream) {})
+	a := kqlocal.Announcement{Service: "store", Version: "v1", Address: kqname.Address(server.Listener.Addr().String()), Slots: 1}
+	if err := local.Announce(a, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	g := kqgate.New(local)
+	call := func() *kqcall.Call {
+		c := &kqcall.Call{
+			Service: "store", Request: &fasthttp.Request{}, Response: &fasthttp.Response{}, Cancel: &kqcall.Cancel{},
+			Arrived: time.Now(), Deadline: time.Now().Add(10 * time.Second),
+		}
+		c.Request.Header.SetRequestURI("/")
+		c.Request.Header.SetHost("store")
+		return c
+	}
+	var group conc.WaitGroup
+	group.Go(func() { g.Do(call()) })
+	for runs.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	waits := call()
+	waits.Look = func() { waits.Cancel.Now(kqcall.Cancelled) }
+	var o kqcall.Outcome
+	group.Go(func() { o, _ = g.Do(waits) })
+	time.Sleep(50 * time.Millisecond)
+	close(work)
+	group.Wait()
+	if o.Result != kqcall.NotRun || o.Reason != kqcall.Cancelled {
+		t.Errorf("%+v, want cancelled and not run", o)
+	}
+	if n := runs.Load(); n != 1 {
+		t.Errorf("%d calls ran, want the first alone", n)
+	}
+}
--- a/internal/call/kqhangup/hangup.go
+++ b/internal/call/kqhangup/hangup.go
@@ -105,6 +105,14 @@
 	}
 }
 
+// Look looks at the line's connection at once. Between two looks a call that has waited
+// may have its turn though its caller has gone.
+func (l *Line) Look() {
+	l.shard.mu.Lock()
+	defer l.shard.mu.Unlock()
+	l.look()
+}
+
 // sweep holds the lock while it looks: a line that ended must not be looked at,
 // since its connection may serve another call by then.
 func (s *shard) sweep(before time.Time) {
@@ -114,11 +122,15 @@
 		if l.since.After(before) {
 			continue
 		}
-		if l.probe == nil {
-			l.probe = NewProbe(l.caller)
-		}
-		if closed, _ := l.probe.Look(); closed {
-			l.call.Now(kqcall.Cancelled)
-		}
+		l.look()
+	}
+}
+
+func (l *Line) look() {
+	if l.probe == nil {
+		l.probe = NewProbe(l.caller)
+	}
+	if closed, _ := l.probe.Look(); closed {
+		l.call.Now(kqcall.Cancelled)
 	}
 }
