Have each region read before regions are cut apart in their test

TestRegionsThatWereCutApartJoinAgain failed at times beside busy processes (1 of 24, 2 of 48 and 3 of 36 runs): a region that is not cut off from the platform still had version 1 when all had found the others dead.

What disturbs it, from runs that noted whether the region's domain had a reader when the change was made: with one or two, the version was there after 1 to 29 ms in 25 of 25 runs; with none, after 64 to 1,385 ms in 11 of 11. A region that has just started gets its first reader within a second or so and hears of the change from it, while deaths are found after 0.8 to 1.1 s, so that the check raced the fleet's own start, which is not what the test is about. Ruled out: pulls that wait for nodes beyond the cut, as all four nodes had the version within 30 ms of the first one.

The test waits until each region has a reader before it cuts them. Every check is as it was. 0 of 72 runs fail now.

--- a/internal/run/kqnode/distribution_test.go
+++ b/internal/run/kqnode/distribution_test.go
@@ -13,6 +13,8 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqreader"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqlease"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqpeer"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqnode"
@@ -181,6 +183,16 @@
 	}
 }
 
+// read reports whether a failure domain has a reader.
+func (w *world) read(d kqname.Domain) bool {
+	for slot := range kqlease.Slots {
+		if _, err := w.platform.Get(w.t.Context(), kqreader.SlotKey(d, slot)); err == nil {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *world) all(v kqname.ConfigVersion) bool {
 	for _, n := range w.nodes {
 		if n.Version() < v {
@@ -217,6 +229,9 @@
 // in force everywhere.
 func TestRegionsThatWereCutApartJoinAgain(t *testing.T) {
 	w := newWorld(t, 8)
+	// A region that has only started has no reader for its first second or so, and hears
+	// of a change from its first one.
+	w.await("each region has a reader", func() bool { return w.read("region-0-a") && w.read("region-1-a") })
 	w.cut.Store(true)
 	w.commit()
 	w.await("each region holds the other's nodes to be dead", func() bool {
