Name what keeps silent peers by the field's words, and set tests up once

`heed`, `bear`, `patient` and `Near` in kqsend had a reader guess: they read a peer's Keep-Alive header, set the silence timeout of a connection, and dial a node. They are named so now.

--- a/internal/call/kqconnection/chunks_test.go
+++ b/internal/call/kqconnection/chunks_test.go
@@ -15,14 +15,8 @@
 // chunks would be refused for several times what is held of their bodies.
 func TestRoomIsTakenForTheBodyAlone(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		inner, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
 		room := &recorder{}
-		l := kqconnection.New(inner, kqconnection.WithRoom(room, 0))
-		defer func() { _ = l.Close() }()
-		server, caller, done := accept(t, l)
+		server, caller, done := open(t, kqconnection.WithRoom(room, 0))
 		defer done()
 		chunks := rapid.SliceOfN(rapid.IntRange(1, 300), 1, 40).Draw(t, "chunks")
 		extension := rapid.SampledFrom([]string{"", ";a=b", " "}).Draw(t, "extension")
@@ -39,9 +33,7 @@
 			want += n
 		}
 		b := make([]byte, rapid.IntRange(1, 64).Draw(t, "buffer"))
-		for err == nil {
-			_, err = server.Read(b)
-		}
+		readAll(server, b)
 		if room.size != want {
 			t.Fatalf("room was taken for %d bytes, want %d", room.size, want)
 		}
--- a/internal/call/kqconnection/pieces_test.go
+++ b/internal/call/kqconnection/pieces_test.go
@@ -13,23 +13,15 @@
 // Guards against bodies of unstated length that take no room, as their head came in pieces.
 func TestRoomIsTakenHoweverTheHeadComes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		inner, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
 		room := &recorder{}
-		l := kqconnection.New(inner, kqconnection.WithRoom(room, 0))
-		defer func() { _ = l.Close() }()
-		server, caller, done := accept(t, l)
+		server, caller, done := open(t, kqconnection.WithRoom(room, 0))
 		defer done()
 		go func() {
 			_, _ = io.WriteString(caller, "PUT / HTTP/1.1\r\ntransfer-encoding: chunked\r\nhost: a\r\n\r\n5\r\nabcde\r\n0\r\n\r\n")
 			_ = caller.(*net.TCPConn).CloseWrite()
 		}()
 		b := make([]byte, rapid.IntRange(1, 100).Draw(t, "buffer"))
-		for err == nil {
-			_, err = server.Read(b)
-		}
+		readAll(server, b)
 		if room.size < 5 {
 			t.Fatalf("room was taken for %d bytes of a body of 5", room.size)
 		}
--- a/internal/call/kqconnection/room_test.go
+++ b/internal/call/kqconnection/room_test.go
@@ -1,6 +1,7 @@
 package kqconnection_test
 
 import (
+	"net"
 	"sync"
 	"time"
 )
@@ -19,3 +20,12 @@
 }
 
 func (r *recorder) Release(any) {}
+
+// readAll reads a connection to its end into one buffer.
+func readAll(c net.Conn, b []byte) {
+	for {
+		if _, err := c.Read(b); err != nil {
+			return
+		}
+	}
+}
--- a/internal/call/kqconnection/setup_test.go
+++ b/internal/call/kqconnection/setup_test.go
@@ -13,13 +13,13 @@
 }
 
 // listen returns a listener on a free port.
-func listen(t failer) *kqconnection.Listener {
+func listen(t failer, options ...kqconnection.Option) *kqconnection.Listener {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	return kqconnection.New(inner)
+	return kqconnection.New(inner, options...)
 }
 
 // accept connects a caller and returns both ends; done closes them.
@@ -37,9 +37,9 @@
 }
 
 // open is both, for tests of one connection.
-func open(t failer) (server, caller net.Conn, done func()) {
+func open(t failer, options ...kqconnection.Option) (server, caller net.Conn, done func()) {
 	t.Helper()
-	l := listen(t)
+	l := listen(t, options...)
 	server, caller, end := accept(t, l)
 	return server, caller, func() {
 		end()
--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -198,7 +198,7 @@
 	}
 	e.clients.held = make(map[kqname.Address]*client)
 	if e.clients.dial == nil {
-		e.clients.dial = kqsend.Near
+		e.clients.dial = kqsend.DialNode
 	}
 	return e
 }
--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -225,7 +225,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if found, ok = c.held[to]; !ok {
-		found = &client{Client: kqsend.New(to, kqsend.WithDialer(c.dial), kqsend.WithEcho(), kqsend.WithPatience()), used: time.Now()}
+		found = &client{Client: kqsend.New(to, kqsend.WithDialer(c.dial), kqsend.WithEcho(), kqsend.WithSilenceTimeout()), used: time.Now()}
 		c.held[to] = found
 	}
 	return found.Client
--- a/internal/call/kqsend/answer.go
+++ b/internal/call/kqsend/answer.go
@@ -59,9 +59,9 @@
 	case length >= 0 && length <= Bound:
 		return r.ReadBody(n.reader, 0)
 	}
-	if c.patient {
+	if c.waitsLonger {
 		// Its first part goes to the caller, so that no other upstream can give it.
-		n.bear(true)
+		n.setSilenceTimeout(true)
 	}
 	a := &answer{client: c, conn: n, call: call, length: length, closes: length == toClose}
 	switch length {
--- a/internal/call/kqsend/beliefs_silence_linux_test.go
+++ b/internal/call/kqsend/beliefs_silence_linux_test.go
@@ -53,7 +53,7 @@
 					answer(conn, path)
 				}
 			})
-			client := kqsend.New(kqname.Address(p.Addr().String()), kqsend.WithDialer(kqsend.Near), kqsend.WithPatience())
+			client := kqsend.New(kqname.Address(p.Addr().String()), kqsend.WithDialer(kqsend.DialNode), kqsend.WithSilenceTimeout())
 			order := call("/order", patience)
 			order.Request.SetBody(make([]byte, c.body))
 			began := time.Now()
@@ -73,7 +73,7 @@
 		}
 		deaf(t, c, 2*away)
 	})
-	client := kqsend.New(kqname.Address(p.Addr().String()), kqsend.WithDialer(kqsend.Near), kqsend.WithPatience())
+	client := kqsend.New(kqname.Address(p.Addr().String()), kqsend.WithDialer(kqsend.DialNode), kqsend.WithSilenceTimeout())
 	if o := client.Do(call("/order", patience)); o != kqcall.OK() {
 		t.Fatalf("first call: %+v", o)
 	}
@@ -122,7 +122,7 @@
 		deaf(t, c, away)
 		_, _ = c.Write(make([]byte, size/2))
 	})
-	client := kqsend.New(kqname.Address(p.Addr().String()), kqsend.WithDialer(kqsend.Near), kqsend.WithPatience())
+	client := kqsend.New(kqname.Address(p.Addr().String()), kqsend.WithDialer(kqsend.DialNode), kqsend.WithSilenceTimeout())
 	look := call("/download", patience)
 	look.Idempotent = true
 	if o := client.Do(look); o != kqcall.OK() {
--- a/internal/call/kqsend/client.go
+++ b/internal/call/kqsend/client.go
@@ -28,9 +28,9 @@
 	// long a peer may leave bytes, or the question whether it lives, unacknowledged.
 	nearTimeout = 300 * time.Millisecond
 	nearSilence = time.Second
-	// patientFor takes nearSilence's place for a call that may not be repeated, and is
+	// longSilence takes nearSilence's place for a call that may not be repeated, and is
 	// the longest time that a route may allow: the call's deadline comes first.
-	patientFor = 10 * time.Minute
+	longSilence = 10 * time.Minute
 	// shortageFor is how long a call waits for a descriptor, and shortagePause for how
 	// long between two tries.
 	shortageFor   = 500 * time.Millisecond
@@ -49,8 +49,9 @@
 		dialer func(address string) (net.Conn, error)
 		most   int
 		echoes bool
-		// patient tells that calls which may not be repeated bear with a silent peer.
-		patient bool
+		// waitsLonger tells that the silence timeout is longer for calls which may not be
+		// repeated.
+		waitsLonger bool
 		// belongs tells whether a response answers the call; nil compares ids.
 		belongs func(*kqcall.Call) bool
 		idleFor time.Duration
@@ -73,8 +74,8 @@
 		// said last, or else the client's own.
 		kept  time.Duration
 		until time.Time
-		// bears tells that the connection bears with a silent peer.
-		bears bool
+		// longSilence tells that the connection has the longer silence timeout.
+		longSilence bool
 	}
 )
 
@@ -94,12 +95,12 @@
 // WithEcho demands that each response carries its call's id, as nodes' do.
 func WithEcho() Option { return func(c *Client) { c.echoes = true } }
 
-// WithPatience gives a silent peer up after nearSilence, as fits nodes of one fleet, but
-// lets calls that may not be repeated bear with it until their deadline. A process that
+// WithSilenceTimeout gives a silent peer up after nearSilence, as fits nodes of one fleet, but
+// lets calls that may not be repeated wait for it until their deadline. A process that
 // was stopped, or a server that was suspended, often goes on within seconds and answers;
 // given up before, the call cannot go elsewhere, and its caller cannot tell whether it
 // ran.
-func WithPatience() Option { return func(c *Client) { c.patient = true } }
+func WithSilenceTimeout() Option { return func(c *Client) { c.waitsLonger = true } }
 
 // WithMatch has f tell whether a response answers the call that was sent, for
 // peers that do not speak our headers.
@@ -189,7 +190,7 @@
 		return nil, fmt.Errorf("connect to %s: %w", c.to, err)
 	}
 	n := &connection{Conn: dialed, kept: c.idleFor}
-	if c.patient {
+	if c.waitsLonger {
 		kqhangup.Bound(dialed, nearSilence)
 	}
 	n.probe = kqhangup.NewProbe(dialed)
@@ -215,23 +216,24 @@
 
 func plain(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, dialTimeout) }
 
-// Near connects to a node of the same fleet over plain TCP. A server without
+// DialNode connects to a node of the same fleet over plain TCP. A server without
 // power does not refuse, it is silent: the call that waits for it could long be
 // served by another.
-func Near(address string) (net.Conn, error) {
+func DialNode(address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: nearTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: nearSilence, Interval: nearSilence, Count: 1}}
 	return dialer.Dial("tcp", address)
 }
 
-// bear has the connection bear with a silent peer, or no longer do so.
-func (n *connection) bear(silent bool) {
-	if n.bears == silent {
+// setSilenceTimeout sets for how long the peer may leave bytes unacknowledged: longer for
+// calls that may not be repeated.
+func (n *connection) setSilenceTimeout(long bool) {
+	if n.longSilence == long {
 		return
 	}
-	n.bears = silent
+	n.longSilence = long
 	bound := nearSilence
-	if silent {
-		bound = patientFor
+	if long {
+		bound = longSilence
 	}
 	kqhangup.Bound(n.Conn, bound)
 }
--- a/internal/call/kqsend/exchange.go
+++ b/internal/call/kqsend/exchange.go
@@ -60,7 +60,7 @@
 	}
 	closes := call.Response.ConnectionClose()
 	call.Response.Header.ResetConnectionClose()
-	n.heed(&call.Response.Header, c.idleFor)
+	n.readKeepAlive(&call.Response.Header, c.idleFor)
 	if a, ok := call.Response.BodyStream().(*answer); ok {
 		a.closes = a.closes || closes
 	} else {
@@ -104,8 +104,8 @@
 	if err := n.SetDeadline(call.Deadline); err != nil {
 		return err
 	}
-	if c.patient {
-		n.bear(!call.Idempotent)
+	if c.waitsLonger {
+		n.setSilenceTimeout(!call.Idempotent)
 	}
 	err := write(call.Request, n.writer)
 	if err == nil {
--- a/internal/call/kqsend/keep.go
+++ b/internal/call/kqsend/keep.go
@@ -13,10 +13,10 @@
 // way of an answer earlier.
 const keepMargin = 300 * time.Millisecond
 
-// heed takes over for how long the peer says that it keeps the connection without a
+// readKeepAlive takes over for how long the peer says that it keeps the connection without a
 // call, and takes it out of the response: it says nothing of the caller's. A call
 // sent when the peer closes would be cut, and nobody could tell whether it ran.
-func (n *connection) heed(h *fasthttp.ResponseHeader, most time.Duration) {
+func (n *connection) readKeepAlive(h *fasthttp.ResponseHeader, most time.Duration) {
 	n.kept = most
 	value := h.Peek(fasthttp.HeaderKeepAlive)
 	if len(value) == 0 {
