Keep no more than a line of a head that comes in pieces

What callers could have met: a node kept up to 64 KB of each unfinished head beside what the server's library holds of it, and as much of what was never a head, such as encrypted records between nodes, whose end is never found: 3,900 slow callers could have taken 250 MB.

Of the lines that have come it now keeps what they tell of the body, and 128 bytes of the one at hand. The test holds a head of 1 MB in pieces to under 256 KB and checks that its body is still found.

--- a/internal/call/kqconnection/pace.go
+++ b/internal/call/kqconnection/pace.go
@@ -5,8 +5,9 @@
 	"strconv"
 )
 
-// headMost is how much of a head is kept, in bytes: more than servers take.
-const headMost = 64 << 10
+// lineMost is how much is kept of a head's line that comes in pieces, in bytes: more than
+// a name that is looked for takes, with its value.
+const lineMost = 128
 
 var (
 	// lengthName is the header that states a body's length.
@@ -29,8 +30,16 @@
 	// ends is not known here: whoever serves the request tells. chunks counts it.
 	unstated bool
 	chunks   chunks
-	// begun is what has come of a head that comes in pieces.
-	begun []byte
+	// soFar is what the lines tell that have come of a head in pieces, and line the
+	// beginning of the last one.
+	soFar framing
+	line  []byte
+}
+
+// framing is what a head tells of the body behind it.
+type framing struct {
+	length   int
+	unstated bool
 }
 
 // cut returns how many of the bytes, at least one, belong to the request under way.
@@ -49,25 +58,44 @@
 		p.keep(data)
 		return len(data)
 	}
-	head := data[:end]
-	if len(p.begun) > 0 {
-		head, p.begun = append(p.begun, head...), nil
-	}
-	if p.unstated = has(head, encodingName); p.unstated {
+	f := p.take(data[:end])
+	if p.unstated = f.unstated; p.unstated {
 		p.chunks.add(data[end:])
 		return len(data)
 	}
-	n := min(length(head), len(data)-end)
-	p.body = length(head) - n
+	n := min(f.length, len(data)-end)
+	p.body = f.length - n
 	return end + n
 }
 
-// keep keeps the beginning of a head: its last piece alone does not tell what follows. A
-// head that is longer than the bound is refused by the server.
+// keep takes in a piece of a head: its last piece alone does not tell what follows. Of
+// what is not a head, such as an encrypted one, little is kept.
 func (p *pace) keep(piece []byte) {
-	if len(p.begun)+len(piece) <= headMost {
-		p.begun = append(p.begun, piece...)
+	if len(p.line) > 0 {
+		piece = append(p.line, piece...)
+	}
+	last := bytes.LastIndexByte(piece, '\n') + 1
+	p.soFar = p.soFar.with(piece[:last])
+	p.line = bytes.Clone(piece[last:min(len(piece), last+lineMost)])
+}
+
+// take returns what a head tells whose last piece has come.
+func (p *pace) take(piece []byte) framing {
+	if len(p.line) > 0 {
+		piece = append(p.line, piece...)
+	}
+	f := p.soFar.with(piece)
+	p.soFar, p.line = framing{}, nil
+	return f
+}
+
+// with adds what whole lines tell.
+func (f framing) with(lines []byte) framing {
+	if f.length == 0 {
+		f.length = length(lines)
 	}
+	f.unstated = f.unstated || has(lines, encodingName)
+	return f
 }
 
 // head returns where the head ends, -1 if it goes on.
--- a/internal/call/kqconnection/pieces_test.go
+++ b/internal/call/kqconnection/pieces_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"runtime"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -27,3 +29,30 @@
 		}
 	})
 }
+
+// Guards against callers with unfinished heads who have a node hold what it has read of
+// them twice.
+func TestLittleIsKeptOfAnUnfinishedHead(t *testing.T) {
+	server, caller, done := open(t)
+	defer done()
+	head := "PUT / HTTP/1.1\r\nx: " + strings.Repeat("x", 1<<20) + "\r\ncontent-length: 3\r\n\r\nabc"
+	go func() { _, _ = io.WriteString(caller, head+"GET / HTTP/1.1\r\n\r\n") }()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	b := make([]byte, 100)
+	for read := 0; read < len(head); {
+		n, err := server.Read(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		read += n
+		if read > len(head) {
+			t.Fatalf("%d bytes were read, of a request of %d", read, len(head))
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > 256<<10 {
+		t.Errorf("%d KB are held of a head of 1 MB", grown>>10)
+	}
+}
