Let a rollout's new owner collect before it steps

The node that had just become the owner was not among those that collect, and decided on nothing.

Cause: what a node weighs begins with its ownership, and steps are decided at once. Since a node collects for four ticks before it weighs, the gap had grown. Now no step is made while a node collects; taking back is not held up. A node that collects from a rollout's start does not wait, so that versions which are bad from their first call are found as soon as before.

The new test: done at once before, hold and then done now.

--- a/internal/rollout/kqboard/board.go
+++ b/internal/rollout/kqboard/board.go
@@ -168,6 +168,10 @@
 	}
 	e.slots = s.OldSlots + s.NewSlots + s.ColdSlots
 	d := kqstep.Decide(now, s)
+	if e.listening(now) && (d.Action == kqstep.Advance || d.Action == kqstep.Done) {
+		// A node that has just become the owner knows nothing yet that speaks against it.
+		d = kqstep.Decision{Action: kqstep.Hold, Why: "what gates have counted is being collected"}
+	}
 	e.apply(d)
 	return d
 }
--- a/internal/rollout/kqboard/entry.go
+++ b/internal/rollout/kqboard/entry.go
@@ -91,7 +91,7 @@
 	if e.collects.IsZero() {
 		e.collects = now
 	}
-	if now.Sub(e.ticked) < e.tick() || now.Sub(e.collects) < listens*e.tick() {
+	if now.Sub(e.ticked) < e.tick() || e.listening(now) {
 		return
 	}
 	sample := e.ledger.Take()
@@ -112,6 +112,14 @@
 	}
 }
 
+// listening reports whether gates' reports of what they have counted before may still come
+// in. Of a rollout that began with this node's collecting there is nothing to wait for; an
+// ordered one begins anew on a node that has started in its midst.
+func (e *entry) listening(now time.Time) bool {
+	began := e.plan.Duration == 0 && e.collects.Sub(e.plan.Start) < e.tick()
+	return !began && now.Sub(e.collects) < listens*e.tick()
+}
+
 // use follows how many slots are in use: calls that took 100 ms each, 200 a second,
 // have 20 in use on average. A node that has just begun to collect gets the counts of
 // many ticks in one, which cannot be more than all slots.
--- /dev/null
+++ b/internal/rollout/kqboard/owner_test.go
@@ -0,0 +1,30 @@
+package kqboard_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqprogress"
+	"github.com/kumquatgw/kumquatgw/internal/rollout/kqstep"
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+)
+
+// Guards against a version that ends as done because the node that has just become the
+// rollout's owner has collected nothing yet.
+func TestNewOwnerCollectsBeforeItSteps(t *testing.T) {
+	const window, tick = time.Minute, 600 * time.Millisecond
+	plan := kqdocument.Rollout{Name: "move", Service: "shed", From: "v1", To: "v2", Policy: "first", Start: start, Deadline: start.Add(window)}
+	b := board(service(plan))
+	id := b.Views(start)[0].Plan.ID
+	b.Join(id, kqprogress.Progress{Step: 4})
+	now := start.Add(window * 98 / 100)
+	b.Weigh(id, now)
+	if d := b.Step(id, now); d.Action != kqstep.Hold {
+		t.Errorf("at once: %s, %s; want hold", d.Action, d.Why)
+	}
+	now = now.Add(5 * tick)
+	b.Weigh(id, now)
+	if d := b.Step(id, now); d.Action != kqstep.Done {
+		t.Errorf("once it has collected: %s, %s; want done", d.Action, d.Why)
+	}
+}
