--- a/internal/call/kqgate/beliefs_address_test.go
+++ b/internal/call/kqgate/beliefs_address_test.go
@@ -8,8 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
@@ -40,13 +38,7 @@
 	}
 	g := kqgate.New(local)
 	do := func(path string) kqcall.Outcome {
-		c := &kqcall.Call{
-			Service: "store", Request: &fasthttp.Request{}, Response: &fasthttp.Response{}, Cancel: &kqcall.Cancel{},
-			Arrived: time.Now(), Deadline: time.Now().Add(10 * time.Second),
-		}
-		c.Request.Header.SetRequestURI(path)
-		c.Request.Header.SetHost("store")
-		o, _ := g.Do(c)
+		o, _ := g.Do(newCall(path))
 		return o
 	}
 	announce("v1")
--- a/internal/call/kqgate/left_test.go
+++ b/internal/call/kqgate/left_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
-	"github.com/valyala/fasthttp"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
@@ -35,21 +34,12 @@
 		t.Fatal(err)
 	}
 	g := kqgate.New(local)
-	call := func() *kqcall.Call {
-		c := &kqcall.Call{
-			Service: "store", Request: &fasthttp.Request{}, Response: &fasthttp.Response{}, Cancel: &kqcall.Cancel{},
-			Arrived: time.Now(), Deadline: time.Now().Add(10 * time.Second),
-		}
-		c.Request.Header.SetRequestURI("/")
-		c.Request.Header.SetHost("store")
-		return c
-	}
 	var group conc.WaitGroup
-	group.Go(func() { g.Do(call()) })
+	group.Go(func() { g.Do(newCall("/")) })
 	for runs.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	waits := call()
+	waits := newCall("/")
 	waits.Look = func() { waits.Cancel.Now(kqcall.Cancelled) }
 	var o kqcall.Outcome
 	group.Go(func() { o, _ = g.Do(waits) })
--- a/internal/call/kqgate/unreachable_test.go
+++ b/internal/call/kqgate/unreachable_test.go
@@ -5,8 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
@@ -32,13 +30,7 @@
 	}
 	g := kqgate.New(local, kqgate.WithWithdrawer(local))
 	do := func() {
-		c := &kqcall.Call{
-			Service: "store", Request: &fasthttp.Request{}, Response: &fasthttp.Response{}, Cancel: &kqcall.Cancel{},
-			Arrived: time.Now(), Deadline: time.Now().Add(10 * time.Second),
-		}
-		c.Request.Header.SetRequestURI("/")
-		c.Request.Header.SetHost("store")
-		if o, _ := g.Do(c); o.Reason != kqcall.ConnectFailed {
+		if o, _ := g.Do(newCall("/")); o.Reason != kqcall.ConnectFailed {
 			t.Fatalf("%+v, want no connection", o)
 		}
 	}
