kqcommit: withdraw an earlier commit before reporting a conflict

Operators saw: a change that was reported as a conflict ("never takes effect"), or over the API as stale_version, was in force later. With one request id, the first commit ends as unknown while its swap of the root is in flight; the second, on another base, is refused; then the swap takes effect.

Cause: the refusal compared the current version with the base of the second call only, though the intent of the request names the base that may still be replaced. kqchange compared the base before it asked the committer at all.

Why this works: the second call rewrites the root with the same content, so every swap that expects the old revision fails, and then removes the base from the intent by its revision, so that a commit which still runs finds itself withdrawn instead of swapping on the new revision. A conflict is reported after both are confirmed, unknown if they are not, committed if the first swap won. A commit whose base was replaced reads the intent again, so that it sees the bases of concurrent calls.

--- a/internal/admin/kqchange/change.go
+++ b/internal/admin/kqchange/change.go
@@ -92,7 +92,8 @@
 }
 
 // Submit checks and commits a change. Unless the problem is OutcomeUnknown, a refused
-// attempt has changed nothing; an earlier one with the same ID may have.
+// attempt has changed nothing; an earlier one with the same ID may have. After
+// StaleVersion, no earlier one takes effect any longer.
 func (c *Changer) Submit(ctx context.Context, q Request, now time.Time) (Result, *kqproblem.Problem) {
 	if q.ID == "" {
 		q.ID = uuid.NewString()
@@ -111,17 +112,25 @@
 	if !kqname.Valid(q.ID) {
 		return Result{}, kqproblem.New(kqproblem.Malformed, "request_id is not a plain name")
 	}
-	if !q.DryRun {
-		if result, problem, final := c.previousResult(ctx, q); final {
-			return result, problem
-		}
+	earlier, err := c.earlierOutcome(ctx, q)
+	if err != nil {
+		return Result{}, problemOf(err)
+	}
+	if earlier.Status == kqcommit.Committed {
+		return c.repeatedResult(ctx, q, earlier.Version)
 	}
 	current, root, err := c.committer.Document(ctx)
 	if err != nil {
 		return Result{}, problemOf(err)
 	}
-	if q.Base != nil && *q.Base != root.Version {
-		return Result{}, c.staleProblem(ctx, *q.Base, current, root.Version)
+	base := root.Version
+	if q.Base != nil {
+		base = *q.Base
+	}
+	// An earlier attempt that may still take effect must be withdrawn before the change is
+	// refused as stale. Commit does both.
+	if base != root.Version && earlier.Status != kqcommit.Unknown {
+		return Result{}, c.staleProblem(ctx, base, current, root.Version)
 	}
 	next, changes, problem := applyEdit(q, current)
 	if problem != nil {
@@ -132,7 +141,7 @@
 		return result, nil
 	}
 	outcome, err := c.committer.Commit(ctx, kqcommit.Request{
-		ID: q.ID, Base: root.Version, Author: q.Operator.Name, Reason: q.Reason, At: now, Document: next,
+		ID: q.ID, Base: base, Author: q.Operator.Name, Reason: q.Reason, At: now, Document: next,
 	})
 	if err != nil {
 		return Result{}, problemOf(err)
@@ -140,36 +149,41 @@
 	return final(outcome, result)
 }
 
-// previousResult answers a request whose ID was committed before, or refuses it if
-// that cannot be found out; it returns false if the request must still be processed.
+// earlierOutcome returns the outcome of earlier attempts with the request's ID. Its status
+// is empty if there were none and for a dry run.
+func (c *Changer) earlierOutcome(ctx context.Context, q Request) (kqcommit.Outcome, error) {
+	if q.DryRun {
+		return kqcommit.Outcome{}, nil
+	}
+	outcome, err := c.committer.ResolveOutcome(ctx, q.ID)
+	if errors.Is(err, kqcommit.ErrUnknownRequest) {
+		return kqcommit.Outcome{}, nil
+	}
+	return outcome, err
+}
+
+// repeatedResult answers a request whose ID was committed before as the given version.
 // The request is a retry after a lost response if it has the committed change's
 // base, or none, and its edit yields the committed document. Otherwise the ID counts
 // as reused, also if one of the documents to compare cannot be read. A retry gets the
 // result only if its operator may make the change.
-func (c *Changer) previousResult(ctx context.Context, q Request) (Result, *kqproblem.Problem, bool) {
-	outcome, err := c.committer.ResolveOutcome(ctx, q.ID)
-	if errors.Is(err, kqcommit.ErrUnknownRequest) || err == nil && outcome.Status != kqcommit.Committed {
-		return Result{}, nil, false
-	}
+func (c *Changer) repeatedResult(ctx context.Context, q Request, version kqname.ConfigVersion) (Result, *kqproblem.Problem) {
+	before, err := c.committer.DocumentAt(ctx, version-1)
 	if err != nil {
-		return Result{}, problemOf(err), true
+		return Result{}, reusedProblem()
 	}
-	before, err := c.committer.DocumentAt(ctx, outcome.Version-1)
+	after, err := c.committer.DocumentAt(ctx, version)
 	if err != nil {
-		return Result{}, reusedProblem(), true
-	}
-	after, err := c.committer.DocumentAt(ctx, outcome.Version)
-	if err != nil {
-		return Result{}, reusedProblem(), true
+		return Result{}, reusedProblem()
 	}
 	reapplied, err := q.Edit.Apply(before)
-	if err != nil || len(kqdocument.Diff(after, reapplied)) > 0 || q.Base != nil && *q.Base != outcome.Version-1 {
-		return Result{}, reusedProblem(), true
+	if err != nil || len(kqdocument.Diff(after, reapplied)) > 0 || q.Base != nil && *q.Base != version-1 {
+		return Result{}, reusedProblem()
 	}
 	if p := checkPermission(q.Operator, after, kqdocument.Diff(before, after)); p != nil {
-		return Result{}, p, true
+		return Result{}, p
 	}
-	return Result{RequestID: q.ID, Version: outcome.Version, Committed: true, Difference: kqdocument.Diff(before, after)}, nil, true
+	return Result{RequestID: q.ID, Version: version, Committed: true, Difference: kqdocument.Diff(before, after)}, nil
 }
 
 // staleProblem returns the refusal of an edit that is not based on the version in
--- a/internal/config/kqcommit/collect.go
+++ b/internal/config/kqcommit/collect.go
@@ -180,14 +180,7 @@
 	if c.root.Version == 0 {
 		return nil
 	}
-	data, err := kqresource.Encode(c.root)
-	if err != nil {
-		return err
-	}
-	if _, err := c.committer.store.Swap(ctx, RootKey, c.rootRevision, data, kqstore.NoLease); err != nil {
-		return fmt.Errorf("rewrite root: %w", err)
-	}
-	return nil
+	return c.committer.rewriteRoot(ctx, c.root, c.rootRevision)
 }
 
 // sweep deletes the candidates and then trims the roots and intents that referenced
@@ -247,11 +240,7 @@
 			return err
 		}
 		i.Objects = nil
-		data, err := kqresource.Encode(i)
-		if err != nil {
-			return err
-		}
-		if _, err := c.committer.store.Swap(ctx, intentPrefix+id, revision, data, kqstore.NoLease); err != nil {
+		if err := c.committer.writeIntent(ctx, i, revision); err != nil {
 			return fmt.Errorf("trim intent %s: %w", id, err)
 		}
 	}
--- a/internal/config/kqcommit/commit.go
+++ b/internal/config/kqcommit/commit.go
@@ -20,9 +20,9 @@
 
 	// Committed means that the document took effect as Outcome.Version.
 	Committed Status = "committed"
-	// Conflict means that the current version is not the request's base. The commit
-	// never takes effect, unless an earlier call with the same ID and another base is
-	// still in flight.
+	// Conflict means that the current version is not the request's base, or that the
+	// commit was withdrawn because another call with the same ID got this status. No
+	// commit with this ID that began before takes effect any longer.
 	Conflict Status = "conflict"
 	// Unknown means that the result could not be determined, for example because
 	// responses were lost, and the commit may still take effect. Call
@@ -31,8 +31,8 @@
 
 	objectPrefix = "kumquatgw/object/"
 
-	// maxCommitAttempts bounds the attempts of a commit that garbage collection
-	// interrupts by rewriting the root, and maxSwapAttempts the swaps of one attempt.
+	// maxCommitAttempts bounds the attempts of a commit that garbage collection or
+	// another call interrupts, and maxSwapAttempts the swaps of one attempt.
 	maxCommitAttempts = 3
 	maxSwapAttempts   = 4
 	defaultBackoff    = 50 * time.Millisecond
@@ -55,9 +55,10 @@
 	// because Commit returned Conflict or an error before that.
 	ErrUnknownRequest = namespace.NewType("not_begun").New("no commit was begun under this request id")
 
-	// errRootRewritten means that garbage collection rewrote the root, so that the
-	// swap of this attempt cannot take effect and its objects may have been deleted.
-	errRootRewritten = errors.New("root was rewritten during the commit")
+	// errInterrupted means that garbage collection or another call rewrote the root or
+	// the request's intent, so that this attempt cannot take effect. If the root was
+	// rewritten, the attempt's objects may have been deleted.
+	errInterrupted = errors.New("root or intent was rewritten during the commit")
 )
 
 type (
@@ -113,7 +114,9 @@
 	attempt struct {
 		request Request
 		intent  intent
-		objects kqresource.Objects
+		// registered is set once a try of this call has written the intent.
+		registered bool
+		objects    kqresource.Objects
 		// content is the root of the request's document, still without version,
 		// parent and the request's ID, author, reason and time.
 		content kqresource.Root
@@ -156,9 +159,10 @@
 		return Outcome{RequestID: q.ID}, fmt.Errorf("commit %s: %w", q.ID, err)
 	}
 	var o Outcome
+	a := &attempt{request: q, content: content, objects: objects}
 	for range maxCommitAttempts {
-		o, err = c.commitOnce(ctx, &attempt{request: q, content: content, objects: objects})
-		if !errors.Is(err, errRootRewritten) {
+		o, err = c.commitOnce(ctx, a)
+		if !errors.Is(err, errInterrupted) {
 			break
 		}
 	}
@@ -179,31 +183,35 @@
 	}
 }
 
-// commitOnce makes one attempt to commit a request. It returns errRootRewritten if
+// commitOnce makes one attempt to commit a request. It returns errInterrupted if
 // another attempt is needed.
 func (c *Committer) commitOnce(ctx context.Context, a *attempt) (Outcome, error) {
 	content, err := contentDigest(a.content)
 	if err != nil {
 		return Outcome{}, err
 	}
-	known, version, err := c.lookupRequest(ctx, a.request.ID, content)
-	if err != nil {
-		return Outcome{}, err
-	}
-	if version != 0 {
-		return a.committed(version), nil
-	}
+	// The root is read before the intent, which then holds the base of each commit that
+	// led to this root.
 	a.base, a.revision, err = c.Root(ctx)
 	if err != nil {
 		return Outcome{}, err
 	}
-	if a.base.Version != a.request.Base {
+	known, revision, version, err := c.lookupRequest(ctx, a.request.ID, content, a.base)
+	switch {
+	case err != nil:
+		return Outcome{}, err
+	case version != 0:
+		return a.committed(version), nil
+	case a.base.Version != a.request.Base:
+		return c.withdraw(ctx, a, known, revision)
+	case a.registered && !known.canReplace(a.request.Base):
 		return c.conflict(ctx, a), nil
 	}
 	a.intent = known.withBase(a.request, content, a.objects)
 	if err := c.registerIntent(ctx, a.intent); err != nil {
 		return Outcome{}, err
 	}
+	a.registered = true
 	if err := c.writeObjectsAndHistory(ctx, a.base, a.objects); err != nil {
 		return Outcome{}, err
 	}
@@ -235,6 +243,11 @@
 	return Outcome{Status: Committed, RequestID: a.request.ID, Version: v}
 }
 
+// unknown returns the outcome of a commit on top of a version that may still take effect.
+func (a *attempt) unknown(base kqname.ConfigVersion) Outcome {
+	return Outcome{Status: Unknown, RequestID: a.request.ID, Version: base + 1}
+}
+
 // conflict returns an outcome with the changes since the request's base. If the base
 // cannot be read, it returns the changes from the current document to the request's,
 // and none if the current document cannot be read either.
--- a/internal/config/kqcommit/commit_test.go
+++ b/internal/config/kqcommit/commit_test.go
@@ -23,6 +23,8 @@
 	writes int
 	before func(write int)
 	after  func(write int)
+	// beforeRootSwap, if set, is called once, before the first swap of the root.
+	beforeRootSwap func()
 }
 
 func (h *hookedStore) Put(ctx context.Context, key string, value []byte, l kqstore.Lease) (kqstore.Revision, error) {
@@ -32,6 +34,10 @@
 
 func (h *hookedStore) Swap(ctx context.Context, key string, e kqstore.Revision, value []byte, l kqstore.Lease) (kqstore.Revision, error) {
 	defer h.runHooks()()
+	if f := h.beforeRootSwap; f != nil && key == kqcommit.RootKey {
+		h.beforeRootSwap = nil
+		f()
+	}
 	return h.Fake.Swap(ctx, key, e, value, l)
 }
 
--- a/internal/config/kqcommit/intent.go
+++ b/internal/config/kqcommit/intent.go
@@ -26,7 +26,8 @@
 	intent struct {
 		ID      string            `cbor:"1,keyasint"`
 		Content kqresource.Digest `cbor:"2,keyasint"`
-		// Bases holds the base of each commit that was begun with this ID.
+		// Bases holds the base of each commit that was begun with this ID, except those
+		// whose swaps were made to fail.
 		Bases []kqname.ConfigVersion `cbor:"3,keyasint"`
 		// At is the time of the latest request with this ID.
 		At      time.Time           `cbor:"4,keyasint"`
@@ -40,26 +41,22 @@
 	}
 )
 
-// lookupRequest returns the intent of a request ID, empty if there is none, and
-// the version that it was committed as, or 0. It returns ErrRequestIDReused if the
-// intent is for other content.
-func (c *Committer) lookupRequest(ctx context.Context, id string, content kqresource.Digest) (intent, kqname.ConfigVersion, error) {
-	known, _, err := c.readIntent(ctx, id)
+// lookupRequest returns the intent of a request ID with its revision, empty and
+// kqstore.Absent if there is none, and the version that it was committed as, or 0. It
+// returns ErrRequestIDReused if the intent is for other content.
+func (c *Committer) lookupRequest(ctx context.Context, id string, content kqresource.Digest, current kqresource.Root) (intent, kqstore.Revision, kqname.ConfigVersion, error) {
+	known, revision, err := c.readIntent(ctx, id)
 	if errors.Is(err, kqstore.ErrNotFound) {
-		return intent{}, 0, nil
+		return intent{}, kqstore.Absent, 0, nil
 	}
 	if err != nil {
-		return intent{}, 0, err
+		return intent{}, 0, 0, err
 	}
 	if known.Content != content {
-		return intent{}, 0, ErrRequestIDReused
-	}
-	current, _, err := c.Root(ctx)
-	if err != nil {
-		return intent{}, 0, err
+		return intent{}, 0, 0, ErrRequestIDReused
 	}
 	version, err := c.findVersion(ctx, known, current)
-	return known, version, err
+	return known, revision, version, err
 }
 
 func (c *Committer) readIntent(ctx context.Context, id string) (intent, kqstore.Revision, error) {
@@ -81,16 +78,18 @@
 	return next
 }
 
+// withoutBase returns the intent without a base whose swaps can no longer take effect.
+func (i intent) withoutBase(base kqname.ConfigVersion) intent {
+	i.Bases = slices.DeleteFunc(slices.Clone(i.Bases), func(v kqname.ConfigVersion) bool { return v == base })
+	return i
+}
+
 // canReplace reports whether a swap that replaces version v may be in flight.
 func (i intent) canReplace(v kqname.ConfigVersion) bool { return slices.Contains(i.Bases, v) }
 
 // registerIntent writes an intent and adds it to the index. Both must precede
 // the first object: an unreferenced object could never be found and deleted.
 func (c *Committer) registerIntent(ctx context.Context, i intent) error {
-	data, err := kqresource.Encode(i)
-	if err != nil {
-		return fmt.Errorf("encode intent: %w", err)
-	}
 	known, revision, err := c.readIntent(ctx, i.ID)
 	if errors.Is(err, kqstore.ErrNotFound) {
 		known, revision, err = i, kqstore.Absent, nil
@@ -101,10 +100,22 @@
 	if known.Content != i.Content {
 		return ErrRequestIDReused
 	}
+	if err := c.writeIntent(ctx, i, revision); err != nil {
+		return err
+	}
+	return c.addToIndex(ctx, i)
+}
+
+// writeIntent replaces the intent that has the given revision.
+func (c *Committer) writeIntent(ctx context.Context, i intent, revision kqstore.Revision) error {
+	data, err := kqresource.Encode(i)
+	if err != nil {
+		return fmt.Errorf("encode intent: %w", err)
+	}
 	if _, err := c.store.Swap(ctx, intentPrefix+i.ID, revision, data, kqstore.NoLease); err != nil {
 		return fmt.Errorf("write intent: %w", err)
 	}
-	return c.addToIndex(ctx, i)
+	return nil
 }
 
 // addToIndex adds the intent to the index. It retries on conflicts, since
--- a/internal/config/kqcommit/settle.go
+++ b/internal/config/kqcommit/settle.go
@@ -37,11 +37,11 @@
 			return o, err
 		}
 	}
-	return Outcome{Status: Unknown, RequestID: a.request.ID, Version: a.request.Base + 1}, nil
+	return a.unknown(a.request.Base), nil
 }
 
 // resolveSwap reads the root and reports whether it shows how the swap ended. It
-// returns errRootRewritten if a new attempt is needed.
+// returns errInterrupted if a new attempt is needed.
 func (c *Committer) resolveSwap(ctx context.Context, a *attempt) (Outcome, bool, error) {
 	current, revision, err := c.Root(ctx)
 	switch {
@@ -50,29 +50,89 @@
 	case current.RequestID == a.request.ID:
 		return a.committed(current.Version), true, nil
 	case current.Version > a.request.Base:
-		found, err := c.findVersion(ctx, a.intent, current)
+		o, err := c.resolveReplaced(ctx, a, current)
 		if err != nil {
 			return Outcome{}, false, nil //nolint:nilerr // The next try reads it again.
 		}
-		if found != 0 {
-			return a.committed(found), true, nil
-		}
-		a.base = current
-		return c.conflict(ctx, a), true, nil
+		return o, true, nil
 	case revision > a.revision:
-		// The collector has rewritten the root. This attempt's objects may have
-		// been deleted, and its swap can no longer take effect.
-		return Outcome{}, false, errRootRewritten
+		// The collector or another call has rewritten the root. This attempt's objects
+		// may have been deleted, and its swap can no longer take effect.
+		return Outcome{}, false, errInterrupted
 	default:
 		return Outcome{}, false, nil
 	}
 }
 
+// resolveReplaced returns the outcome of an attempt whose base has been replaced. It reads
+// the intent again, since other calls with the same ID may have registered further bases.
+func (c *Committer) resolveReplaced(ctx context.Context, a *attempt, current kqresource.Root) (Outcome, error) {
+	latest, _, err := c.readIntent(ctx, a.request.ID)
+	if err != nil && !errors.Is(err, kqstore.ErrNotFound) {
+		return Outcome{}, err
+	}
+	for _, i := range []intent{a.intent, latest} {
+		found, err := c.findVersion(ctx, i, current)
+		if err != nil {
+			return Outcome{}, err
+		}
+		if found != 0 {
+			return a.committed(found), nil
+		}
+	}
+	if latest.canReplace(current.Version) {
+		return a.unknown(current.Version), nil
+	}
+	a.base = current
+	return c.conflict(ctx, a), nil
+}
+
+// withdraw returns the outcome of a request whose base is not the current version: a
+// conflict, once no earlier commit with the same ID can take effect any longer. known is
+// the request's intent and revision the intent's revision.
+//
+// If an earlier commit may still replace the current root, withdraw first rewrites the
+// root, which makes the swaps in flight fail on its revision. It then removes the base
+// from the intent, which makes a commit that is still running give up instead of trying
+// again on the rewritten root. The outcome is Unknown if the store does not confirm both,
+// and withdraw returns errInterrupted if the root or the intent has changed meanwhile.
+func (c *Committer) withdraw(ctx context.Context, a *attempt, known intent, revision kqstore.Revision) (Outcome, error) {
+	if !known.canReplace(a.base.Version) {
+		return c.conflict(ctx, a), nil
+	}
+	err := c.rewriteRoot(ctx, a.base, a.revision)
+	if err == nil {
+		err = c.writeIntent(ctx, known.withoutBase(a.base.Version), revision)
+	}
+	switch {
+	case err == nil:
+		return c.conflict(ctx, a), nil
+	case errors.Is(err, kqstore.ErrConflict):
+		return Outcome{}, fmt.Errorf("withdraw earlier commit: %w: %w", errInterrupted, err)
+	default:
+		return a.unknown(a.base.Version), nil
+	}
+}
+
+// rewriteRoot writes the current root again, which makes every swap fail that expects the
+// given revision. It returns kqstore.ErrConflict if the root has another revision.
+func (c *Committer) rewriteRoot(ctx context.Context, root kqresource.Root, revision kqstore.Revision) error {
+	data, err := kqresource.Encode(root)
+	if err != nil {
+		return err
+	}
+	if _, err := c.store.Swap(ctx, RootKey, revision, data, kqstore.NoLease); err != nil {
+		return fmt.Errorf("rewrite root: %w", err)
+	}
+	return nil
+}
+
 // ResolveOutcome returns the outcome of an earlier commit whose response was lost,
 // without its Difference. The outcome is Unknown while a base of the commit is still
-// the current version, since a swap may be in flight. ResolveOutcome returns
-// ErrUnknownRequest for an ID without an intent, and kqstore's errors if the platform is
-// unavailable; the call can then be retried.
+// the current version, since a swap may be in flight; repeating the commit, with this
+// base or another one, resolves it. ResolveOutcome returns ErrUnknownRequest for
+// an ID without an intent, and kqstore's errors if the platform is unavailable; the call
+// can then be retried.
 func (c *Committer) ResolveOutcome(ctx context.Context, id string) (Outcome, error) {
 	known, _, err := c.readIntent(ctx, id)
 	if errors.Is(err, kqstore.ErrNotFound) {
