kqcommit: do not lose a base when two calls register one request ID

Operators saw: one request committed as versions 2 and 3, the second putting back what others had changed; or a conflict for a request that is in force.

Cause: registerIntent read the intent again for its revision only and wrote the bases known from an earlier look-up, so the base of a concurrent call with the same ID was lost. A request is found in the history through these bases. The look-up and ResolveOutcome also read the intent before the root, so that a base could be registered and committed in between.

Why this works: the intent is swapped at the revision it was derived from, and a commit that finds it changed starts over. The root is read before the intent, so the intent holds the base of every commit that led to that root. A commit makes 3 reads instead of 4.

--- a/internal/config/kqcommit/commit.go
+++ b/internal/config/kqcommit/commit.go
@@ -208,7 +208,7 @@
 		return c.conflict(ctx, a), nil
 	}
 	a.intent = known.withBase(a.request, content, a.objects)
-	if err := c.registerIntent(ctx, a.intent); err != nil {
+	if err := c.registerIntent(ctx, a.intent, revision); err != nil {
 		return Outcome{}, err
 	}
 	a.registered = true
@@ -250,13 +250,17 @@
 
 // conflict returns an outcome with the changes since the request's base. If the base
 // cannot be read, it returns the changes from the current document to the request's,
-// and none if the current document cannot be read either.
+// and none if the current document cannot be read either. If a concurrent call has
+// committed the request meanwhile, conflict returns that outcome.
 func (c *Committer) conflict(ctx context.Context, a *attempt) Outcome {
 	o := Outcome{Status: Conflict, RequestID: a.request.ID, Version: a.base.Version}
 	current, root, err := c.Document(ctx)
 	if err != nil {
 		return o
 	}
+	if root.RequestID == a.request.ID {
+		return a.committed(root.Version)
+	}
 	o.Version = root.Version
 	base, err := c.DocumentAt(ctx, a.request.Base)
 	if err != nil {
--- a/internal/config/kqcommit/intent.go
+++ b/internal/config/kqcommit/intent.go
@@ -88,19 +88,16 @@
 func (i intent) canReplace(v kqname.ConfigVersion) bool { return slices.Contains(i.Bases, v) }
 
 // registerIntent writes an intent and adds it to the index. Both must precede
-// the first object: an unreferenced object could never be found and deleted.
-func (c *Committer) registerIntent(ctx context.Context, i intent) error {
-	known, revision, err := c.readIntent(ctx, i.ID)
-	if errors.Is(err, kqstore.ErrNotFound) {
-		known, revision, err = i, kqstore.Absent, nil
+// the first object: an unreferenced object could never be found and deleted. revision is
+// that of the intent which i was derived from. If another call with the same ID has written
+// the intent since, registerIntent returns errInterrupted: overwriting it would lose the
+// other call's base, and with it the proof that the request was committed already.
+func (c *Committer) registerIntent(ctx context.Context, i intent, revision kqstore.Revision) error {
+	err := c.writeIntent(ctx, i, revision)
+	if errors.Is(err, kqstore.ErrConflict) {
+		return fmt.Errorf("register intent: %w: %w", errInterrupted, err)
 	}
 	if err != nil {
-		return fmt.Errorf("register intent: %w", err)
-	}
-	if known.Content != i.Content {
-		return ErrRequestIDReused
-	}
-	if err := c.writeIntent(ctx, i, revision); err != nil {
 		return err
 	}
 	return c.addToIndex(ctx, i)
--- a/internal/config/kqcommit/race_test.go
+++ b/internal/config/kqcommit/race_test.go
@@ -104,19 +104,43 @@
 				_, _ = committer(stores[2]).CollectGarbage(ctx, stores[2], start.Add(time.Hour*24))
 			}
 		}()
-		running := []int{0, 1, 2}
-		for len(running) > 0 {
-			at := rapid.IntRange(0, len(running)-1).Draw(t, "turn")
-			lose = rapid.IntRange(0, 9).Draw(t, "lose") == 0
-			select {
-			case stores[running[at]].turn <- struct{}{}:
-				<-stores[running[at]].done
-			case <-ended[running[at]]:
+		takeTurns(t, stores, ended, &lose, 1)
+		check(t, platform, outcomes, errs)
+	})
+}
+
+// takeTurns lets the participants make store calls in random order and with some responses
+// lost, until all have ended. Each turn is up to maxCalls calls of one participant.
+func takeTurns(t *rapid.T, stores []*turnStore, ended []chan struct{}, lose *bool, maxCalls int) {
+	running := make([]int, len(stores))
+	for i := range running {
+		running[i] = i
+	}
+	for len(running) > 0 {
+		at := rapid.IntRange(0, len(running)-1).Draw(t, "turn")
+		*lose = rapid.IntRange(0, 9).Draw(t, "lose") == 0
+		calls := 1
+		if maxCalls > 1 {
+			calls = rapid.IntRange(1, maxCalls).Draw(t, "calls")
+		}
+		for range calls {
+			if takeTurn(stores[running[at]], ended[running[at]]) {
 				running = append(running[:at:at], running[at+1:]...)
+				break
 			}
 		}
-		check(t, platform, outcomes, errs)
-	})
+	}
+}
+
+// takeTurn lets a participant make one store call and reports whether it has ended instead.
+func takeTurn(s *turnStore, ended chan struct{}) bool {
+	select {
+	case s.turn <- struct{}{}:
+		<-s.done
+		return false
+	case <-ended:
+		return true
+	}
 }
 
 // check verifies that the current document and the history are readable, and compares
--- a/internal/config/kqcommit/settle.go
+++ b/internal/config/kqcommit/settle.go
@@ -134,6 +134,12 @@
 // an ID without an intent, and kqstore's errors if the platform is unavailable; the call
 // can then be retried.
 func (c *Committer) ResolveOutcome(ctx context.Context, id string) (Outcome, error) {
+	// The root is read before the intent, which then holds the base of each commit that
+	// led to this root.
+	current, _, err := c.Root(ctx)
+	if err != nil {
+		return Outcome{RequestID: id}, fmt.Errorf("settle %s: %w", id, err)
+	}
 	known, _, err := c.readIntent(ctx, id)
 	if errors.Is(err, kqstore.ErrNotFound) {
 		return Outcome{RequestID: id}, fmt.Errorf("settle %s: %w", id, ErrUnknownRequest)
@@ -141,10 +147,6 @@
 	if err != nil {
 		return Outcome{RequestID: id}, fmt.Errorf("settle %s: %w", id, err)
 	}
-	current, _, err := c.Root(ctx)
-	if err != nil {
-		return Outcome{RequestID: id}, fmt.Errorf("settle %s: %w", id, err)
-	}
 	found, err := c.findVersion(ctx, known, current)
 	switch {
 	case err != nil:
