kqcommit: fence the first commit against garbage collection

Operators saw: version 1 in force and readable by nobody, its objects gone.

Cause: a collection rewrites the root before it deletes, which makes the swap of a commit fail whose objects it takes for abandoned. At version 0 there was no root and it wrote none, so the first commit's swap, which expects no root, still took effect.

Evidence, on the code before: TestFirstCommitIsReadableAfterACollection holds the first swap back while a collection with a later cutoff runs: "read document 1: fetch object: key not found", both when the committer has ended and when it still runs.

Why this works: the collection writes the empty root of version 0, so the swap fails by its revision. A running commit finds the root rewritten, writes its objects again and commits; one that has ended as unknown can be repeated.

--- a/internal/config/kqcommit/collect.go
+++ b/internal/config/kqcommit/collect.go
@@ -60,8 +60,9 @@
 // it is being collected and then swap in a root whose object has been deleted,
 // and no node could apply that version. The revisions of old objects are read
 // first. Then the swap of the intent index proves that no commit has added an
-// intent to it since the intents were read, and the rewrite of the root, if there is
-// one, fails the swap of any commit whose intent was too old to protect its objects.
+// intent to it since the intents were read, and the rewrite of the root fails the swap of
+// any commit whose intent was too old to protect its objects. Before the first commit there
+// is no root; the empty one of version 0 is then written.
 // Only then are the objects deleted, conditional on their revisions. A commit that adds
 // its intent later writes each object that the current root lacks again: before the
 // deletion, the object's new revision makes the deletion fail; after it, the object is
@@ -177,9 +178,6 @@
 	if err := c.committer.writeIntentIndex(ctx, c.intentIndex, c.intentIndexRevision); err != nil {
 		return err
 	}
-	if c.root.Version == 0 {
-		return nil
-	}
 	return c.committer.rewriteRoot(ctx, c.root, c.rootRevision)
 }
 
--- a/internal/config/kqcommit/collect_test.go
+++ b/internal/config/kqcommit/collect_test.go
@@ -103,3 +103,43 @@
 		t.Errorf("current document: %v; collected %+v, want some objects", err, collected)
 	}
 }
+
+// Guards against a first version without its objects: its swap is in flight while its
+// objects are collected as abandoned, and there is no root yet whose rewrite would make
+// the swap fail.
+func TestFirstCommitIsReadableAfterACollection(t *testing.T) {
+	t.Run("commit has ended", func(t *testing.T) {
+		platform := kqfakestore.New()
+		delayed := &delayedSwapStore{Fake: platform}
+		first := request("first", 0, document("store"))
+		if o, err := committer(delayed).Commit(t.Context(), first); err != nil || o.Status != kqcommit.Unknown {
+			t.Fatalf("got %+v, %v, want unknown", o, err)
+		}
+		collected, err := committer(platform).CollectGarbage(t.Context(), platform, start.Add(time.Hour))
+		if err != nil || collected.Objects == 0 {
+			t.Fatalf("collected %+v, %v, want some objects", collected, err)
+		}
+		delayed.deliver()
+		if d, root, err := committer(platform).Document(t.Context()); err != nil || int(root.Version) != len(d.Services) {
+			t.Errorf("version %d with %d services cannot be read: %v", root.Version, len(d.Services), err)
+		}
+		mustCommit(t, platform, first)
+		if _, _, err := committer(platform).Document(t.Context()); err != nil {
+			t.Errorf("read version 1: %v", err)
+		}
+	})
+	t.Run("commit is running", func(t *testing.T) {
+		platform := kqfakestore.New()
+		var collected kqcommit.CollectStats
+		store := &hookedStore{Fake: platform, beforeRootSwap: func() {
+			var err error
+			if collected, err = committer(platform).CollectGarbage(t.Context(), platform, start.Add(time.Hour)); err != nil {
+				t.Error(err)
+			}
+		}}
+		mustCommit(t, store, request("first", 0, document("store")))
+		if _, _, err := committer(platform).Document(t.Context()); err != nil || collected.Objects == 0 {
+			t.Errorf("read version 1: %v; collected %+v, want some objects", err, collected)
+		}
+	})
+}
--- a/internal/config/kqcommit/history.go
+++ b/internal/config/kqcommit/history.go
@@ -35,8 +35,8 @@
 // HistoryKey returns the store key of a version's history record.
 func HistoryKey(v kqname.ConfigVersion) string { return fmt.Sprintf("%s%020d", historyPrefix, v) }
 
-// Root returns the current root and its revision; before the first commit these
-// are the empty root and kqstore.Absent.
+// Root returns the current root and its revision. Before the first commit these are the
+// empty root and, unless a collection has written that one, kqstore.Absent.
 func (c *Committer) Root(ctx context.Context) (kqresource.Root, kqstore.Revision, error) {
 	var root kqresource.Root
 	revision, err := c.readValue(ctx, RootKey, &root)
--- a/internal/config/kqcommit/settle.go
+++ b/internal/config/kqcommit/settle.go
@@ -115,7 +115,8 @@
 }
 
 // rewriteRoot writes the current root again, which makes every swap fail that expects the
-// given revision. It returns kqstore.ErrConflict if the root has another revision.
+// given revision. Before the first commit it writes the empty root of version 0. It returns
+// kqstore.ErrConflict if the root has another revision.
 func (c *Committer) rewriteRoot(ctx context.Context, root kqresource.Root, revision kqstore.Revision) error {
 	data, err := kqresource.Encode(root)
 	if err != nil {
