kqorigin: compare a deletion's revision with the order's

Operators saw: a rollout whose order was deleted and written again stopped, until a node listed all entries again (up to 20 s).

Cause: kqstore.Listing named deleted keys without their revisions, so a deletion that came late, or in one batch with the newer order, removed the order. A deletion was not remembered either, so an old read restored the order it had removed.

Why this works: a deletion carries its revision, which the platform's events have; it removes an order of a lower revision only and is remembered as the key's newest revision, like an entry. The platform stand-in of the tests now sends the revision as well. A floor for all keys at the revision of a complete listing was tried and taken out: one listing that wrongly lacks the document would have hidden it for good.

--- a/internal/config/kqorigin/origin.go
+++ b/internal/config/kqorigin/origin.go
@@ -80,7 +80,8 @@
 		documentNumber kqname.ConfigVersion
 		// orders holds the rollout orders by their keys.
 		orders map[string]kqdocument.Rollout
-		// seenRevisions maps each key to the revision that was processed last.
+		// seenRevisions maps each key to the highest revision of its entries and deletions
+		// that were processed. Late events and old reads are ignored by it.
 		seenRevisions map[string]kqstore.Revision
 		// revision is that of the newest entry that was applied or, if higher, of the
 		// listing that showed the deletion of an order. It becomes the version of the next
@@ -246,7 +247,7 @@
 	defer o.mu.Unlock()
 	changed := false
 	for _, e := range l.Entries {
-		if o.seenRevisions[e.Key] >= e.Revision {
+		if e.Revision <= o.seenRevisions[e.Key] {
 			continue
 		}
 		o.seenRevisions[e.Key] = e.Revision
@@ -255,17 +256,11 @@
 			o.revision = max(o.revision, e.Revision)
 		}
 	}
-	for key := range o.orders {
-		removed := slices.Contains(l.Deleted, key)
-		// A listing that is older than the order does not show that it was deleted.
-		if complete && l.Revision > o.seenRevisions[key] {
-			removed = !slices.ContainsFunc(l.Entries, func(e kqstore.Entry) bool { return e.Key == key })
-		}
-		if removed {
-			delete(o.orders, key)
-			changed = true
-			o.revision = max(o.revision, l.Revision)
-		}
+	for _, d := range l.Deleted {
+		changed = o.deleteOrder(d, l.Revision) || changed
+	}
+	if complete {
+		changed = o.deleteMissingOrders(l) || changed
 	}
 	if !changed || o.documentNumber == 0 || !o.buildVersion() {
 		return kqresource.Root{}, false
@@ -273,6 +268,38 @@
 	return o.root, o.root.Version > 0
 }
 
+// deleteMissingOrders deletes the orders that a complete listing lacks, unless they are newer
+// than the listing, and reports whether there were any.
+func (o *Origin) deleteMissingOrders(l kqstore.Listing) bool {
+	listed := make(map[string]bool, len(l.Entries))
+	for _, e := range l.Entries {
+		listed[e.Key] = true
+	}
+	changed := false
+	for key := range o.orders {
+		if !listed[key] {
+			changed = o.deleteOrder(kqstore.Deletion{Key: key, Revision: l.Revision}, l.Revision) || changed
+		}
+	}
+	return changed
+}
+
+// deleteOrder applies a deletion that a listing of the given revision showed, and reports
+// whether it removed an order. A deletion that is older than the order is ignored: the order
+// was written again since.
+func (o *Origin) deleteOrder(d kqstore.Deletion, listingRevision kqstore.Revision) bool {
+	if d.Revision <= o.seenRevisions[d.Key] {
+		return false
+	}
+	o.seenRevisions[d.Key] = d.Revision
+	if _, ok := o.orders[d.Key]; !ok {
+		return false
+	}
+	delete(o.orders, d.Key)
+	o.revision = max(o.revision, listingRevision)
+	return true
+}
+
 // acceptEntry applies one entry and reports whether it did. An entry that is rejected,
 // or is neither a document nor an order, leaves the current document and orders
 // unchanged.
--- a/internal/store/kqfakestore/fake.go
+++ b/internal/store/kqfakestore/fake.go
@@ -23,7 +23,7 @@
 		changed chan struct{}
 		// deleted holds the deletions since the last compaction, and compactedAt the
 		// revision at which it took place.
-		deleted     []deletion
+		deleted     []kqstore.Deletion
 		compactedAt kqstore.Revision
 		faults      Faults
 		// frozen is the state that FreezeStale was set at.
@@ -61,12 +61,6 @@
 	// Option configures a Fake.
 	Option func(*Fake)
 
-	// deletion is a deleted key with the revision of its deletion.
-	deletion struct {
-		key      string
-		revision kqstore.Revision
-	}
-
 	// record is a key's entry, with the entry before its last write, or nil, and the
 	// lease that the key was written under.
 	record struct {
@@ -185,7 +179,7 @@
 	}
 	delete(s.entries, key)
 	s.revision++
-	s.deleted = append(s.deleted, deletion{key, s.revision})
+	s.deleted = append(s.deleted, kqstore.Deletion{Key: key, Revision: s.revision})
 	s.wake()
 	return s.writeResult()
 }
--- a/internal/store/kqfakestore/lease.go
+++ b/internal/store/kqfakestore/lease.go
@@ -56,7 +56,7 @@
 			if r.lease == id {
 				delete(s.entries, key)
 				s.revision++
-				s.deleted = append(s.deleted, deletion{key, s.revision})
+				s.deleted = append(s.deleted, kqstore.Deletion{Key: key, Revision: s.revision})
 			}
 		}
 		s.wake()
--- a/internal/store/kqfakestore/list.go
+++ b/internal/store/kqfakestore/list.go
@@ -86,8 +86,8 @@
 	}
 	slices.SortFunc(l.Entries, func(a, b kqstore.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
 	for _, d := range s.deleted {
-		if _, recreated := s.entries[d.key]; !recreated && after > 0 && d.revision > after && strings.HasPrefix(d.key, prefix) {
-			l.Deleted = append(l.Deleted, d.key)
+		if _, recreated := s.entries[d.Key]; !recreated && after > 0 && d.Revision > after && strings.HasPrefix(d.Key, prefix) {
+			l.Deleted = append(l.Deleted, d)
 		}
 	}
 	return l
--- a/internal/store/kqstore/store.go
+++ b/internal/store/kqstore/store.go
@@ -63,8 +63,15 @@
 	// changes.
 	Listing struct {
 		Entries []Entry
-		// Deleted holds keys that were deleted; only Follow sets it.
-		Deleted  []string
+		// Deleted holds the deletions of keys; only Follow sets it. A key may have been
+		// written again since, before or after Entries show it.
+		Deleted  []Deletion
+		Revision Revision
+	}
+
+	// Deletion is the deletion of a key, with its revision.
+	Deletion struct {
+		Key      string
 		Revision Revision
 	}
 
