kqorigin: record the document in force, so that restarts keep refusing older ones

Operators saw: after document 5, document 4 was refused, until a node restarted: it took 4, published it under a newer version, and every proxy followed.

Cause: the number of the document in force lived in each process only. A restarted node, a fleet that restarts as a whole, and a node that was cut off from the store while 5 was accepted find 4 alone in the store, and versions are ordered by the store's revisions.

Evidence, on the code before: document 5 published as version 1, document 4 (or another document 5) refused; a second origin on the same store, started then, published version 2 with the refused one's services, in both cases.

Why this works: the store keeps what must last, so it keeps the word on this too. The document in force is recorded there with its content, by the first watching node within a poll, and by any node before it reports a refusal. A node compares the record before it accepts a document that an unbroken watch has not shown, and takes the recorded one if that is newer. Content and number are swapped by their revisions, so the highest number wins where nodes differ. A store that does not tell holds the new document back.

Weighed: a number in the root, so that peers could tell; nodes of the last release refuse unknown fields of a root. A record on refusal only; an older document written while all nodes are down would then win. Recording before publishing; a store that fails after a write would then delay accepted documents.

Cost: no call at a start, since the record is in what a node reads then; two writes by one node for the documents of 2.5 s.

Left: a node that first lists between the older document's write and the record (3 s after a newer one at most, or some 10 ms after the older one reached a watcher) takes it.

--- a/internal/config/kqfollower/follower.go
+++ b/internal/config/kqfollower/follower.go
@@ -142,6 +142,17 @@
 	return list
 }
 
+// IsFirstWatcher reports whether the member is the first one that watches the store and that
+// the store answers.
+func IsFirstWatcher(self kqmember.Member, members []kqmember.Member) bool {
+	for _, m := range WatchersOf(members) {
+		if !m.StoreUnavailable {
+			return m.Node == self.Node
+		}
+	}
+	return false
+}
+
 // followers returns the chosen members of all failure domains: first the first ones of each
 // domain, then the second ones.
 func followers(members []kqmember.Member) []kqmember.Member {
--- a/internal/config/kqorigin/origin.go
+++ b/internal/config/kqorigin/origin.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -59,25 +57,45 @@
 
 	// Store is the part of the store that an Origin uses.
 	Store interface {
+		Get(ctx context.Context, key string) (kqstore.Entry, error)
+		Swap(ctx context.Context, key string, expected kqstore.Revision, value []byte, lease kqstore.Lease) (kqstore.Revision, error)
 		List(ctx context.Context, prefix string) (kqstore.Listing, error)
 		ListStale(ctx context.Context, prefix string) (kqstore.Listing, error)
 		Follow(ctx context.Context, prefix string, after kqstore.Revision, wait time.Duration) (kqstore.Listing, error)
 	}
 
+	// InitialState returns the entries that the store held when the process started.
+	InitialState interface {
+		List(ctx context.Context, prefix string) (kqstore.Listing, error)
+	}
+
 	// Origin follows the operators' keys and builds versions from them. It is safe
 	// for concurrent use.
 	Origin struct {
-		store     Store
-		decoder   Decoder
-		onRoot    func(context.Context, kqresource.Root)
-		onRefused func(key string, err error)
-		onFailure func(error)
+		store      Store
+		decoder    Decoder
+		onRoot     func(context.Context, kqresource.Root)
+		onRefused  func(key string, err error)
+		onFailure  func(error)
+		initial    InitialState
+		isRecorder func() bool
+
+		// recordMu is held while the record is written, so that Watch and Poll do not
+		// conflict with each other.
+		recordMu sync.Mutex
 
 		mu       sync.Mutex
 		document kqdocument.Document
 		// documentNumber is the operators' number for the document, or 0 before the
-		// first document.
+		// first document. documentKey and documentValue are those of its entry.
 		documentNumber kqname.ConfigVersion
+		documentKey    string
+		documentValue  []byte
+		// isAdopted is set if the document was adopted from the record and not published
+		// yet.
+		isAdopted bool
+		// record is the record as it was last read or written.
+		record storedRecord
 		// orders holds the rollout orders by their keys.
 		orders map[string]kqdocument.Rollout
 		// seenRevisions maps each key to the highest revision of its entries and deletions
@@ -91,19 +109,37 @@
 		// objects holds the objects of recent versions, the newest first.
 		objects []kqresource.Objects
 	}
+
+	// Option configures an Origin.
+	Option func(*Origin)
 )
 
+// WithInitial reads the record of the document from the state at the start where that state
+// is recent enough, which saves a call to the store.
+func WithInitial(s InitialState) Option { return func(o *Origin) { o.initial = s } }
+
+// WithRecorder sets the function that reports whether this node records accepted documents.
+// By default it does. Every node records its document when it refuses an older one.
+func WithRecorder(isRecorder func() bool) Option {
+	return func(o *Origin) { o.isRecorder = isRecorder }
+}
+
 // New returns an Origin. onRoot is called with the root of each version, possibly
 // concurrently and out of order, onRefused with the key of each entry that is rejected,
 // or with the decoder's prefix if the entries are invalid together, and onFailure for
-// each failed list or watch of Watch and Poll.
+// each failed call to the store of Watch and Poll.
 func New(store Store, decoder Decoder, onRoot func(context.Context, kqresource.Root),
-	onRefused func(key string, err error), onFailure func(error),
+	onRefused func(key string, err error), onFailure func(error), options ...Option,
 ) *Origin {
-	return &Origin{
+	o := &Origin{
 		store: store, decoder: decoder, onRoot: onRoot, onRefused: onRefused, onFailure: onFailure,
-		orders: make(map[string]kqdocument.Rollout), seenRevisions: make(map[string]kqstore.Revision),
+		isRecorder: func() bool { return true },
+		orders:     make(map[string]kqdocument.Rollout), seenRevisions: make(map[string]kqstore.Revision),
 	}
+	for _, option := range options {
+		option(o)
+	}
+	return o
 }
 
 // Run watches and polls the keys until ctx ends.
@@ -180,12 +216,15 @@
 		// The next watch may not report everything that changed meanwhile.
 		return 0, err
 	}
-	o.apply(ctx, l, false)
+	if err := o.applyEvents(ctx, l); err != nil {
+		return 0, err
+	}
 	return max(l.Revision, after), nil
 }
 
 // Poll lists the keys at random intervals until ctx ends. It compensates for watches that
-// report no changes and for watching nodes that have died or cannot reach the store.
+// report no changes and for watching nodes that have died or cannot reach the store. It also
+// records the document, if this node is the recorder.
 func (o *Origin) Poll(ctx context.Context) {
 	for polls := 1; ; polls++ {
 		kqsleep.For(ctx, pollInterval-pollJitter+rand.N(2*pollJitter))
@@ -196,7 +235,11 @@
 		if polls%(stalePolls+1) == 0 {
 			refresh = o.refresh
 		}
-		if err := refresh(ctx); err != nil && ctx.Err() == nil {
+		err := refresh(ctx)
+		if err == nil && o.isRecorder() {
+			err = o.recordDocument(ctx)
+		}
+		if err != nil && ctx.Err() == nil {
 			o.onFailure(err)
 		}
 	}
@@ -209,8 +252,7 @@
 	if err != nil {
 		return err
 	}
-	o.apply(ctx, kqstore.Listing{Entries: l.Entries}, false)
-	return nil
+	return o.applyListing(ctx, kqstore.Listing{Entries: l.Entries}, false)
 }
 
 // refresh lists and applies all entries.
@@ -226,144 +268,8 @@
 	if err != nil {
 		return 0, err
 	}
-	o.apply(ctx, l, true)
-	return max(l.Revision, 1), nil
-}
-
-// apply merges a listing and publishes the resulting version, if there is a new one.
-// complete means that the listing holds all entries, so that orders which it lacks
-// have been deleted.
-func (o *Origin) apply(ctx context.Context, l kqstore.Listing, complete bool) {
-	if root, changed := o.merge(l, complete); changed {
-		o.onRoot(ctx, root)
-	}
-}
-
-// merge merges a listing and returns the root of the resulting version, if there is a
-// new one.
-func (o *Origin) merge(l kqstore.Listing, complete bool) (kqresource.Root, bool) {
-	o.mu.Lock()
-	// Deferred, so that a panic in the decoder does not leave the lock held forever.
-	defer o.mu.Unlock()
-	changed := false
-	for _, e := range l.Entries {
-		if e.Revision <= o.seenRevisions[e.Key] {
-			continue
-		}
-		o.seenRevisions[e.Key] = e.Revision
-		if o.acceptEntry(e) {
-			changed = true
-			o.revision = max(o.revision, e.Revision)
-		}
-	}
-	for _, d := range l.Deleted {
-		changed = o.deleteOrder(d, l.Revision) || changed
-	}
-	if complete {
-		changed = o.deleteMissingOrders(l) || changed
-	}
-	if !changed || o.documentNumber == 0 || !o.buildVersion() {
-		return kqresource.Root{}, false
-	}
-	return o.root, o.root.Version > 0
-}
-
-// deleteMissingOrders deletes the orders that a complete listing lacks, unless they are newer
-// than the listing, and reports whether there were any.
-func (o *Origin) deleteMissingOrders(l kqstore.Listing) bool {
-	listed := make(map[string]bool, len(l.Entries))
-	for _, e := range l.Entries {
-		listed[e.Key] = true
-	}
-	changed := false
-	for key := range o.orders {
-		if !listed[key] {
-			changed = o.deleteOrder(kqstore.Deletion{Key: key, Revision: l.Revision}, l.Revision) || changed
-		}
-	}
-	return changed
-}
-
-// deleteOrder applies a deletion that a listing of the given revision showed, and reports
-// whether it removed an order. A deletion that is older than the order is ignored: the order
-// was written again since.
-func (o *Origin) deleteOrder(d kqstore.Deletion, listingRevision kqstore.Revision) bool {
-	if d.Revision <= o.seenRevisions[d.Key] {
-		return false
-	}
-	o.seenRevisions[d.Key] = d.Revision
-	if _, ok := o.orders[d.Key]; !ok {
-		return false
-	}
-	delete(o.orders, d.Key)
-	o.revision = max(o.revision, listingRevision)
-	return true
-}
-
-// acceptEntry applies one entry and reports whether it did. An entry that is rejected,
-// or is neither a document nor an order, leaves the current document and orders
-// unchanged.
-func (o *Origin) acceptEntry(e kqstore.Entry) bool {
-	d, documentNumber, ok, err := o.decoder.Document(e)
-	if ok {
-		if err == nil && documentNumber <= o.documentNumber {
-			err = fmt.Errorf("document number %d, current number %d: %w", documentNumber, o.documentNumber, errNotNewer)
-		}
-		if err == nil {
-			err = validate(d)
-		}
-		if err != nil {
-			o.onRefused(e.Key, err)
-			return false
-		}
-		o.document, o.documentNumber = d, documentNumber
-		return true
-	}
-	r, ok, err := o.decoder.Order(e)
-	if err != nil {
-		o.onRefused(e.Key, err)
-		return false
-	}
-	if ok {
-		o.orders[e.Key] = r
-	}
-	return ok
-}
-
-// buildVersion builds the root and the objects of the current document and orders. It
-// returns false and keeps the previous root if they are invalid together or cannot be
-// split into objects.
-func (o *Origin) buildVersion() bool {
-	d := o.document
-	known := make(map[kqname.Service]bool, len(d.Services))
-	for _, s := range d.Services {
-		known[s.Name] = true
-	}
-	for _, key := range slices.Sorted(maps.Keys(o.orders)) {
-		// An order for a service that the document lacks is left out until the
-		// document has the service.
-		if known[o.orders[key].Service] {
-			d.Rollouts = append(slices.Clone(d.Rollouts), o.orders[key])
-		}
-	}
-	if err := validate(d); err != nil {
-		o.onRefused(o.decoder.Prefix(), err)
-		return false
-	}
-	root, objects, err := kqresource.Split(d)
-	if err != nil {
-		o.onRefused(o.decoder.Prefix(), err)
-		return false
-	}
-	root.Version = kqname.ConfigVersion(o.revision)
-	o.root = root
-	o.objects = append([]kqresource.Objects{objects}, o.objects[:min(len(o.objects), maxKeptVersions-1)]...)
-	return true
-}
-
-func validate(d kqdocument.Document) error {
-	if problems := kqdocument.Validate(d); len(problems) > 0 {
-		return fmt.Errorf("%d validation problems, first %w: %w", len(problems), problems[0], errInvalid)
+	if err := o.applyListing(ctx, l, true); err != nil {
+		return 0, err
 	}
-	return nil
+	return max(l.Revision, 1), nil
 }
--- a/internal/config/kqorigin/origin_test.go
+++ b/internal/config/kqorigin/origin_test.go
@@ -25,6 +25,16 @@
 	// "o/order/".
 	jsonDecoder struct{}
 
+	// originStore is a fake store or one that wraps it.
+	originStore interface {
+		kqorigin.Store
+		Put(ctx context.Context, key string, value []byte, lease kqstore.Lease) (kqstore.Revision, error)
+		Delete(ctx context.Context, key string, expected kqstore.Revision) error
+		SetFaults(f kqfakestore.Faults)
+		Counts() kqfakestore.Counts
+		Compact()
+	}
+
 	versionedDocument struct {
 		Number   kqname.ConfigVersion
 		Document kqdocument.Document
@@ -34,7 +44,7 @@
 	// the keys that it refused.
 	testOrigin struct {
 		*kqorigin.Origin
-		store   *kqfakestore.Fake
+		store   originStore
 		mu      sync.Mutex
 		roots   []kqresource.Root
 		refused []string
@@ -63,8 +73,13 @@
 
 func start(t *testing.T) *testOrigin {
 	t.Helper()
-	s := &testOrigin{store: kqfakestore.New()}
-	s.Origin = kqorigin.New(s.store, jsonDecoder{}, func(_ context.Context, r kqresource.Root) {
+	return startOn(t, kqfakestore.New())
+}
+
+// newOrigin returns an Origin on a store, which does not run yet.
+func newOrigin(store originStore, options ...kqorigin.Option) *testOrigin {
+	s := &testOrigin{store: store}
+	s.Origin = kqorigin.New(store, jsonDecoder{}, func(_ context.Context, r kqresource.Root) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.roots = append(s.roots, r)
@@ -72,7 +87,14 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.refused = append(s.refused, key)
-	}, func(error) {})
+	}, func(error) {}, options...)
+	return s
+}
+
+// startOn runs an Origin on a store until the test ends.
+func startOn(t *testing.T, store originStore, options ...kqorigin.Option) *testOrigin {
+	t.Helper()
+	s := newOrigin(store, options...)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group conc.WaitGroup
 	group.Go(func() { s.Run(ctx) })
--- a/internal/run/kqnode/config.go
+++ b/internal/run/kqnode/config.go
@@ -119,7 +119,9 @@
 		n.metrics.ConfigRefused("invalid")
 		log.WithError(err).Warnf("Refused the value of key %s.", key)
 	}
-	origin := kqorigin.New(n.adapter.Lister, n.adapter.OperatorDecoder, receive, refused, failed)
+	isRecorder := func() bool { return kqfollower.IsFirstWatcher(n.table.Self(), n.table.Members()) }
+	origin := kqorigin.New(n.storeWithLister(), n.adapter.OperatorDecoder, receive, refused, failed,
+		kqorigin.WithInitial(n.initialState), kqorigin.WithRecorder(isRecorder))
 	return origin, origin
 }
 
