kqdistribute: keep a newer hint that arrives during a pull

Operators saw: a node that stays on an old version although a peer has announced the new one, until something else tells of it.

Cause: pullFrom deleted the peer's hint after the pull. If the peer had announced a newer version while its answer was under way, that hint went too.

Why this works: the hint that led to the pull is removed, a hint with a higher version stays and is pulled next.

--- a/internal/config/kqdistribute/exchange.go
+++ b/internal/config/kqdistribute/exchange.go
@@ -98,9 +98,9 @@
 // pullLoop pulls from the peers that reported a newer version, the highest first.
 func (d *Distributor) pullLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		from, wait, ok := d.choosePeer(time.Now())
+		from, announced, wait, ok := d.choosePeer(time.Now())
 		if ok {
-			d.pullFrom(ctx, from)
+			d.pullFrom(ctx, from, announced)
 			continue
 		}
 		var timeout <-chan time.Time
@@ -115,13 +115,12 @@
 	}
 }
 
-// choosePeer returns the peer with the highest version above this node's. If there is
-// none, ok is false and wait is the time until a busy peer may be called again, or 0 if
-// none is busy.
-func (d *Distributor) choosePeer(now time.Time) (from kqname.Address, wait time.Duration, ok bool) {
+// choosePeer returns the peer with the highest version above this node's, and its hint. If
+// there is none, ok is false and wait is the time until a busy peer may be called again, or
+// 0 if none is busy.
+func (d *Distributor) choosePeer(now time.Time) (from kqname.Address, best hint, wait time.Duration, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var best kqname.ConfigVersion
 	for peer, h := range d.hints {
 		switch {
 		case h.version <= d.newest().root.Version:
@@ -130,15 +129,15 @@
 			if left := h.retryAfter.Sub(now); wait == 0 || left < wait {
 				wait = left
 			}
-		case h.version > best:
-			from, best, ok = peer, h.version, true
+		case h.version > best.version:
+			from, best, ok = peer, h, true
 		}
 	}
-	return from, wait, ok
+	return from, best, wait, ok
 }
 
-// pullFrom pulls the newest root of a peer and adds it.
-func (d *Distributor) pullFrom(ctx context.Context, from kqname.Address) {
+// pullFrom pulls the newest root of a peer, which has announced a version, and adds it.
+func (d *Distributor) pullFrom(ctx context.Context, from kqname.Address, announced hint) {
 	d.mu.Lock()
 	old := d.newest()
 	d.mu.Unlock()
@@ -156,19 +155,33 @@
 			r, err = a.rootRecord(rootRecord{})
 		}
 	}
-	d.mu.Lock()
-	h := d.hints[from]
-	delete(d.hints, from)
+	var retryAfter time.Time
 	if errors.Is(err, errBusy) {
-		h.retryAfter = time.Now().Add(time.Duration(a.RetryAfterMS) * time.Millisecond)
-		d.hints[from] = h
+		retryAfter = time.Now().Add(time.Duration(a.RetryAfterMS) * time.Millisecond)
 	}
-	d.mu.Unlock()
+	d.finishPull(from, announced, retryAfter)
 	if err == nil {
 		d.addRoot(ctx, r, from)
 	}
 }
 
+// finishPull removes the hint that led to a pull or, if the peer was busy, keeps it until
+// retryAfter. A newer hint that arrived during the pull stays: the answer may be older, and
+// nothing else may tell of that version again.
+func (d *Distributor) finishPull(from kqname.Address, announced hint, retryAfter time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h, ok := d.hints[from]
+	switch {
+	case !ok:
+	case !retryAfter.IsZero():
+		h.retryAfter = retryAfter
+		d.hints[from] = h
+	case h.version <= announced.version:
+		delete(d.hints, from)
+	}
+}
+
 // rootRecord returns the root of the answer, where old is the root that the request named.
 func (a rootAnswer) rootRecord(old rootRecord) (rootRecord, error) {
 	switch {
