kqdistribute: compare a pulled root with the announced digest

Nobody has seen a harm of it: a peer's announcement names version and digest of its root, and receivers ignored the digest, so any root that the peer served under that version was applied without a word in the log.

Cause: the digest was sent and never read, while a whole root is answered without one.

Evidence, on the code before: TestRootWithAnotherDigestIsRefused "root of eve was applied, want none".

Why this works: the hint keeps the digest, and a root of the announced version with another digest is reported with both digests and not held; the next announcement leads to another pull. A newer root than the announced one is taken as before, and so is a version that only a heartbeat has told of, which carries no digest.

After: the tests of kqdistribute pass, 5 of 5 runs with -race.

--- a/internal/config/kqdistribute/distribute.go
+++ b/internal/config/kqdistribute/distribute.go
@@ -80,17 +80,19 @@
 		data   []byte
 	}
 
-	// hint is the version whose root a peer reported to hold and, if the peer refused a
-	// pull because it was busy, the time after which it may be called again.
+	// hint is the version whose root a peer reported to hold, the root's digest unless only
+	// the version was reported, and, if the peer refused a pull because it was busy, the time
+	// after which it may be called again.
 	hint struct {
 		version    kqname.ConfigVersion
+		digest     kqresource.Digest
 		retryAfter time.Time
 	}
 )
 
 // New returns a Distributor that serves peers on server and calls them through
 // client. onFailure is called for each failure to apply or encode a version, or to build
-// it from a delta.
+// it from a delta, and for each root that is not the announced one.
 func New(server *kqrpc.Server, client *kqrpc.Client, table *kqmember.Table, overlay Overlay, budget Budget,
 	replica Replica, onFailure func(kqname.ConfigVersion, error),
 ) *Distributor {
@@ -122,13 +124,21 @@
 // VersionSeen records that a peer reports to hold a version, and triggers a pull. It
 // ignores versions that are not newer than this node's.
 func (d *Distributor) VersionSeen(v kqname.ConfigVersion, from kqname.Address) {
+	d.addHint(from, hint{version: v})
+}
+
+// addHint records what a peer reports to hold, and triggers a pull. It ignores versions that
+// are not newer than this node's.
+func (d *Distributor) addHint(from kqname.Address, reported hint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if v <= d.newest().root.Version || from == "" {
+	if reported.version <= d.newest().root.Version || from == "" {
 		return
 	}
-	if h := d.hints[from]; v > h.version {
-		d.hints[from] = hint{version: v, retryAfter: h.retryAfter}
+	known := d.hints[from]
+	if reported.version > known.version || reported.version == known.version && known.digest.IsZero() {
+		reported.retryAfter = known.retryAfter
+		d.hints[from] = reported
 	}
 	wake(d.pullWake)
 }
--- a/internal/config/kqdistribute/exchange.go
+++ b/internal/config/kqdistribute/exchange.go
@@ -18,7 +18,7 @@
 )
 
 type (
-	// push announces a version to a neighbour. Receivers do not use Digest.
+	// push announces a version to a neighbour, with the digest of its root.
 	push struct {
 		Version kqname.ConfigVersion `cbor:"1,keyasint"`
 		Digest  kqresource.Digest    `cbor:"2,keyasint"`
@@ -67,7 +67,7 @@
 
 func (d *Distributor) handlePush(_ context.Context, from kqname.Node, q push) (empty, error) {
 	if m, ok := d.table.Find(from); ok {
-		d.VersionSeen(q.Version, m.Control)
+		d.addHint(m.Control, hint{version: q.Version, digest: q.Digest})
 	}
 	return empty{}, nil
 }
@@ -160,9 +160,24 @@
 		retryAfter = time.Now().Add(time.Duration(a.RetryAfterMS) * time.Millisecond)
 	}
 	d.finishPull(from, announced, retryAfter)
-	if err == nil {
-		d.addRoot(ctx, r, from)
+	if err != nil {
+		return
+	}
+	if err := announced.check(r); err != nil {
+		d.onFailure(r.root.Version, err)
+		return
 	}
+	d.addRoot(ctx, r, from)
+}
+
+// check returns kqresource.ErrDigestMismatch if a root has the announced version, but not
+// the announced digest. Without it, a root that was changed on the way would be taken for the
+// announced one, since a whole root brings no digest of its own.
+func (h hint) check(r rootRecord) error {
+	if r.root.Version != h.version || h.digest.IsZero() || r.digest == h.digest {
+		return nil
+	}
+	return fmt.Errorf("pulled root %s, announced %s: %w", r.digest, h.digest, kqresource.ErrDigestMismatch)
 }
 
 // finishPull removes the hint that led to a pull or, if the peer was busy, keeps it until
--- a/internal/config/kqdistribute/pull_test.go
+++ b/internal/config/kqdistribute/pull_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"testing"
@@ -166,3 +167,33 @@
 		t.Errorf("%d pulls, want 1", peer.pulls)
 	}
 }
+
+// Guards against a root that is not the one which a peer announced under this version, such
+// as one that was changed on the way: the node must not apply it, must report it, and must
+// pull the version again when it is announced again.
+func TestRootWithAnotherDigestIsRefused(t *testing.T) {
+	failures := make(chan error, 10)
+	peer, node, replica := startNode(t, func(_ kqname.ConfigVersion, err error) { failures <- err })
+	announced := kqresource.Root{Version: 2, Author: "ana"}
+	peer.answer = func(n int) kqresource.Root {
+		if n == 1 {
+			return kqresource.Root{Version: 2, Author: "eve"}
+		}
+		return announced
+	}
+	peer.push(t, node, announced)
+	select {
+	case err := <-failures:
+		if !errors.Is(err, kqresource.ErrDigestMismatch) {
+			t.Errorf("reported %v, want ErrDigestMismatch", err)
+		}
+	case r := <-replica:
+		t.Fatalf("root of %s was applied, want none", r.Author)
+	case <-time.After(waitTimeout):
+		t.Fatal("root was neither applied nor refused")
+	}
+	peer.push(t, node, announced)
+	if r := replica.await(t, 2); r.Author != "ana" {
+		t.Errorf("root of %s was applied, want ana's", r.Author)
+	}
+}
