--- a/internal/config/kqreplica/apply.go
+++ b/internal/config/kqreplica/apply.go
@@ -24,9 +24,9 @@
 // the snapshot current, unless a newer version has become current meanwhile.
 func (r *Replica) fetchAndApply(ctx context.Context, root kqresource.Root, added hostInterest) error {
 	fetchedObjects := make(kqresource.Objects)
-	for range maxFetchRounds {
+	for fetches := 0; ; fetches++ {
 		missing, err := r.apply(root, added, fetchedObjects)
-		if !errors.Is(err, kqsnapshot.ErrIncomplete) {
+		if !errors.Is(err, kqsnapshot.ErrIncomplete) || fetches == maxFetches {
 			return err
 		}
 		fetched, err := r.source.Fetch(ctx, missing)
@@ -40,7 +40,6 @@
 			fetchedObjects[digest] = data
 		}
 	}
-	return kqsnapshot.ErrIncomplete
 }
 
 // apply builds a snapshot from the objects available and then replaces one
--- a/internal/config/kqreplica/replica.go
+++ b/internal/config/kqreplica/replica.go
@@ -18,11 +18,10 @@
 )
 
 const (
-	// maxFetchRounds bounds how often a snapshot of one version is built and its
-	// missing objects are fetched: the first round fetches the hosts, the second the
-	// services that their routes name, and the third what a host added meanwhile
-	// needs. The fourth builds the complete snapshot.
-	maxFetchRounds = 4
+	// maxFetches bounds how often the missing objects of one version are fetched: first
+	// the hosts, then the services that their routes name, then the hosts and the services
+	// of a host added meanwhile. After each fetch, the snapshot is built again.
+	maxFetches = 4
 	// hostFetchTimeout bounds the shared fetch of a host, independent of the
 	// deadlines of the callers that wait for it.
 	hostFetchTimeout = 10 * time.Second
--- a/internal/config/kqreplica/replica_test.go
+++ b/internal/config/kqreplica/replica_test.go
@@ -36,7 +36,9 @@
 	objects     kqresource.Objects
 	unavailable map[kqresource.Digest]bool
 	beforeFetch func(ctx context.Context, wanted []kqresource.Digest) error
-	fetches     atomic.Int64
+	// maxObjects, if set, is how many objects one fetch returns.
+	maxObjects int
+	fetches    atomic.Int64
 }
 
 func (s *source) Fetch(ctx context.Context, wanted []kqresource.Digest) (kqresource.Objects, error) {
@@ -49,6 +51,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	found := make(kqresource.Objects)
+	if s.maxObjects > 0 {
+		wanted = wanted[:min(len(wanted), s.maxObjects)]
+	}
 	for _, d := range wanted {
 		data, ok := s.objects[d]
 		if !ok || s.unavailable[d] {
@@ -198,6 +203,46 @@
 	}
 }
 
+// Guards against a version that is refused as incomplete although its last object has
+// arrived: the source returns one object a fetch, and the last fetch allowed brings the last
+// of them. The node would keep the old version and fetch everything again.
+func TestObjectsOfTheLastFetchAreBuilt(t *testing.T) {
+	s := newSource()
+	root := newRoot(t, s, 1, 1)
+	var refusals []string
+	r := kqreplica.New(s, kqreplica.WithOnRefused(func(reason string) { refusals = append(refusals, reason) }),
+		kqreplica.WithService("service-0"), kqreplica.WithService("service-1"),
+		kqreplica.WithService("service-2"), kqreplica.WithService("service-3"))
+	s.maxObjects = 1
+	if err := r.ApplyRoot(t.Context(), root); err != nil {
+		t.Errorf("apply after %d fetches: %v, refused as %v", s.fetches.Load(), err, refusals)
+	}
+	if v := r.Current().Version(); v != 1 {
+		t.Errorf("version %d is current, want 1", v)
+	}
+}
+
+// Guards against a source that never returns an object: the fetches must stay bounded.
+func TestFetchesOfAVersionAreBounded(t *testing.T) {
+	s := newSource()
+	root := newRoot(t, s, 1, 1)
+	r := kqreplica.New(emptySource{s}, kqreplica.WithService("service-0"))
+	if err := r.ApplyRoot(t.Context(), root); !errors.Is(err, kqsnapshot.ErrIncomplete) {
+		t.Errorf("got %v, want ErrIncomplete", err)
+	}
+	if n := s.fetches.Load(); n != 4 {
+		t.Errorf("%d fetches, want 4", n)
+	}
+}
+
+// emptySource counts fetches and returns no object.
+type emptySource struct{ *source }
+
+func (e emptySource) Fetch(context.Context, []kqresource.Digest) (kqresource.Objects, error) {
+	e.fetches.Add(1)
+	return nil, nil
+}
+
 // Many callers request a host that is not held, and its fetch is slow. Each must
 // wait at most until its own deadline, and all must share one fetch.
 func TestConcurrentRequestsForHostShareOneFetch(t *testing.T) {
