--- a/internal/config/kqfollower/watcher_test.go
+++ b/internal/config/kqfollower/watcher_test.go
@@ -148,3 +148,25 @@
 	cancel()
 	<-done
 }
+
+// Guards against a record that several nodes write, or none: the first watcher that the store
+// answers does.
+func TestOneWatcherIsTheFirst(t *testing.T) {
+	members := fleet(24)
+	for rejected := range kqfollower.Watchers {
+		first := -1
+		for i, m := range members {
+			if !kqfollower.IsFirstWatcher(m, members) {
+				continue
+			}
+			if first >= 0 {
+				t.Errorf("%d watchers rejected: nodes %d and %d are both the first", rejected, first, i)
+			}
+			first = i
+		}
+		if first < 0 || members[first].StoreUnavailable {
+			t.Fatalf("%d watchers rejected: node %d is the first, want one that the store answers", rejected, first)
+		}
+		members[first].StoreUnavailable = true
+	}
+}
--- a/internal/config/kqorigin/record_test.go
+++ b/internal/config/kqorigin/record_test.go
@@ -185,3 +185,22 @@
 		t.Errorf("%d writes, want 3: the document, its copy and its number", n)
 	}
 }
+
+// Guards against a record of an older document over a newer one: a node failed after it had
+// written the content of its document and before it wrote the number.
+func TestContentOfAFailedRecorderIsKept(t *testing.T) {
+	store := kqfakestore.New()
+	writer := newOrigin(store)
+	writer.write(t, kqorigin.ContentKey, document(7, "b"))
+	writer.write(t, "o/document", document(5, "a"))
+	s := startOn(t, store)
+	await(t, "newer document is published", func() bool { services, _ := s.newest(); _, ok := services["b"]; return ok })
+	await(t, "its number is recorded", func() bool { _, err := store.Get(t.Context(), kqorigin.NumberKey); return err == nil })
+	content, err := store.Get(t.Context(), kqorigin.ContentKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, number, _, err := (jsonDecoder{}).Document(kqstore.Entry{Key: "o/document", Value: content.Value}); err != nil || number != 7 {
+		t.Errorf("content of document %d is recorded, %v, want 7", number, err)
+	}
+}
