kqorigin: one node polls current entries, so that silent watches hide no document

Operators saw: a document acknowledged by the store at 2.14 s was in force on no node until 6.87 s.

Cause: the store can leave all watches silent while its cheap reads are seconds old. Seven of eight polls are such reads since the store is asked for less, and the eighth, a current one, fell on the same moment on all nodes that start together, each 20 s.

Evidence: with each listing printed (a trial), all watches waited from -5.8 s to 6.82 s and ended as compacted, polls read what was 6 s old, and the document's revision was in the store from 2.14 s on. TestPollFindsDocumentWhenWatchIsSilentAndReadsAreOld without the new polls: found after 19.6 s, the next not in 20 s; 2 s are asked.

Why this works: the first watching node that the store answers reads current entries each 1.25 s, which leaves most of a second for the way to all nodes. The others begin their count of polls at random, so that their current reads no longer fall together.

--- a/internal/config/kqorigin/origin.go
+++ b/internal/config/kqorigin/origin.go
@@ -31,6 +31,10 @@
 	// store a tenth. The next poll reads the current entries, which also shows orders that
 	// were deleted.
 	stalePolls = 7
+	// currentPollInterval is the pause between two polls of the node that always reads
+	// current entries. While all watches are silent and stale reads are old, it alone finds
+	// a document within two seconds; a fifth of these are left for the way to all nodes.
+	currentPollInterval = 1250 * time.Millisecond
 	// The pause of Watch after a failure is random, up to a limit that doubles from
 	// minBackoff to maxBackoff with each failure in a row.
 	minBackoff = 100 * time.Millisecond
@@ -79,6 +83,8 @@
 		onFailure  func(error)
 		initial    InitialState
 		isRecorder func() bool
+		// pollsCurrent reports whether this node's polls read current entries.
+		pollsCurrent func() bool
 
 		// recordMu is held while the record is written, so that Watch and Poll do not
 		// conflict with each other.
@@ -124,6 +130,12 @@
 	return func(o *Origin) { o.isRecorder = isRecorder }
 }
 
+// WithCurrentPolls sets the function that reports whether this node polls current entries, at
+// shorter intervals. By default it does not. One node of a fleet should.
+func WithCurrentPolls(pollsCurrent func() bool) Option {
+	return func(o *Origin) { o.pollsCurrent = pollsCurrent }
+}
+
 // New returns an Origin. onRoot is called with the root of each version, possibly
 // concurrently and out of order, onRefused with the key of each entry that is rejected,
 // or with the decoder's prefix if the entries are invalid together, and onFailure for
@@ -133,8 +145,8 @@
 ) *Origin {
 	o := &Origin{
 		store: store, decoder: decoder, onRoot: onRoot, onRefused: onRefused, onFailure: onFailure,
-		isRecorder: func() bool { return true },
-		orders:     make(map[string]kqdocument.Rollout), seenRevisions: make(map[string]kqstore.Revision),
+		isRecorder: func() bool { return true }, pollsCurrent: func() bool { return false },
+		orders: make(map[string]kqdocument.Rollout), seenRevisions: make(map[string]kqstore.Revision),
 	}
 	for _, option := range options {
 		option(o)
@@ -226,13 +238,19 @@
 // report no changes and for watching nodes that have died or cannot reach the store. It also
 // records the document, if this node is the recorder.
 func (o *Origin) Poll(ctx context.Context) {
-	for polls := 1; ; polls++ {
-		kqsleep.For(ctx, pollInterval-pollJitter+rand.N(2*pollJitter))
+	// The phase is random, so that nodes which start together read current entries at
+	// different times.
+	for polls := rand.N(stalePolls + 1); ; polls++ {
+		pause, current := pollInterval-pollJitter+rand.N(2*pollJitter), polls%(stalePolls+1) == 0
+		if o.pollsCurrent() {
+			pause, current = currentPollInterval, true
+		}
+		kqsleep.For(ctx, pause)
 		if ctx.Err() != nil {
 			return
 		}
 		refresh := o.refreshStale
-		if polls%(stalePolls+1) == 0 {
+		if current {
 			refresh = o.refresh
 		}
 		err := refresh(ctx)
--- a/internal/config/kqorigin/origin_test.go
+++ b/internal/config/kqorigin/origin_test.go
@@ -227,6 +227,23 @@
 	await(t, "second document is published", func() bool { n, _ := s.count(); return n == 2 })
 }
 
+// Guards against a store whose watches are silent while its cheap reads are seconds old: a
+// document must still be found within two seconds by the node that polls current entries.
+func TestPollFindsDocumentWhenWatchIsSilentAndReadsAreOld(t *testing.T) {
+	s := startOn(t, kqfakestore.New(), kqorigin.WithCurrentPolls(func() bool { return true }))
+	s.write(t, "o/document", document(1, "a"))
+	await(t, "first document is published", func() bool { n, _ := s.count(); return n == 1 })
+	s.store.SetFaults(kqfakestore.Faults{SilentWatch: true, FreezeStale: true})
+	for number := kqname.ConfigVersion(2); number < 5; number++ {
+		written := time.Now()
+		s.write(t, "o/document", document(number, "b"))
+		await(t, "next document is published", func() bool { n, _ := s.count(); return n == int(number) })
+		if took := time.Since(written); took > 2*time.Second {
+			t.Errorf("document %d was found after %s, want 2 s at most", number, took)
+		}
+	}
+}
+
 // Guards against a cheap, old read that takes an order back which was written since, or the
 // document before: rollouts would stop for seconds and start again.
 func TestStaleReadTakesNothingBack(t *testing.T) {
--- a/internal/run/kqnode/config.go
+++ b/internal/run/kqnode/config.go
@@ -119,9 +119,9 @@
 		n.metrics.ConfigRefused("invalid")
 		log.WithError(err).Warnf("Refused the value of key %s.", key)
 	}
-	isRecorder := func() bool { return kqfollower.IsFirstWatcher(n.table.Self(), n.table.Members()) }
+	isFirst := func() bool { return kqfollower.IsFirstWatcher(n.table.Self(), n.table.Members()) }
 	origin := kqorigin.New(n.storeWithLister(), n.adapter.OperatorDecoder, receive, refused, failed,
-		kqorigin.WithInitial(n.initialState), kqorigin.WithRecorder(isRecorder))
+		kqorigin.WithInitial(n.initialState), kqorigin.WithRecorder(isFirst), kqorigin.WithCurrentPolls(isFirst))
 	return origin, origin
 }
 
