--- a/internal/config/kqcommit/commit.go
+++ b/internal/config/kqcommit/commit.go
@@ -22,7 +22,8 @@
 	Committed Status = "committed"
 	// Conflict means that the current version is not the request's base, or that the
 	// commit was withdrawn because another call with the same ID got this status. No
-	// commit with this ID that began before takes effect any longer.
+	// earlier commit with this ID takes effect any longer; one that another call makes at
+	// the same time may.
 	Conflict Status = "conflict"
 	// Unknown means that the result could not be determined, for example because
 	// responses were lost, and the commit may still take effect. Call
