Evacuate failure domains: an item of the document, obeyed by entries and gates

An evacuation is now an item of the document, by API, console and command line like the others, for admins only. It is part of the root, so that every node has it with the version, also from peers while the store is away, and of the platform's orders, which kqorigin merges with the document like rollout orders. Entries leave out the upstreams of evacuated domains. The gate refuses calls in an evacuated domain, those that wait included, so that an entry that has not heard does no harm. Its reason has a counter, and is retried elsewhere for free.

Orders of their own beside the document were weighed: they would need a second way of spreading and repair for what the version's way does already.

The services' cold start is decoded here too, and used by the next commit.

--- a/internal/admin/kqapi/operations.go
+++ b/internal/admin/kqapi/operations.go
@@ -88,8 +88,8 @@
 
 var (
 	// kindOrder is the order of the item kinds in the operation table.
-	kindOrder = []string{"services", "routes", "rollouts", "policies", "teams"}
-	singular  = map[string]string{"services": "service", "routes": "route", "rollouts": "rollout", "policies": "policy", "teams": "team"}
+	kindOrder = []string{"services", "routes", "rollouts", "policies", "teams", "evacuations"}
+	singular  = map[string]string{"services": "service", "routes": "route", "rollouts": "rollout", "policies": "policy", "teams": "team", "evacuations": "evacuation"}
 )
 
 func (a *API) buildOperations() []operation {
--- a/internal/admin/kqchange/kind.go
+++ b/internal/admin/kqchange/kind.go
@@ -42,6 +42,10 @@
 			items: func(d *kqdocument.Document) *[]kqdocument.Team { return &d.Teams },
 			name:  func(t *kqdocument.Team) *kqname.Team { return &t.Name },
 		},
+		"evacuations": kind[kqdocument.Evacuation, kqname.Domain]{
+			items: func(d *kqdocument.Document) *[]kqdocument.Evacuation { return &d.Evacuations },
+			name:  func(e *kqdocument.Evacuation) *kqname.Domain { return &e.Name },
+		},
 	}
 )
 
--- a/internal/admin/kqchange/permission.go
+++ b/internal/admin/kqchange/permission.go
@@ -43,7 +43,7 @@
 // denialReason returns why a member may not make a change, or "" if allowed.
 func denialReason(o kqoperator.Operator, next kqdocument.Document, c kqdocument.Change) string {
 	kind, _, _ := strings.Cut(c.Item, ".")
-	if kind == "teams" || kind == "policies" {
+	if kind == "teams" || kind == "policies" || kind == "evacuations" {
 		return "only admins change " + kind
 	}
 	for _, raw := range []json.RawMessage{c.Before, c.After} {
--- a/internal/admin/kqconsole/form.go
+++ b/internal/admin/kqconsole/form.go
@@ -61,6 +61,9 @@
 		{Name: "version", Label: "Upstream version", Type: typeText, Help: "Gets all traffic while no rollout is under way; empty lets every announced version serve."},
 		{Name: "timeout_ms", Label: "Timeout (ms)", Type: typeNumber, Help: "Bounds one call; empty means 10,000."},
 		{Name: "refusal_means_not_run", Label: "The upstream's own 503 is sent before the call runs", Type: typeCheck, Help: "Then such a call may be sent again."},
+		{Name: "cold_start_ms", Label: "Cold start (ms)", Type: typeNumber, Help: "How long an upstream is cold after its start; empty states none."},
+		{Name: "cold_rate", Label: "Calls a second while cold", Type: typeShare, Help: "What a cold upstream bears; empty sets no limit."},
+		{Name: "health_path", Label: "Health check path", Type: typeText, Help: "Where an upstream says whether it is cold; empty leaves it to announcements."},
 	}},
 	"routes": {Kind: "routes", One: "route", About: "A route leads matching calls to a service.", Fields: []field{
 		{Name: "name", Label: "Name", Type: typeText, Required: true},
@@ -85,6 +88,9 @@
 		{Name: "policy", Label: "Policy", Type: typeSelect, Required: true, options: policyOptions},
 		{Name: "cancelled", Label: "Take it back at once", Type: typeCheck, Help: "Whatever its evidence."},
 	}},
+	"evacuations": {Kind: "evacuations", One: "evacuation", AdminOnly: true, About: "An evacuation keeps all calls away from the upstreams of a failure domain until it is removed.", Fields: []field{
+		{Name: "name", Label: "Failure domain", Type: typeText, Required: true},
+	}},
 	"policies": {Kind: "policies", One: "policy", AdminOnly: true, About: "A policy says how rollouts are judged.", Fields: []field{
 		{Name: "name", Label: "Name", Type: typeText, Required: true},
 		{Name: "prefer", Label: "Without enough evidence at the deadline", Type: typeSelect, Required: true, options: fixedOptions("finishing", "taking_back")},
--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -39,6 +39,11 @@
 	// Draining means that the upstream drains and takes no new work, or that a node that is
 	// stopping refused the call or stopped before the call ended.
 	Draining Reason = "draining"
+	// Evacuated means that the upstream's failure domain is evacuated.
+	Evacuated Reason = "evacuated"
+	// Cold means that the upstream is cold, or may be, and has got as many calls lately as
+	// a cold one bears.
+	Cold Reason = "cold"
 	// RefusedByUpstream means that the upstream refused the call and did not run it. It says
 	// so by the dialect, or by a 503 if its service's configuration states that this means
 	// "not run".
@@ -166,7 +171,7 @@
 // Reasons returns every reason, for counters that need a bounded set of labels.
 func Reasons() []Reason {
 	return []Reason{
-		NoReason, NoRoute, NoConfig, NoUpstream, QueueFull, Overload, NotStartedInTime, RolledBack, Draining, RefusedByUpstream, ConnectFailed,
+		NoReason, NoRoute, NoConfig, NoUpstream, QueueFull, Overload, NotStartedInTime, RolledBack, Draining, Evacuated, Cold, RefusedByUpstream, ConnectFailed,
 		TooLarge, Malformed, TooSlow, Timeout, Cut, Cancelled, MismatchedResponse, Misdirected, NoMemory, Panicked,
 	}
 }
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -162,10 +163,11 @@
 	if !now.Before(c.Deadline) {
 		return kqcall.Refuse(kqcall.NotStartedInTime)
 	}
-	criteria, allowsAny := e.criteria(found, route, c)
+	evacuated := snapshot.Evacuated()
+	criteria, allowsAny := e.criteria(found, route, evacuated, c)
 	if !allowsAny {
 		e.hold(c, func() bool {
-			criteria, allowsAny = e.criteria(found, route, c)
+			criteria, allowsAny = e.criteria(found, route, evacuated, c)
 			return allowsAny
 		})
 		now = e.now()
@@ -177,7 +179,7 @@
 		return o
 	}
 	o := e.sendAttempts(f, s, criteria, now)
-	if o.Reason == kqcall.QueueFull {
+	if o.Reason == kqcall.QueueFull || o.Reason == kqcall.Cold {
 		s.recordRefusal(c)
 	}
 	return o
@@ -186,8 +188,9 @@
 // criteria returns which upstreams the call may go to, and whether any that is known is among
 // them. A node that has just started may know upstreams before it knows the rollouts that
 // allow them calls.
-func (e *Entry) criteria(found kqresource.Service, route kqdocument.Route, c *kqcall.Call) (criteria kqpick.Criteria, allowsAny bool) {
+func (e *Entry) criteria(found kqresource.Service, route kqdocument.Route, evacuated []kqname.Domain, c *kqcall.Call) (criteria kqpick.Criteria, allowsAny bool) {
 	criteria = e.splitter.Split(found, c)
+	criteria.Evacuated = evacuated
 	criteria.Route = c.Route
 	criteria.ComfortableLatency = kqpick.ComfortableLatency(time.Duration(route.TargetMS)*time.Millisecond, c.Depth > 0)
 	return criteria, criteria.AllowsAny(e.directory.Upstreams(c.Service))
@@ -217,7 +220,7 @@
 	c := &f.call
 	var space [maxGates]kqname.Node
 	tried, limit, sends, possibleRuns, repeat := space[:0], maxAttempts(c), 0, 0, c.Repeat
-	last := kqcall.Refuse(kqcall.NoUpstream)
+	last := kqcall.Refuse(noUpstreamReason(e.directory.Upstreams(c.Service), criteria.Evacuated))
 	last.RetryAfter = defaultRetryAfter
 	for {
 		c.Version = criteria.Version
@@ -261,10 +264,20 @@
 	}
 }
 
+// noUpstreamReason returns why a call is refused that the criteria allow no upstream: all
+// upstreams are in evacuated failure domains, or there are none that fit.
+func noUpstreamReason(all []kqmember.Candidate, evacuated []kqname.Domain) kqcall.Reason {
+	isServing := func(u kqmember.Candidate) bool { return !slices.Contains(evacuated, u.Domain) }
+	if len(evacuated) > 0 && len(all) > 0 && !slices.ContainsFunc(all, isServing) {
+		return kqcall.Evacuated
+	}
+	return kqcall.NoUpstream
+}
+
 // isOverload reports whether a call with that outcome was not served for lack of capacity.
 func isOverload(o kqcall.Outcome) bool {
 	switch o.Reason {
-	case kqcall.QueueFull, kqcall.Overload, kqcall.RefusedByUpstream, kqcall.NotStartedInTime:
+	case kqcall.QueueFull, kqcall.Cold, kqcall.Overload, kqcall.RefusedByUpstream, kqcall.NotStartedInTime:
 		return true
 	default:
 		return false
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -75,7 +75,9 @@
 		withdrawer Withdrawer
 		observer   Observer
 		guard      Guard
-		counter    Counter
+		// evacuated reports whether the gate's failure domain is evacuated.
+		evacuated func() bool
+		counter   Counter
 		// queue returns a new queue for the upstream at the address.
 		queue      func(slots int, address kqname.Address) queue
 		watcher    *kqdisconnect.Watcher
@@ -151,7 +153,7 @@
 // New returns a gate to the upstreams that local finds.
 func New(local Finder, options ...Option) *Gate {
 	g := &Gate{
-		local: local, withdrawer: noop{}, observer: noop{}, guard: noop{}, counter: noop{}, recorder: noopRecorder{}, now: time.Now, watcher: kqdisconnect.New(),
+		local: local, withdrawer: noop{}, observer: noop{}, guard: noop{}, evacuated: func() bool { return false }, counter: noop{}, recorder: noopRecorder{}, now: time.Now, watcher: kqdisconnect.New(),
 		upstreams: make(map[upstreamKey]*upstream), nesting: kqnesting.New(),
 		queue: func(slots int, address kqname.Address) queue {
 			return kqslots.New(slots, saltOf(address))
@@ -207,15 +209,19 @@
 
 // Sweep closes connections that have been idle for too long. It also closes the queue of
 // each upstream that drains or is no longer announced at its address, or of all upstreams
-// if the gate itself drains. An upstream that is no longer announced is deleted once its
+// if the gate itself drains or its failure domain is evacuated. An upstream that is no longer announced is deleted once its
 // last call has ended and its last connection is closed.
 func (g *Gate) Sweep(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	evacuated := g.evacuated()
 	for key, u := range g.upstreams {
 		a, ok := g.local.Find(key.service, key.version)
-		if !ok || a.Address != key.address || a.Draining || g.draining.Load() {
-			u.close()
+		switch {
+		case !ok || a.Address != key.address || a.Draining || g.draining.Load():
+			u.close(kqcall.Draining)
+		case evacuated:
+			u.close(kqcall.Evacuated)
 		}
 		if u.client.Sweep(now) == 0 && (!ok || a.Address != key.address) && u.isIdle() {
 			delete(g.upstreams, key)
@@ -262,6 +268,9 @@
 	if a.Draining {
 		return kqcall.Refuse(kqcall.Draining), kqcall.Load{}
 	}
+	if g.evacuated() {
+		return kqcall.Refuse(kqcall.Evacuated), kqcall.Load{}
+	}
 	if g.guard.Refuses(c.Service, a.Version) {
 		return kqcall.Refuse(kqcall.RolledBack), kqcall.Load{}
 	}
--- a/internal/call/kqgate/options.go
+++ b/internal/call/kqgate/options.go
@@ -19,6 +19,10 @@
 // WithGuard refuses calls to the versions that guard refuses.
 func WithGuard(guard Guard) Option { return func(g *Gate) { g.guard = guard } }
 
+// WithEvacuation sets the function that reports whether the gate's failure domain is
+// evacuated. The gate then refuses all calls.
+func WithEvacuation(evacuated func() bool) Option { return func(g *Gate) { g.evacuated = evacuated } }
+
 // WithObserver sets the observer of the results of calls.
 func WithObserver(o Observer) Option { return func(g *Gate) { g.observer = o } }
 
--- a/internal/call/kqgate/upstream.go
+++ b/internal/call/kqgate/upstream.go
@@ -38,7 +38,7 @@
 		Leave(t *kqslots.Ticket, took time.Duration, now time.Time) []*kqslots.Ticket
 		Expire(t *kqslots.Ticket) bool
 		Resize(count int, now time.Time) []*kqslots.Ticket
-		Close() []*kqslots.Ticket
+		Close(reason kqcall.Reason) []*kqslots.Ticket
 		Reopen()
 		Load() kqcall.Load
 		LoadFor(t *kqslots.Ticket, now time.Time) kqcall.Load
@@ -190,12 +190,12 @@
 	return l
 }
 
-// close refuses waiting and new calls until update reopens the queue.
-func (u *upstream) close() {
+// close refuses waiting and new calls for the reason until update reopens the queue.
+func (u *upstream) close(reason kqcall.Reason) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.closed = true
-	wake(u.queue.Close())
+	wake(u.queue.Close(reason))
 }
 
 // isIdle reports whether no call runs or waits.
--- a/internal/config/kqorigin/merge.go
+++ b/internal/config/kqorigin/merge.go
@@ -21,7 +21,7 @@
 		document   kqdocument.Document
 		number     kqname.ConfigVersion
 		isOrder    bool
-		order      kqdocument.Rollout
+		order      order
 		err        error
 	}
 
@@ -79,13 +79,22 @@
 		c := change{entry: e}
 		c.document, c.number, c.isDocument, c.err = o.decoder.Document(e)
 		if !c.isDocument {
-			c.order, c.isOrder, c.err = o.decoder.Order(e)
+			c.order, c.isOrder, c.err = o.decodeOrder(e)
 		}
 		list = append(list, c)
 	}
 	return list
 }
 
+// decodeOrder decodes an entry that holds an order of either kind.
+func (o *Origin) decodeOrder(e kqstore.Entry) (order, bool, error) {
+	if evacuation, ok, err := o.decoder.Evacuation(e); ok {
+		return order{evacuation: &evacuation}, true, err
+	}
+	rollout, ok, err := o.decoder.Order(e)
+	return order{rollout: rollout}, ok, err
+}
+
 func (o *Origin) unprocessed(entries []kqstore.Entry) []kqstore.Entry {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -191,11 +200,15 @@
 	for _, s := range d.Services {
 		known[s.Name] = true
 	}
+	d.Rollouts, d.Evacuations = slices.Clone(d.Rollouts), slices.Clone(d.Evacuations)
 	for _, key := range slices.Sorted(maps.Keys(o.orders)) {
-		// An order for a service that the document lacks is left out until the
-		// document has the service.
-		if known[o.orders[key].Service] {
-			d.Rollouts = append(slices.Clone(d.Rollouts), o.orders[key])
+		// A rollout of a service that the document lacks is left out until the document
+		// has the service.
+		switch next := o.orders[key]; {
+		case next.evacuation != nil:
+			d.Evacuations = append(d.Evacuations, *next.evacuation)
+		case known[next.rollout.Service]:
+			d.Rollouts = append(d.Rollouts, next.rollout)
 		}
 	}
 	if err := validate(d); err != nil {
--- a/internal/config/kqorigin/order_test.go
+++ b/internal/config/kqorigin/order_test.go
@@ -179,3 +179,36 @@
 		})
 	}
 }
+
+// Guards against evacuations that are dropped, and against a late deletion or an old read
+// that undoes the latest order.
+func TestEvacuationOrders(t *testing.T) {
+	const key = "o/evacuate/north-a"
+	s := &scriptedStore{}
+	o, roots := startScripted(t, s, entry(t, key, 4, struct{}{}))
+	evacuated := func(r kqresource.Root) int {
+		t.Helper()
+		d, err := kqresource.Join(r, o.BuiltObjects(r.Digests()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(d.Evacuations)
+	}
+	s.events <- kqstore.Listing{Revision: 5, Entries: []kqstore.Entry{entry(t, "o/document", 5, document(2, "a"))}}
+	if r := awaitRoot(t, roots); evacuated(r) != 1 || len(r.Evacuated) != 1 || r.Evacuated[0] != "north-a" {
+		t.Fatalf("version %d evacuates %v, want north-a", r.Version, r.Evacuated)
+	}
+	s.events <- kqstore.Listing{Revision: 6, Deleted: []kqstore.Deletion{{Key: key, Revision: 6}}}
+	if r := awaitRoot(t, roots); evacuated(r) != 0 {
+		t.Fatalf("version %d evacuates %v, want none", r.Version, r.Evacuated)
+	}
+	s.events <- kqstore.Listing{Revision: 7, Entries: []kqstore.Entry{entry(t, key, 7, struct{}{})}}
+	if r := awaitRoot(t, roots); evacuated(r) != 1 {
+		t.Fatalf("version %d evacuates %v, want the order given again", r.Version, r.Evacuated)
+	}
+	s.events <- kqstore.Listing{Revision: 7, Deleted: []kqstore.Deletion{{Key: key, Revision: 6}}}
+	s.events <- kqstore.Listing{Revision: 8, Entries: []kqstore.Entry{entry(t, "o/document", 8, document(3, "a"))}}
+	if r := awaitRoot(t, roots); r.Version != 8 || evacuated(r) != 1 {
+		t.Errorf("version %d evacuates %v, want 8 with the newer order", r.Version, r.Evacuated)
+	}
+}
--- a/internal/config/kqorigin/origin.go
+++ b/internal/config/kqorigin/origin.go
@@ -57,6 +57,10 @@
 		// the document. The bool reports whether the entry has the key of an order, also
 		// with an error.
 		Order(e kqstore.Entry) (kqdocument.Rollout, bool, error)
+		// Evacuation decodes an entry that orders the evacuation of a failure domain for
+		// as long as it exists. The bool reports whether the entry has the key of such an
+		// order, also with an error.
+		Evacuation(e kqstore.Entry) (kqdocument.Evacuation, bool, error)
 	}
 
 	// Store is the part of the store that an Origin uses.
@@ -102,8 +106,8 @@
 		isAdopted bool
 		// record is the record as it was last read or written.
 		record storedRecord
-		// orders holds the rollout orders by their keys.
-		orders map[string]kqdocument.Rollout
+		// orders holds the orders by their keys.
+		orders map[string]order
 		// seenRevisions maps each key to the highest revision of its entries and deletions
 		// that were processed. Late events and old reads are ignored by it.
 		seenRevisions map[string]kqstore.Revision
@@ -116,6 +120,13 @@
 		objects []kqresource.Objects
 	}
 
+	// order is what an operator ordered beside the document: a rollout or, if evacuation is
+	// not nil, an evacuation.
+	order struct {
+		rollout    kqdocument.Rollout
+		evacuation *kqdocument.Evacuation
+	}
+
 	// Option configures an Origin.
 	Option func(*Origin)
 )
@@ -146,7 +157,7 @@
 	o := &Origin{
 		store: store, decoder: decoder, onRoot: onRoot, onRefused: onRefused, onFailure: onFailure,
 		isRecorder: func() bool { return true }, pollsCurrent: func() bool { return false },
-		orders: make(map[string]kqdocument.Rollout), seenRevisions: make(map[string]kqstore.Revision),
+		orders: make(map[string]order), seenRevisions: make(map[string]kqstore.Revision),
 	}
 	for _, option := range options {
 		option(o)
--- a/internal/config/kqorigin/origin_test.go
+++ b/internal/config/kqorigin/origin_test.go
@@ -71,6 +71,11 @@
 	return r, true, err
 }
 
+func (jsonDecoder) Evacuation(e kqstore.Entry) (kqdocument.Evacuation, bool, error) {
+	domain, ok := strings.CutPrefix(e.Key, "o/evacuate/")
+	return kqdocument.Evacuation{Name: kqname.Domain(domain)}, ok, nil
+}
+
 func start(t *testing.T) *testOrigin {
 	t.Helper()
 	return startOn(t, kqfakestore.New())
--- a/internal/config/kqresource/resource.go
+++ b/internal/config/kqresource/resource.go
@@ -59,6 +59,8 @@
 		Hosts     map[kqname.Host]Parts     `cbor:"7,keyasint"`
 		Services  map[kqname.Service]Digest `cbor:"8,keyasint"`
 		Ownership Digest                    `cbor:"9,keyasint"`
+		// Evacuated is sorted. It is part of the root, since every node needs it.
+		Evacuated []kqname.Domain `cbor:"10,keyasint,omitempty"`
 	}
 
 	// Host holds one part of a host's routes, or all of them.
--- a/internal/config/kqresource/split.go
+++ b/internal/config/kqresource/split.go
@@ -45,6 +45,9 @@
 		return Root{}, nil, fmt.Errorf("split ownership: %w", err)
 	}
 	root.Ownership = digest
+	for _, e := range d.Evacuations {
+		root.Evacuated = append(root.Evacuated, e.Name)
+	}
 	return root, objects, nil
 }
 
@@ -74,6 +77,9 @@
 		return d, fmt.Errorf("join ownership: %w", err)
 	}
 	d.Teams, d.Policies = o.Teams, o.Policies
+	for _, domain := range root.Evacuated {
+		d.Evacuations = append(d.Evacuations, kqdocument.Evacuation{Name: domain})
+	}
 	return Sorted(d), nil
 }
 
@@ -103,6 +109,7 @@
 	d.Services = sortedBy(d.Services, func(s kqdocument.Service) kqname.Service { return s.Name })
 	d.Routes = sortedBy(d.Routes, func(r kqdocument.Route) kqname.Route { return r.Name })
 	d.Rollouts = sortedBy(d.Rollouts, func(r kqdocument.Rollout) kqname.Rollout { return r.Name })
+	d.Evacuations = sortedBy(d.Evacuations, func(e kqdocument.Evacuation) kqname.Domain { return e.Name })
 	for i, r := range d.Rollouts {
 		d.Rollouts[i].Start, d.Rollouts[i].Deadline = r.Start.UTC(), r.Deadline.UTC()
 	}
--- a/internal/config/kqsnapshot/snapshot.go
+++ b/internal/config/kqsnapshot/snapshot.go
@@ -71,6 +71,9 @@
 	return service, ok
 }
 
+// Evacuated returns the evacuated failure domains. The caller must not change the slice.
+func (s *Snapshot) Evacuated() []kqname.Domain { return s.root.Evacuated }
+
 // Services returns the services that the snapshot holds, by name. The caller must
 // not change the map.
 func (s *Snapshot) Services() map[kqname.Service]kqresource.Service { return s.services }
--- a/internal/config/kqsnapshot/validate.go
+++ b/internal/config/kqsnapshot/validate.go
@@ -41,6 +41,9 @@
 	for t := range teams {
 		d.Teams = append(d.Teams, kqdocument.Team{Name: t})
 	}
+	for _, domain := range s.root.Evacuated {
+		d.Evacuations = append(d.Evacuations, kqdocument.Evacuation{Name: domain})
+	}
 	if problems := kqdocument.Validate(d); len(problems) > 0 {
 		return fmt.Errorf("%d validation problems, first %w: %w", len(problems), problems[0], ErrInvalid)
 	}
--- a/internal/decide/kqfifo/fifo.go
+++ b/internal/decide/kqfifo/fifo.go
@@ -15,6 +15,7 @@
 	count, running int
 	waiting        []*kqslots.Ticket
 	closed         bool
+	closeReason    kqcall.Reason
 }
 
 // New returns a Queue for an upstream that runs count calls at once.
@@ -24,7 +25,7 @@
 func (q *Queue) Enter(t *kqslots.Ticket, now time.Time) {
 	switch {
 	case q.closed:
-		refuse(t, kqcall.Draining)
+		refuse(t, q.closeReason)
 	case !now.Before(t.Deadline):
 		refuse(t, kqcall.NotStartedInTime)
 	case q.running < q.count:
@@ -61,12 +62,13 @@
 	return q.serve(now)
 }
 
-// Close refuses all further calls and all waiting ones, and returns the latter.
-func (q *Queue) Close() []*kqslots.Ticket {
-	q.closed = true
+// Close refuses all further calls and all waiting ones for the reason, and returns the
+// latter.
+func (q *Queue) Close(reason kqcall.Reason) []*kqslots.Ticket {
+	q.closed, q.closeReason = true, reason
 	decided := q.waiting
 	for _, t := range decided {
-		refuse(t, kqcall.Draining)
+		refuse(t, reason)
 	}
 	q.waiting = nil
 	return decided
--- a/internal/decide/kqpick/criteria.go
+++ b/internal/decide/kqpick/criteria.go
@@ -31,6 +31,8 @@
 	// version, the attempts that it would apply to may go to any version other than
 	// FallbackExcludedVersions, if there are any of these.
 	ExcludedVersions, FallbackExcludedVersions []kqname.UpstreamVersion
+	// Evacuated are the failure domains whose upstreams the call must not go to.
+	Evacuated []kqname.Domain
 	// ComfortableLatency is the weighted expected time (see leastEstimate) below which an
 	// upstream of the own failure domain is preferred to all others; 0 means none.
 	ComfortableLatency time.Duration
@@ -44,9 +46,9 @@
 func (c Criteria) Next() Criteria {
 	switch {
 	case c.Fallback != "":
-		return Criteria{Version: c.Fallback, ComfortableLatency: c.ComfortableLatency, Route: c.Route}
+		return Criteria{Version: c.Fallback, Evacuated: c.Evacuated, ComfortableLatency: c.ComfortableLatency, Route: c.Route}
 	case len(c.FallbackExcludedVersions) > 0:
-		return Criteria{ExcludedVersions: c.FallbackExcludedVersions, ComfortableLatency: c.ComfortableLatency, Route: c.Route}
+		return Criteria{ExcludedVersions: c.FallbackExcludedVersions, Evacuated: c.Evacuated, ComfortableLatency: c.ComfortableLatency, Route: c.Route}
 	default:
 		return c
 	}
@@ -63,7 +65,7 @@
 func (c Criteria) HasNext() bool { return c.Fallback != "" || len(c.FallbackExcludedVersions) > 0 }
 
 func (c Criteria) allows(candidate kqmember.Candidate) bool {
-	return (c.Version == "" || candidate.Version == c.Version) && (c.Nodes == nil || c.Nodes[candidate.Node]) && !slices.Contains(c.ExcludedVersions, candidate.Version)
+	return !slices.Contains(c.Evacuated, candidate.Domain) && (c.Version == "" || candidate.Version == c.Version) && (c.Nodes == nil || c.Nodes[candidate.Node]) && !slices.Contains(c.ExcludedVersions, candidate.Version)
 }
 
 // ComfortableLatency returns Criteria.ComfortableLatency for calls of a route with the
--- a/internal/decide/kqretry/retry.go
+++ b/internal/decide/kqretry/retry.go
@@ -47,11 +47,11 @@
 	}
 	tokens := &b.load
 	switch o.Reason {
-	case kqcall.Draining, kqcall.RolledBack:
+	case kqcall.Draining, kqcall.RolledBack, kqcall.Evacuated:
 		return true
 	case kqcall.ConnectFailed, kqcall.NoUpstream, kqcall.Cut, kqcall.MismatchedResponse, kqcall.Misdirected:
 		tokens = &b.churn
-	case kqcall.QueueFull, kqcall.RefusedByUpstream:
+	case kqcall.QueueFull, kqcall.Cold, kqcall.RefusedByUpstream:
 	default:
 		return false
 	}
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -123,6 +123,7 @@
 		running                  int
 		runningLong              int
 		closed                   bool
+		closeReason              kqcall.Reason
 		// fixedLimit is set if the announced slots are the upstream's real concurrency.
 		fixedLimit bool
 		// shortDemand is the recent demand of short calls.
@@ -163,7 +164,7 @@
 	left := t.Deadline.Sub(now)
 	switch {
 	case s.closed:
-		t.refuse(kqcall.Draining, minRetryAfter)
+		t.refuse(s.closeReason, minRetryAfter)
 	case left <= 0:
 		t.refuse(kqcall.NotStartedInTime, 0)
 	case s.hasFreeSlot(t.isLongJob, now) && totalLen(s.queues(t)) == 0:
@@ -216,14 +217,15 @@
 	return s.serve(now)
 }
 
-// Close refuses all further calls and all waiting ones, and returns the latter.
-func (s *Slots) Close() []*Ticket {
-	s.closed = true
+// Close refuses all further calls and all waiting ones for the reason, and returns the
+// latter.
+func (s *Slots) Close(reason kqcall.Reason) []*Ticket {
+	s.closed, s.closeReason = true, reason
 	var decided []*Ticket
 	for _, queues := range []*[priorityLevels]*kqfair.Queue{&s.shortQueues, &s.longQueues, &s.lateQueues} {
 		for totalLen(queues) > 0 {
 			t := s.pop(queues, time.Time{})
-			t.refuse(kqcall.Draining, minRetryAfter)
+			t.refuse(reason, minRetryAfter)
 			decided = append(decided, t)
 		}
 	}
--- a/internal/lab/kqplayers/slots.go
+++ b/internal/lab/kqplayers/slots.go
@@ -89,7 +89,7 @@
 	case in.Slots > 0:
 		s.admission.Resize(in.Slots, now)
 	case in.Close:
-		s.admission.Close()
+		s.admission.Close(kqcall.Draining)
 	default:
 		return nil, fmt.Errorf("input %s must have an enter with a new call, a leave with a running call, an expire with a waiting call, slots over 0, or close", input)
 	}
--- a/internal/run/kqmetric/metric.go
+++ b/internal/run/kqmetric/metric.go
@@ -29,6 +29,7 @@
 	storeMu                  sync.Mutex
 	storeCounts              map[string]uint64
 	version                  prometheus.Gauge
+	evacuated                prometheus.Gauge
 	lastApplied              atomic.Int64
 	sentBytes, receivedBytes atomic.Uint64
 }
@@ -59,6 +60,9 @@
 			Name: "kumquatgw_config_version", Help: "Configuration version in force on this node.",
 		}),
 	}
+	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "kumquatgw_evacuated_domains", Help: "Failure domains whose upstreams this node sends no calls to.",
+	})
 	m.gateCalls = newGateCalls()
 	m.suppressedLines = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kumquatgw_log_lines_left_out_total", Help: "Log lines of calls that were over the rate for their reason.",
@@ -74,7 +78,7 @@
 	m.panics = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kumquatgw_panics_total", Help: "Panics that were caught, by the part that panicked.",
 	}, []string{"part"})
-	m.registry.MustRegister(m.panics, m.suppressedLines, m.storeCalls, m.stageSeconds)
+	m.registry.MustRegister(m.evacuated, m.panics, m.suppressedLines, m.storeCalls, m.stageSeconds)
 	m.registry.MustRegister(m.calls, m.retries, m.gateCalls, m.configRefused, m.platformFailed, m.budgetExceeded, m.broadcastDropped, m.version,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "kumquatgw_control_sent_bytes_total", Help: "Bytes of control traffic sent to peers.",
@@ -150,6 +154,9 @@
 	m.lastApplied.Store(time.Now().UnixNano())
 }
 
+// SetEvacuated records the number of evacuated failure domains.
+func (m *Metrics) SetEvacuated(domains int) { m.evacuated.Set(float64(domains)) }
+
 // LastApplied returns when a snapshot was last applied, or the zero time before the first
 // one.
 func (m *Metrics) LastApplied() time.Time {
--- a/internal/run/kqnode/announce_test.go
+++ b/internal/run/kqnode/announce_test.go
@@ -44,6 +44,10 @@
 	return kqdocument.Rollout{}, false, nil
 }
 
+func (emptyOperators) Evacuation(kqstore.Entry) (kqdocument.Evacuation, bool, error) {
+	return kqdocument.Evacuation{}, false, nil
+}
+
 // startWithAdapter starts a node for an upstream of the service "store", with an adapter to
 // a platform. kill ends the node without a drain.
 func startWithAdapter(t *testing.T, name string, store *kqfakestore.Fake) (node *kqnode.Node, kill func()) {
--- a/internal/run/kqnode/config.go
+++ b/internal/run/kqnode/config.go
@@ -144,6 +144,7 @@
 			// The version is the same as before if only the held hosts differ.
 			n.logger.Part("config").WithFields(logrus.Fields{"event": "applied", "version": s.Version()}).Info("Version is in force.")
 			n.rollouts.adoptConfig(s)
+			n.adoptEvacuations(s.Evacuated(), time.Now())
 		}),
 	}
 	if own := n.settings.Node.Service; own != "" {
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -121,6 +122,9 @@
 		recentEvents         kqevents.History
 		memberProcesses      memberProcesses
 		memberLog            *kqmemberlog.Log
+		// evacuated are the evacuated failure domains of the snapshot in force.
+		evacuationMu sync.Mutex
+		evacuated    []kqname.Domain
 		// unwrittenLines returns the number of log lines that the log's output did not
 		// accept, and loggedUnwritten is the number that was last logged.
 		unwrittenLines  func() uint64
--- a/pkg/kqdocument/diff.go
+++ b/pkg/kqdocument/diff.go
@@ -33,7 +33,7 @@
 )
 
 // Diff returns the items that differ between two documents: teams, policies, services,
-// routes and rollouts, each sorted by name. The order of items within the documents is
+// routes, rollouts and evacuations, each sorted by name. The order of items within the documents is
 // not compared. Of several items with the same name only the last is compared.
 func Diff(before, after Document) []Change {
 	var changes []Change
@@ -42,6 +42,7 @@
 	changes = append(changes, diff("services", before.Services, after.Services, func(s Service) string { return string(s.Name) })...)
 	changes = append(changes, diff("routes", before.Routes, after.Routes, func(r Route) string { return string(r.Name) })...)
 	changes = append(changes, diff("rollouts", before.Rollouts, after.Rollouts, func(r Rollout) string { return string(r.Name) })...)
+	changes = append(changes, diff("evacuations", before.Evacuations, after.Evacuations, func(e Evacuation) string { return string(e.Name) })...)
 	return changes
 }
 
--- a/pkg/kqdocument/document.go
+++ b/pkg/kqdocument/document.go
@@ -34,6 +34,15 @@
 		Services []Service `json:"services,omitempty"`
 		Routes   []Route   `json:"routes,omitempty"`
 		Rollouts []Rollout `json:"rollouts,omitempty"`
+		// Evacuations lists the failure domains whose upstreams must get no calls.
+		Evacuations []Evacuation `json:"evacuations,omitempty"`
+	}
+
+	// Evacuation keeps all calls away from the upstreams of a failure domain until it is
+	// removed. Entries in the domain keep serving their callers from other domains.
+	Evacuation struct {
+		// Name is the failure domain. A domain without servers may be named.
+		Name kqname.Domain `json:"name"`
 	}
 
 	// Team owns services, routes and rollouts, with quotas for its routes and rollouts; a
@@ -70,6 +79,15 @@
 		// MaxConnections is the number of connections that one upstream accepts from
 		// all callers together; 0 means not stated.
 		MaxConnections int `json:"max_connections,omitempty" jsonschema:"minimum=0"`
+		// ColdStartMS is how long an upstream is cold after its start, in milliseconds; 0
+		// means not stated.
+		ColdStartMS int `json:"cold_start_ms,omitempty" jsonschema:"minimum=0,maximum=600000"`
+		// ColdRate is the number of calls a second that a cold upstream bears; 0 means
+		// that cold upstreams need no limit.
+		ColdRate float64 `json:"cold_rate,omitempty" jsonschema:"minimum=0"`
+		// HealthPath is the path at which an upstream answers health checks, in which it
+		// says whether it is cold. Without it, only announcements say so.
+		HealthPath string `json:"health_path,omitempty"`
 	}
 
 	// Part is one of the services among which a route splits its calls, with its
--- a/pkg/kqdocument/validate.go
+++ b/pkg/kqdocument/validate.go
@@ -7,15 +7,18 @@
 )
 
 const (
-	maxTeams     = 500
-	maxPolicies  = 200
-	maxServices  = 2000
-	maxRoutes    = 20000
-	maxRollouts  = 1000
-	maxTimeoutMS = 600000
+	maxTeams    = 500
+	maxPolicies = 200
+	maxServices = 2000
+	maxRoutes   = 20000
+	maxRollouts = 1000
+	// maxEvacuations exceeds the number of failure domains of any fleet.
+	maxEvacuations = 200
+	maxTimeoutMS   = 600000
 	// defaultTimeoutMS applies to services whose TimeoutMS is 0.
 	defaultTimeoutMS = 10000
 	maxSmallShare    = 0.05
+	maxColdRate      = 1000000
 )
 
 type (
@@ -45,11 +48,13 @@
 	c.checkCount("services", len(d.Services), maxServices)
 	c.checkCount("routes", len(d.Routes), maxRoutes)
 	c.checkCount("rollouts", len(d.Rollouts), maxRollouts)
+	c.checkCount("evacuations", len(d.Evacuations), maxEvacuations)
 	teams := uniqueNames(c, "teams", d.Teams, func(t Team) kqname.Team { return t.Name })
 	policies := uniqueNames(c, "policies", d.Policies, func(p Policy) kqname.Policy { return p.Name })
 	services := uniqueNames(c, "services", d.Services, func(s Service) kqname.Service { return s.Name })
 	uniqueNames(c, "routes", d.Routes, func(r Route) kqname.Route { return r.Name })
 	uniqueNames(c, "rollouts", d.Rollouts, func(r Rollout) kqname.Rollout { return r.Name })
+	uniqueNames(c, "evacuations", d.Evacuations, func(e Evacuation) kqname.Domain { return e.Name })
 	for i, p := range d.Policies {
 		c.checkPolicy(fmt.Sprintf("policies[%d]", i), p)
 	}
@@ -57,6 +62,7 @@
 		at := fmt.Sprintf("services[%d]", i)
 		resolve(c, at+".team", teams, s.Team)
 		c.checkTimeout(at, s.TimeoutMS)
+		c.checkColdStart(at, s)
 		c.reportIf(s.Version != "" && !kqname.Valid(s.Version), at+".version", "is not a plain name")
 	}
 	for i, r := range d.Routes {
@@ -101,6 +107,13 @@
 	c.reportIf(ms < 0 || ms > maxTimeoutMS, at+".timeout_ms", fmt.Sprintf("must be from 0 to %d", maxTimeoutMS))
 }
 
+func (c *checker) checkColdStart(at string, s Service) {
+	c.reportIf(s.ColdStartMS < 0 || s.ColdStartMS > maxTimeoutMS, at+".cold_start_ms", fmt.Sprintf("must be from 0 to %d", maxTimeoutMS))
+	// Negated so that NaN, for which every comparison is false, is refused too.
+	c.reportIf(!(s.ColdRate >= 0 && s.ColdRate <= maxColdRate), at+".cold_rate", fmt.Sprintf("must be from 0 to %d", maxColdRate))
+	c.reportIf(s.HealthPath != "" && s.HealthPath[0] != '/', at+".health_path", "must begin with /")
+}
+
 func (c *checker) checkPolicy(at string, p Policy) {
 	c.reportIf(p.Prefer != PreferFinishing && p.Prefer != PreferTakingBack,
 		at+".prefer", "must be finishing or taking_back")
