Bound the calls to a cold upstream, by its gate, announcements and health checks

Nothing bounded the calls to a cold server. On the shifted deployment one bears 14 calls a second for three seconds after its start and crashes well above; at the usual load it got some 90, crashed, came back cold and was offered the same again.

internal/decide/kqcold counts the calls to one upstream, in the gate, which all of them pass. While the upstream is cold by its announcement, it gets no more in any second than the operators' bound, spread over the second; what is beyond is refused at once as "cold" or sent elsewhere. An upstream may become cold without a word: its being warm is known for the moment of a health check only, so calls beyond the bound need a check that is recent by the calls sent since. The check is made by the call that needs it, in its own slot. An upstream with fewer calls than the bound needs none.

A restarted node counts the bound as used up at its start, unless the upstream is younger than the process; a new start of an upstream at the same address inherits the latest calls; calls that a server refused by name do not count; a later announced cold start replaces the first one, also for entries and rollouts.

Settings: cold_overage and cold_slack, by default what the service states.

--- a/internal/admin/kqadmin/console_test.go
+++ b/internal/admin/kqadmin/console_test.go
@@ -102,7 +102,7 @@
 	for path, want := range map[string]string{
 		"/": "Version 2 by mika", "/routes/edit/sale": "X-Kind: maple", "/history": "mika", "/history/2": "/sale",
 		"/fleet": "1 behind", "/fleet/one": "config_refused", "/moves": "taken back", "/platform": "answers", "/audit": "put of routes.sale",
-		"/services": "store", "/rollouts/new": "choose …", "/rollouts": "None yet", "/policies": "careful", "/teams": "shop",
+		"/services": "store", "/rollouts/new": "choose …", "/rollouts": "None yet", "/policies": "careful", "/teams": "shop", "/evacuations": "north",
 	} {
 		if status, page := b.get(path); status != 200 || !strings.Contains(page, want) {
 			t.Errorf("GET %s: status %d, page lacks %q", path, status, want)
--- a/internal/admin/kqadmin/harness_test.go
+++ b/internal/admin/kqadmin/harness_test.go
@@ -94,6 +94,7 @@
 			{Name: "store", Team: "shop", Host: "store", PathPrefix: "/", Service: "store"},
 			{Name: "gallery", Team: "press", Host: "gallery", PathPrefix: "/", Service: "gallery"},
 		},
+		Evacuations: []kqdocument.Evacuation{{Name: "north"}},
 	}
 }
 
--- a/internal/call/kqcall/dialect.go
+++ b/internal/call/kqcall/dialect.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
 type (
@@ -21,6 +23,8 @@
 		IsAnswer(c *Call) bool
 		// ReadVerdict reads from the answer to the call whether the call ran.
 		ReadVerdict(c *Call) Verdict
+		// ReadHealth reads an upstream's answer to a health check.
+		ReadHealth(h *fasthttp.ResponseHeader) Health
 		// RetryAfter formats how long a refused caller should wait before it retries.
 		RetryAfter(d time.Duration) string
 	}
@@ -35,6 +39,14 @@
 		ParentID ID
 	}
 
+	// Health is what an upstream's answer to a health check says of its cold start.
+	Health struct {
+		// Instance is the upstream that has answered, empty if it does not say.
+		Instance kqname.Instance
+		// ColdFor is for how much longer the upstream is cold, 0 if it is warm.
+		ColdFor time.Duration
+	}
+
 	// Verdict is what an upstream's answer says about whether the call ran.
 	Verdict struct {
 		// NotRunReason is why the upstream has not run the call and will not, or NoReason if
@@ -43,6 +55,19 @@
 	}
 )
 
+// ReadHealth reads an upstream's answer to a health check by the dialect or, if it is nil, by
+// the headers of this package.
+func ReadHealth(d Dialect, h *fasthttp.ResponseHeader) Health {
+	if d != nil {
+		return d.ReadHealth(h)
+	}
+	ms, err := strconv.ParseInt(string(h.Peek(HeaderCold)), 10, 64)
+	if err != nil || ms < 0 {
+		ms = 0
+	}
+	return Health{Instance: kqname.Instance(h.Peek(HeaderInstance)), ColdFor: time.Duration(ms) * time.Millisecond}
+}
+
 // wholeSeconds formats a Retry-After in whole seconds (RFC 9110), rounded up.
 func wholeSeconds(d time.Duration) string {
 	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
--- a/internal/call/kqcall/header.go
+++ b/internal/call/kqcall/header.go
@@ -27,6 +27,11 @@
 	HeaderResult = "Kq-Result"
 	HeaderReason = "Kq-Reason"
 
+	// HeaderCold and HeaderInstance are in upstreams' answers to health checks: for how many
+	// milliseconds the upstream stays cold, and which one it is.
+	HeaderCold     = "Kq-Cold-Ms"
+	HeaderInstance = "Kq-Instance"
+
 	// headerCall carries a call's fields from the entry to the gate; headerLoad carries
 	// the upstream's load back.
 	headerCall = "Kq-Call"
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -12,6 +12,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqdisconnect"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqnesting"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqcold"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqslots"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -25,9 +26,11 @@
 )
 
 type (
-	// Finder finds the local upstream of a service and version.
+	// Finder finds the local upstream of a service and version, and when the announced cold
+	// start of the one at an address ends.
 	Finder interface {
 		Find(service kqname.Service, version kqname.UpstreamVersion) (kqlocal.Announcement, bool)
+		ColdUntil(address kqname.Address) time.Time
 	}
 
 	// Withdrawer removes an upstream that accepts no connections from those that the node
@@ -77,7 +80,11 @@
 		guard      Guard
 		// evacuated reports whether the gate's failure domain is evacuated.
 		evacuated func() bool
-		counter   Counter
+		// coldStart returns what the service's upstreams bear while they are cold.
+		coldStart func(kqname.Service) ColdStart
+		// started is when the gate was created, at the start of the process.
+		started time.Time
+		counter Counter
 		// queue returns a new queue for the upstream at the address.
 		queue      func(slots int, address kqname.Address) queue
 		watcher    *kqdisconnect.Watcher
@@ -153,7 +160,8 @@
 // New returns a gate to the upstreams that local finds.
 func New(local Finder, options ...Option) *Gate {
 	g := &Gate{
-		local: local, withdrawer: noop{}, observer: noop{}, guard: noop{}, evacuated: func() bool { return false }, counter: noop{}, recorder: noopRecorder{}, now: time.Now, watcher: kqdisconnect.New(),
+		local: local, withdrawer: noop{}, observer: noop{}, guard: noop{}, evacuated: func() bool { return false },
+		coldStart: func(kqname.Service) ColdStart { return ColdStart{} }, started: time.Now(), counter: noop{}, recorder: noopRecorder{}, now: time.Now, watcher: kqdisconnect.New(),
 		upstreams: make(map[upstreamKey]*upstream), nesting: kqnesting.New(),
 		queue: func(slots int, address kqname.Address) queue {
 			return kqslots.New(slots, saltOf(address))
@@ -277,6 +285,15 @@
 	r.Instance = a.Instance
 	u := g.upstream(a, now)
 	t := u.newTicket(c)
+	cold := g.coldStart(c.Service)
+	if cold.Bound > 0 {
+		u.cold.prepare(cold, a, g.local.ColdUntil(a.Address), g.started, now)
+		if u.cold.check(now) == kqcold.Refused {
+			load := u.load(t, now)
+			u.recycle(t)
+			return u.cold.refusal(now), fullLoad(load)
+		}
+	}
 	o := u.admit(t, c, now)
 	r.Waited = g.now().Sub(now)
 	if o.Result != kqcall.Answered {
@@ -288,6 +305,11 @@
 		o = kqcall.Refuse(reason)
 		return o, u.releaseSlot(t, o, false, 0, g.now())
 	}
+	if cold.Bound > 0 && !u.cold.admit(cold, g.dialect, g.now) {
+		now := g.now()
+		o = u.cold.refusal(now)
+		return o, fullLoad(u.releaseSlot(t, o, false, 0, now))
+	}
 	began, released := g.now(), false
 	defer func() {
 		// Without this, a panic would leave its slot in use forever, and after a few panics
@@ -300,6 +322,9 @@
 	g.nesting.Begin(c)
 	defer g.nesting.End(c.ID)
 	o = sendToUpstream(u, c, began)
+	if cold.Bound > 0 && !reachedUpstream(o) {
+		u.cold.forget()
+	}
 	c.Starved = g.nesting.Starved(c.ID)
 	ended := g.now()
 	took := ended.Sub(began)
@@ -329,6 +354,11 @@
 	return o, u.load(t, ended)
 }
 
+// reachedUpstream reports whether the upstream that the call was meant for may have got it.
+func reachedUpstream(o kqcall.Outcome) bool {
+	return o.Reason != kqcall.Misdirected && o.Reason != kqcall.ConnectFailed
+}
+
 // cancelReason returns why a call that has waited must not run any more, or NoReason.
 func cancelReason(c *kqcall.Call, waited time.Duration) kqcall.Reason {
 	if waited >= callerCheckAfter && c.CheckCaller != nil {
--- a/internal/call/kqgate/upstream.go
+++ b/internal/call/kqgate/upstream.go
@@ -47,6 +47,7 @@
 	// upstream holds the queue and the connections of one local upstream.
 	upstream struct {
 		client *kqsend.Client
+		cold   *coldGuard
 
 		mu    sync.Mutex
 		queue queue
@@ -73,6 +74,7 @@
 	return &upstream{
 		slots: a.Slots, queue: q,
 		client: kqsend.New(a.Address, options...),
+		cold:   newColdGuard(a.Address),
 	}
 }
 
@@ -165,7 +167,7 @@
 }
 
 // releaseSlot releases the slot, records whether the call failed unless its caller
-// disconnected, recycles the ticket and returns the load. The queue learns from the call's
+// disconnected or it was not sent, recycles the ticket and returns the load. The queue learns from the call's
 // duration only if the upstream answered or the call timed out: a broken connection says
 // nothing about how long the work takes.
 func (u *upstream) releaseSlot(t *kqslots.Ticket, o kqcall.Outcome, failed bool, took time.Duration, now time.Time) kqcall.Load {
@@ -175,7 +177,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	wake(u.queue.Leave(t, took, now))
-	if o.Reason != kqcall.Cancelled {
+	if o.Reason != kqcall.Cancelled && o.Reason != kqcall.Cold {
 		u.failureRate.Record(failed, now)
 	}
 	l := u.loadLocked(t, now)
--- a/internal/call/kqlocal/upstreams.go
+++ b/internal/call/kqlocal/upstreams.go
@@ -27,6 +27,10 @@
 // otherwise a dead upstream would never expire on a node that is paused again and again.
 const sweepInterval = 250 * time.Millisecond
 
+// recoldMargin is by how much an announced cold start must end later than the known one to
+// be a new one: announcements take their time to arrive.
+const recoldMargin = 500 * time.Millisecond
+
 // minWithdrawal is how long an upstream that could not be connected to is left out of the
 // published list at first, even if it keeps announcing itself; each further withdrawal
 // doubles that up to maxWithdrawal. Otherwise an upstream that announces itself but accepts
@@ -57,7 +61,8 @@
 		// but none does for historyTTL after a goodbye of the same instance.
 		StartedMS int64  `json:"born,omitempty"`
 		Sequence  uint64 `json:"sequence,omitempty"`
-		// WarmUpLeft is for how much longer the upstream is slow after its start.
+		// WarmUpLeft is for how much longer the upstream is cold: slow after its start or,
+		// at any later time, again.
 		WarmUpLeft time.Duration `json:"cold,omitempty"`
 		// Gone means that the upstream takes no more work at all. Only Instance and, if
 		// known, StartedMS are set with it.
@@ -89,12 +94,13 @@
 	registration struct {
 		Announcement
 		// lastRenewed is when the announcement last arrived, moved forward by the time for
-		// which this node was paused since.
+		// which this node was paused since. firstSeen is when the first one arrived, or the
+		// first that announced the latest of several cold starts.
 		firstSeen, lastRenewed time.Time
 		// recovered is set until the upstream itself has announced itself to this process.
 		recovered bool
-		// coldFor is how long after firstSeen the upstream is slow, according to its
-		// first announcement.
+		// coldFor is how long after firstSeen the upstream is cold, according to that
+		// announcement.
 		coldFor time.Duration
 		withdrawal
 	}
@@ -139,12 +145,16 @@
 		return nil
 	}
 	next := registration{Announcement: a, firstSeen: now, lastRenewed: now, coldFor: a.WarmUpLeft}
+	coldAgain := false
 	if ok && old.Service == a.Service && old.Version == a.Version && old.Instance == a.Instance && old.StartedMS == a.StartedMS {
-		next.firstSeen, next.coldFor, next.withdrawal = old.firstSeen, old.coldFor, old.withdrawal
+		if coldAgain = next.warmFrom().Sub(old.warmFrom()) > recoldMargin && a.WarmUpLeft > 0; !coldAgain {
+			next.firstSeen, next.coldFor = old.firstSeen, old.coldFor
+		}
+		next.withdrawal = old.withdrawal
 		next.withdrawn = old.withdrawn && now.Sub(old.withdrawnAt) < old.minDuration
 	}
 	u.byAddress[a.Address] = next
-	if !ok || !old.sameForPeers(a) || next.withdrawn != old.withdrawn {
+	if !ok || coldAgain || !old.sameForPeers(a) || next.withdrawn != old.withdrawn {
 		u.publish()
 	}
 	return nil
@@ -311,6 +321,21 @@
 	return best.Announcement, best.Slots > 0
 }
 
+// ColdUntil returns when the announced cold start of the upstream at the address ends, or the
+// zero time if no upstream is known there.
+func (u *Upstreams) ColdUntil(address kqname.Address) time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	e, ok := u.byAddress[address]
+	if !ok {
+		return time.Time{}
+	}
+	return e.warmFrom()
+}
+
+// warmFrom returns when the upstream's announced cold start ends.
+func (e registration) warmFrom() time.Time { return e.firstSeen.Add(e.coldFor) }
+
 // isPreferredTo reports whether Find returns e rather than other.
 func (e registration) isPreferredTo(other registration) bool {
 	if e.Draining != other.Draining {
@@ -329,7 +354,7 @@
 		}
 		next := kqmember.Upstream{Service: e.Service, Version: e.Version, Slots: e.Slots, Draining: e.Draining, FirstAnnounced: e.firstSeen}
 		if e.Instance != "" {
-			next.WarmFrom = e.firstSeen.Add(e.coldFor)
+			next.WarmFrom = e.warmFrom()
 		}
 		list = append(list, next)
 	}
--- a/internal/call/kqlocal/upstreams_test.go
+++ b/internal/call/kqlocal/upstreams_test.go
@@ -92,3 +92,39 @@
 		t.Error("the upstream's next start is not published")
 	}
 }
+
+// Guards against an upstream that becomes cold again without a restart and is taken for warm.
+func TestUpstreamBecomesColdAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var published []kqmember.Upstream
+	u := kqlocal.New(time.Minute, func(list []kqmember.Upstream) { published = list })
+	announce := func(sequence uint64, left time.Duration) {
+		t.Helper()
+		err := u.Announce(kqlocal.Announcement{
+			Service: "store", Version: "v1", Address: "127.0.0.1:1", Slots: 4, Instance: "one", StartedMS: 10, Sequence: sequence, WarmUpLeft: left,
+		}, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	announce(1, 3*time.Second)
+	now = now.Add(time.Second)
+	announce(2, 2100*time.Millisecond)
+	if want := now.Add(2 * time.Second); !u.ColdUntil("127.0.0.1:1").Equal(want) {
+		t.Errorf("cold until %v after a late announcement, want %v", u.ColdUntil("127.0.0.1:1"), want)
+	}
+	now = now.Add(10 * time.Second)
+	announce(3, 0)
+	if until := u.ColdUntil("127.0.0.1:1"); until.After(now) {
+		t.Errorf("cold until %v, want warm at %v", until, now)
+	}
+	now = now.Add(10 * time.Second)
+	published = nil
+	announce(4, 3*time.Second)
+	if want := now.Add(3 * time.Second); !u.ColdUntil("127.0.0.1:1").Equal(want) {
+		t.Errorf("cold until %v, want %v", u.ColdUntil("127.0.0.1:1"), want)
+	}
+	if len(published) != 1 || !published[0].WarmFrom.Equal(now.Add(3*time.Second)) {
+		t.Errorf("published %+v, want the new cold start", published)
+	}
+}
--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -107,6 +107,9 @@
 		}
 		upstream := old[i]
 		old = slices.Delete(slices.Clone(old), i, i+1)
+		if !c.FirstAnnounced.Equal(upstream.FirstAnnounced) {
+			upstream.seenAt = now
+		}
 		upstream.Candidate = c
 		p.upstreams = append(p.upstreams, upstream)
 	}
--- a/internal/decide/kqpick/pool_upstream.go
+++ b/internal/decide/kqpick/pool_upstream.go
@@ -19,7 +19,8 @@
 	load       kqcall.Load
 	reportedAt time.Time
 	addedAt    time.Time
-	// seenAt is when the pool first had the upstream. addedAt is earlier for those of the
+	// seenAt is when the pool first had the upstream, or had it with its latest cold start.
+	// addedAt is earlier for those of the
 	// first list, which are not new.
 	seenAt time.Time
 	state  kqeject.State
--- a/internal/peer/kqmember/member.go
+++ b/internal/peer/kqmember/member.go
@@ -31,7 +31,8 @@
 		Version  kqname.UpstreamVersion `cbor:"2,keyasint"`
 		Slots    int                    `cbor:"3,keyasint"`
 		Draining bool                   `cbor:"4,keyasint,omitempty"`
-		// FirstAnnounced is when the upstream first announced itself.
+		// FirstAnnounced is when the upstream first announced itself or, if it has become
+		// cold again since, when it said so.
 		FirstAnnounced time.Time `cbor:"5,keyasint"`
 		// WarmFrom is the announced end of the cold start, FirstAnnounced if none was
 		// announced, or zero if the upstream announced no instance.
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -54,7 +54,7 @@
 		n.table.Update(func(m *kqmember.Member) { m.Upstreams = list })
 	})
 	n.disconnectWatcher = kqdisconnect.New()
-	gate := []kqgate.Option{kqgate.WithWithdrawer(n.local), kqgate.WithObserver(n.rollouts), kqgate.WithGuard(n.rollouts), kqgate.WithEvacuation(n.isEvacuated), kqgate.WithDisconnectWatcher(n.disconnectWatcher), kqgate.WithCounter(n.metrics), kqgate.WithSupervisor(n.supervisor)}
+	gate := []kqgate.Option{kqgate.WithWithdrawer(n.local), kqgate.WithObserver(n.rollouts), kqgate.WithGuard(n.rollouts), kqgate.WithEvacuation(n.isEvacuated), kqgate.WithColdStart(n.coldStart), kqgate.WithDisconnectWatcher(n.disconnectWatcher), kqgate.WithCounter(n.metrics), kqgate.WithSupervisor(n.supervisor)}
 	entry := append(n.entryTLSOptions(), kqentry.WithCounter(n.metrics), kqentry.WithSplitter(n.rollouts),
 		kqentry.WithDomain(n.settings.Node.Domain), kqentry.WithDisconnectWatcher(n.disconnectWatcher),
 		kqentry.WithForgedHeadersHandler(n.securityMetrics.ForgedHeaders), kqentry.WithSupervisor(n.supervisor))
@@ -85,6 +85,22 @@
 	}
 }
 
+// coldStart returns what the upstreams of a service bear while they are cold. A bound has the
+// operators' overage and slack, less one call as a margin.
+func (n *Node) coldStart(service kqname.Service) kqgate.ColdStart {
+	found, _ := n.replica.Current().Service(service)
+	s := found.Service
+	if s.ColdRate <= 0 {
+		return kqgate.ColdStart{}
+	}
+	c := n.settings.Call
+	return kqgate.ColdStart{
+		Bound:      max(int(s.ColdRate*c.ColdOverage+c.ColdSlack)-1, 1),
+		Duration:   time.Duration(s.ColdStartMS) * time.Millisecond,
+		HealthPath: s.HealthPath,
+	}
+}
+
 // newServer returns a server of calls. count gets the outcomes of the calls that the HTTP
 // library cannot read and of those that panic; for the others, handler does its own
 // counting.
