Carry a service's cold start with each call; poll gates before a call waits

The entry, which knows the service, now sends the cold start along, in a header of its own that gates of an earlier release ignore.

An entry's load reports are old where many entries load few upstreams, so calls waited at one gate while others had free slots.

--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -28,6 +28,8 @@
 	// QueueFull means that the gate's queue was too long for the call to start in time, or
 	// that no further connection to the gate or the upstream was allowed.
 	QueueFull Reason = "queue_full"
+	// Busy means that the gate had no slot free for a call that was not to wait there.
+	Busy Reason = "busy"
 	// Overload means that the entry refused the call without asking a gate, because the
 	// service's gates had refused too many calls before.
 	Overload Reason = "overload"
@@ -116,6 +118,14 @@
 		ExpectedWork, Wait time.Duration
 	}
 
+	// ColdStart is what the configuration says of a service's cold upstreams.
+	ColdStart struct {
+		// Rate is the number of calls a second that one bears, 0 if there is no bound.
+		Rate float64
+		// Duration is how long an upstream is cold after its start, 0 if unknown.
+		Duration time.Duration
+	}
+
 	// Call is one request on its way from caller to upstream. The server that handles
 	// the call owns Request and Response.
 	Call struct {
@@ -138,6 +148,8 @@
 		// Repeat reports whether an upstream may have been sent this call, or one that
 		// it is nested in, before.
 		Repeat bool
+		// NoWait asks the gate to refuse the call as Busy if it would have to wait there.
+		NoWait bool
 		// Starved reports whether a nested call that names this one as its parent was not
 		// served for lack of capacity, whatever this call's own outcome.
 		Starved  bool
@@ -149,6 +161,9 @@
 		// MaxAttempts is how many upstreams the call may be sent to; 0 means the entry's
 		// default.
 		MaxAttempts int
+		// Cold is the service's ColdStart. The gate of a node that has just started may not
+		// have the service's configuration yet.
+		Cold ColdStart
 		// Instance is the upstream that the call is meant for; empty accepts any.
 		Instance kqname.Instance
 		// Dialect is how caller and upstream express a call's data in headers; nil means
@@ -171,7 +186,7 @@
 // Reasons returns every reason, for counters that need a bounded set of labels.
 func Reasons() []Reason {
 	return []Reason{
-		NoReason, NoRoute, NoConfig, NoUpstream, QueueFull, Overload, NotStartedInTime, RolledBack, Draining, Evacuated, Cold, RefusedByUpstream, ConnectFailed,
+		NoReason, NoRoute, NoConfig, NoUpstream, QueueFull, Busy, Overload, NotStartedInTime, RolledBack, Draining, Evacuated, Cold, RefusedByUpstream, ConnectFailed,
 		TooLarge, Malformed, TooSlow, Timeout, Cut, Cancelled, MismatchedResponse, Misdirected, NoMemory, Panicked,
 	}
 }
--- a/internal/call/kqcall/header.go
+++ b/internal/call/kqcall/header.go
@@ -36,6 +36,8 @@
 	// the upstream's load back.
 	headerCall = "Kq-Call"
 	headerLoad = "Kq-Load"
+	// headerCold carries the call's Cold to the gate, unless its rate is 0.
+	headerCold = "Kq-Cold"
 	// headerRetry carries Retry-After between nodes in milliseconds, since callers may
 	// need it in another format. Callers get it too.
 	headerRetry = "Kq-Retry-Ms"
@@ -55,9 +57,11 @@
 	// perMille is the scale at which a share is sent as an integer.
 	perMille  = 1000
 	separator = ';'
-	// The flags stand for the call's Idempotent, Repeat and RefusalMeansNotRun.
+	// The flags stand for the call's Idempotent, Repeat, NoWait and RefusalMeansNotRun.
+	// Gates of an earlier release ignore NoWait.
 	idempotentFlag = "i"
 	repeatFlag     = "p"
+	noWaitFlag     = "n"
 	refusalFlag    = "r"
 )
 
@@ -102,7 +106,7 @@
 	b := space[:0]
 	for _, field := range []string{
 		string(c.ID), string(c.Caller), string(c.Route), string(c.Service), string(c.Version), string(c.Class),
-		textIf(c.Idempotent, idempotentFlag) + textIf(c.Repeat, repeatFlag), textIf(c.RefusalMeansNotRun, refusalFlag), string(c.Origin),
+		textIf(c.Idempotent, idempotentFlag) + textIf(c.Repeat, repeatFlag) + textIf(c.NoWait, noWaitFlag), textIf(c.RefusalMeansNotRun, refusalFlag), string(c.Origin),
 	} {
 		b = append(append(b, field...), separator)
 	}
@@ -112,6 +116,7 @@
 		b = strconv.AppendInt(b, c.Target.Sub(now).Microseconds(), 10)
 	}
 	c.Request.Header.SetBytesV(headerCall, b)
+	c.Cold.write(&c.Request.Header)
 }
 
 // Read returns the call whose fields Write put into a request, or ErrMalformed if they are
@@ -132,19 +137,42 @@
 	c := &Call{
 		ID: ID(fields[0]), Caller: kqname.Caller(fields[1]), Route: kqname.Route(fields[2]),
 		Service: kqname.Service(fields[3]), Version: kqname.UpstreamVersion(fields[4]), Class: kqdocument.Class(fields[5]),
-		Idempotent: strings.Contains(fields[6], idempotentFlag), Repeat: strings.Contains(fields[6], repeatFlag), RefusalMeansNotRun: fields[7] == refusalFlag,
+		Idempotent: strings.Contains(fields[6], idempotentFlag), Repeat: strings.Contains(fields[6], repeatFlag), NoWait: strings.Contains(fields[6], noWaitFlag), RefusalMeansNotRun: fields[7] == refusalFlag,
 		Origin: kqname.Service(fields[8]), Depth: depth, Arrived: now, Deadline: now.Add(time.Duration(timeout) * time.Microsecond),
 		Request: req, Response: resp,
 	}
 	if target, err := strconv.ParseInt(fields[11], 10, 64); err == nil {
 		c.Target = now.Add(time.Duration(target) * time.Microsecond)
 	}
+	c.Cold = readColdStart(&req.Header)
 	if c.ID == "" || c.Service == "" {
 		return nil, fmt.Errorf("call id or service is missing: %w", ErrMalformed)
 	}
 	return c, nil
 }
 
+// write puts the cold start into a request for a gate, if it has a rate.
+func (s ColdStart) write(h *fasthttp.RequestHeader) {
+	if s.Rate <= 0 {
+		return
+	}
+	var space [48]byte
+	b := append(strconv.AppendFloat(space[:0], s.Rate, 'g', -1, 64), separator)
+	h.SetBytesV(headerCold, strconv.AppendInt(b, s.Duration.Milliseconds(), 10))
+}
+
+// readColdStart reads what write put into a request. It is empty if there is none or if it
+// cannot be parsed.
+func readColdStart(h *fasthttp.RequestHeader) ColdStart {
+	rateText, durationText, _ := strings.Cut(string(h.Peek(headerCold)), string(separator))
+	rate, rateErr := strconv.ParseFloat(rateText, 64)
+	ms, durationErr := strconv.ParseInt(durationText, 10, 32)
+	if rateErr != nil || durationErr != nil || !(rate > 0) || ms < 0 {
+		return ColdStart{}
+	}
+	return ColdStart{Rate: rate, Duration: time.Duration(ms) * time.Millisecond}
+}
+
 // ReadPropagated reads the headers that a local upstream passed on from the call that it
 // is running: the depth and the remaining time, each 0 if it is missing or invalid.
 func ReadPropagated(h *fasthttp.RequestHeader) (depth int, left time.Duration) {
@@ -164,6 +192,7 @@
 func (c *Call) WriteUpstreamHeaders(now time.Time) {
 	h := &c.Request.Header
 	h.Del(headerCall)
+	h.Del(headerCold)
 	if c.Dialect != nil {
 		c.Dialect.WriteUpstreamHeaders(c, max(c.Deadline.Sub(now), time.Millisecond))
 		return
--- a/internal/call/kqentry/match.go
+++ b/internal/call/kqentry/match.go
@@ -135,6 +135,7 @@
 		timeout = time.Duration(ms) * time.Millisecond
 	}
 	c.Route, c.Service, c.Class = route.Name, service.Service.Name, route.Class
+	c.Cold = kqcall.ColdStart{Rate: service.Service.ColdRate, Duration: time.Duration(service.Service.ColdStartMS) * time.Millisecond}
 	c.RefusalMeansNotRun = service.Service.RefusalMeansNotRun
 	if own := now.Add(timeout); c.Deadline.IsZero() || own.Before(c.Deadline) {
 		c.Deadline = own
--- a/internal/call/kqgate/cold.go
+++ b/internal/call/kqgate/cold.go
@@ -32,9 +32,11 @@
 		Bound int
 		// Duration is how long an upstream is cold after its start, 0 if unknown.
 		Duration time.Duration
-		// HealthPath is where an upstream says whether it is cold; if it is empty, its
-		// announcements say so.
+		// HealthPath is where an upstream says whether it is cold, empty if unknown.
 		HealthPath string
+		// TrustsAnnouncements is set if an upstream counts as warm whenever its latest
+		// announcement says so, since it has no health check.
+		TrustsAnnouncements bool
 	}
 
 	// coldGuard keeps the calls to one local upstream within its cold start's bound.
@@ -70,7 +72,7 @@
 	}
 	g.instance, g.startedMS = a.Instance, a.StartedMS
 	g.limiter.RecordCold(coldUntil)
-	if s.HealthPath == "" && !now.Before(coldUntil) {
+	if s.TrustsAnnouncements && !now.Before(coldUntil) {
 		g.limiter.RecordWarm(now)
 	}
 }
@@ -124,6 +126,9 @@
 // checkHealth asks the upstream whether it is cold, and records its answer. Whether it is
 // healthy does not matter.
 func (g *coldGuard) checkHealth(s ColdStart, d kqcall.Dialect, now time.Time) {
+	if s.HealthPath == "" {
+		return
+	}
 	c := &kqcall.Call{Idempotent: true, Deadline: now.Add(healthTimeout), Request: fasthttp.AcquireRequest(), Response: fasthttp.AcquireResponse()}
 	defer fasthttp.ReleaseRequest(c.Request)
 	defer fasthttp.ReleaseResponse(c.Response)
@@ -152,11 +157,10 @@
 	return l
 }
 
-// refusal returns the outcome of a call that the upstream must not get now.
-func (g *coldGuard) refusal(now time.Time) kqcall.Outcome {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+// coldRefusal returns the outcome of a call that a cold upstream must not get now. Another one
+// may bear it, and this one does again within its share of a second.
+func coldRefusal() kqcall.Outcome {
 	o := kqcall.Refuse(kqcall.Cold)
-	o.RetryAfter = max(g.limiter.ColdUntil().Sub(now), minColdRetryAfter)
+	o.RetryAfter = minColdRetryAfter
 	return o
 }
--- a/internal/call/kqgate/cold_test.go
+++ b/internal/call/kqgate/cold_test.go
@@ -49,7 +49,7 @@
 }
 
 func withBound() kqgate.Option {
-	return kqgate.WithColdStart(func(kqname.Service) kqgate.ColdStart {
+	return kqgate.WithColdStart(func(*kqcall.Call) kqgate.ColdStart {
 		return kqgate.ColdStart{Bound: bears, Duration: coldFor, HealthPath: coldPath}
 	})
 }
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -80,8 +80,8 @@
 		guard      Guard
 		// evacuated reports whether the gate's failure domain is evacuated.
 		evacuated func() bool
-		// coldStart returns what the service's upstreams bear while they are cold.
-		coldStart func(kqname.Service) ColdStart
+		// coldStart returns what the upstreams of the call's service bear while they are cold.
+		coldStart func(*kqcall.Call) ColdStart
 		// started is when the gate was created, at the start of the process.
 		started time.Time
 		counter Counter
@@ -161,7 +161,7 @@
 func New(local Finder, options ...Option) *Gate {
 	g := &Gate{
 		local: local, withdrawer: noop{}, observer: noop{}, guard: noop{}, evacuated: func() bool { return false },
-		coldStart: func(kqname.Service) ColdStart { return ColdStart{} }, started: time.Now(), counter: noop{}, recorder: noopRecorder{}, now: time.Now, watcher: kqdisconnect.New(),
+		coldStart: func(*kqcall.Call) ColdStart { return ColdStart{} }, started: time.Now(), counter: noop{}, recorder: noopRecorder{}, now: time.Now, watcher: kqdisconnect.New(),
 		upstreams: make(map[upstreamKey]*upstream), nesting: kqnesting.New(),
 		queue: func(slots int, address kqname.Address) queue {
 			return kqslots.New(slots, saltOf(address))
@@ -285,13 +285,13 @@
 	r.Instance = a.Instance
 	u := g.upstream(a, now)
 	t := u.newTicket(c)
-	cold := g.coldStart(c.Service)
+	cold := g.coldStart(c)
 	if cold.Bound > 0 {
 		u.cold.prepare(cold, a, g.local.ColdUntil(a.Address), g.started, now)
 		if u.cold.check(now) == kqcold.Refused {
 			load := u.load(t, now)
 			u.recycle(t)
-			return u.cold.refusal(now), fullLoad(load)
+			return coldRefusal(), fullLoad(load)
 		}
 	}
 	o := u.admit(t, c, now)
@@ -306,9 +306,8 @@
 		return o, u.releaseSlot(t, o, false, 0, g.now())
 	}
 	if cold.Bound > 0 && !u.cold.admit(cold, g.dialect, g.now) {
-		now := g.now()
-		o = u.cold.refusal(now)
-		return o, fullLoad(u.releaseSlot(t, o, false, 0, now))
+		o = coldRefusal()
+		return o, fullLoad(u.releaseSlot(t, o, false, 0, g.now()))
 	}
 	began, released := g.now(), false
 	defer func() {
--- a/internal/call/kqgate/options.go
+++ b/internal/call/kqgate/options.go
@@ -23,9 +23,9 @@
 // evacuated. The gate then refuses all calls.
 func WithEvacuation(evacuated func() bool) Option { return func(g *Gate) { g.evacuated = evacuated } }
 
-// WithColdStart sets the function that returns what the upstreams of a service bear while
-// they are cold. By default there is no bound.
-func WithColdStart(coldStart func(kqname.Service) ColdStart) Option {
+// WithColdStart sets the function that returns what the upstreams of a call's service bear
+// while they are cold. By default there is no bound.
+func WithColdStart(coldStart func(*kqcall.Call) ColdStart) Option {
 	return func(g *Gate) { g.coldStart = coldStart }
 }
 
--- a/internal/decide/kqcold/cold.go
+++ b/internal/decide/kqcold/cold.go
@@ -56,7 +56,9 @@
 
 // Restart records that another start of an upstream has taken the place of the former. It is
 // not known to be warm, and the latest calls count against it.
-func (l *Limiter) Restart() { l.warmAt, l.sinceWarm, l.coldUntil = time.Time{}, len(l.recent), time.Time{} }
+func (l *Limiter) Restart() {
+	l.warmAt, l.sinceWarm, l.coldUntil = time.Time{}, len(l.recent), time.Time{}
+}
 
 // Bound returns the number of calls that the upstream bears in a second.
 func (l *Limiter) Bound() int { return len(l.recent) }
@@ -97,9 +99,6 @@
 	return whole
 }
 
-// ColdUntil returns when the upstream's latest known cold start ends.
-func (l *Limiter) ColdUntil() time.Time { return l.coldUntil }
-
 // RecordCold records that the upstream is cold until the given time.
 func (l *Limiter) RecordCold(until time.Time) {
 	if until.After(l.coldUntil) {
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -74,6 +74,9 @@
 		Caller kqname.Caller
 		Route  kqname.Route
 		Class  kqdocument.Class
+		// NoWait is set if the call is to be refused as busy rather than queued: its entry
+		// asks other gates for a free slot first.
+		NoWait bool
 		// Nested is set if the call is made by another call that waits for it.
 		Nested   bool
 		Deadline time.Time
@@ -170,6 +173,8 @@
 	case s.hasFreeSlot(t.isLongJob, now) && totalLen(s.queues(t)) == 0:
 		s.queue(t).RecordUnqueued(t.Caller, expected, now)
 		s.start(t, true)
+	case t.NoWait:
+		t.refuse(kqcall.Busy, minRetryAfter)
 	default:
 		s.enqueue(t, expected, left, now)
 	}
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -85,20 +85,21 @@
 	}
 }
 
-// coldStart returns what the upstreams of a service bear while they are cold. A bound has the
-// operators' overage and slack, less one call as a margin.
-func (n *Node) coldStart(service kqname.Service) kqgate.ColdStart {
-	found, _ := n.replica.Current().Service(service)
-	s := found.Service
-	if s.ColdRate <= 0 {
-		return kqgate.ColdStart{}
+// coldStart returns what the upstreams of a call's service bear while they are cold, by the
+// node's configuration or, without one, by the call. A bound has the operators' overage and
+// slack, less one call as a margin.
+func (n *Node) coldStart(call *kqcall.Call) kqgate.ColdStart {
+	cold := kqgate.ColdStart{Duration: call.Cold.Duration}
+	rate := call.Cold.Rate
+	if found, ok := n.replica.Current().Service(call.Service); ok {
+		s := found.Service
+		rate, cold.Duration = s.ColdRate, time.Duration(s.ColdStartMS)*time.Millisecond
+		cold.HealthPath, cold.TrustsAnnouncements = s.HealthPath, s.HealthPath == ""
 	}
-	c := n.settings.Call
-	return kqgate.ColdStart{
-		Bound:      max(int(s.ColdRate*c.ColdOverage+c.ColdSlack)-1, 1),
-		Duration:   time.Duration(s.ColdStartMS) * time.Millisecond,
-		HealthPath: s.HealthPath,
+	if rate > 0 {
+		cold.Bound = max(int(rate*n.settings.Call.ColdOverage+n.settings.Call.ColdSlack)-1, 1)
 	}
+	return cold
 }
 
 // newServer returns a server of calls. count gets the outcomes of the calls that the HTTP
