--- a/internal/run/kqnode/listen.go
+++ b/internal/run/kqnode/listen.go
@@ -19,6 +19,7 @@
 	// Blocking new connections requires plain TCP; see kqquiesce.
 	var config net.ListenConfig
 	config.SetMultipathTCP(false)
+	paced := n.pacedRoles()
 	for _, l := range []struct {
 		role Role
 		to   *net.Listener
@@ -40,11 +41,7 @@
 		}
 		inner := opened
 		if tcp, ok := opened.(*net.TCPListener); ok && l.role != RoleControl && l.role != RoleAdmin && l.role != RoleReady {
-			options := []kqconnection.Option{kqconnection.WithBodyLimiter(n.bodies, entryBodyWait)}
-			if l.role == RoleGate && s.LinkMbits > 0 {
-				options = append(options, kqconnection.WithPacer(kqpace.New(s.LinkMbits)))
-			}
-			n.callListeners[l.role], n.connections[l.role] = tcp, kqconnection.New(tcp, options...)
+			n.callListeners[l.role], n.connections[l.role] = tcp, kqconnection.New(tcp, append(paced[l.role], kqconnection.WithBodyLimiter(n.bodies, entryBodyWait))...)
 			inner = n.connections[l.role]
 		}
 		*l.to = kqacceptor.New(n.wrapListener(l.role, inner), func(err error) { n.logAcceptFailure(l.role, err) })
@@ -52,6 +49,16 @@
 	return nil
 }
 
+// pacedRoles returns the options that space out the large responses of the listeners whose
+// responses leave the server, over its link. There are none without a stated bandwidth.
+func (n *Node) pacedRoles() map[Role][]kqconnection.Option {
+	if n.settings.Node.LinkMbits <= 0 {
+		return nil
+	}
+	option := kqconnection.WithPacer(kqpace.New(n.settings.Node.LinkMbits))
+	return map[Role][]kqconnection.Option{RoleGate: {option}, RoleEntry: {option}}
+}
+
 // logAcceptFailure logs that a listener cannot accept connections for now.
 func (n *Node) logAcceptFailure(r Role, err error) {
 	n.logEvent(logrus.Fields{"event": "accept_failed", "listener": r, logrus.ErrorKey: err}, "Cannot accept connections for now.")
