Read large responses into memory at the gate, so that their slots are free sooner

A slot stayed in use until the caller had the whole of a streamed response. Responses of up to 1 MB and a known length are now read at once, within 8 MB a gate; others are streamed as before. A response that ends early is known before any byte of it is passed on, so an idempotent call can be sent again.

--- /dev/null
+++ b/internal/call/kqgate/buffer_test.go
@@ -0,0 +1,58 @@
+package kqgate_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+)
+
+// Guards against a slot that stays in use until a slow caller has received a large response,
+// and against one that ends early and looks complete.
+func TestLargeResponseFreesItsSlot(t *testing.T) {
+	const size = 300 << 10
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(size))
+		if r.URL.Path == "/short" {
+			fmt.Fprint(w, strings.Repeat("a", size/2))
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprint(w, strings.Repeat("a", size))
+	}))
+	defer server.Close()
+	local := kqlocal.New(time.Minute, func([]kqmember.Upstream) {})
+	if err := local.Announce(kqlocal.Announcement{Service: "store", Version: "v1", Address: kqname.Address(server.Listener.Addr().String()), Slots: 1}, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	g := kqgate.New(local)
+	var calls []*kqcall.Call
+	for i := range 3 {
+		c := newCall("/")
+		o, load := g.Do(c)
+		if o != kqcall.OK() || load.Running != 0 {
+			t.Fatalf("call %d ended as %+v with %d running, want answered and none while no response has been read", i, o, load.Running)
+		}
+		calls = append(calls, c)
+	}
+	for i, c := range calls {
+		body, err := io.ReadAll(c.Response.BodyStream())
+		if err != nil || len(body) != size {
+			t.Errorf("response %d has %d bytes, %v, want %d", i, len(body), err, size)
+		}
+		if err := c.Response.CloseBodyStream(); err != nil {
+			t.Error(err)
+		}
+	}
+	if o, _ := g.Do(newCall("/short")); o.Result != kqcall.Unknown || o.Reason != kqcall.Cut {
+		t.Errorf("a response that ends early ended as %+v, want cut", o)
+	}
+}
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -84,6 +84,7 @@
 		coldStart func(*kqcall.Call) ColdStart
 		// started is when the gate was created, at the start of the process.
 		started time.Time
+		buffer  responseBuffer
 		counter Counter
 		// queue returns a new queue for the upstream at the address.
 		queue      func(slots int, address kqname.Address) queue
@@ -321,6 +322,10 @@
 	g.nesting.Begin(c)
 	defer g.nesting.End(c.ID)
 	o = sendToUpstream(u, c, began)
+	if o.Result == kqcall.Answered && g.buffer.absorb(c) != nil {
+		c.Response.Reset()
+		o = incompleteOutcome(c, g.now())
+	}
 	if cold.Bound > 0 && !reachedUpstream(o) {
 		u.cold.forget()
 	}
@@ -341,7 +346,7 @@
 	}
 	upstreamFailed := upstreamFailed(c, o)
 	released = true
-	if !c.Response.IsBodyStream() {
+	if isBuffered(c) {
 		return o, u.releaseSlot(t, o, upstreamFailed, took, ended)
 	}
 	// The slot stays in use until the whole streamed response has been read.
@@ -353,6 +358,18 @@
 	return o, u.load(t, ended)
 }
 
+// incompleteOutcome returns the outcome of a call whose response ended early.
+func incompleteOutcome(c *kqcall.Call, now time.Time) kqcall.Outcome {
+	switch reason := c.Cancel.Reason(); {
+	case reason != kqcall.NoReason:
+		return kqcall.UnknownOutcome(reason)
+	case !now.Before(c.Deadline):
+		return kqcall.UnknownOutcome(kqcall.Timeout)
+	default:
+		return kqcall.UnknownOutcome(kqcall.Cut)
+	}
+}
+
 // reachedUpstream reports whether the upstream that the call was meant for may have got it.
 func reachedUpstream(o kqcall.Outcome) bool {
 	return o.Reason != kqcall.Misdirected && o.Reason != kqcall.ConnectFailed
