Nested calls have the class of the call that waits for them

A nested call now has the class of the call it is made for, and goes before the other calls of that class.

--- a/internal/call/kqnesting/nesting.go
+++ b/internal/call/kqnesting/nesting.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -22,6 +23,7 @@
 	Parent struct {
 		Caller kqname.Caller
 		Depth  int
+		Class  kqdocument.Class
 		// Repeat reports whether an upstream may have been sent the parent, or a call that
 		// the parent is nested in, before.
 		Repeat bool
@@ -59,7 +61,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.running[call.ID]
-	r.Parent = Parent{Caller: call.Caller, Depth: call.Depth, Repeat: call.Repeat}
+	r.Parent = Parent{Caller: call.Caller, Depth: call.Depth, Class: call.Class, Repeat: call.Repeat}
 	r.runs++
 	s.running[call.ID] = r
 }
--- a/internal/decide/kqslots/doc.go
+++ b/internal/decide/kqslots/doc.go
@@ -24,9 +24,11 @@
 // served. Once the oldest call of the queue has nearly used up its maximum wait, they are
 // served newest first, and a call that has waited too long is refused immediately.
 //
-// Nested calls have priority over all classes, both among short calls and among long jobs,
-// and their deadline counts rather than their target: the calling call holds a slot at its
-// own upstream meanwhile, and its work is lost if the nested call fails.
+// A nested call has the class of the call that waits for it, and goes before the other calls
+// of that class, both among short calls and among long jobs. Its deadline counts rather than
+// its target: the calling call holds a slot at its own upstream meanwhile, and its work is
+// lost if the nested call fails. Before more important classes, the nested calls of background
+// calls would take all slots of a service that both use.
 //
 // Long jobs are calls of routes that take at least 4 times the typical work, and so long
 // that an upstream that runs only such calls frees a slot at most every 100 ms. They wait in
--- a/internal/decide/kqslots/overload_test.go
+++ b/internal/decide/kqslots/overload_test.go
@@ -256,6 +256,28 @@
 	}
 }
 
+// Guards against nested calls of less important callers that take all slots of a service whose
+// own callers are more important. Offered load is 1.5 times the capacity, two thirds of it by
+// nested calls.
+func TestNestedCallsOfLessImportantCallersDoNotStarveOthers(t *testing.T) {
+	lookup := stream{
+		route: "lookup", class: "background", callers: 3, rate: 200, work: 30 * time.Millisecond,
+		target: 120 * time.Millisecond, deadline: 400 * time.Millisecond, sigma: 0.5, nested: true,
+	}
+	status := stream{
+		route: "status", class: "normal", callers: 11, rate: 62, work: 48 * time.Millisecond,
+		target: 300 * time.Millisecond, deadline: 2 * time.Second, sigma: 0.5,
+	}
+	all := simulateSeeds(load{slots: 6, duration: 30 * time.Second, maxRetries: 2, streams: []stream{lookup, status}})
+	t.Logf("nested %+v, status %+v", *all["lookup"], *all["status"])
+	if g := all["status"]; float64(g.inTime) < 0.95*float64(g.requests) {
+		t.Errorf("%d of %d important calls were answered in time, want 95%%", g.inTime, g.requests)
+	}
+	if g := all["lookup"]; float64(g.inTime+g.late) < 0.4*float64(g.requests) {
+		t.Errorf("%d of %d nested calls were answered, want 40%%, half of the slots", g.inTime+g.late, g.requests)
+	}
+}
+
 // Calls of an important route take 140 ms at a slow upstream and have a target of 150 ms,
 // which many of them miss even on an idle upstream. They must not be refused for this while
 // less important calls that can meet their target are served.
--- a/internal/decide/kqslots/queue.go
+++ b/internal/decide/kqslots/queue.go
@@ -12,7 +12,7 @@
 func (s *Slots) enqueue(t *Ticket, expected, left time.Duration, now time.Time) {
 	t.expectedWait = s.expectWait(t, expected, now)
 	wait := time.Duration(float64(t.expectedWait) * s.waitCorrection())
-	share := [priorityLevels]float64{nestedWaitShare, criticalWaitShare, normalWaitShare, backgroundWaitShare}[t.priority]
+	share := [priorityLevels]float64{nestedWaitShare, criticalWaitShare, nestedWaitShare, normalWaitShare, nestedWaitShare, backgroundWaitShare}[t.priority]
 	allowedWait := s.allowedWait(t, wait, time.Duration(share*float64(left)), now)
 	// A call that is not scheduled by its target is refused after twice the allowed wait,
 	// since the upstream must have become slower since the call was queued. If the allowed
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -19,8 +19,9 @@
 	// Refuse means that the call is refused for the reason in its Refusal.
 	Refuse
 
-	// priorityLevels counts the priorities: nested calls first, then the three classes.
-	priorityLevels = 4
+	// priorityLevels counts the priorities: for each of the three classes, nested calls, then
+	// the others.
+	priorityLevels = 6
 	// Limits on the expected wait of calls that have no target or cannot meet it, as shares
 	// of the time left until the deadline, by priority.
 	nestedWaitShare, criticalWaitShare, normalWaitShare, backgroundWaitShare = 0.6, 0.6, 0.6, 0.125
@@ -156,9 +157,9 @@
 
 // Enter decides whether the call runs, waits or is refused, and sets its verdict.
 func (s *Slots) Enter(t *Ticket, now time.Time) {
-	t.priority, t.isLongJob = 1+t.Class.Rank(), s.isLongJob(t.Route)
+	t.priority, t.isLongJob = 2*t.Class.Rank()+1, s.isLongJob(t.Route)
 	if t.Nested {
-		t.priority = 0
+		t.priority--
 	}
 	expected := s.work.Expect(t.Route)
 	if !t.isLongJob {
