--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -28,8 +28,6 @@
 	// QueueFull means that the gate's queue was too long for the call to start in time, or
 	// that no further connection to the gate or the upstream was allowed.
 	QueueFull Reason = "queue_full"
-	// Busy means that the gate had no slot free for a call that was not to wait there.
-	Busy Reason = "busy"
 	// Overload means that the entry refused the call without asking a gate, because the
 	// service's gates had refused too many calls before.
 	Overload Reason = "overload"
@@ -148,8 +146,6 @@
 		// Repeat reports whether an upstream may have been sent this call, or one that
 		// it is nested in, before.
 		Repeat bool
-		// NoWait asks the gate to refuse the call as Busy if it would have to wait there.
-		NoWait bool
 		// Starved reports whether a nested call that names this one as its parent was not
 		// served for lack of capacity, whatever this call's own outcome.
 		Starved  bool
@@ -186,7 +182,7 @@
 // Reasons returns every reason, for counters that need a bounded set of labels.
 func Reasons() []Reason {
 	return []Reason{
-		NoReason, NoRoute, NoConfig, NoUpstream, QueueFull, Busy, Overload, NotStartedInTime, RolledBack, Draining, Evacuated, Cold, RefusedByUpstream, ConnectFailed,
+		NoReason, NoRoute, NoConfig, NoUpstream, QueueFull, Overload, NotStartedInTime, RolledBack, Draining, Evacuated, Cold, RefusedByUpstream, ConnectFailed,
 		TooLarge, Malformed, TooSlow, Timeout, Cut, Cancelled, MismatchedResponse, Misdirected, NoMemory, Panicked,
 	}
 }
--- a/internal/call/kqcall/header.go
+++ b/internal/call/kqcall/header.go
@@ -57,11 +57,9 @@
 	// perMille is the scale at which a share is sent as an integer.
 	perMille  = 1000
 	separator = ';'
-	// The flags stand for the call's Idempotent, Repeat, NoWait and RefusalMeansNotRun.
-	// Gates of an earlier release ignore NoWait.
+	// The flags stand for the call's Idempotent, Repeat and RefusalMeansNotRun.
 	idempotentFlag = "i"
 	repeatFlag     = "p"
-	noWaitFlag     = "n"
 	refusalFlag    = "r"
 )
 
@@ -106,7 +104,7 @@
 	b := space[:0]
 	for _, field := range []string{
 		string(c.ID), string(c.Caller), string(c.Route), string(c.Service), string(c.Version), string(c.Class),
-		textIf(c.Idempotent, idempotentFlag) + textIf(c.Repeat, repeatFlag) + textIf(c.NoWait, noWaitFlag), textIf(c.RefusalMeansNotRun, refusalFlag), string(c.Origin),
+		textIf(c.Idempotent, idempotentFlag) + textIf(c.Repeat, repeatFlag), textIf(c.RefusalMeansNotRun, refusalFlag), string(c.Origin),
 	} {
 		b = append(append(b, field...), separator)
 	}
@@ -137,7 +135,7 @@
 	c := &Call{
 		ID: ID(fields[0]), Caller: kqname.Caller(fields[1]), Route: kqname.Route(fields[2]),
 		Service: kqname.Service(fields[3]), Version: kqname.UpstreamVersion(fields[4]), Class: kqdocument.Class(fields[5]),
-		Idempotent: strings.Contains(fields[6], idempotentFlag), Repeat: strings.Contains(fields[6], repeatFlag), NoWait: strings.Contains(fields[6], noWaitFlag), RefusalMeansNotRun: fields[7] == refusalFlag,
+		Idempotent: strings.Contains(fields[6], idempotentFlag), Repeat: strings.Contains(fields[6], repeatFlag), RefusalMeansNotRun: fields[7] == refusalFlag,
 		Origin: kqname.Service(fields[8]), Depth: depth, Arrived: now, Deadline: now.Add(time.Duration(timeout) * time.Microsecond),
 		Request: req, Response: resp,
 	}
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -220,23 +220,15 @@
 
 // sendAttempts sends the call to one upstream after another, until an attempt's outcome
 // needs no retry, no upstream is left, or the limits for retries allow no further attempt.
-// First, it polls some gates for a free slot. Those that are busy may be picked again for an
-// attempt that waits there.
 func (e *Entry) sendAttempts(f *callState, s *service, criteria kqpick.Criteria, now time.Time) kqcall.Outcome {
 	c := &f.call
 	var space [maxGates]kqname.Node
 	tried, limit, sends, possibleRuns, repeat := space[:0], maxAttempts(c), 0, 0, c.Repeat
-	all := e.directory.Upstreams(c.Service)
-	last := kqcall.Refuse(noUpstreamReason(all, criteria.Evacuated))
+	last := kqcall.Refuse(noUpstreamReason(e.directory.Upstreams(c.Service), criteria.Evacuated))
 	last.RetryAfter = defaultRetryAfter
-	polls, busy := s.polls(all, criteria, now), 0
 	for {
-		c.Version, c.NoWait = criteria.Version, polls > 0
+		c.Version = criteria.Version
 		to, gate, attempt := s.pick(c, e.directory.Upstreams(c.Service), criteria, tried, now)
-		if to == nil && busy > 0 {
-			tried, polls, busy = tried[:len(tried)-busy], 0, 0
-			continue
-		}
 		if to == nil && criteria.HasNext() {
 			criteria = criteria.Next()
 			continue
@@ -265,17 +257,6 @@
 		if last.Result != kqcall.NotRun {
 			possibleRuns++
 		}
-		if polls > 0 && isBusy(last) && now.Before(c.Deadline) && !c.Cancel.Done() {
-			attempt.RetryAllowed = true
-			f.sendAttempts = append(f.sendAttempts, attempt)
-			e.counter.Retried(last.Reason)
-			busy++
-			if polls--; polls == 0 {
-				tried, busy = tried[:len(tried)-busy], 0
-			}
-			continue
-		}
-		polls, busy = 0, 0
 		canRetry := sends < limit && len(tried) < maxGates && now.Before(c.Deadline) && !c.Cancel.Done()
 		attempt.RetryAllowed = canRetry && (s.spendRetry(c, last) || s.hasSpareGate(last, criteria, tried, now) || e.baselineRetries(c, last))
 		f.sendAttempts = append(f.sendAttempts, attempt)
@@ -297,15 +278,10 @@
 	return kqcall.NoUpstream
 }
 
-// isBusy reports whether a poll found no room at its gate.
-func isBusy(o kqcall.Outcome) bool {
-	return o.Result == kqcall.NotRun && (o.Reason == kqcall.Busy || o.Reason == kqcall.QueueFull || o.Reason == kqcall.Cold)
-}
-
 // isOverload reports whether a call with that outcome was not served for lack of capacity.
 func isOverload(o kqcall.Outcome) bool {
 	switch o.Reason {
-	case kqcall.QueueFull, kqcall.Busy, kqcall.Cold, kqcall.Overload, kqcall.RefusedByUpstream, kqcall.NotStartedInTime:
+	case kqcall.QueueFull, kqcall.Cold, kqcall.Overload, kqcall.RefusedByUpstream, kqcall.NotStartedInTime:
 		return true
 	default:
 		return false
--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -127,14 +127,6 @@
 	return p, p.Candidate, newAttempt(p, c, now)
 }
 
-// polls returns how many gates the call asks for a free slot before it queues at one.
-func (s *service) polls(all []kqmember.Candidate, criteria kqpick.Criteria, now time.Time) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.pool.Set(all, now)
-	return s.pool.Polls(criteria, now)
-}
-
 // recordAttempt records how an attempt ended, and reports whether the upstream is now
 // ejected.
 func (s *service) recordAttempt(c *kqcall.Call, to *kqpick.PoolUpstream, o kqcall.Outcome, load kqcall.Load, hasLoad bool, now time.Time) bool {
--- a/internal/decide/kqfifo/fifo.go
+++ b/internal/decide/kqfifo/fifo.go
@@ -31,8 +31,6 @@
 	case q.running < q.count:
 		q.running++
 		t.Verdict = kqslots.Run
-	case t.NoWait:
-		refuse(t, kqcall.Busy)
 	case len(q.waiting) >= maxWaitingPerSlot*q.count:
 		refuse(t, kqcall.QueueFull)
 	default:
--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -47,9 +47,6 @@
 	reportTTL = time.Second
 	// aggregateTTL is how long the median work and the utilization are cached.
 	aggregateTTL = 100 * time.Millisecond
-	// maxPolls is the largest number of upstreams that a call asks for a free slot. With
-	// three quarters of the slots in use, one of three upstreams has one in 19 of 20 cases.
-	maxPolls = 2
 	// unsaturatedReportTTL is how long a load report decides whether an upstream has a free
 	// slot while the service is not saturated: about the duration of a call.
 	unsaturatedReportTTL = 100 * time.Millisecond
--- a/internal/decide/kqpick/usage.go
+++ b/internal/decide/kqpick/usage.go
@@ -24,24 +24,6 @@
 	return false
 }
 
-// Polls returns how many upstreams a call asks for a free slot, one after the other, before it
-// queues at one: the load reports that an entry has are old, so it often picks an upstream
-// whose slots are all in use while others have some free. In a saturated service hardly any
-// has, and polls would only delay the call. There are none for criteria with a fallback, whose
-// attempts differ.
-func (p *Pool) Polls(criteria Criteria, now time.Time) int {
-	if p.uniform || criteria.HasNext() || p.utilization(now) >= saturatedUtilization {
-		return 0
-	}
-	others := -1
-	for _, upstream := range p.upstreams {
-		if criteria.allows(upstream.Candidate) && !upstream.state.Ejected() {
-			others++
-		}
-	}
-	return max(min(others, maxPolls), 0)
-}
-
 // LeastWork returns the least reported work of the route's calls at any upstream that is
 // not ejected, or 0 if none is known.
 func (p *Pool) LeastWork(route kqname.Route) time.Duration {
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -75,9 +75,6 @@
 		Caller kqname.Caller
 		Route  kqname.Route
 		Class  kqdocument.Class
-		// NoWait is set if the call is to be refused as busy rather than queued: its entry
-		// asks other gates for a free slot first.
-		NoWait bool
 		// Nested is set if the call is made by another call that waits for it.
 		Nested   bool
 		Deadline time.Time
@@ -150,6 +147,15 @@
 	return s
 }
 
+// Priority returns the priority of a call, from 0, served first, to priorityLevels-1.
+func Priority(class kqdocument.Class, nested bool) int {
+	priority := 2*class.Rank() + 1
+	if nested {
+		priority--
+	}
+	return priority
+}
+
 // WithFixedLimit takes the announced slots as the upstream's real concurrency and disables
 // learning the limit. Learning would reduce the throughput of such an upstream further
 // when it becomes slow for another reason.
@@ -157,10 +163,7 @@
 
 // Enter decides whether the call runs, waits or is refused, and sets its verdict.
 func (s *Slots) Enter(t *Ticket, now time.Time) {
-	t.priority, t.isLongJob = 2*t.Class.Rank()+1, s.isLongJob(t.Route)
-	if t.Nested {
-		t.priority--
-	}
+	t.priority, t.isLongJob = Priority(t.Class, t.Nested), s.isLongJob(t.Route)
 	expected := s.work.Expect(t.Route)
 	if !t.isLongJob {
 		s.shortDemand.add(expected, now)
@@ -174,8 +177,6 @@
 	case s.hasFreeSlot(t.isLongJob, now) && totalLen(s.queues(t)) == 0:
 		s.queue(t).RecordUnqueued(t.Caller, expected, now)
 		s.start(t, true)
-	case t.NoWait:
-		t.refuse(kqcall.Busy, minRetryAfter)
 	default:
 		s.enqueue(t, expected, left, now)
 	}
--- a/internal/run/kqrecord/record.go
+++ b/internal/run/kqrecord/record.go
@@ -60,10 +60,10 @@
 }
 
 // Ended implements kqentry.Recorder: it logs a call that ended at the entry. A call that
-// was answered without a failure on its first attempt, polls left out, is a routine success.
+// was answered without a failure on its first attempt is a routine success.
 func (r *Recorder) Ended(e kqentry.Record, now time.Time) {
 	r.counter.Took("call", now.Sub(e.Call.Arrived))
-	routine := e.Outcome.Result == kqcall.Answered && e.Status < minFailureStatus && countSends(e.Attempts) == 1
+	routine := e.Outcome.Result == kqcall.Answered && e.Status < minFailureStatus && len(e.Attempts) == 1
 	if !r.shouldLog(e.Call.ID, "call "+string(e.Outcome.Reason), routine, now) {
 		return
 	}
@@ -87,24 +87,13 @@
 	r.callLog.WithFields(fields).Info("Call ended.")
 }
 
-// countSends returns the number of attempts that were not polls of a busy gate.
-func countSends(list []kqentry.Attempt) int {
-	sends := 0
-	for _, t := range list {
-		if t.Outcome.Reason != kqcall.Busy {
-			sends++
-		}
-	}
-	return sends
-}
-
 // GateCallEnded implements kqgate.Recorder: it logs a call that ended at the gate.
 func (r *Recorder) GateCallEnded(g kqgate.Record, now time.Time) {
 	r.counter.Took("queue", g.Waited)
 	if g.Took > 0 {
 		r.counter.Took("upstream", g.Took)
 	}
-	routine := g.Outcome.Result == kqcall.Answered && g.Status < minFailureStatus || g.Outcome.Reason == kqcall.Busy
+	routine := g.Outcome.Result == kqcall.Answered && g.Status < minFailureStatus
 	if !r.shouldLog(g.Call.ID, "gate "+string(g.Outcome.Reason), routine, now) {
 		return
 	}
