Give the calls that a cold upstream bears to the most important callers

After a loss of power all woodshed servers are cold for three seconds and bear 364 calls a second of 1,300 that are asked.

While a cold upstream refuses calls of a priority, it refuses those of lower ones too, by the priorities of the queue for slots. In the test, 3 s with two thirds of unimportant calls: the important ones get more than twice the bound, the others at most half of one.

--- a/internal/call/kqgate/cold.go
+++ b/internal/call/kqgate/cold.go
@@ -86,34 +86,34 @@
 	return kqcold.NewAfter(s.Bound, processStart)
 }
 
-// check returns the verdict on a call that arrives now, without counting it.
-func (g *coldGuard) check(now time.Time) kqcold.Verdict {
+// check returns the verdict on a call of the priority that arrives now, without counting it.
+func (g *coldGuard) check(priority int, now time.Time) kqcold.Verdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.limiter.Check(now)
+	return g.limiter.Check(priority, now)
 }
 
-// admit counts a call that is about to be sent, and reports whether it may be. It checks the
+// admit counts a call of the priority that is about to be sent, and reports whether it may be. It checks the
 // upstream's health first if that is needed.
-func (g *coldGuard) admit(s ColdStart, d kqcall.Dialect, now func() time.Time) bool {
-	v := g.count(now())
+func (g *coldGuard) admit(s ColdStart, priority int, d kqcall.Dialect, now func() time.Time) bool {
+	v := g.count(priority, now())
 	if v != kqcold.Unproven {
 		return v == kqcold.Allowed
 	}
 	g.checkMu.Lock()
 	defer g.checkMu.Unlock()
 	// Another call may have checked meanwhile.
-	if v = g.count(now()); v != kqcold.Unproven {
+	if v = g.count(priority, now()); v != kqcold.Unproven {
 		return v == kqcold.Allowed
 	}
 	g.checkHealth(s, d, now())
-	return g.count(now()) == kqcold.Allowed
+	return g.count(priority, now()) == kqcold.Allowed
 }
 
-func (g *coldGuard) count(now time.Time) kqcold.Verdict {
+func (g *coldGuard) count(priority int, now time.Time) kqcold.Verdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.limiter.Admit(now)
+	return g.limiter.Admit(priority, now)
 }
 
 // forget takes back the latest call, which the upstream has not got.
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -286,10 +286,10 @@
 	r.Instance = a.Instance
 	u := g.upstream(a, now)
 	t := u.newTicket(c)
-	cold := g.coldStart(c)
+	cold, priority := g.coldStart(c), kqslots.Priority(c.Class, c.Depth > 0)
 	if cold.Bound > 0 {
 		u.cold.prepare(cold, a, g.local.ColdUntil(a.Address), g.started, now)
-		if u.cold.check(now) == kqcold.Refused {
+		if u.cold.check(priority, now) == kqcold.Refused {
 			load := u.load(t, now)
 			u.recycle(t)
 			return coldRefusal(), fullLoad(load)
@@ -306,7 +306,7 @@
 		o = kqcall.Refuse(reason)
 		return o, u.releaseSlot(t, o, false, 0, g.now())
 	}
-	if cold.Bound > 0 && !u.cold.admit(cold, g.dialect, g.now) {
+	if cold.Bound > 0 && !u.cold.admit(cold, priority, g.dialect, g.now) {
 		o = coldRefusal()
 		return o, fullLoad(u.releaseSlot(t, o, false, 0, g.now()))
 	}
--- a/internal/decide/kqcold/cold.go
+++ b/internal/decide/kqcold/cold.go
@@ -18,6 +18,11 @@
 	// upstream are spread. At once, they would queue for its slots, and all but the first
 	// would be late.
 	paceParts = 4
+	// yieldTime is for how long after the refusal of a call those of lower priority are
+	// refused too, while the upstream is cold: two parts of a span.
+	yieldTime = span / 2
+	// priorities is the number of priorities, of which 0 is the highest.
+	priorities = 6
 )
 
 type (
@@ -36,6 +41,8 @@
 		warmAt    time.Time
 		sinceWarm int
 		coldUntil time.Time
+		// refusedAt holds when a call of each priority was last refused.
+		refusedAt [priorities]time.Time
 	}
 )
 
@@ -63,9 +70,9 @@
 // Bound returns the number of calls that the upstream bears in a second.
 func (l *Limiter) Bound() int { return len(l.recent) }
 
-// Admit decides whether a call may be sent now, and counts it if it may.
-func (l *Limiter) Admit(now time.Time) Verdict {
-	v := l.Check(now)
+// Admit decides whether a call of the priority may be sent now, and counts it if it may.
+func (l *Limiter) Admit(priority int, now time.Time) Verdict {
+	v := l.Check(priority, now)
 	if v == Allowed {
 		l.recent[l.next] = now
 		l.next = (l.next + 1) % len(l.recent)
@@ -74,10 +81,13 @@
 	return v
 }
 
-// Check returns what Admit would, without counting a call.
-func (l *Limiter) Check(now time.Time) Verdict {
+// Check returns what Admit would, without counting a call that may be sent. A cold upstream
+// gets no calls of a priority while those of a higher one are refused.
+func (l *Limiter) Check(priority int, now time.Time) Verdict {
+	priority = min(max(priority, 0), priorities-1)
 	if l.isCold(now) {
-		if now.Before(l.NextAt()) {
+		if now.Before(l.nextAt()) || l.yields(priority, now) {
+			l.refusedAt[priority] = now
 			return Refused
 		}
 		return Allowed
@@ -89,8 +99,18 @@
 	return Unproven
 }
 
-// NextAt returns from when on a cold upstream bears a further call.
-func (l *Limiter) NextAt() time.Time {
+// yields reports whether a call of a higher priority was refused a moment ago.
+func (l *Limiter) yields(priority int, now time.Time) bool {
+	for _, at := range l.refusedAt[:priority] {
+		if !at.IsZero() && now.Sub(at) < yieldTime {
+			return true
+		}
+	}
+	return false
+}
+
+// nextAt returns from when on a cold upstream bears a further call.
+func (l *Limiter) nextAt() time.Time {
 	whole := l.latest(len(l.recent)).Add(span)
 	paced := l.latest(len(l.recent)/paceParts + 1).Add(span / paceParts)
 	if paced.After(whole) {
--- a/internal/decide/kqcold/cold_test.go
+++ b/internal/decide/kqcold/cold_test.go
@@ -25,7 +25,7 @@
 // one is needed.
 func (u *upstream) offer(interval, duration time.Duration) {
 	for end := u.now.Add(duration); u.now.Before(end); u.now = u.now.Add(interval) {
-		v := u.l.Admit(u.now)
+		v := u.l.Admit(0, u.now)
 		if v == kqcold.Unproven {
 			u.checks++
 			if u.now.Before(u.coldUntil) {
@@ -34,7 +34,7 @@
 				u.l.RecordWarm(u.now)
 			}
 			u.now = u.now.Add(2 * time.Millisecond)
-			v = u.l.Admit(u.now)
+			v = u.l.Admit(0, u.now)
 		}
 		if v != kqcold.Allowed {
 			u.refused++
@@ -152,7 +152,7 @@
 	l, now := kqcold.New(bound), time.Unix(1000, 0)
 	l.RecordCold(now.Add(time.Minute))
 	for range 10 * bound {
-		if v := l.Admit(now); v != kqcold.Allowed {
+		if v := l.Admit(0, now); v != kqcold.Allowed {
 			t.Fatalf("verdict %d", v)
 		}
 		l.Forget()
@@ -172,3 +172,41 @@
 		t.Errorf("%d calls in a second, want up to %d", most, bound)
 	}
 }
+
+// Guards against the few calls that a cold upstream bears going to less important callers: two
+// thirds of the calls have a low priority, a third a high one that alone exceeds the bound.
+func TestColdUpstreamServesTheMostImportantCalls(t *testing.T) {
+	l, now := kqcold.New(bound), time.Unix(1000, 0)
+	l.RecordCold(now.Add(3 * time.Second))
+	var served [2]int
+	for i := range 3 * 120 {
+		priority := []int{5, 5, 1}[i%3]
+		if l.Admit(priority, now) == kqcold.Allowed {
+			served[priority/5]++
+		}
+		now = now.Add(3 * time.Second / 360)
+	}
+	if served[0] < 2*bound || served[1] > bound/2 {
+		t.Errorf("%d important and %d other calls served, want most of %d important", served[0], served[1], 3*bound)
+	}
+}
+
+// Guards against a place that stays empty where the important calls do not need it.
+func TestColdUpstreamServesOthersToo(t *testing.T) {
+	l, now := kqcold.New(bound), time.Unix(1000, 0)
+	l.RecordCold(now.Add(3 * time.Second))
+	var served [2]int
+	for i := range 300 {
+		priority := 5
+		if i%30 == 0 {
+			priority = 1
+		}
+		if l.Admit(priority, now) == kqcold.Allowed {
+			served[priority/5]++
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	if served[0]+served[1] < bound {
+		t.Errorf("%d important and %d other calls served in 3 s, want at least %d", served[0], served[1], bound)
+	}
+}
