Do not take an announcement's arrival for a proof of warmth

Found by reading: a registration that is not cold ends its cold start when it arrives, and the limiter took that end for the word that the upstream was warm. A restarted node that used its upstream by the earlier process's entry then let a whole bound of calls through at once, beside those that the earlier process had just sent; a late announcement did the same. Only a health check, or a cold start whose stated end has passed, counts now.

TestRecoveredUpstreamIsNotTakenForWarm failed before (one crash) and passes. Also: a nested call has its caller's class where that states none, too.

--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -20,7 +20,6 @@
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqcallerretry"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
-	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -134,9 +133,8 @@
 		// sent reports whether an attempt is in progress or an earlier one may have run the
 		// call.
 		sent bool
-		// parentClass is the class of the call that this one is nested in, empty if it is
-		// unknown. A nested call is as urgent as the call that waits for it.
-		parentClass kqdocument.Class
+		// parent is the call that this one is nested in, nil if it is unknown.
+		parent *kqnesting.Parent
 		// firstTry is when the caller first made this call. callerDeadline is when the
 		// caller stops waiting, zero if it did not say. callKey identifies the caller and
 		// its request.
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -98,7 +98,7 @@
 	}
 	if parent, ok := e.nesting.Find(info.ParentID); ok && info.ParentID != "" {
 		c.Caller, c.Depth, c.Repeat = parent.Caller, parent.Depth+1, parent.Repeat
-		f.parentClass = parent.Class
+		f.parent = &parent
 	}
 	e.returningCallers.started(f, now)
 	e.watcher.Track(&f.watched, sequence, ctx.Conn(), &f.cancel, now)
@@ -157,8 +157,9 @@
 	f.version = snapshot.Version()
 	found, _ := snapshot.Service(route.Choose(rand.Float64()))
 	applyConfig(c, route, found, now)
-	if f.parentClass != "" {
-		c.Class = f.parentClass
+	if f.parent != nil {
+		// A nested call is as urgent as the call that waits for it.
+		c.Class = f.parent.Class
 	}
 	if !c.Target.IsZero() {
 		// The target counts from the caller's first attempt.
--- a/internal/call/kqgate/cold.go
+++ b/internal/call/kqgate/cold.go
@@ -71,8 +71,10 @@
 		g.limiter.Restart()
 	}
 	g.instance, g.startedMS = a.Instance, a.StartedMS
-	g.limiter.RecordCold(coldUntil)
-	if s.TrustsAnnouncements && !now.Before(coldUntil) {
+	switch {
+	case now.Before(coldUntil):
+		g.limiter.RecordCold(coldUntil)
+	case s.TrustsAnnouncements:
 		g.limiter.RecordWarm(now)
 	}
 }
--- a/internal/call/kqgate/cold_test.go
+++ b/internal/call/kqgate/cold_test.go
@@ -189,3 +189,28 @@
 		t.Errorf("%d crashes, want none", u.crashes)
 	}
 }
+
+// Guards against a restarted node that takes a recovered upstream for warm, beside which the
+// earlier process has just sent what it bears.
+func TestRecoveredUpstreamIsNotTakenForWarm(t *testing.T) {
+	t.Parallel()
+	u := newFragileUpstream(t, withBound())
+	u.restart(0)
+	u.load(t, 600*time.Millisecond)
+	recovered := u.local.Announcements()[0]
+	recovered.Sequence, recovered.WarmUpLeft = 0, 0
+	u.local = kqlocal.New(time.Minute, func([]kqmember.Upstream) {})
+	u.gate = kqgate.New(u.local, withBound())
+	if err := u.local.Recover(recovered, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	var group sync.WaitGroup
+	for range 60 {
+		group.Go(func() { u.gate.Do(newCall("/")) })
+		time.Sleep(5 * time.Millisecond)
+	}
+	group.Wait()
+	if u.crashes > 0 {
+		t.Errorf("%d crashes, want none", u.crashes)
+	}
+}
