--- a/internal/config/kqorigin/doc.go
+++ b/internal/config/kqorigin/doc.go
@@ -1,6 +1,6 @@
 // Package kqorigin builds configuration versions from keys that operators write
-// directly to the store: a whole document and, under keys of their own, rollout orders,
-// each of which adds one rollout to the document. It replaces kqcommit where operators do
+// directly to the store: a whole document and, under keys of their own, orders, each of which
+// adds a rollout or an evacuation to the document. It replaces kqcommit where operators do
 // not use this program's console and API, and writes nothing to the store but a record of
 // the document in force. Nodes that accept the same entries build the same objects, so that
 // peers can exchange them.
