kqgate: close idle health connections, hold the slot's guard over the check

Found on reading the diff: a panic in a health check would have kept its slot for good, since the guard against that began after it; the connection for health checks was never closed while idle. forward is split: who takes calls (findUpstream), and the exchange with a whole response. No decision changes.

--- a/internal/call/kqgate/cold.go
+++ b/internal/call/kqgate/cold.go
@@ -95,8 +95,8 @@
 	return g.limiter.Check(priority, now)
 }
 
-// admit counts a call of the priority that is about to be sent, and reports whether it may be. It checks the
-// upstream's health first if that is needed.
+// admit counts a call of the priority that is about to be sent, and reports whether it may be.
+// It checks the upstream's health first if that is needed.
 func (g *coldGuard) admit(s ColdStart, priority int, d kqcall.Dialect, now func() time.Time) bool {
 	v := g.count(priority, now())
 	if v != kqcold.Unproven {
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -218,8 +218,8 @@
 
 // Sweep closes connections that have been idle for too long. It also closes the queue of
 // each upstream that drains or is no longer announced at its address, or of all upstreams
-// if the gate itself drains or its failure domain is evacuated. An upstream that is no longer announced is deleted once its
-// last call has ended and its last connection is closed.
+// if the gate itself drains or its failure domain is evacuated. An upstream that is no longer
+// announced is deleted once its last call has ended and its last connection is closed.
 func (g *Gate) Sweep(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -232,7 +232,7 @@
 		case evacuated:
 			u.close(kqcall.Evacuated)
 		}
-		if u.client.Sweep(now) == 0 && (!ok || a.Address != key.address) && u.isIdle() {
+		if u.sweep(now) == 0 && (!ok || a.Address != key.address) && u.isIdle() {
 			delete(g.upstreams, key)
 		}
 	}
@@ -267,21 +267,9 @@
 // forward admits the call, sends it to the upstream and reports the result to the observer.
 // It returns the outcome and the upstream's load, and fills in the rest of the record.
 func (g *Gate) forward(c *kqcall.Call, r *Record, now time.Time) (kqcall.Outcome, kqcall.Load) {
-	if g.draining.Load() {
-		return kqcall.Refuse(kqcall.Draining), kqcall.Load{}
-	}
-	a, ok := g.local.Find(c.Service, c.Version)
-	if !ok {
-		return kqcall.Refuse(kqcall.NoUpstream), kqcall.Load{}
-	}
-	if a.Draining {
-		return kqcall.Refuse(kqcall.Draining), kqcall.Load{}
-	}
-	if g.evacuated() {
-		return kqcall.Refuse(kqcall.Evacuated), kqcall.Load{}
-	}
-	if g.guard.Refuses(c.Service, a.Version) {
-		return kqcall.Refuse(kqcall.RolledBack), kqcall.Load{}
+	a, reason := g.findUpstream(c)
+	if reason != kqcall.NoReason {
+		return kqcall.Refuse(reason), kqcall.Load{}
 	}
 	r.Instance = a.Instance
 	u := g.upstream(a, now)
@@ -306,10 +294,6 @@
 		o = kqcall.Refuse(reason)
 		return o, u.releaseSlot(t, o, false, 0, g.now())
 	}
-	if cold.Bound > 0 && !u.cold.admit(cold, priority, g.dialect, g.now) {
-		o = coldRefusal()
-		return o, fullLoad(u.releaseSlot(t, o, false, 0, g.now()))
-	}
 	began, released := g.now(), false
 	defer func() {
 		// Without this, a panic would leave its slot in use forever, and after a few panics
@@ -318,14 +302,14 @@
 			u.releaseSlot(t, kqcall.UnknownOutcome(kqcall.Panicked), true, 0, began)
 		}
 	}()
-	c.Instance = a.Instance
+	if cold.Bound > 0 && !u.cold.admit(cold, priority, g.dialect, g.now) {
+		o, released = coldRefusal(), true
+		return o, fullLoad(u.releaseSlot(t, o, false, 0, g.now()))
+	}
+	c.Instance, began = a.Instance, g.now()
 	g.nesting.Begin(c)
 	defer g.nesting.End(c.ID)
-	o = sendToUpstream(u, c, began)
-	if o.Result == kqcall.Answered && g.buffer.absorb(c) != nil {
-		c.Response.Reset()
-		o = incompleteOutcome(c, g.now())
-	}
+	o = g.exchange(u, c, began)
 	if cold.Bound > 0 && !reachedUpstream(o) {
 		u.cold.forget()
 	}
@@ -358,6 +342,36 @@
 	return o, u.load(t, ended)
 }
 
+// findUpstream returns the upstream for the call, or why it takes no calls.
+func (g *Gate) findUpstream(c *kqcall.Call) (kqlocal.Announcement, kqcall.Reason) {
+	a, ok := g.local.Find(c.Service, c.Version)
+	switch {
+	case g.draining.Load():
+		return a, kqcall.Draining
+	case !ok:
+		return a, kqcall.NoUpstream
+	case a.Draining:
+		return a, kqcall.Draining
+	case g.evacuated():
+		return a, kqcall.Evacuated
+	case g.guard.Refuses(c.Service, a.Version):
+		return a, kqcall.RolledBack
+	default:
+		return a, kqcall.NoReason
+	}
+}
+
+// exchange sends the call to the upstream and returns its outcome, once a response that fits
+// into the buffer has been read whole.
+func (g *Gate) exchange(u *upstream, c *kqcall.Call, now time.Time) kqcall.Outcome {
+	o := sendToUpstream(u, c, now)
+	if o.Result != kqcall.Answered || g.buffer.absorb(c) == nil {
+		return o
+	}
+	c.Response.Reset()
+	return incompleteOutcome(c, g.now())
+}
+
 // incompleteOutcome returns the outcome of a call whose response ended early.
 func incompleteOutcome(c *kqcall.Call, now time.Time) kqcall.Outcome {
 	switch reason := c.Cancel.Reason(); {
--- a/internal/call/kqgate/upstream.go
+++ b/internal/call/kqgate/upstream.go
@@ -200,6 +200,9 @@
 	wake(u.queue.Close(reason))
 }
 
+// sweep closes connections that have been idle for too long and returns how many are open.
+func (u *upstream) sweep(now time.Time) int { return u.client.Sweep(now) + u.cold.client.Sweep(now) }
+
 // isIdle reports whether no call runs or waits.
 func (u *upstream) isIdle() bool {
 	u.mu.Lock()
