--- a/internal/call/kqgate/buffer_test.go
+++ b/internal/call/kqgate/buffer_test.go
@@ -7,13 +7,9 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
-	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
-	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
-	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
 // Guards against a slot that stays in use until a slow caller has received a large response,
@@ -29,11 +25,7 @@
 		fmt.Fprint(w, strings.Repeat("a", size))
 	}))
 	defer server.Close()
-	local := kqlocal.New(time.Minute, func([]kqmember.Upstream) {})
-	if err := local.Announce(kqlocal.Announcement{Service: "store", Version: "v1", Address: kqname.Address(server.Listener.Addr().String()), Slots: 1}, time.Now()); err != nil {
-		t.Fatal(err)
-	}
-	g := kqgate.New(local)
+	g := kqgate.New(announceServer(t, server))
 	var calls []*kqcall.Call
 	for i := range 3 {
 		c := newCall("/")
--- a/internal/call/kqgate/evacuation_test.go
+++ b/internal/call/kqgate/evacuation_test.go
@@ -9,9 +9,6 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
-	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
-	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
-	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
 // Guards against calls that wait at a gate whose failure domain is evacuated, and run after
@@ -21,13 +18,9 @@
 	release := make(chan struct{})
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
 	defer server.Close()
-	local := kqlocal.New(time.Minute, func([]kqmember.Upstream) {})
-	if err := local.Announce(kqlocal.Announcement{Service: "store", Version: "v1", Address: kqname.Address(server.Listener.Addr().String()), Slots: 1}, time.Now()); err != nil {
-		t.Fatal(err)
-	}
 	var mu sync.Mutex
 	isEvacuated := false
-	g := kqgate.New(local, kqgate.WithEvacuation(func() bool {
+	g := kqgate.New(announceServer(t, server), kqgate.WithEvacuation(func() bool {
 		mu.Lock()
 		defer mu.Unlock()
 		return isEvacuated
