--- /dev/null
+++ b/internal/call/kqgate/forward.go
@@ -0,0 +1,204 @@
+package kqgate
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqcold"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqslots"
+)
+
+// callerCheckAfter is how long a call must have waited before its caller's connection is
+// checked: each check costs a system call.
+const callerCheckAfter = time.Millisecond
+
+// forward admits the call, sends it to the upstream and reports the result to the observer.
+// It returns the outcome and the upstream's load, and fills in the rest of the record.
+func (g *Gate) forward(c *kqcall.Call, r *Record, now time.Time) (kqcall.Outcome, kqcall.Load) {
+	a, reason := g.findUpstream(c)
+	if reason != kqcall.NoReason {
+		return kqcall.Refuse(reason), kqcall.Load{}
+	}
+	r.Instance = a.Instance
+	u := g.upstream(a, now)
+	t := u.newTicket(c)
+	cold, priority := g.coldStart(c), kqslots.Priority(c.Class, c.Depth > 0)
+	if cold.Bound > 0 {
+		u.cold.prepare(cold, a, g.local.ColdUntil(a.Address), g.started, now)
+		if u.cold.check(priority, now) == kqcold.Refused {
+			load := u.load(t, now)
+			u.recycle(t)
+			return coldRefusal(), fullLoad(load)
+		}
+	}
+	o := u.admit(t, c, now)
+	r.Waited = g.now().Sub(now)
+	if o.Result != kqcall.Answered {
+		load := u.load(t, now)
+		u.recycle(t)
+		return o, load
+	}
+	if reason := cancelReason(c, r.Waited); reason != kqcall.NoReason {
+		o = kqcall.Refuse(reason)
+		return o, u.releaseSlot(t, o, false, 0, g.now())
+	}
+	began, released := g.now(), false
+	defer func() {
+		// Without this, a panic would leave its slot in use forever, and after a few panics
+		// the upstream would get no calls.
+		if !released {
+			u.releaseSlot(t, kqcall.UnknownOutcome(kqcall.Panicked), true, 0, began)
+		}
+	}()
+	if cold.Bound > 0 && !u.cold.admit(cold, priority, g.dialect, g.now) {
+		o, released = coldRefusal(), true
+		return o, fullLoad(u.releaseSlot(t, o, false, 0, g.now()))
+	}
+	c.Instance, began = a.Instance, g.now()
+	g.nesting.Begin(c)
+	defer g.nesting.End(c.ID)
+	o = g.exchange(u, c, began)
+	if cold.Bound > 0 && !reachedUpstream(o) {
+		u.cold.forget()
+	}
+	c.Starved = g.nesting.Starved(c.ID)
+	ended := g.now()
+	took := ended.Sub(began)
+	r.Took = took
+	if u.updateUnreachable(o, ended) {
+		g.withdrawer.Withdraw(a.Address, ended)
+	}
+	// Here Draining means that this node stopped before the call ended, which is not a
+	// failure of the upstream.
+	if o.Reason != kqcall.Draining {
+		g.observer.Observe(Observation{
+			Service: c.Service, Version: a.Version, Route: c.Route, Outcome: o,
+			Status: upstreamStatus(c, o), Began: began, Took: took,
+		})
+	}
+	upstreamFailed := upstreamFailed(c, o)
+	released = true
+	if isBuffered(c) {
+		return o, u.releaseSlot(t, o, upstreamFailed, took, ended)
+	}
+	// The slot stays in use until the whole streamed response has been read.
+	c.Finish = func() {
+		c.Finish = nil
+		now := g.now()
+		u.releaseSlot(t, o, upstreamFailed, now.Sub(began), now)
+	}
+	return o, u.load(t, ended)
+}
+
+// findUpstream returns the upstream for the call, or why it takes no calls.
+func (g *Gate) findUpstream(c *kqcall.Call) (kqlocal.Announcement, kqcall.Reason) {
+	a, ok := g.local.Find(c.Service, c.Version)
+	switch {
+	case g.draining.Load():
+		return a, kqcall.Draining
+	case !ok:
+		return a, kqcall.NoUpstream
+	case a.Draining:
+		return a, kqcall.Draining
+	case g.evacuated():
+		return a, kqcall.Evacuated
+	case g.guard.Refuses(c.Service, a.Version):
+		return a, kqcall.RolledBack
+	default:
+		return a, kqcall.NoReason
+	}
+}
+
+// exchange sends the call to the upstream and returns its outcome, once a response that fits
+// into the buffer has been read whole.
+func (g *Gate) exchange(u *upstream, c *kqcall.Call, now time.Time) kqcall.Outcome {
+	o := sendToUpstream(u, c, now)
+	if o.Result != kqcall.Answered || g.buffer.absorb(c) == nil {
+		return o
+	}
+	c.Response.Reset()
+	return incompleteOutcome(c, g.now())
+}
+
+// incompleteOutcome returns the outcome of a call whose response ended early.
+func incompleteOutcome(c *kqcall.Call, now time.Time) kqcall.Outcome {
+	switch reason := c.Cancel.Reason(); {
+	case reason != kqcall.NoReason:
+		return kqcall.UnknownOutcome(reason)
+	case !now.Before(c.Deadline):
+		return kqcall.UnknownOutcome(kqcall.Timeout)
+	default:
+		return kqcall.UnknownOutcome(kqcall.Cut)
+	}
+}
+
+// reachedUpstream reports whether the upstream that the call was meant for may have got it.
+func reachedUpstream(o kqcall.Outcome) bool {
+	return o.Reason != kqcall.Misdirected && o.Reason != kqcall.ConnectFailed
+}
+
+// cancelReason returns why a call that has waited must not run any more, or NoReason.
+func cancelReason(c *kqcall.Call, waited time.Duration) kqcall.Reason {
+	if waited >= callerCheckAfter && c.CheckCaller != nil {
+		c.CheckCaller()
+	}
+	return c.Cancel.Reason()
+}
+
+// upstreamFailed reports whether a call that was sent counts as the upstream's failure: it
+// was answered 5xx, or it was not answered although its caller stayed connected and this
+// node did not stop.
+func upstreamFailed(c *kqcall.Call, o kqcall.Outcome) bool {
+	if o.Result == kqcall.Answered {
+		return c.Response.StatusCode() >= fasthttp.StatusInternalServerError
+	}
+	return o.Reason != kqcall.Cancelled && o.Reason != kqcall.Draining
+}
+
+// upstream returns the state of the announced upstream, creating it at the first call.
+func (g *Gate) upstream(a kqlocal.Announcement, now time.Time) *upstream {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	key := upstreamKey{a.Address, a.Service, a.Version}
+	u, ok := g.upstreams[key]
+	if !ok {
+		u = newUpstream(a, g.queue(a.Slots, a.Address), g.dialect)
+		g.upstreams[key] = u
+	}
+	u.update(a, now)
+	return u
+}
+
+// sendToUpstream sends the call and returns its outcome. A response which says that the
+// call did not run becomes a refusal.
+func sendToUpstream(u *upstream, c *kqcall.Call, now time.Time) kqcall.Outcome {
+	c.WriteUpstreamHeaders(now)
+	o := u.client.Do(c)
+	if o.Result != kqcall.Answered {
+		return o
+	}
+	kqcall.StripResponse(&c.Response.Header)
+	if c.Dialect != nil {
+		if v := c.Dialect.ReadVerdict(c); v.NotRunReason != kqcall.NoReason {
+			c.Response.Reset()
+			return kqcall.Refuse(v.NotRunReason)
+		}
+		return o
+	}
+	if c.RefusalMeansNotRun && c.Response.StatusCode() == fasthttp.StatusServiceUnavailable {
+		return kqcall.Refuse(kqcall.RefusedByUpstream)
+	}
+	return o
+}
+
+// upstreamStatus returns the HTTP status with which the upstream answered or shed the call,
+// 0 for any other outcome. It is always 200 if a dialect says that the call was shed.
+func upstreamStatus(c *kqcall.Call, o kqcall.Outcome) int {
+	if o.Result != kqcall.Answered && o.Reason != kqcall.RefusedByUpstream {
+		return 0
+	}
+	return c.Response.StatusCode()
+}
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -86,8 +86,8 @@
 }
 
 // coldStart returns what the upstreams of a call's service bear while they are cold, by the
-// node's configuration or, without one, by the call. A bound has the operators' overage and
-// slack, less one call as a margin.
+// node's configuration or, without one, by the call. The bound is the service's rate times the
+// operators' factor, plus their extra calls, less one as a margin.
 func (n *Node) coldStart(call *kqcall.Call) kqgate.ColdStart {
 	cold := kqgate.ColdStart{Duration: call.Cold.Duration}
 	rate := call.Cold.Rate
@@ -97,7 +97,7 @@
 		cold.HealthPath, cold.TrustsAnnouncements = s.HealthPath, s.HealthPath == ""
 	}
 	if rate > 0 {
-		cold.Bound = max(int(rate*n.settings.Call.ColdOverage+n.settings.Call.ColdSlack)-1, 1)
+		cold.Bound = max(int(rate*n.settings.Call.ColdRateFactor+n.settings.Call.ColdRateExtra)-1, 1)
 	}
 	return cold
 }
--- a/internal/run/kqsettings/settings.go
+++ b/internal/run/kqsettings/settings.go
@@ -73,15 +73,15 @@
 
 	// Call configures limits and policies for the calls that the node serves.
 	Call struct {
-		ReadTimeout time.Duration `key:"read_timeout" default:"10s" min:"50ms" max:"10m" doc:"Longest time that a call may take to arrive whole."`
-		MaxBody     int           `key:"max_body" default:"4MB" min:"1KB" max:"64MB" unit:"bytes" doc:"Largest request body that is taken."`
-		BodyMemory  int           `key:"body_memory" default:"0" min:"0" max:"16GB" unit:"bytes" doc:"Bytes of request bodies over 64 KB that are held at once, and half as many of smaller ones beside them, further ones are refused; 0 takes a quarter of [node] memory, or 256MB where it states none."`
-		RepeatRatio float64       `key:"repeat_ratio" default:"0" min:"0" max:"1" doc:"Sendings beyond the first that all nodes together may add to a service's calls, as a part of them; 0 keeps to this program's own budget."`
-		RepeatSlack float64       `key:"repeat_slack" default:"0" min:"0" max:"1000000" doc:"How many may be added beside repeat_ratio in any window of some seconds."`
-		ColdOverage float64       `key:"cold_overage" default:"1" min:"1" max:"100" doc:"By what factor the calls in any second may exceed the rate that a service states for its cold upstreams."`
-		ColdSlack   float64       `key:"cold_slack" default:"0" min:"0" max:"1000000" doc:"How many calls more than that a cold upstream may get in any second."`
-		SlotMode    string        `key:"slots" default:"learnt" one_of:"learnt,exact" doc:"Whether upstreams may run fewer calls at once than they announce, which is then learnt from their latency, or run exactly as many."`
-		Policy      string        `key:"policy" default:"kumquatgw" one_of:"kumquatgw,baseline" doc:"Decisions under load; baseline (first-come queue, random choice, plain retries) is for comparison only."`
+		ReadTimeout    time.Duration `key:"read_timeout" default:"10s" min:"50ms" max:"10m" doc:"Longest time that a call may take to arrive whole."`
+		MaxBody        int           `key:"max_body" default:"4MB" min:"1KB" max:"64MB" unit:"bytes" doc:"Largest request body that is taken."`
+		BodyMemory     int           `key:"body_memory" default:"0" min:"0" max:"16GB" unit:"bytes" doc:"Bytes of request bodies over 64 KB that are held at once, and half as many of smaller ones beside them, further ones are refused; 0 takes a quarter of [node] memory, or 256MB where it states none."`
+		RepeatRatio    float64       `key:"repeat_ratio" default:"0" min:"0" max:"1" doc:"Sendings beyond the first that all nodes together may add to a service's calls, as a part of them; 0 keeps to this program's own budget."`
+		RepeatSlack    float64       `key:"repeat_slack" default:"0" min:"0" max:"1000000" doc:"How many may be added beside repeat_ratio in any window of some seconds."`
+		ColdRateFactor float64       `key:"cold_rate_factor" default:"1" min:"1" max:"100" doc:"By what factor the calls in any second may exceed the rate that a service states for its cold upstreams."`
+		ColdRateExtra  float64       `key:"cold_rate_extra" default:"0" min:"0" max:"1000000" doc:"How many calls more than that a cold upstream may get in any second."`
+		SlotMode       string        `key:"slots" default:"learnt" one_of:"learnt,exact" doc:"Whether upstreams may run fewer calls at once than they announce, which is then learnt from their latency, or run exactly as many."`
+		Policy         string        `key:"policy" default:"kumquatgw" one_of:"kumquatgw,baseline" doc:"Decisions under load; baseline (first-come queue, random choice, plain retries) is for comparison only."`
 	}
 
 	// Admin configures the admin server and operators' access to it.
