Read, log and count the limits and departures that upstreams state in answers

Change: dialects read a Condition from each answer; the gate beside the upstream logs limit_named, limit_changed, limit_ended, leaving and condition_invalid, with calls sent and refused, and has two metrics. Lines are bounded. No call is handled differently. Result: tests of kqcall, kqconditionlog, kqgate and kqwire pass.

--- a/cmd/kumquatgw/panic_adapters_test.go
+++ b/cmd/kumquatgw/panic_adapters_test.go
@@ -77,7 +77,8 @@
 	return kqcall.Verdict{}
 }
 
-func (panickingDialect) ReadHealth(*fasthttp.ResponseHeader) kqcall.Health { return kqcall.Health{} }
+func (panickingDialect) ReadCondition(*fasthttp.ResponseHeader) (c kqcall.Condition) { return c }
+func (panickingDialect) ReadHealth(*fasthttp.ResponseHeader) kqcall.Health           { return kqcall.Health{} }
 
 func (panickingDialect) RetryAfter(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
--- a/internal/call/kqcall/dialect.go
+++ b/internal/call/kqcall/dialect.go
@@ -23,6 +23,8 @@
 		IsAnswer(c *Call) bool
 		// ReadVerdict reads from the answer to the call whether the call ran.
 		ReadVerdict(c *Call) Verdict
+		// ReadCondition reads what an upstream's answer says of the upstream itself.
+		ReadCondition(h *fasthttp.ResponseHeader) Condition
 		// ReadHealth reads an upstream's answer to a health check.
 		ReadHealth(h *fasthttp.ResponseHeader) Health
 		// RetryAfter formats how long a refused caller should wait before it retries.
--- a/internal/call/kqentry/returning_callers_test.go
+++ b/internal/call/kqentry/returning_callers_test.go
@@ -31,10 +31,11 @@
 func (timeoutDialect) Accept(h *fasthttp.RequestHeader) kqcall.CallInfo {
 	return kqcall.CallInfo{ID: kqcall.ID(h.Peek("Id")), TimeLeft: callerTimeout, ParentID: kqcall.ID(h.Peek("Above"))}
 }
-func (timeoutDialect) WriteUpstreamHeaders(*kqcall.Call, time.Duration)  {}
-func (timeoutDialect) IsAnswer(*kqcall.Call) bool                        { return true }
-func (timeoutDialect) ReadVerdict(*kqcall.Call) kqcall.Verdict           { return kqcall.Verdict{} }
-func (timeoutDialect) ReadHealth(*fasthttp.ResponseHeader) kqcall.Health { return kqcall.Health{} }
+func (timeoutDialect) WriteUpstreamHeaders(*kqcall.Call, time.Duration)            {}
+func (timeoutDialect) IsAnswer(*kqcall.Call) bool                                  { return true }
+func (timeoutDialect) ReadVerdict(*kqcall.Call) kqcall.Verdict                     { return kqcall.Verdict{} }
+func (timeoutDialect) ReadCondition(*fasthttp.ResponseHeader) (c kqcall.Condition) { return c }
+func (timeoutDialect) ReadHealth(*fasthttp.ResponseHeader) kqcall.Health           { return kqcall.Health{} }
 
 func (timeoutDialect) RetryAfter(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -60,7 +60,8 @@
 	c.Instance, began = a.Instance, g.now()
 	g.nesting.Begin(c)
 	defer g.nesting.End(c.ID)
-	o = g.exchange(u, c, began)
+	u.condition.recordSent()
+	o = g.exchange(u, a, c, began)
 	if cold.Bound > 0 && !reachedUpstream(o) {
 		u.cold.forget()
 	}
@@ -114,8 +115,8 @@
 
 // exchange sends the call to the upstream and returns its outcome, once a response that fits
 // into the buffer has been read whole.
-func (g *Gate) exchange(u *upstream, c *kqcall.Call, now time.Time) kqcall.Outcome {
-	o := sendToUpstream(u, c, now)
+func (g *Gate) exchange(u *upstream, a kqlocal.Announcement, c *kqcall.Call, now time.Time) kqcall.Outcome {
+	o := g.sendToUpstream(u, a, c, now)
 	if o.Result != kqcall.Answered || g.buffer.absorb(c) == nil {
 		return o
 	}
@@ -165,7 +166,7 @@
 	key := upstreamKey{a.Address, a.Service, a.Version}
 	u, ok := g.upstreams[key]
 	if !ok {
-		u = newUpstream(a, g.queue(a.Slots, a.Address), g.dialect)
+		u = newUpstream(a, g.queue(a.Slots, a.Address), g.dialect, g.conditions)
 		g.upstreams[key] = u
 	}
 	u.update(a, now)
@@ -174,12 +175,13 @@
 
 // sendToUpstream sends the call and returns its outcome. A response which says that the
 // call did not run becomes a refusal.
-func sendToUpstream(u *upstream, c *kqcall.Call, now time.Time) kqcall.Outcome {
+func (g *Gate) sendToUpstream(u *upstream, a kqlocal.Announcement, c *kqcall.Call, now time.Time) kqcall.Outcome {
 	c.WriteUpstreamHeaders(now)
 	o := u.client.Do(c)
 	if o.Result != kqcall.Answered {
 		return o
 	}
+	u.condition.update(a, kqcall.ReadCondition(c.Dialect, &c.Response.Header), now, g.now())
 	kqcall.StripResponse(&c.Response.Header)
 	if c.Dialect != nil {
 		if v := c.Dialect.ReadVerdict(c); v.NotRunReason != kqcall.NoReason {
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -86,6 +86,7 @@
 		now        func() time.Time
 		dialect    kqcall.Dialect
 		recorder   Recorder
+		conditions ConditionRecorder
 		supervisor *kqsupervisor.Supervisor
 		nesting    *kqnesting.Calls
 		sequence   atomic.Uint64
@@ -130,7 +131,7 @@
 		Waited, Took time.Duration
 	}
 
-	// noop implements Withdrawer, Observer, Counter and Guard where no option sets them.
+	// noop implements Withdrawer, Observer, Counter, Guard and ConditionRecorder where no option sets them.
 	noop struct{}
 )
 
@@ -156,7 +157,7 @@
 func New(local Finder, options ...Option) *Gate {
 	g := &Gate{
 		local: local, withdrawer: noop{}, observer: noop{}, guard: noop{}, evacuated: func() bool { return false },
-		coldStart: func(*kqcall.Call) ColdStart { return ColdStart{} }, started: time.Now(), counter: noop{}, recorder: noopRecorder{}, now: time.Now, watcher: kqdisconnect.New(),
+		coldStart: func(*kqcall.Call) ColdStart { return ColdStart{} }, started: time.Now(), counter: noop{}, recorder: noopRecorder{}, conditions: noop{}, now: time.Now, watcher: kqdisconnect.New(),
 		upstreams: make(map[upstreamKey]*upstream), nesting: kqnesting.New(),
 		queue: func(slots int, address kqname.Address) queue {
 			return kqslots.New(slots, saltOf(address))
@@ -227,6 +228,7 @@
 			u.close(kqcall.Evacuated)
 		}
 		if u.sweep(now) == 0 && (!ok || a.Address != key.address) && u.isIdle() {
+			u.condition.end(now)
 			delete(g.upstreams, key)
 		}
 	}
--- a/internal/call/kqgate/options.go
+++ b/internal/call/kqgate/options.go
@@ -13,6 +13,9 @@
 // WithRecorder sets the recorder that gets a record of each call.
 func WithRecorder(r Recorder) Option { return func(g *Gate) { g.recorder = r } }
 
+// WithConditionRecorder sets the recorder of what upstreams say of themselves.
+func WithConditionRecorder(r ConditionRecorder) Option { return func(g *Gate) { g.conditions = r } }
+
 // WithCounter sets the counter of outcomes.
 func WithCounter(c Counter) Option { return func(g *Gate) { g.counter = c } }
 
--- a/internal/call/kqgate/upstream.go
+++ b/internal/call/kqgate/upstream.go
@@ -46,8 +46,9 @@
 
 	// upstream holds the queue and the connections of one local upstream.
 	upstream struct {
-		client *kqsend.Client
-		cold   *coldGuard
+		client    *kqsend.Client
+		cold      *coldGuard
+		condition *condition
 
 		mu    sync.Mutex
 		queue queue
@@ -66,15 +67,16 @@
 	timers  = sync.Pool{New: func() any { return time.NewTimer(time.Hour) }}
 )
 
-func newUpstream(a kqlocal.Announcement, q queue, d kqcall.Dialect) *upstream {
+func newUpstream(a kqlocal.Announcement, q queue, d kqcall.Dialect, r ConditionRecorder) *upstream {
 	options := []kqsend.Option{kqsend.WithMaxConnections(max(maxConnections, a.Slots)), kqsend.WithIdleTimeout(upstreamIdleTimeout)}
 	if d != nil {
 		options = append(options, kqsend.WithResponseMatcher(d.IsAnswer))
 	}
 	return &upstream{
 		slots: a.Slots, queue: q,
-		client: kqsend.New(a.Address, options...),
-		cold:   newColdGuard(a.Address),
+		client:    kqsend.New(a.Address, options...),
+		cold:      newColdGuard(a.Address),
+		condition: newCondition(r),
 	}
 }
 
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -18,6 +18,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqnesting"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqallowance"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqconditionlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqrecord"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -67,6 +68,7 @@
 		gate, entry = append(gate, kqgate.WithBaseline()), append(entry, kqentry.WithBaseline())
 	}
 	n.recorder = kqrecord.New(n.logger.Part("call"), n.logger.Part("gate"), n.settings.Log.SampleEvery, n.settings.Log.PerReason, n.metrics)
+	gate = append(gate, kqgate.WithConditionRecorder(kqconditionlog.New(n.logger.Part("upstream"), n.metrics)))
 	gate, entry = append(gate, kqgate.WithRecorder(n.recorder)), append(entry, kqentry.WithRecorder(n.recorder))
 	if d := n.adapter.Dialect; d != nil {
 		gate, entry = append(gate, kqgate.WithDialect(d)), append(entry, kqentry.WithDialect(d), kqentry.WithOrigin(n.settings.Node.Service))
