Keep the calls to an upstream within the limit that it names in its answers

Cause: no code read the limit. Answers were read for the verdict on their own call only; what they say of the upstream, for the calls that follow, was dropped. Evidence: arrivals did not change when the limit was named; no node refused a call for it; TestUpstreamGetsItsLimitFromAllNodesTogether, 118 calls in 4 s at a limit of 10 (65 allowed), failing since. Fix: the gate, which every call to the upstream passes, keeps all nodes' calls to the limit (kqratelimit: a token bucket and a sliding window). The excess is refused at once as limited and goes where there is room; classes decide who gets the few calls. Entries hold what a gate has told them and give it back with later calls, so that a gate whose process starts anew knows the limit before the first answer. Why it works: there is one counter for one upstream, where its word arrives first.

--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -44,6 +44,8 @@
 	// Cold means that the upstream is cold, or may be, and has got as many calls lately as
 	// a cold one bears.
 	Cold Reason = "cold"
+	// Limited means that the upstream names a limit of calls a second and has got as many.
+	Limited Reason = "limited"
 	// RefusedByUpstream means that the upstream refused the call and did not run it. It says
 	// so by the dialect, or by a 503 if its service's configuration states that this means
 	// "not run".
@@ -160,6 +162,9 @@
 		// Cold is the service's ColdStart. The gate of a node that has just started may not
 		// have the service's configuration yet.
 		Cold ColdStart
+		// Hint is what the calling node knows of the condition of the gate's upstream and,
+		// once the gate has handled the call, what the gate knows of it.
+		Hint Hint
 		// Instance is the upstream that the call is meant for; empty accepts any.
 		Instance kqname.Instance
 		// Dialect is how caller and upstream express a call's data in headers; nil means
@@ -182,7 +187,7 @@
 // Reasons returns every reason, for counters that need a bounded set of labels.
 func Reasons() []Reason {
 	return []Reason{
-		NoReason, NoRoute, NoConfig, NoUpstream, QueueFull, Overload, NotStartedInTime, RolledBack, Draining, Evacuated, Cold, RefusedByUpstream, ConnectFailed,
+		NoReason, NoRoute, NoConfig, NoUpstream, QueueFull, Overload, NotStartedInTime, RolledBack, Draining, Evacuated, Cold, Limited, RefusedByUpstream, ConnectFailed,
 		TooLarge, Malformed, TooSlow, Timeout, Cut, Cancelled, MismatchedResponse, Misdirected, NoMemory, Panicked,
 	}
 }
--- a/internal/call/kqcall/header.go
+++ b/internal/call/kqcall/header.go
@@ -115,6 +115,7 @@
 	}
 	c.Request.Header.SetBytesV(headerCall, b)
 	c.Cold.write(&c.Request.Header)
+	c.Hint.write(&c.Request.Header)
 }
 
 // Read returns the call whose fields Write put into a request, or ErrMalformed if they are
@@ -142,7 +143,7 @@
 	if target, err := strconv.ParseInt(fields[11], 10, 64); err == nil {
 		c.Target = now.Add(time.Duration(target) * time.Microsecond)
 	}
-	c.Cold = readColdStart(&req.Header)
+	c.Cold, c.Hint = readColdStart(&req.Header), parseHint(string(req.Header.Peek(headerHint)))
 	if c.ID == "" || c.Service == "" {
 		return nil, fmt.Errorf("call id or service is missing: %w", ErrMalformed)
 	}
@@ -191,6 +192,7 @@
 	h := &c.Request.Header
 	h.Del(headerCall)
 	h.Del(headerCold)
+	h.Del(headerHint)
 	if c.Dialect != nil {
 		c.Dialect.WriteUpstreamHeaders(c, max(c.Deadline.Sub(now), time.Millisecond))
 		return
@@ -212,6 +214,7 @@
 	h := &c.Response.Header
 	h.Del(headerLoad)
 	h.Del(headerStarved)
+	h.Del(headerHint)
 	h.Set(HeaderID, string(c.ID))
 	h.Set(HeaderResult, string(o.Result))
 	if o.Reason != NoReason {
--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -112,6 +112,7 @@
 		// returningCallers remembers calls without a successful answer whose callers may
 		// retry them.
 		returningCallers returningCallers
+		hints            hints
 
 		idPrefix    string
 		sequence    atomic.Uint64
@@ -210,7 +211,7 @@
 		splitter: defaultSplitter{}, counter: noopCounter{}, recorder: noopRecorder{}, watcher: kqdisconnect.New(), onForged: func() {}, started: time.Now(), now: time.Now,
 		// The random prefix keeps ids unique across nodes and across restarts of a node.
 		idPrefix:         strconv.FormatUint(rand.Uint64(), 36) + "-",
-		returningCallers: newReturningCallers(), nesting: kqnesting.New(),
+		returningCallers: newReturningCallers(), hints: hints{byNode: make(map[kqname.Node]heldHint)}, nesting: kqnesting.New(),
 	}
 	for _, o := range options {
 		o(e)
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -72,7 +72,10 @@
 
 // Sweep closes connections that have been idle for too long, and forgets gates to which
 // there has been no connection for clientIdleTimeout.
-func (e *Entry) Sweep(now time.Time) { e.gateClients.sweep(now) }
+func (e *Entry) Sweep(now time.Time) {
+	e.gateClients.sweep(now)
+	e.hints.sweep(now)
+}
 
 // serve handles one call from its arrival to its record.
 func (e *Entry) serve(ctx *fasthttp.RequestCtx, caller kqname.Caller, depth int, info kqcall.CallInfo) {
@@ -184,7 +187,7 @@
 		return o
 	}
 	o := e.sendAttempts(f, s, criteria, now)
-	if o.Reason == kqcall.QueueFull || o.Reason == kqcall.Cold {
+	if isFull(o.Reason) {
 		s.recordRefusal(c)
 	}
 	return o
@@ -282,13 +285,19 @@
 // isOverload reports whether a call with that outcome was not served for lack of capacity.
 func isOverload(o kqcall.Outcome) bool {
 	switch o.Reason {
-	case kqcall.QueueFull, kqcall.Cold, kqcall.Overload, kqcall.RefusedByUpstream, kqcall.NotStartedInTime:
+	case kqcall.QueueFull, kqcall.Cold, kqcall.Limited, kqcall.Overload, kqcall.RefusedByUpstream, kqcall.NotStartedInTime:
 		return true
 	default:
 		return false
 	}
 }
 
+// isFull reports whether a gate refused a call for the reason that its upstream bears no
+// further one at the moment.
+func isFull(r kqcall.Reason) bool {
+	return r == kqcall.QueueFull || r == kqcall.Cold || r == kqcall.Limited
+}
+
 // panicOutcome returns the outcome of a call whose handling panicked.
 func (f *callState) panicOutcome() kqcall.Outcome {
 	if f.sent {
@@ -335,17 +344,22 @@
 // the gate reported one.
 func (e *Entry) send(c *kqcall.Call, to kqmember.Candidate) (kqcall.Outcome, kqcall.Load, bool) {
 	if to.Node == e.self {
+		c.Hint = kqcall.Hint{}
 		o, load := e.local.Do(c)
 		return o, load, load.Slots > 0
 	}
-	c.Write(e.now())
+	sent := e.now()
+	c.Hint = e.hints.find(to.Node)
+	c.Write(sent)
 	o := e.gateClients.get(to.Gate).Do(c)
 	if o.Result != kqcall.Answered {
 		return o, kqcall.Load{}, false
 	}
 	c.ReadStarved()
 	load, hasLoad := kqcall.ReadLoad(&c.Response.Header)
-	return c.Outcome(), load, hasLoad && load.Slots > 0
+	o = c.Outcome()
+	e.hints.update(to.Node, kqcall.ReadHint(&c.Response.Header), o, sent, e.now())
+	return o, load, hasLoad && load.Slots > 0
 }
 
 // newID returns an id that is unique among all nodes' calls.
--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -203,12 +203,12 @@
 	s.shedder.RecordRefusal(c.Class)
 }
 
-// hasSpareGate reports whether a call that a gate refused as full or cold may be sent to another gate
+// hasSpareGate reports whether a call that a gate refused as full, cold or limited may be sent to another gate
 // without counting as a retry: it has not reached an upstream, and another upstream seems
 // to have a free slot. When the whole service is full, none seems to, so calls are not
 // passed from gate to gate.
 func (s *service) hasSpareGate(o kqcall.Outcome, criteria kqpick.Criteria, tried []kqname.Node, now time.Time) bool {
-	if o.Reason != kqcall.QueueFull && o.Reason != kqcall.Cold {
+	if !isFull(o.Reason) {
 		return false
 	}
 	s.mu.Lock()
--- a/internal/call/kqgate/condition.go
+++ b/internal/call/kqgate/condition.go
@@ -43,6 +43,14 @@
 		leaving       bool
 		sent, refused int
 	}
+
+	// permit is a call's permission to reach an upstream within its limit.
+	permit struct {
+		condition *condition
+		priority  int
+		// limiter is the one that holds the call's reservation, nil if there is none.
+		limiter *kqratelimit.Limiter
+	}
 )
 
 // LimitChanged implements ConditionRecorder.
@@ -61,13 +69,90 @@
 	return &condition{recorder: r, limiter: kqratelimit.New()}
 }
 
-// recordSent counts a call that is about to be sent.
-func (n *condition) recordSent() {
+// request asks for the permit of a call of the priority that arrives now. If the call is
+// refused, it returns after which time the caller should come back.
+func (n *condition) request(priority int, now time.Time) (p permit, retryAfter time.Duration, allowed bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p = permit{condition: n, priority: priority}
+	retryAfter, allowed = n.reserve(&p, now)
+	return p, retryAfter, allowed
+}
+
+// reserve reserves a place for the call, if the limit is in force. The caller holds n.mu.
+func (n *condition) reserve(p *permit, now time.Time) (retryAfter time.Duration, allowed bool) {
+	if !n.limiter.IsActive(now) {
+		return 0, true
+	}
+	if retryAfter, allowed = n.limiter.Reserve(p.priority, now); allowed {
+		p.limiter = n.limiter
+		return 0, true
+	}
+	n.refused++
+	n.recorder.LimitedCall(false)
+	return retryAfter, false
+}
+
+// send uses the permit for a call that is about to be sent. A call that arrived before the
+// upstream named its limit needs a reservation only now, and may be refused.
+func (p *permit) send(now time.Time) (retryAfter time.Duration, allowed bool) {
+	n := p.condition
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if _, limited := n.limiter.Limit(); limited {
-		n.sent++
-		n.recorder.LimitedCall(true)
+	if p.limiter != n.limiter {
+		if retryAfter, allowed = n.reserve(p, now); !allowed {
+			return retryAfter, false
+		}
+	}
+	if p.limiter == nil {
+		return 0, true
+	}
+	p.limiter.Send(now)
+	p.limiter = nil
+	n.sent++
+	n.recorder.LimitedCall(true)
+	return 0, true
+}
+
+// cancel gives back the permit of a call that has not been sent. It has no effect after send.
+func (p *permit) cancel(now time.Time) {
+	n := p.condition
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if p.limiter != nil {
+		p.limiter.Cancel(now)
+		p.limiter = nil
+	}
+}
+
+// wait returns how long the next call of the priority would wait for its turn within the limit.
+func (n *condition) wait(priority int, now time.Time) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.limiter.Wait(priority, now)
+}
+
+// hint returns what a node that has heard of the upstream's condition keeps of it.
+func (n *condition) hint() kqcall.Hint {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	limit, limited := n.limiter.Limit()
+	return kqcall.Hint{Instance: n.upstream.Instance, StartedMS: n.upstream.StartedMS, Limited: limited, Limit: limit}
+}
+
+// adopt takes over what the node of a call knows of the announced upstream, in case that this
+// process has not heard of it.
+func (n *condition) adopt(a kqlocal.Announcement, h kqcall.Hint, now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.restart(a, now)
+	if h.Instance != a.Instance || h.StartedMS != a.StartedMS {
+		return
+	}
+	if h.Limited {
+		change := n.change(a, now)
+		n.limiter.Adopt(h.Limit, now)
+		n.report(change, now)
 	}
 }
 
@@ -85,7 +170,7 @@
 	case c.Limited:
 		n.limiter.Name(c.Limit, now)
 	case c.Err == nil:
-		n.limiter.Lift(sent)
+		n.limiter.Lift(sent, now)
 	}
 	n.report(change, now)
 	if c.Leaving && !n.leaving {
@@ -94,6 +179,13 @@
 	}
 }
 
+// limitRefusal returns the outcome of a call that an upstream must not get within its limit.
+func limitRefusal(retryAfter time.Duration) kqcall.Outcome {
+	o := kqcall.Refuse(kqcall.Limited)
+	o.RetryAfter = retryAfter
+	return o
+}
+
 // end reports the end of a limit whose upstream is gone.
 func (n *condition) end(now time.Time) {
 	n.mu.Lock()
--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -24,6 +24,8 @@
 	}
 	r.Instance = a.Instance
 	u := g.upstream(a, now)
+	u.condition.adopt(a, c.Hint, now)
+	defer func() { c.Hint = u.condition.hint() }()
 	t := u.newTicket(c)
 	cold, priority := g.coldStart(c), kqslots.Priority(c.Class, c.Depth > 0)
 	if cold.Bound > 0 {
@@ -34,6 +36,13 @@
 			return coldRefusal(), fullLoad(load)
 		}
 	}
+	permit, retryAfter, allowed := u.condition.request(priority, now)
+	if !allowed {
+		load := u.load(t, now)
+		u.recycle(t)
+		return limitRefusal(retryAfter), fullLoad(load)
+	}
+	defer func() { permit.cancel(g.now()) }()
 	o := u.admit(t, c, now)
 	r.Waited = g.now().Sub(now)
 	if o.Result != kqcall.Answered {
@@ -57,10 +66,16 @@
 		o, released = coldRefusal(), true
 		return o, fullLoad(u.releaseSlot(t, o, false, 0, g.now()))
 	}
+	if retryAfter, allowed := permit.send(g.now()); !allowed {
+		if cold.Bound > 0 {
+			u.cold.forget()
+		}
+		o, released = limitRefusal(retryAfter), true
+		return o, fullLoad(u.releaseSlot(t, o, false, 0, g.now()))
+	}
 	c.Instance, began = a.Instance, g.now()
 	g.nesting.Begin(c)
 	defer g.nesting.End(c.ID)
-	u.condition.recordSent()
 	o = g.exchange(u, a, c, began)
 	if cold.Bound > 0 && !reachedUpstream(o) {
 		u.cold.forget()
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -188,6 +188,7 @@
 	c.Answer(o)
 	c.WriteStarved()
 	load.Write(&ctx.Response.Header)
+	c.Hint.WriteResponse(&ctx.Response.Header)
 	if g.draining.Load() {
 		// "Connection: close" makes the calling node stop using the connection. If this
 		// server closed an idle connection without notice, a call that was just being sent
--- a/internal/call/kqgate/upstream.go
+++ b/internal/call/kqgate/upstream.go
@@ -179,7 +179,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	wake(u.queue.Leave(t, took, now))
-	if o.Reason != kqcall.Cancelled && o.Reason != kqcall.Cold {
+	if o.Reason != kqcall.Cancelled && o.Reason != kqcall.Cold && o.Reason != kqcall.Limited {
 		u.failureRate.Record(failed, now)
 	}
 	l := u.loadLocked(t, now)
@@ -187,10 +187,12 @@
 	return l
 }
 
-// loadLocked returns the queue's load plus the failure rate. The caller holds u.mu.
+// loadLocked returns the queue's load plus the failure rate and the wait for the upstream's
+// limit. The caller holds u.mu.
 func (u *upstream) loadLocked(t *kqslots.Ticket, now time.Time) kqcall.Load {
 	l := u.queue.LoadFor(t, now)
 	l.FailureRate = u.failureRate.Rate(now)
+	l.Wait = max(l.Wait, u.condition.wait(kqslots.Priority(t.Class, t.Nested), now))
 	return l
 }
 
--- a/internal/decide/kqretry/retry.go
+++ b/internal/decide/kqretry/retry.go
@@ -51,7 +51,7 @@
 		return true
 	case kqcall.ConnectFailed, kqcall.NoUpstream, kqcall.Cut, kqcall.MismatchedResponse, kqcall.Misdirected:
 		tokens = &b.churn
-	case kqcall.QueueFull, kqcall.Cold, kqcall.RefusedByUpstream:
+	case kqcall.QueueFull, kqcall.Cold, kqcall.Limited, kqcall.RefusedByUpstream:
 	default:
 		return false
 	}
