Send no calls to an upstream that says in its answers that it leaves

What callers and upstreams saw: an upstream whose answers say that it leaves, while its announcements do not, got calls until it was gone. Cause: as for limits, answers were read for their own call only. Fix: the gate treats the answer like a goodbye: waiting calls are refused, peers hear of it, the departure is replicated, later announcements of that start do not bring it back. Hints of entries carry it to a gate that starts anew. An answer that rejects a misdirected call is another upstream's and says nothing of this one. Without an instance, a departure counts for a minute.

--- a/internal/call/kqcall/hint.go
+++ b/internal/call/kqcall/hint.go
@@ -14,7 +14,7 @@
 	headerHint = "Kq-Hint"
 	// hintFields is the number of fields of a hint. The last one is the instance, which may
 	// hold separators.
-	hintFields = 3
+	hintFields = 4
 )
 
 // Hint is what a node knows of the condition of another node's upstream. Entries give it back
@@ -23,13 +23,14 @@
 	// Instance and StartedMS identify the start of the upstream.
 	Instance  kqname.Instance
 	StartedMS int64
-	// Limited and Limit are as in Condition.
+	// Limited, Limit and Leaving are as in Condition.
 	Limited bool
 	Limit   float64
+	Leaving bool
 }
 
 // IsZero reports whether there is nothing to tell.
-func (n Hint) IsZero() bool { return !n.Limited }
+func (n Hint) IsZero() bool { return !n.Limited && !n.Leaving }
 
 // WriteResponse puts the hint into a gate's response.
 func (n Hint) WriteResponse(h *fasthttp.ResponseHeader) {
@@ -56,7 +57,7 @@
 	if n.Limited {
 		limit = strconv.FormatFloat(n.Limit, 'f', -1, 64)
 	}
-	return strings.Join([]string{strconv.FormatInt(n.StartedMS, 10), limit, string(n.Instance)}, string(separator))
+	return strings.Join([]string{strconv.FormatInt(n.StartedMS, 10), limit, textIf(n.Leaving, leavingValue), string(n.Instance)}, string(separator))
 }
 
 // parseHint returns the hint of a text, a zero one if it cannot be read.
@@ -69,7 +70,7 @@
 	if err != nil {
 		return Hint{}
 	}
-	n := Hint{StartedMS: startedMS, Instance: kqname.Instance(fields[2])}
+	n := Hint{StartedMS: startedMS, Leaving: fields[2] == leavingValue, Instance: kqname.Instance(fields[3])}
 	if fields[1] != "" {
 		if n.Limit, err = parseLimit(fields[1]); err != nil {
 			return Hint{}
--- a/internal/call/kqentry/hints.go
+++ b/internal/call/kqentry/hints.go
@@ -45,6 +45,11 @@
 	defer h.mu.Unlock()
 	switch {
 	case !told.IsZero():
+		held := h.byNode[from]
+		if held.Instance == told.Instance && held.StartedMS == told.StartedMS {
+			// The responses may have overtaken each other, and no upstream comes back.
+			told.Leaving = told.Leaving || held.Leaving
+		}
 		h.byNode[from] = heldHint{told, now}
 	case o.Result == kqcall.Answered && sent.After(h.byNode[from].at):
 		delete(h.byNode, from)
--- a/internal/call/kqgate/condition.go
+++ b/internal/call/kqgate/condition.go
@@ -132,12 +132,13 @@
 	return n.limiter.Wait(priority, now)
 }
 
-// hint returns what a node that has heard of the upstream's condition keeps of it.
+// hint returns what a node that has heard of the upstream's condition keeps of it. Without an
+// instance, a departure cannot be told from that of another upstream.
 func (n *condition) hint() kqcall.Hint {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	limit, limited := n.limiter.Limit()
-	return kqcall.Hint{Instance: n.upstream.Instance, StartedMS: n.upstream.StartedMS, Limited: limited, Limit: limit}
+	return kqcall.Hint{Instance: n.upstream.Instance, StartedMS: n.upstream.StartedMS, Limited: limited, Limit: limit, Leaving: n.leaving && n.upstream.Instance != ""}
 }
 
 // adopt takes over what the node of a call knows of the announced upstream, in case that this
@@ -154,11 +155,22 @@
 		n.limiter.Adopt(h.Limit, now)
 		n.report(change, now)
 	}
+	if h.Leaving {
+		n.leave(now)
+	}
+}
+
+// isLeaving reports whether the upstream has said that it leaves.
+func (n *condition) isLeaving() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving
 }
 
 // update records what the answer to a call that was sent at the given time says of the
-// announced upstream. A part of it that cannot be read changes nothing.
-func (n *condition) update(a kqlocal.Announcement, c kqcall.Condition, sent, now time.Time) {
+// announced upstream, and reports whether it says for the first time that it leaves. A part
+// of the answer that cannot be read changes nothing.
+func (n *condition) update(a kqlocal.Announcement, c kqcall.Condition, sent, now time.Time) (leaves bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.restart(a, now)
@@ -173,10 +185,18 @@
 		n.limiter.Lift(sent, now)
 	}
 	n.report(change, now)
-	if c.Leaving && !n.leaving {
-		n.leaving = true
-		n.recorder.UpstreamLeaving(a, now)
+	return c.Leaving && n.leave(now)
+}
+
+// leave records that the upstream leaves, and reports whether that is new. The caller holds
+// n.mu.
+func (n *condition) leave(now time.Time) bool {
+	if n.leaving {
+		return false
 	}
+	n.leaving = true
+	n.recorder.UpstreamLeaving(n.upstream, now)
+	return true
 }
 
 // limitRefusal returns the outcome of a call that an upstream must not get within its limit.
--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -26,6 +26,10 @@
 	u := g.upstream(a, now)
 	u.condition.adopt(a, c.Hint, now)
 	defer func() { c.Hint = u.condition.hint() }()
+	if u.condition.isLeaving() {
+		g.onDeparture(a, now)
+		return kqcall.Refuse(kqcall.Draining), kqcall.Load{}
+	}
 	t := u.newTicket(c)
 	cold, priority := g.coldStart(c), kqslots.Priority(c.Class, c.Depth > 0)
 	if cold.Bound > 0 {
@@ -196,21 +200,33 @@
 	if o.Result != kqcall.Answered {
 		return o
 	}
-	u.condition.update(a, kqcall.ReadCondition(c.Dialect, &c.Response.Header), now, g.now())
-	kqcall.StripResponse(&c.Response.Header)
+	var verdict kqcall.Verdict
 	if c.Dialect != nil {
-		if v := c.Dialect.ReadVerdict(c); v.NotRunReason != kqcall.NoReason {
-			c.Response.Reset()
-			return kqcall.Refuse(v.NotRunReason)
-		}
-		return o
+		verdict = c.Dialect.ReadVerdict(c)
+	}
+	if verdict.NotRunReason != kqcall.Misdirected {
+		g.readCondition(u, a, c, now)
 	}
-	if c.RefusalMeansNotRun && c.Response.StatusCode() == fasthttp.StatusServiceUnavailable {
+	kqcall.StripResponse(&c.Response.Header)
+	if verdict.NotRunReason != kqcall.NoReason {
+		c.Response.Reset()
+		return kqcall.Refuse(verdict.NotRunReason)
+	}
+	if c.Dialect == nil && c.RefusalMeansNotRun && c.Response.StatusCode() == fasthttp.StatusServiceUnavailable {
 		return kqcall.Refuse(kqcall.RefusedByUpstream)
 	}
 	return o
 }
 
+// readCondition reads what the answer to a call that was sent at the given time says of its
+// upstream.
+func (g *Gate) readCondition(u *upstream, a kqlocal.Announcement, c *kqcall.Call, sent time.Time) {
+	now := g.now()
+	if u.condition.update(a, kqcall.ReadCondition(c.Dialect, &c.Response.Header), sent, now) {
+		g.onDeparture(a, now)
+	}
+}
+
 // upstreamStatus returns the HTTP status with which the upstream answered or shed the call,
 // 0 for any other outcome. It is always 200 if a dialect says that the call was shed.
 func upstreamStatus(c *kqcall.Call, o kqcall.Outcome) int {
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -87,10 +87,12 @@
 		dialect    kqcall.Dialect
 		recorder   Recorder
 		conditions ConditionRecorder
-		supervisor *kqsupervisor.Supervisor
-		nesting    *kqnesting.Calls
-		sequence   atomic.Uint64
-		draining   atomic.Bool
+		// onDeparture is called with an upstream that leaves by its own word.
+		onDeparture func(kqlocal.Announcement, time.Time)
+		supervisor  *kqsupervisor.Supervisor
+		nesting     *kqnesting.Calls
+		sequence    atomic.Uint64
+		draining    atomic.Bool
 
 		mu        sync.Mutex
 		upstreams map[upstreamKey]*upstream
@@ -157,7 +159,7 @@
 func New(local Finder, options ...Option) *Gate {
 	g := &Gate{
 		local: local, withdrawer: noop{}, observer: noop{}, guard: noop{}, evacuated: func() bool { return false },
-		coldStart: func(*kqcall.Call) ColdStart { return ColdStart{} }, started: time.Now(), counter: noop{}, recorder: noopRecorder{}, conditions: noop{}, now: time.Now, watcher: kqdisconnect.New(),
+		coldStart: func(*kqcall.Call) ColdStart { return ColdStart{} }, started: time.Now(), counter: noop{}, recorder: noopRecorder{}, conditions: noop{}, onDeparture: func(kqlocal.Announcement, time.Time) {}, now: time.Now, watcher: kqdisconnect.New(),
 		upstreams: make(map[upstreamKey]*upstream), nesting: kqnesting.New(),
 		queue: func(slots int, address kqname.Address) queue {
 			return kqslots.New(slots, saltOf(address))
--- a/internal/call/kqgate/options.go
+++ b/internal/call/kqgate/options.go
@@ -1,9 +1,12 @@
 package kqgate
 
 import (
+	"time"
+
 	"github.com/kumquatgw/kumquatgw/internal/base/kqsupervisor"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqdisconnect"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqnesting"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqfifo"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqslots"
@@ -26,6 +29,12 @@
 // evacuated. The gate then refuses all calls.
 func WithEvacuation(evacuated func() bool) Option { return func(g *Gate) { g.evacuated = evacuated } }
 
+// WithDeparture sets the function that is called with each upstream that says in an answer
+// that it leaves, and for which calls still come.
+func WithDeparture(f func(kqlocal.Announcement, time.Time)) Option {
+	return func(g *Gate) { g.onDeparture = f }
+}
+
 // WithColdStart sets the function that returns what the upstreams of a call's service bear
 // while they are cold. By default there is no bound.
 func WithColdStart(coldStart func(*kqcall.Call) ColdStart) Option {
--- a/internal/call/kqlocal/upstreams.go
+++ b/internal/call/kqlocal/upstreams.go
@@ -97,6 +97,10 @@
 		// which this node was paused since. firstSeen is when the first one arrived, or the
 		// first that announced the latest of several cold starts.
 		firstSeen, lastRenewed time.Time
+		// leavingUntil is until when the upstream counts as draining whatever it announces,
+		// because it has said in its answers that it leaves. Only one that announces no
+		// instance has it, since another in its place could not be told from it.
+		leavingUntil time.Time
 		// recovered is set until the upstream itself has announced itself to this process.
 		recovered bool
 		// coldFor is how long after firstSeen the upstream is cold, according to that
@@ -141,16 +145,19 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	old, ok := u.byAddress[a.Address]
-	if e, left := u.goodbyes[a.Instance]; left && a.StartedMS <= e.startMS || ok && !old.recovered && a.isOlderThan(old.Announcement) {
+	if u.hasLeft(a, now) || ok && !old.recovered && a.isOlderThan(old.Announcement) {
 		return nil
 	}
+	if ok && old.Instance == a.Instance && now.Before(old.leavingUntil) {
+		a.Draining = true
+	}
 	next := registration{Announcement: a, firstSeen: now, lastRenewed: now, coldFor: a.WarmUpLeft}
 	coldAgain := false
 	if ok && old.Service == a.Service && old.Version == a.Version && old.Instance == a.Instance && old.StartedMS == a.StartedMS {
 		if coldAgain = next.warmFrom().Sub(old.warmFrom()) > recoldMargin && a.WarmUpLeft > 0; !coldAgain {
 			next.firstSeen, next.coldFor = old.firstSeen, old.coldFor
 		}
-		next.withdrawal = old.withdrawal
+		next.withdrawal, next.leavingUntil = old.withdrawal, old.leavingUntil
 		next.withdrawn = old.withdrawn && now.Sub(old.withdrawnAt) < old.minDuration
 	}
 	u.byAddress[a.Address] = next
@@ -160,6 +167,39 @@
 	return nil
 }
 
+// hasLeft reports whether the start that announces itself has said goodbye. One that still
+// announces itself is remembered for longer: it may say in its answers only that it leaves.
+// The caller holds u.mu.
+func (u *Upstreams) hasLeft(a Announcement, now time.Time) bool {
+	e, left := u.goodbyes[a.Instance]
+	if !left || a.StartedMS > e.startMS {
+		return false
+	}
+	if a.StartedMS != 0 {
+		e.receivedAt = now
+		u.goodbyes[a.Instance] = e
+	}
+	return true
+}
+
+// Leave treats an upstream that has said in its answers that it leaves like one that has said
+// goodbye. One that announces no instance counts as draining for historyTTL.
+func (u *Upstreams) Leave(a Announcement, now time.Time) {
+	if a.Instance != "" {
+		u.recordGoodbye(a, now)
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	e, ok := u.byAddress[a.Address]
+	if !ok || e.Instance != "" || e.Service != a.Service || e.Version != a.Version {
+		return
+	}
+	e.leavingUntil, e.Draining = now.Add(historyTTL), true
+	u.byAddress[a.Address] = e
+	u.publish()
+}
+
 // Recover registers an upstream as an earlier process of this node knew it, unless an
 // upstream at its address has announced itself since or it has said goodbye. Any later
 // announcement at its address replaces it, also one by a clock that is behind.
--- a/internal/peer/kqdeparture/departure.go
+++ b/internal/peer/kqdeparture/departure.go
@@ -151,6 +151,12 @@
 	}
 }
 
+// ReplicateInBackground records a departure and sends it to the store and to peers, without
+// waiting for them.
+func (d *Departures) ReplicateInBackground(departure Departure) {
+	d.group.Go(func() { d.Replicate(context.Background(), departure) })
+}
+
 // beginReplication records a departure and reports whether it was unknown. If it was known,
 // it returns a channel that is closed once it has been replicated.
 func (d *Departures) beginReplication(departure Departure, now time.Time) (<-chan struct{}, bool) {
--- a/internal/run/kqnode/announce.go
+++ b/internal/run/kqnode/announce.go
@@ -85,6 +85,23 @@
 	return nil
 }
 
+// upstreamLeaves applies that a local upstream has said in its answers that it leaves, as if
+// it had announced so. The answer does not wait until the store or peers hold the departure.
+func (n *Node) upstreamLeaves(a kqlocal.Announcement, now time.Time) {
+	n.local.Leave(a, now)
+	n.recordUpstreams()
+	n.gate.Sweep(now)
+	if n.distribution.departures == nil || a.Instance == "" {
+		return
+	}
+	departure := kqdeparture.Departure{Instance: a.Instance, StartedMS: a.StartedMS}
+	if departure.StartedMS == 0 {
+		// The start time is unknown; now is an upper bound.
+		departure.StartedMS = now.UnixMilli()
+	}
+	n.distribution.departures.ReplicateInBackground(departure)
+}
+
 // learnDepartures applies the departures that were announced before this process started,
 // and then the announcements held meanwhile. It only logs an invalid one, since its sender
 // already has an answer.
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -55,7 +55,7 @@
 		n.table.Update(func(m *kqmember.Member) { m.Upstreams = list })
 	})
 	n.disconnectWatcher = kqdisconnect.New()
-	gate := []kqgate.Option{kqgate.WithWithdrawer(n.local), kqgate.WithObserver(n.rollouts), kqgate.WithGuard(n.rollouts), kqgate.WithEvacuation(n.isEvacuated), kqgate.WithColdStart(n.coldStart), kqgate.WithDisconnectWatcher(n.disconnectWatcher), kqgate.WithCounter(n.metrics), kqgate.WithSupervisor(n.supervisor)}
+	gate := []kqgate.Option{kqgate.WithWithdrawer(n.local), kqgate.WithObserver(n.rollouts), kqgate.WithGuard(n.rollouts), kqgate.WithEvacuation(n.isEvacuated), kqgate.WithColdStart(n.coldStart), kqgate.WithDeparture(n.upstreamLeaves), kqgate.WithDisconnectWatcher(n.disconnectWatcher), kqgate.WithCounter(n.metrics), kqgate.WithSupervisor(n.supervisor)}
 	entry := append(n.entryTLSOptions(), kqentry.WithCounter(n.metrics), kqentry.WithSplitter(n.rollouts),
 		kqentry.WithDomain(n.settings.Node.Domain), kqentry.WithDisconnectWatcher(n.disconnectWatcher),
 		kqentry.WithForgedHeadersHandler(n.securityMetrics.ForgedHeaders), kqentry.WithSupervisor(n.supervisor))
