--- a/internal/lab/kqloadbench/loadbench.go
+++ b/internal/lab/kqloadbench/loadbench.go
@@ -134,7 +134,11 @@
 	generator := kqopenloop.New(entries...)
 	defer generator.Close()
 	if p.change != nil {
-		changeTimer := time.AfterFunc(p.changeAt, func() { p.change(fleet.Servers()[0].Upstream) })
+		changeTimer := time.AfterFunc(p.changeAt, func() {
+			for _, s := range fleet.Servers()[:p.changed] {
+				p.change(s.Upstream)
+			}
+		})
 		defer changeTimer.Stop()
 	}
 	samples := generator.Run(ctx, seed, p.streams)
--- a/internal/lab/kqloadbench/pattern.go
+++ b/internal/lab/kqloadbench/pattern.go
@@ -26,8 +26,10 @@
 	pattern struct {
 		streams   []*kqopenloop.Stream
 		behaviour kqupstream.Behaviour
-		// change is applied to the first server's upstream at changeAt, if set.
+		// change is applied at changeAt to the upstreams of the first servers, as many as
+		// changed, if set.
 		change   func(*kqupstream.Upstream)
+		changed  int
 		changeAt time.Duration
 		windows  []window
 		// length is how long calls are scheduled.
@@ -53,6 +55,8 @@
 		"slow_upstream": slowUpstream(),
 		"long_jobs":     longJobs(),
 		"overload":      overload(),
+		"some_limited":  limited(2, 24),
+		"all_limited":   limited(servers, 24),
 	}
 )
 
@@ -96,7 +100,7 @@
 		streams:   []*kqopenloop.Stream{shortStream(1, phase(16*time.Second, 0.5))},
 		behaviour: healthy, length: 16 * time.Second,
 		change:   func(u *kqupstream.Upstream) { u.SetBehaviour(kqupstream.Behaviour{Work: 20 * serviceTime}) },
-		changeAt: steadyPeriod,
+		changeAt: steadyPeriod, changed: 1,
 		windows: []window{
 			{"healthy", shortClass, time.Second, steadyPeriod},
 			{"first_5s", shortClass, steadyPeriod, 2 * steadyPeriod},
@@ -132,6 +136,23 @@
 	return p
 }
 
+// limited has a load of 50% of capacity; after 5 s, some upstreams name a limit in calls a
+// second. It leaves room at the others unless all of them do.
+func limited(count int, limit float64) pattern {
+	return pattern{
+		streams:   []*kqopenloop.Stream{shortStream(1, phase(16*time.Second, 0.5))},
+		behaviour: healthy, length: 16 * time.Second,
+		change: func(u *kqupstream.Upstream) {
+			u.SetBehaviour(kqupstream.Behaviour{Work: serviceTime, Limited: true, Limit: limit})
+		},
+		changed: count, changeAt: steadyPeriod,
+		windows: []window{
+			{"unlimited", shortClass, time.Second, steadyPeriod},
+			{"limited", shortClass, steadyPeriod, 16 * time.Second},
+		},
+	}
+}
+
 // maxAnswers returns how many short calls the upstreams can answer during the pattern.
 func (p pattern) maxAnswers() float64 { return capacity * p.length.Seconds() }
 
--- a/internal/lab/kqupstream/upstream.go
+++ b/internal/lab/kqupstream/upstream.go
@@ -15,6 +15,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqresetlistener"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -62,6 +63,11 @@
 		// of the time in HeaderWorkMS. An empty prefix matches no path.
 		LongPath string        `json:"long_path"`
 		LongWork time.Duration `json:"long_work"`
+		// Limited makes the upstream name Limit, in calls a second, in its answers. It does
+		// not enforce it. Leaving makes it say in its answers that it leaves.
+		Limited bool    `json:"limited"`
+		Limit   float64 `json:"limit"`
+		Leaving bool    `json:"leaving"`
 	}
 
 	// Run is one run of a call, recorded when it begins.
@@ -192,6 +198,7 @@
 	b := *u.behaviour.Load()
 	running := u.running.Add(1)
 	defer u.running.Add(-1)
+	defer u.stateCondition(ctx)
 	if b.Shed && running > int64(u.announcement.Slots) {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
@@ -214,6 +221,18 @@
 	fmt.Fprintf(ctx, "%s %s %s\n", u.announcement.Service, u.announcement.Version, workID)
 }
 
+// stateCondition writes the limit that the upstream names now, and whether it leaves, into an
+// answer.
+func (u *Upstream) stateCondition(ctx *fasthttp.RequestCtx) {
+	b := u.behaviour.Load()
+	if b.Limited {
+		ctx.Response.Header.Set(kqcall.HeaderLimit, strconv.FormatFloat(b.Limit, 'f', -1, 64))
+	}
+	if b.Leaving {
+		ctx.Response.Header.Set(kqcall.HeaderLeaving, "1")
+	}
+}
+
 // duration returns how long a call takes.
 func (u *Upstream) duration(b Behaviour, running int64, ctx *fasthttp.RequestCtx) time.Duration {
 	d, path := b.Work, ctx.Path()
