Soak: upstreams name limits and leave by their answers, and the checker judges both

Cause: neither the soak nor any stand-in had an upstream that says something of itself in its answers, so no run could find the two faults of the incident. Change: limits (0 to 10 a second, of one upstream, of a whole service, on and off in series) and departures by answers alone are faults of each plan, generated last so that the other faults of a seed stay. The checker counts calls of nodes that were told, over 4 s, and finds calls beyond a limit, after a departure, and refusals within a limit that nobody names. Three faults put in on purpose: a gate that ignores limits, keeps lifted ones, or ignores departures. Also: a limit by another node's word only ends at once when the upstream's first answer names none; nothing was kept from it.

--- a/cmd/kumquatgw/soak_fault_test.go
+++ b/cmd/kumquatgw/soak_fault_test.go
@@ -17,8 +17,9 @@
 
 // Checks that the soak detects injected faults, each by its kind of violation: a node
 // that a reload ends during its drain, non-idempotent calls that run twice when a node or
-// an upstream dies, and calls that begin at a draining upstream long after its node has
-// acknowledged that it drains (its goodbye).
+// an upstream dies, calls that begin at a draining upstream long after its node has
+// acknowledged that it drains (its goodbye) or its answers have said so, and limits of
+// upstreams that are ignored or outlive their end.
 func TestSoakFindsFaultsPutInOnPurpose(t *testing.T) {
 	for _, c := range []struct {
 		fault     kqfault.Kind
@@ -28,6 +29,9 @@
 		{kqfault.IgnoreReload, []string{"--planned"}, kqsoakcheck.WrongExit},
 		{kqfault.RetryNonIdempotent, nil, kqsoakcheck.Twice},
 		{kqfault.IgnoreDraining, []string{"--planned"}, kqsoakcheck.Late},
+		{kqfault.IgnoreLimit, []string{"--planned"}, kqsoakcheck.OverLimit},
+		{kqfault.KeepLimit, []string{"--planned"}, kqsoakcheck.StaleLimit},
+		{kqfault.IgnoreLeaving, []string{"--planned"}, kqsoakcheck.Late},
 	} {
 		t.Run(string(c.fault), func(t *testing.T) {
 			t.Parallel()
--- a/internal/call/kqcall/condition.go
+++ b/internal/call/kqcall/condition.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// HeaderLimit and HeaderLeaving are in answers of upstreams that use the headers of this
-	// package: how many calls a second the upstream takes from all nodes together, as a
-	// decimal number, and "1" if it is about to exit.
-	HeaderLimit   = "Kq-Limit"
+	// HeaderLimit is in answers of upstreams that use the headers of this package: how many
+	// calls a second the upstream takes from all nodes together, as a decimal number.
+	HeaderLimit = "Kq-Limit"
+	// HeaderLeaving is in such answers, with the value "1", if the upstream is about to exit.
 	HeaderLeaving = "Kq-Leaving"
 
 	leavingValue = "1"
--- a/internal/call/kqgate/condition.go
+++ b/internal/call/kqgate/condition.go
@@ -174,6 +174,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.restart(a, now)
+	c.Limited, c.Leaving = c.Limited && !ignoresLimit, c.Leaving && !ignoresLeaving
 	if c.Err != nil {
 		n.recorder.ConditionInvalid(a, c.Err, now)
 	}
@@ -181,7 +182,7 @@
 	switch {
 	case c.Limited:
 		n.limiter.Name(c.Limit, now)
-	case c.Err == nil:
+	case c.Err == nil && !keepsLimit:
 		n.limiter.Lift(sent, now)
 	}
 	n.report(change, now)
--- a/internal/decide/kqratelimit/limiter.go
+++ b/internal/decide/kqratelimit/limiter.go
@@ -43,8 +43,9 @@
 type Limiter struct {
 	limited bool
 	limit   float64
-	// heard is set once an answer has told whether there is a limit.
-	heard bool
+	// heard is set once an answer has told whether there is a limit, and adopted while the
+	// limit is another node's word.
+	heard, adopted bool
 	// since is when the upstream began to name limits, namedAt when it last named one, and
 	// liftedAt when it ceased to, zero if it never did.
 	since, namedAt, liftedAt time.Time
@@ -74,13 +75,14 @@
 func (l *Limiter) Name(limit float64, now time.Time) {
 	l.refill(now)
 	l.start(limit, now)
-	l.heard, l.namedAt = true, now
+	l.heard, l.adopted, l.namedAt = true, false, now
 }
 
 // Adopt records the limit that another node has heard of, unless an answer has told.
 func (l *Limiter) Adopt(limit float64, now time.Time) {
 	if !l.heard && !l.limited {
 		l.start(limit, now)
+		l.adopted = true
 	}
 }
 
@@ -92,7 +94,13 @@
 		return
 	}
 	l.refill(now)
-	l.limited, l.liftedAt = false, now
+	l.limited = false
+	if l.adopted {
+		// The word was outdated, so no calls have been kept from the upstream.
+		l.adopted, l.liftedAt = false, time.Time{}
+		return
+	}
+	l.liftedAt = now
 }
 
 // Reserve reports whether a call of the priority may be sent, and if so reserves its place.
--- a/internal/decide/kqratelimit/limiter_test.go
+++ b/internal/decide/kqratelimit/limiter_test.go
@@ -152,7 +152,7 @@
 	p.now = p.now.Add(step)
 	p.Lift(p.now, p.now)
 	p.Adopt(10, p.now)
-	if _, limited := p.Limit(); limited {
+	if _, limited := p.Limit(); limited || p.IsActive(p.now) {
 		t.Error("the hint is in force after an answer without a limit")
 	}
 }
--- a/internal/lab/kqfault/kind.go
+++ b/internal/lab/kqfault/kind.go
@@ -13,6 +13,13 @@
 	// goodbyes (field Gone) still apply.
 	IgnoreDraining Kind = "goodbye"
 
+	// IgnoreLimit makes a gate ignore the limits that upstreams name.
+	IgnoreLimit Kind = "limit"
+	// KeepLimit makes a gate keep a limit that its upstream has lifted.
+	KeepLimit Kind = "lifted"
+	// IgnoreLeaving makes a gate ignore that an upstream says in its answers that it leaves.
+	IgnoreLeaving Kind = "leaving"
+
 	// EnvVariable is the environment variable that selects the fault.
 	EnvVariable = "KUMQUATGW_FAULT"
 )
--- a/internal/lab/kqsoak/plan.go
+++ b/internal/lab/kqsoak/plan.go
@@ -78,6 +78,8 @@
 		Changed bool          `json:"changed,omitempty"`
 		Mode    kqproxy.Mode  `json:"mode,omitempty"`
 		Role    Role          `json:"role,omitempty"`
+		// Limit is in calls a second.
+		Limit float64 `json:"limit,omitempty"`
 		// AfterStart lists the ages at which the process that a Leave restarts is sent
 		// SIGHUP.
 		AfterStart []time.Duration `json:"after_start,omitempty"`
@@ -117,6 +119,7 @@
 		g.addNext(at)
 	}
 	g.addRollout()
+	g.addConditions()
 	slices.SortStableFunc(g.plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return g.plan
 }
--- a/internal/lab/kqsoakcheck/call.go
+++ b/internal/lab/kqsoakcheck/call.go
@@ -13,6 +13,8 @@
 	unknown  = "unknown"
 	// timeout is the reason given for calls that ran out of time.
 	timeout = "timeout"
+	// limited is the reason given for calls that an upstream's limit kept back.
+	limited = "limited"
 )
 
 // isRefused reports whether a node answered with status 503 or 429, which says that the
--- a/internal/lab/kqsoakcheck/check.go
+++ b/internal/lab/kqsoakcheck/check.go
@@ -33,6 +33,11 @@
 	// exposureGrace after that upstream had run enough calls for the version to be
 	// detected as bad.
 	Exposed Kind = "EXPOSED"
+	// OverLimit is a call that began to run at an upstream which had got more calls than
+	// the limit that it names allows, from nodes that had passed on its answers.
+	OverLimit Kind = "LIMIT"
+	// StaleLimit is a call that was refused within a limit although no upstream names one.
+	StaleLimit Kind = "STALE_LIMIT"
 	// Unrecovered is a fleet that answers too few calls, or gets none, after the last
 	// fault.
 	Unrecovered Kind = "UNRECOVERED"
@@ -82,6 +87,9 @@
 		// if more bytes followed the answer.
 		AnswerIDs []string `json:"answers,omitempty"`
 		Error     string   `json:"error,omitempty"`
+		// Told is what the answer says of its upstream; its Upstream is empty if there is no
+		// answer of one.
+		Told Told `json:"told,omitzero"`
 	}
 
 	// Run is one run of a call as reported by its upstream; Ended is 0 until it ends.
@@ -136,6 +144,7 @@
 		acknowledgedDrains map[string]time.Duration
 		disruptions        []Disruption
 		badUpstreams       map[string]*badUpstream
+		conditions         map[string]*condition
 		// pending holds calls that are lost unless an unplanned fault excuses them.
 		pending    []*callRecord
 		tally      Tally
@@ -150,6 +159,9 @@
 		// idempotent is set before the call ends, since the report of a run may arrive
 		// before that of its call.
 		idempotent bool
+		// node is where the call was sent, at the time sent.
+		node int
+		sent time.Duration
 	}
 
 	// badUpstream counts the runs at an upstream of a bad version. detectedAt is when
@@ -170,15 +182,15 @@
 func New() *Checker {
 	return &Checker{
 		records: make(map[string]*callRecord), acknowledgedDrains: make(map[string]time.Duration),
-		badUpstreams: make(map[string]*badUpstream), tally: Tally{Reasons: make(map[string]int)},
+		badUpstreams: make(map[string]*badUpstream), conditions: make(map[string]*condition), tally: Tally{Reasons: make(map[string]int)},
 	}
 }
 
-// CallSent records that a call is about to be sent.
-func (ck *Checker) CallSent(workID string, idempotent bool) {
+// CallSent records that a call is about to be sent to a node.
+func (ck *Checker) CallSent(workID string, idempotent bool, node int, at time.Duration) {
 	ck.mu.Lock()
 	defer ck.mu.Unlock()
-	ck.records[workID] = &callRecord{idempotent: idempotent}
+	ck.records[workID] = &callRecord{idempotent: idempotent, node: node, sent: at}
 }
 
 // Began records that an upstream began to run a call, and checks that run.
@@ -201,6 +213,7 @@
 	if b, ok := ck.badUpstreams[upstream]; ok {
 		ck.checkExposure(b, rec, upstream, at)
 	}
+	ck.checkCondition(rec, upstream, at)
 	if acknowledgedAt, ok := ck.acknowledgedDrains[upstream]; ok && at > acknowledgedAt+drainGrace && !ck.hadFault(node, acknowledgedAt, at) {
 		ck.addLocked(Late, at, fmt.Sprintf("%s began %v after the node acknowledged the drain of %s", workID, at-acknowledgedAt, upstream), rec)
 	}
@@ -250,6 +263,7 @@
 func (ck *Checker) Disruption(node int, from time.Duration) func(to time.Duration) {
 	ck.mu.Lock()
 	defer ck.mu.Unlock()
+	ck.forgetTold(node)
 	at := len(ck.disruptions)
 	ck.disruptions = append(ck.disruptions, Disruption{Node: node, From: from})
 	return func(to time.Duration) {
@@ -270,6 +284,10 @@
 	}
 	rec.call = &c
 	ck.countCall(c)
+	ck.tellLocked(c)
+	if c.Reason == limited && !ck.isLimitPossible(c.Sent) {
+		ck.addLocked(StaleLimit, c.Ended, c.WorkID+" was refused within a limit that no upstream names", rec)
+	}
 	for _, other := range c.AnswerIDs {
 		if other != c.WorkID {
 			ck.addLocked(Crossed, c.Ended, fmt.Sprintf("%s received something other than its own answer: %q", c.WorkID, other), rec)
--- a/internal/lab/kqsoakcheck/check_test.go
+++ b/internal/lab/kqsoakcheck/check_test.go
@@ -114,7 +114,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			checker := kqsoakcheck.New()
-			checker.CallSent("a", false)
+			checker.CallSent("a", false, 1, 10*second)
 			c.observe(checker)
 			checker.EvaluatePending(20 * second)
 			var got []kqsoakcheck.Kind
@@ -134,7 +134,7 @@
 func TestUseOfADetectedBadVersionIsAViolation(t *testing.T) {
 	checker := kqsoakcheck.New()
 	checker.MarkBad("u")
-	checker.CallSent("a", true)
+	checker.CallSent("a", true, 1, 0)
 	for i := range 20 {
 		checker.Began("a", "u", 2, time.Duration(i)*second)
 	}
@@ -152,7 +152,7 @@
 // that reports the second run would fail correct soak runs.
 func TestIdempotentCallsMayRunTwice(t *testing.T) {
 	checker := kqsoakcheck.New()
-	checker.CallSent("a", true)
+	checker.CallSent("a", true, 1, 0)
 	checker.Began("a", "u", 2, second)
 	checker.Began("a", "v", 3, 2*second)
 	if v := checker.Violations(); len(v) > 0 {
--- a/internal/lab/kqsoakrun/caller.go
+++ b/internal/lab/kqsoakrun/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -125,7 +126,7 @@
 		WorkID: fmt.Sprintf("%s-%d", c.name, c.serial), Node: c.node, Route: r.host + r.path, Idempotent: r.idempotent,
 		ConnMode: string(c.connMode), ConnUses: c.uses, Timeout: routeTimeout, Sent: c.soak.now(),
 	}
-	c.soak.checker.CallSent(call.WorkID, call.Idempotent)
+	c.soak.checker.CallSent(call.WorkID, call.Idempotent, call.Node, call.Sent)
 	request := c.request(r, call.WorkID)
 	_ = c.conn.SetDeadline(time.Now().Add(callDeadline))
 	_, err := io.WriteString(c.conn, request)
@@ -170,6 +171,13 @@
 		return false, fmt.Errorf("read body: %w", err)
 	}
 	call.AnswerRead, call.Status = true, a.StatusCode
+	var said kqupstream.Condition
+	if text := a.Header.Get(kqupstream.HeaderCondition); text != "" {
+		if err := json.Unmarshal([]byte(text), &said); err != nil {
+			return false, fmt.Errorf("read condition: %w", err)
+		}
+	}
+	call.Told = kqsoakcheck.Told{Upstream: string(said.Upstream), Limited: said.Limited, Leaving: said.Leaving}
 	call.Result, call.Reason = a.Header.Get(kqcall.HeaderResult), a.Header.Get(kqcall.HeaderReason)
 	if call.Result == string(kqcall.Answered) {
 		call.AnswerIDs = []string{a.Header.Get(kqupstream.HeaderWorkID)}
--- a/internal/lab/kqsoakrun/document.go
+++ b/internal/lab/kqsoakrun/document.go
@@ -113,7 +113,7 @@
 func (s *Soak) rollout(ctx context.Context, n *node, f kqsoak.Fault) error {
 	name := "bad-" + n.name
 	s.checker.MarkBad(name)
-	c, err := n.launchUpstream(name, "--upstream-version", string(badVersion), "--fail-share", failShare)
+	c, _, err := n.launchUpstream(name, "--upstream-version", string(badVersion), "--fail-share", failShare)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/kqsoakrun/faults.go
+++ b/internal/lab/kqsoakrun/faults.go
@@ -67,6 +67,10 @@
 		return s.disrupt(ctx, n, f)
 	case kqsoak.Rollout:
 		return s.rollout(ctx, n, f)
+	case kqsoak.Limit:
+		return s.limitUpstream(ctx, n, f)
+	case kqsoak.QuietLeave:
+		return s.leaveQuietly(ctx, n, f)
 	case kqsoak.Settings:
 		return n.changeSettings()
 	case kqsoak.Reload:
@@ -86,6 +90,7 @@
 	n.lifecycle.Lock()
 	defer n.lifecycle.Unlock()
 	c := n.process()
+	s.checker.NodeRestarted(n.number)
 	// A younger process may not have installed its signal handlers.
 	time.Sleep(kqsoak.MinSignalAge - c.Age())
 	if err := c.Signal(syscall.SIGTERM); err != nil {
--- a/internal/lab/kqsoakrun/process.go
+++ b/internal/lab/kqsoakrun/process.go
@@ -15,6 +15,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqchild"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqsoak"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqupstream"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
 const (
@@ -54,11 +55,15 @@
 		upstream upstream
 	}
 
+	// upstream is the process next to a node. name is that of the running one, and address
+	// where it accepts calls.
 	upstream struct {
 		lifecycle sync.Mutex
 		mu        sync.Mutex
 		child     *kqchild.Child
 		starts    int
+		name      string
+		address   kqname.Address
 	}
 )
 
@@ -210,38 +215,43 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.starts++
-	c, err := n.launchUpstream(fmt.Sprintf("upstream-%d.%d", n.number, u.starts))
+	name := fmt.Sprintf("upstream-%d.%d", n.number, u.starts)
+	c, address, err := n.launchUpstream(name)
 	if err == nil {
-		u.child = c
+		u.child, u.name, u.address = c, name, address
 	}
 	return err
 }
 
-// launchUpstream starts an upstream and waits until it accepts calls.
-func (n *node) launchUpstream(name string, extra ...string) (*kqchild.Child, error) {
-	up := make(chan struct{})
+// launchUpstream starts an upstream, waits until it accepts calls and returns its address.
+func (n *node) launchUpstream(name string, extra ...string) (*kqchild.Child, kqname.Address, error) {
+	up := make(chan kqname.Address, 1)
 	c, err := n.soak.launch(name, append([]string{
 		"upstream", "--service", string(n.service()), "--node", n.address("local"), "--slots", fmt.Sprint(slots),
-		"--tell", "--serves-on", upstreamDrainPeriod.String(),
+		"--tell", "--instance", name, "--serves-on", upstreamDrainPeriod.String(),
 	}, extra...), func(line string) { n.handleEvent(name, line, up) })
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
 	n.soak.logEvent(event{Event: "started", Target: name, Text: fmt.Sprint("process ", c.ID())})
 	n.soak.watch(name, c)
+	n.soak.group.Go(func() {
+		<-c.Ended()
+		n.soak.checker.UpstreamGone(name, n.soak.now())
+	})
 	select {
-	case <-up:
-		return c, nil
+	case address := <-up:
+		return c, address, nil
 	case <-c.Ended():
-		return nil, fmt.Errorf("%s: %w", name, errors.Join(errNotStarted, c.Wait()))
+		return nil, "", fmt.Errorf("%s: %w", name, errors.Join(errNotStarted, c.Wait()))
 	case <-time.After(startTimeout):
-		return nil, fmt.Errorf("%s: %w", name, errNotStarted)
+		return nil, "", fmt.Errorf("%s: %w", name, errNotStarted)
 	}
 }
 
 // handleEvent records an event that an upstream printed. It closes up when the upstream
 // accepts calls.
-func (n *node) handleEvent(name, line string, up chan<- struct{}) {
+func (n *node) handleEvent(name, line string, up chan<- kqname.Address) {
 	var e kqupstream.Event
 	if err := json.Unmarshal([]byte(line), &e); err != nil {
 		return
@@ -249,11 +259,15 @@
 	at := e.At.Sub(n.soak.began)
 	switch e.Kind {
 	case kqupstream.Listening:
-		close(up)
+		up <- e.Address
 	case kqupstream.Begun:
 		n.soak.checker.Began(e.WorkID, name, n.number, at)
 	case kqupstream.Ended:
 		n.soak.checker.RunEnded(e.WorkID, name, at)
+	case kqupstream.LimitNamed:
+		n.soak.checker.LimitNamed(name, e.Limit, at)
+	case kqupstream.LimitEnded:
+		n.soak.checker.LimitEnded(name)
 	case kqupstream.DrainAcknowledged:
 		n.soak.checker.DrainAcknowledged(name, at)
 		n.soak.logEvent(event{Event: "goodbye", Target: name})
--- a/internal/lab/kqupstream/upstream.go
+++ b/internal/lab/kqupstream/upstream.go
@@ -21,6 +21,9 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
+// ConditionPath is where an upstream takes a Condition from its lab.
+const ConditionPath = "/-/condition"
+
 // HeaderWorkID is the request header with the caller's work id. The answer to a call that
 // ran echoes it, and the upstream counts the runs of each id.
 const HeaderWorkID = "Work-Id"
@@ -155,7 +158,7 @@
 func (u *Upstream) Run(ctx context.Context) error {
 	failed := make(chan error, 1)
 	go func() { failed <- u.server.Serve(u.listener) }()
-	u.emit(Listening, "")
+	u.onEvent(Event{Kind: Listening, At: time.Now(), Address: u.Address()})
 	ticker := time.NewTicker(announceEvery)
 	defer ticker.Stop()
 	for {
@@ -195,6 +198,10 @@
 }
 
 func (u *Upstream) handle(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) == ConditionPath {
+		u.serveCondition(ctx)
+		return
+	}
 	b := *u.behaviour.Load()
 	running := u.running.Add(1)
 	defer u.running.Add(-1)
@@ -231,6 +238,13 @@
 	if b.Leaving {
 		ctx.Response.Header.Set(kqcall.HeaderLeaving, "1")
 	}
+	instance := u.announcement.Instance
+	if instance == "" {
+		return
+	}
+	if text, err := json.Marshal(Condition{Upstream: instance, Limited: b.Limited, Limit: b.Limit, Leaving: b.Leaving}); err == nil {
+		ctx.Response.Header.SetBytesV(HeaderCondition, text)
+	}
 }
 
 // duration returns how long a call takes.
--- a/internal/run/kqcommand/upstream.go
+++ b/internal/run/kqcommand/upstream.go
@@ -27,6 +27,7 @@
 	coldWork := clause.Flag("cold-work", "Additional duration of a call during the cold start.").Default("0s").Duration()
 	fail := clause.Flag("fail-share", "Share of calls that fail, from 0 to 1.").Default("0").Float64()
 	servesOn := clause.Flag("serves-on", "How long it keeps serving after it has begun to say goodbye to its node.").Default("300ms").Duration()
+	instance := clause.Flag("instance", "Instance that the upstream announces; none if empty.").String()
 	printEvents := clause.Flag("tell", "Print a JSON line when the upstream listens, when a call begins or ends, and when the goodbye is acknowledged.").Bool()
 	shed := clause.Flag("shed", "Answer calls beyond the slots with 503.").Bool()
 	c.register(clause, func(ctx context.Context) error {
@@ -45,7 +46,7 @@
 		}
 		u, err := kqupstream.New(kqname.Service(*service), kqname.UpstreamVersion(*version), *slots, kqname.Address(*node),
 			kqupstream.Behaviour{Work: *work, ColdFor: *cold, ColdWork: *coldWork, FailShare: *fail, Shed: *shed},
-			c.upstreamOptions(*servesOn, *printEvents)...)
+			c.upstreamOptions(kqname.Instance(*instance), *servesOn, *printEvents)...)
 		if err != nil {
 			return err
 		}
@@ -56,8 +57,11 @@
 // upstreamOptions returns the options of the fake upstream. With printEvents, each event
 // is written as one line before the call proceeds, so that the output is complete even
 // if the upstream is killed.
-func (c *Command) upstreamOptions(servesOn time.Duration, printEvents bool) []kqupstream.Option {
+func (c *Command) upstreamOptions(instance kqname.Instance, servesOn time.Duration, printEvents bool) []kqupstream.Option {
 	options := []kqupstream.Option{kqupstream.WithDrainPeriod(servesOn)}
+	if instance != "" {
+		options = append(options, kqupstream.WithInstance(instance))
+	}
 	if !printEvents {
 		return options
 	}
