Read health answers for limits and departures as well

What upstreams saw: one that says in its health answers that it leaves got the calls for which its health had been asked. Evidence: TestHealthCheckTellsThatAnUpstreamLeaves failed without the change (last call answered or sent, none refused as draining). Fix: the gate takes a limit or departure from a health answer of the announced instance. A health answer without a limit lifts none, since an upstream may name it in the answers to calls only. Result: kqgate's tests pass.

--- a/internal/call/kqgate/cold.go
+++ b/internal/call/kqgate/cold.go
@@ -97,7 +97,8 @@
 
 // admit counts a call of the priority that is about to be sent, and reports whether it may be.
 // It checks the upstream's health first if that is needed.
-func (g *coldGuard) admit(s ColdStart, priority int, d kqcall.Dialect, now func() time.Time) bool {
+// heard is called with the condition that the answer states.
+func (g *coldGuard) admit(s ColdStart, priority int, d kqcall.Dialect, heard func(kqcall.Condition), now func() time.Time) bool {
 	v := g.count(priority, now())
 	if v != kqcold.Unproven {
 		return v == kqcold.Allowed
@@ -108,7 +109,7 @@
 	if v = g.count(priority, now()); v != kqcold.Unproven {
 		return v == kqcold.Allowed
 	}
-	g.checkHealth(s, d, now())
+	g.checkHealth(s, d, heard, now())
 	return g.count(priority, now()) == kqcold.Allowed
 }
 
@@ -126,8 +127,8 @@
 }
 
 // checkHealth asks the upstream whether it is cold, and records its answer. Whether it is
-// healthy does not matter.
-func (g *coldGuard) checkHealth(s ColdStart, d kqcall.Dialect, now time.Time) {
+// healthy does not matter. heard is called with the condition that the answer states.
+func (g *coldGuard) checkHealth(s ColdStart, d kqcall.Dialect, heard func(kqcall.Condition), now time.Time) {
 	if s.HealthPath == "" {
 		return
 	}
@@ -141,15 +142,26 @@
 		return
 	}
 	health := kqcall.ReadHealth(d, &c.Response.Header)
+	condition := kqcall.ReadCondition(d, &c.Response.Header)
+	if g.record(health, now) && (condition.Limited || condition.Leaving) {
+		heard(condition)
+	}
+}
+
+// record records an upstream's answer to a health check that was sent at the given time. It
+// reports false if the answer is not that upstream's.
+func (g *coldGuard) record(health kqcall.Health, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
 	case health.Instance != g.instance:
+		return false
 	case health.ColdFor > 0:
 		g.limiter.RecordCold(now.Add(health.ColdFor))
 	default:
 		g.limiter.RecordWarm(now)
 	}
+	return true
 }
 
 // fullLoad returns the load of an upstream that gets no further call at the moment. One call
--- a/internal/call/kqgate/cold_test.go
+++ b/internal/call/kqgate/cold_test.go
@@ -36,7 +36,9 @@
 	calls     []time.Time
 	crashes   int
 	checks    int
-	sequence  uint64
+	// leaving makes health checks say that the upstream leaves.
+	leaving  bool
+	sequence uint64
 }
 
 func newFragileUpstream(t *testing.T, options ...kqgate.Option) *fragileUpstream {
@@ -97,6 +99,9 @@
 	if r.URL.Path == coldPath {
 		u.checks++
 		w.Header().Set(kqcall.HeaderInstance, "one")
+		if u.leaving {
+			w.Header().Set(kqcall.HeaderLeaving, "1")
+		}
 		w.Header().Set(kqcall.HeaderCold, strconv.FormatInt(max(u.coldUntil.Sub(now), 0).Milliseconds(), 10))
 		return
 	}
--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -66,7 +66,9 @@
 			u.releaseSlot(t, kqcall.UnknownOutcome(kqcall.Panicked), true, 0, began)
 		}
 	}()
-	if cold.Bound > 0 && !u.cold.admit(cold, priority, g.dialect, g.now) {
+	// A health check that names no limit does not lift that of the calls' answers.
+	heard := func(condition kqcall.Condition) { g.recordCondition(u, a, condition, time.Time{}) }
+	if cold.Bound > 0 && !u.cold.admit(cold, priority, g.dialect, heard, g.now) {
 		o, released = coldRefusal(), true
 		return o, fullLoad(u.releaseSlot(t, o, false, 0, g.now()))
 	}
@@ -205,7 +207,7 @@
 		verdict = c.Dialect.ReadVerdict(c)
 	}
 	if verdict.NotRunReason != kqcall.Misdirected {
-		g.readCondition(u, a, c, now)
+		g.recordCondition(u, a, kqcall.ReadCondition(c.Dialect, &c.Response.Header), now)
 	}
 	kqcall.StripResponse(&c.Response.Header)
 	if verdict.NotRunReason != kqcall.NoReason {
@@ -218,11 +220,11 @@
 	return o
 }
 
-// readCondition reads what the answer to a call that was sent at the given time says of its
-// upstream.
-func (g *Gate) readCondition(u *upstream, a kqlocal.Announcement, c *kqcall.Call, sent time.Time) {
+// recordCondition records what the answer to a call or health check that was sent at the given
+// time says of the upstream.
+func (g *Gate) recordCondition(u *upstream, a kqlocal.Announcement, c kqcall.Condition, sent time.Time) {
 	now := g.now()
-	if u.condition.update(a, kqcall.ReadCondition(c.Dialect, &c.Response.Header), sent, now) {
+	if u.condition.update(a, c, sent, now) {
 		g.onDeparture(a, now)
 	}
 }
--- a/internal/call/kqgate/leaving_test.go
+++ b/internal/call/kqgate/leaving_test.go
@@ -103,3 +103,24 @@
 		t.Errorf("call ended as %+v and %d calls were received, want it refused as draining", o, calls.Load())
 	}
 }
+
+// Guards against calls to an upstream whose health check alone has said that it leaves.
+func TestHealthCheckTellsThatAnUpstreamLeaves(t *testing.T) {
+	u := newFragileUpstream(t, withBound())
+	u.leaving = true
+	u.restart(0)
+	u.coldUntil = time.Now()
+	u.announce(t)
+	var last kqcall.Outcome
+	for range 3 * bears {
+		last, _ = u.gate.Do(newCall("/"))
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.checks == 0 {
+		t.Fatal("the upstream was not asked for its health")
+	}
+	if last.Reason != kqcall.Draining || len(u.calls) > bears+1 {
+		t.Errorf("last call ended as %+v and %d calls were received, want refusals as draining from the first check on", last, len(u.calls))
+	}
+}
