Let connections to an upstream grow with the slots that it announces

What callers saw: after an upstream had announced more slots than 100, calls beyond 100 at once were refused as queue_full although slots were free. Fix: the limit on connections follows each announcement.

--- a/internal/call/kqgate/upstream.go
+++ b/internal/call/kqgate/upstream.go
@@ -68,7 +68,7 @@
 )
 
 func newUpstream(a kqlocal.Announcement, q queue, d kqcall.Dialect, r ConditionRecorder) *upstream {
-	options := []kqsend.Option{kqsend.WithMaxConnections(max(maxConnections, a.Slots)), kqsend.WithIdleTimeout(upstreamIdleTimeout)}
+	options := []kqsend.Option{kqsend.WithMaxConnections(connectionsFor(a.Slots)), kqsend.WithIdleTimeout(upstreamIdleTimeout)}
 	if d != nil {
 		options = append(options, kqsend.WithResponseMatcher(d.IsAnswer))
 	}
@@ -80,6 +80,9 @@
 	}
 }
 
+// connectionsFor returns how many connections an upstream with the slots may get.
+func connectionsFor(slots int) int { return max(maxConnections, slots) }
+
 // updateUnreachable records whether a call ended with ConnectFailed, and reports whether that
 // has been every call's outcome for at least unreachableAfter.
 func (u *upstream) updateUnreachable(o kqcall.Outcome, now time.Time) bool {
@@ -109,6 +112,7 @@
 	}
 	if u.slots != a.Slots {
 		u.slots = a.Slots
+		u.client.SetMaxConnections(connectionsFor(a.Slots))
 		wake(u.queue.Resize(a.Slots, now))
 	}
 }
--- a/internal/call/kqsend/client.go
+++ b/internal/call/kqsend/client.go
@@ -124,6 +124,14 @@
 	return c
 }
 
+// SetMaxConnections limits the number of open connections from now on. Those beyond a lower
+// limit stay open until they are closed otherwise.
+func (c *Client) SetMaxConnections(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxOpen = n
+}
+
 // Close closes all idle connections. Those in use are not affected.
 func (c *Client) Close() { c.closeIdle(func(*connection) bool { return true }) }
 
