Pass on when an upstream that refuses a call wants its caller back

What callers saw: an upstream's refusal, which promises that the call has not run, came without the Retry-After that the upstream had sent. Evidence: TestRefusedCallersHearTheUpstreamsRetryAfter failed for the three values that state a delay. Fix: the gate reads the delay in seconds, ten minutes at most, into the refusal; dates and other values count as none. Result: the tests of kqgate, kqentry, kqcall and kqwire pass.

--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -210,14 +210,18 @@
 		g.recordCondition(u, a, kqcall.ReadCondition(c.Dialect, &c.Response.Header), now)
 	}
 	kqcall.StripResponse(&c.Response.Header)
-	if verdict.NotRunReason != kqcall.NoReason {
-		c.Response.Reset()
-		return kqcall.Refuse(verdict.NotRunReason)
-	}
 	if c.Dialect == nil && c.RefusalMeansNotRun && c.Response.StatusCode() == fasthttp.StatusServiceUnavailable {
-		return kqcall.Refuse(kqcall.RefusedByUpstream)
+		verdict.NotRunReason = kqcall.RefusedByUpstream
+	}
+	if verdict.NotRunReason == kqcall.NoReason {
+		return o
+	}
+	refusal := kqcall.Refuse(verdict.NotRunReason)
+	refusal.RetryAfter = kqcall.ReadRetryAfter(&c.Response.Header)
+	if c.Dialect != nil {
+		c.Response.Reset()
 	}
-	return o
+	return refusal
 }
 
 // recordCondition records what the answer to a call or health check that was sent at the given
