--- a/internal/admin/kqview/view.go
+++ b/internal/admin/kqview/view.go
@@ -43,6 +43,10 @@
 		// WarmFrom is the announced end of the cold start, FirstAnnounced if none was
 		// announced, or zero if the upstream announced no instance.
 		WarmFrom time.Time `json:"warm,omitzero"`
+		// Limited reports whether the upstream names a limit, and Limit is that of the last
+		// few seconds, in calls a second.
+		Limited bool    `json:"limited,omitempty"`
+		Limit   float64 `json:"limit,omitempty"`
 	}
 
 	// Member is one node of the fleet.
--- a/internal/call/kqgate/condition.go
+++ b/internal/call/kqgate/condition.go
@@ -7,6 +7,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqratelimit"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
 type (
@@ -33,6 +34,14 @@
 		Sent, Refused int
 	}
 
+	// Limit is whether the upstream at an address names a limit, and which one, in calls a
+	// second.
+	Limit struct {
+		Address   kqname.Address
+		Limited   bool
+		PerSecond float64
+	}
+
 	// condition tracks what one upstream says of itself. It is safe for concurrent use.
 	condition struct {
 		recorder ConditionRecorder
@@ -132,6 +141,13 @@
 	return n.limiter.Wait(priority, now)
 }
 
+// limit returns the limit that the upstream names, in calls a second, and whether it names one.
+func (n *condition) limit() (perSecond float64, limited bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.limiter.Limit()
+}
+
 // hint returns what a node that has heard of the upstream's condition keeps of it. Without an
 // instance, a departure cannot be told from that of another upstream.
 func (n *condition) hint() kqcall.Hint {
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -237,6 +237,20 @@
 	}
 }
 
+// Limits returns the limit of each local upstream that has got calls.
+func (g *Gate) Limits() []Limit {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []Limit
+	for key, u := range g.upstreams {
+		if a, ok := g.local.Find(key.service, key.version); ok && a.Address == key.address {
+			perSecond, limited := u.condition.limit()
+			list = append(list, Limit{Address: key.address, Limited: limited, PerSecond: perSecond})
+		}
+	}
+	return list
+}
+
 // HasCalls reports whether calls run or wait at an upstream of the service whose version
 // satisfies fits.
 func (g *Gate) HasCalls(service kqname.Service, fits func(kqname.UpstreamVersion) bool) bool {
--- a/internal/call/kqlocal/upstreams.go
+++ b/internal/call/kqlocal/upstreams.go
@@ -101,6 +101,8 @@
 		// because it has said in its answers that it leaves. Only one that announces no
 		// instance has it, since another in its place could not be told from it.
 		leavingUntil time.Time
+		// limit is the published limit.
+		limit
 		// recovered is set until the upstream itself has announced itself to this process.
 		recovered bool
 		// coldFor is how long after firstSeen the upstream is cold, according to that
@@ -157,7 +159,7 @@
 		if coldAgain = next.warmFrom().Sub(old.warmFrom()) > recoldMargin && a.WarmUpLeft > 0; !coldAgain {
 			next.firstSeen, next.coldFor = old.firstSeen, old.coldFor
 		}
-		next.withdrawal, next.leavingUntil = old.withdrawal, old.leavingUntil
+		next.withdrawal, next.leavingUntil, next.limit = old.withdrawal, old.leavingUntil, old.limit
 		next.withdrawn = old.withdrawn && now.Sub(old.withdrawnAt) < old.minDuration
 	}
 	u.byAddress[a.Address] = next
@@ -392,7 +394,7 @@
 		if e.withdrawn {
 			continue
 		}
-		next := kqmember.Upstream{Service: e.Service, Version: e.Version, Slots: e.Slots, Draining: e.Draining, FirstAnnounced: e.firstSeen}
+		next := kqmember.Upstream{Service: e.Service, Version: e.Version, Slots: e.Slots, Draining: e.Draining, FirstAnnounced: e.firstSeen, Limited: e.limited, Limit: e.perSecond}
 		if e.Instance != "" {
 			next.WarmFrom = e.warmFrom()
 		}
--- a/internal/peer/kqmember/member.go
+++ b/internal/peer/kqmember/member.go
@@ -37,6 +37,10 @@
 		// WarmFrom is the announced end of the cold start, FirstAnnounced if none was
 		// announced, or zero if the upstream announced no instance.
 		WarmFrom time.Time `cbor:"6,keyasint,omitzero"`
+		// Limited reports whether the upstream names a limit, and Limit is one of the last
+		// few seconds, in calls a second. They are for operators to see.
+		Limited bool    `cbor:"7,keyasint,omitempty"`
+		Limit   float64 `cbor:"8,keyasint,omitempty"`
 	}
 
 	// Member is one node's record. Of two records of a node, the one with the higher
--- a/internal/run/kqexplain/explain.go
+++ b/internal/run/kqexplain/explain.go
@@ -104,6 +104,9 @@
 		// reported before the attempt, and no room may also mean no further connection.
 		return fmt.Sprintf("overload. %d gates of %s had no room within the time that the request could wait; the last, %s, had %d of %d slots in use and %d calls waiting.",
 			len(end.Attempts), end.Service, last.To, last.Running, last.Slots, last.Waiting)
+	case "limited":
+		return fmt.Sprintf("limit. The last of %d gates of %s, %s, keeps its upstream to the limit of calls a second that it names in its answers, and no other had room.",
+			len(end.Attempts), end.Service, last.To)
 	case "late":
 		// Also if no connection to the gate was made in time.
 		return fmt.Sprintf("overload. It waited at the gate of %s until it was too late to start, and was refused without reaching the upstream.", last.To)
--- a/internal/run/kqexplain/explain_test.go
+++ b/internal/run/kqexplain/explain_test.go
@@ -8,7 +8,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/run/kqexplain"
 )
 
-// recorded holds the log lines of three calls, r1 to r3, on nodes a to c, and three
+// recorded holds the log lines of four calls, r1 to r4, on nodes a to c, and three
 // lines that must be skipped: an empty one, one of another program, and a truncated
 // one.
 const recorded = `
@@ -20,6 +20,7 @@
 {"time":"2026-01-02T03:04:08.000Z","node":"a","part":"member","event":"members","records":1,"dead":["b"],"msg":"member: Members changed."}
 {"time":"2026-01-02T03:04:09.000Z","node":"c","part":"call","event":"ended","id":"r3.1","result":"not_run","reason":"late","status":503,"service":"wood","tries":[{"to":"d"}]}
 {"time":"2026-01-02T03:04:09.001Z","node":"a","part":"call","event":"ended","id":"r3","result":"answered","status":500,"service":"front","took_ms":90,"tries":[{"to":"c","result":"answered","status":500,"took_ms":89}]}
+{"time":"2026-01-02T03:04:09.100Z","node":"a","part":"call","event":"ended","id":"r4","result":"not_run","reason":"limited","status":503,"service":"wood","retry_after_ms":400,"tries":[{"to":"d","result":"not_run","reason":"limited"}]}
 words of somebody else
 {"time":"2026-01-02T03:04:10.000Z","node":"a","part":"call","event":"en`
 
@@ -37,6 +38,7 @@
 func TestExplainStatesCause(t *testing.T) {
 	for id, want := range map[string][]string{
 		"r1": {"Cause: overload. 1 gates of front had no room", "caller told to retry after 250 ms", "b alive for", "version in force for"},
+		"r4": {"Cause: limit. The last of 1 gates of wood, d,", "caller told to retry after 400 ms"},
 		"r2": {"Cause: the upstream. The last attempt, to b, ended as cut", "b was marked", "marked dead at 03:04:08.000"},
 		"r3": {"Cause: a call that it caused. r3.1 ended as not_run, late"},
 	} {
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -357,6 +357,9 @@
 func (n *Node) sweep(now time.Time) {
 	n.local.Sweep(now)
 	n.gate.Sweep(now)
+	for _, l := range n.gate.Limits() {
+		n.local.SetLimit(l.Address, l.Limited, l.PerSecond, now)
+	}
 	n.entry.Sweep(now)
 	for _, m := range n.table.Members() {
 		if m.State >= kqmember.Leaving {
