Keep an upstream's limit and departure while its announcements are late

Cause: the condition was dropped with the upstream's queue and connections. Fix: the gate keeps a hint of it for the address, for the same start only. A departure is remembered for as long as the very start that left announces itself, and no longer for an earlier start time, which may be a later start by a clock that was set back.

--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -189,6 +189,8 @@
 	if !ok {
 		u = newUpstream(a, g.queue(a.Slots, a.Address), g.dialect, g.conditions)
 		g.upstreams[key] = u
+		u.condition.adopt(a, g.hints[a.Address], now)
+		delete(g.hints, a.Address)
 	}
 	u.update(a, now)
 	return u
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -16,8 +16,12 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
-// component names the gate in reports of panics.
-const component = "gate"
+const (
+	// component names the gate in reports of panics.
+	component = "gate"
+	// maxHints bounds the conditions of deleted upstreams that are kept.
+	maxHints = 64
+)
 
 type (
 	// Finder finds the local upstream of a service and version, and when the announced cold
@@ -96,6 +100,9 @@
 
 		mu        sync.Mutex
 		upstreams map[upstreamKey]*upstream
+		// hints holds the conditions of deleted upstreams, which may announce themselves
+		// again.
+		hints map[kqname.Address]kqcall.Hint
 	}
 
 	// upstreamKey identifies an upstream by address, service and version. The address
@@ -160,7 +167,7 @@
 	g := &Gate{
 		local: local, withdrawer: noop{}, observer: noop{}, guard: noop{}, evacuated: func() bool { return false },
 		coldStart: func(*kqcall.Call) ColdStart { return ColdStart{} }, started: time.Now(), counter: noop{}, recorder: noopRecorder{}, conditions: noop{}, onDeparture: func(kqlocal.Announcement, time.Time) {}, now: time.Now, watcher: kqdisconnect.New(),
-		upstreams: make(map[upstreamKey]*upstream), nesting: kqnesting.New(),
+		upstreams: make(map[upstreamKey]*upstream), hints: make(map[kqname.Address]kqcall.Hint), nesting: kqnesting.New(),
 		queue: func(slots int, address kqname.Address) queue {
 			return kqslots.New(slots, saltOf(address))
 		},
@@ -231,12 +238,25 @@
 			u.close(kqcall.Evacuated)
 		}
 		if u.sweep(now) == 0 && (!ok || a.Address != key.address) && u.isIdle() {
+			g.keepHint(key.address, u.condition.hint())
 			u.condition.end(now)
 			delete(g.upstreams, key)
 		}
 	}
 }
 
+// keepHint keeps the condition of a deleted upstream. Of too many, all are dropped: they are
+// only of use until the upstream's next answer. The caller holds g.mu.
+func (g *Gate) keepHint(address kqname.Address, h kqcall.Hint) {
+	if h.IsZero() {
+		return
+	}
+	if len(g.hints) >= maxHints {
+		clear(g.hints)
+	}
+	g.hints[address] = h
+}
+
 // Limits returns the limit of each local upstream that has got calls.
 func (g *Gate) Limits() []Limit {
 	g.mu.Lock()
--- a/internal/call/kqgate/limit_test.go
+++ b/internal/call/kqgate/limit_test.go
@@ -188,3 +188,32 @@
 		t.Errorf("load is %+v, want an upstream that has no place and a wait of over a second", load)
 	}
 }
+
+// Guards against a limit that is forgotten while an upstream's announcements are late, so that
+// it counts as gone for a moment.
+func TestLimitOutlivesLateAnnouncements(t *testing.T) {
+	u := newLimitingUpstream(t)
+	u.header.Store("0.5")
+	local := u.announce(t, "i-1", 1)
+	g := kqgate.New(local)
+	sendAll(g, 10, kqcall.Hint{})
+	later := time.Now().Add(10 * time.Second)
+	local.Sweep(later)
+	for i := range 300 {
+		later = later.Add(250 * time.Millisecond)
+		local.Sweep(later)
+		if i > 250 {
+			g.Sweep(later)
+		}
+	}
+	before := u.received()
+	u.announceTo(t, local, "i-1", 1)
+	var group conc.WaitGroup
+	for range 20 {
+		group.Go(func() { sendAll(g, 1, kqcall.Hint{}) })
+	}
+	group.Wait()
+	if got := u.received() - before; got > 3 {
+		t.Errorf("%d of 20 calls were received by an upstream that takes one in 2 s", got)
+	}
+}
--- a/internal/call/kqlocal/upstreams.go
+++ b/internal/call/kqlocal/upstreams.go
@@ -169,15 +169,16 @@
 	return nil
 }
 
-// hasLeft reports whether the start that announces itself has said goodbye. One that still
-// announces itself is remembered for longer: it may say in its answers only that it leaves.
+// hasLeft reports whether the start that announces itself has said goodbye. The very start that
+// did is remembered for as long as it announces itself: it may say in its answers only that it
+// leaves. An earlier one may be a later start by a clock that was set back.
 // The caller holds u.mu.
 func (u *Upstreams) hasLeft(a Announcement, now time.Time) bool {
 	e, left := u.goodbyes[a.Instance]
 	if !left || a.StartedMS > e.startMS {
 		return false
 	}
-	if a.StartedMS != 0 {
+	if a.StartedMS != 0 && a.StartedMS == e.startMS {
 		e.receivedAt = now
 		u.goodbyes[a.Instance] = e
 	}
