--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -35,24 +35,18 @@
 	if cold.Bound > 0 {
 		u.cold.prepare(cold, a, g.local.ColdUntil(a.Address), g.started, now)
 		if u.cold.check(priority, now) == kqcold.Refused {
-			load := u.load(t, now)
-			u.recycle(t)
-			return coldRefusal(), fullLoad(load)
+			return u.turnAway(t, coldRefusal(), now)
 		}
 	}
-	permit, retryAfter, allowed := u.condition.request(priority, now)
+	p, retryAfter, allowed := u.condition.request(priority, now)
 	if !allowed {
-		load := u.load(t, now)
-		u.recycle(t)
-		return limitRefusal(retryAfter), fullLoad(load)
+		return u.turnAway(t, limitRefusal(retryAfter), now)
 	}
-	defer func() { permit.cancel(g.now()) }()
+	defer func() { p.cancel(g.now()) }()
 	o := u.admit(t, c, now)
 	r.Waited = g.now().Sub(now)
 	if o.Result != kqcall.Answered {
-		load := u.load(t, now)
-		u.recycle(t)
-		return o, load
+		return u.turnAway(t, o, now)
 	}
 	if reason := cancelReason(c, r.Waited); reason != kqcall.NoReason {
 		o = kqcall.Refuse(reason)
@@ -66,17 +60,8 @@
 			u.releaseSlot(t, kqcall.UnknownOutcome(kqcall.Panicked), true, 0, began)
 		}
 	}()
-	// A health check that names no limit does not lift that of the calls' answers.
-	heard := func(condition kqcall.Condition) { g.recordCondition(u, a, condition, time.Time{}) }
-	if cold.Bound > 0 && !u.cold.admit(cold, priority, g.dialect, heard, g.now) {
-		o, released = coldRefusal(), true
-		return o, fullLoad(u.releaseSlot(t, o, false, 0, g.now()))
-	}
-	if retryAfter, allowed := permit.send(g.now()); !allowed {
-		if cold.Bound > 0 {
-			u.cold.forget()
-		}
-		o, released = limitRefusal(retryAfter), true
+	if o = g.confirm(u, a, &p, cold); o.Result != kqcall.Answered {
+		released = true
 		return o, fullLoad(u.releaseSlot(t, o, false, 0, g.now()))
 	}
 	c.Instance, began = a.Instance, g.now()
@@ -115,6 +100,27 @@
 	return o, u.load(t, ended)
 }
 
+// confirm decides whether the upstream may get a call that has a slot, and returns kqcall.OK() if
+// so. What the upstream bears may have changed while the call waited.
+func (g *Gate) confirm(u *upstream, a kqlocal.Announcement, p *permit, cold ColdStart) kqcall.Outcome {
+	if u.condition.isLeaving() {
+		return kqcall.Refuse(kqcall.Draining)
+	}
+	// A health check that names no limit does not lift that of the calls' answers.
+	heard := func(c kqcall.Condition) { g.recordCondition(u, a, c, time.Time{}) }
+	if cold.Bound > 0 && !u.cold.admit(cold, p.priority, g.dialect, heard, g.now) {
+		return coldRefusal()
+	}
+	retryAfter, allowed := p.send(g.now())
+	if allowed {
+		return kqcall.OK()
+	}
+	if cold.Bound > 0 {
+		u.cold.forget()
+	}
+	return limitRefusal(retryAfter)
+}
+
 // findUpstream returns the upstream for the call, or why it takes no calls.
 func (g *Gate) findUpstream(c *kqcall.Call) (kqlocal.Announcement, kqcall.Reason) {
 	a, ok := g.local.Find(c.Service, c.Version)
--- a/internal/call/kqgate/upstream.go
+++ b/internal/call/kqgate/upstream.go
@@ -172,6 +172,17 @@
 	}
 }
 
+// turnAway recycles the ticket of a call that got no slot, and returns the call's outcome with
+// the load.
+func (u *upstream) turnAway(t *kqslots.Ticket, o kqcall.Outcome, now time.Time) (kqcall.Outcome, kqcall.Load) {
+	load := u.load(t, now)
+	u.recycle(t)
+	if o.Reason == kqcall.Cold || o.Reason == kqcall.Limited {
+		load = fullLoad(load)
+	}
+	return o, load
+}
+
 // releaseSlot releases the slot, records whether the call failed unless its caller
 // disconnected or it was not sent, recycles the ticket and returns the load. The queue learns from the call's
 // duration only if the upstream answered or the call timed out: a broken connection says
