--- a/internal/lab/kqsoak/condition.go
+++ b/internal/lab/kqsoak/condition.go
@@ -11,14 +11,18 @@
 	// QuietLeave makes an upstream say in its answers alone that it leaves, and replaces it
 	// after For.
 	QuietLeave Kind = "quiet_leave"
+	// Evacuate evacuates the target's failure domain for a duration of For.
+	Evacuate Kind = "evacuate"
 
-	// minConditions is the least duration of a plan with limits and quiet leaves.
+	// minConditions is the least duration of a plan with limits, quiet leaves and an evacuation.
 	minConditions = 8 * time.Second
 	// conditionInterval is the mean time between two of them.
 	conditionInterval = 5 * time.Second
 	// quietLeaveFor is longer than calls may still reach an upstream that leaves, so that a
 	// later one is observed.
 	quietLeaveFor = 4 * time.Second
+	// evacuationFor is longer than calls may still reach an evacuated failure domain.
+	evacuationFor = 9 * time.Second
 	// longestLimit is the longest time for which an upstream names a limit, and seriesLength
 	// how often one names it on and off.
 	longestLimit = 8 * time.Second
@@ -29,13 +33,15 @@
 // limits are the limits that upstreams name, in calls a second.
 var limits = []float64{0, 0.5, 2, 5, 10}
 
-// addConditions adds limits and quiet leaves. They are generated last and by numbers of their
+// addConditions adds limits, quiet leaves and an evacuation. They are generated last and by numbers of their
 // own, so that the other faults of a seed stay the same.
 func (g *generator) addConditions() {
 	if g.options.For < minConditions {
 		return
 	}
 	g.random = rand.New(rand.NewPCG(g.options.Seed, uint64(g.options.Nodes)+1))
+	// Only one, since a second one would end with the first.
+	g.add(Fault{At: g.randomDuration(firstFault, g.options.For/2), Kind: Evacuate, Target: g.randomNode(), For: evacuationFor})
 	for at := g.randomDuration(firstFault, conditionInterval); at < g.options.For; at += g.randomDuration(time.Second, 2*conditionInterval) {
 		target, limit := g.randomNode(), limits[g.random.IntN(len(limits))]
 		switch n := g.random.IntN(100); {
--- a/internal/lab/kqsoakcheck/call.go
+++ b/internal/lab/kqsoakcheck/call.go
@@ -74,7 +74,7 @@
 // during a time span or up to faultGrace before it.
 func (ck *Checker) hadFault(node int, from, to time.Duration) bool {
 	return slices.ContainsFunc(ck.disruptions, func(f Disruption) bool {
-		return (node == AnyNode || f.Node == node) && f.From <= to && (f.To == 0 || from <= f.To+faultGrace)
+		return (node == AnyNode && f.Node != Store || f.Node == node) && f.From <= to && (f.To == 0 || from <= f.To+faultGrace)
 	})
 }
 
--- a/internal/lab/kqsoakcheck/check.go
+++ b/internal/lab/kqsoakcheck/check.go
@@ -38,6 +38,10 @@
 	OverLimit Kind = "LIMIT"
 	// StaleLimit is a call that was refused within a limit although no upstream names one.
 	StaleLimit Kind = "STALE_LIMIT"
+	// InEvacuated is a call that began to run in a failure domain more than
+	// evacuationGrace after the document that evacuates it was committed, and was sent
+	// after that time.
+	InEvacuated Kind = "EVACUATED"
 	// Unrecovered is a fleet that answers too few calls, or gets none, after the last
 	// fault.
 	Unrecovered Kind = "UNRECOVERED"
@@ -58,6 +62,9 @@
 
 	// AnyNode matches every node, for calls whose path through the fleet is unknown.
 	AnyNode = -1
+	// Store stands for the store in disruptions. They excuse nothing but a document that
+	// nodes do not get.
+	Store = -2
 )
 
 type (
@@ -145,6 +152,8 @@
 		disruptions        []Disruption
 		badUpstreams       map[string]*badUpstream
 		conditions         map[string]*condition
+		// evacuatedAt holds when the failure domain of each node was evacuated.
+		evacuatedAt map[int]time.Duration
 		// pending holds calls that are lost unless an unplanned fault excuses them.
 		pending    []*callRecord
 		tally      Tally
@@ -182,7 +191,7 @@
 func New() *Checker {
 	return &Checker{
 		records: make(map[string]*callRecord), acknowledgedDrains: make(map[string]time.Duration),
-		badUpstreams: make(map[string]*badUpstream), conditions: make(map[string]*condition), tally: Tally{Reasons: make(map[string]int)},
+		badUpstreams: make(map[string]*badUpstream), conditions: make(map[string]*condition), evacuatedAt: make(map[int]time.Duration), tally: Tally{Reasons: make(map[string]int)},
 	}
 }
 
@@ -214,6 +223,7 @@
 		ck.checkExposure(b, rec, upstream, at)
 	}
 	ck.checkCondition(rec, upstream, at)
+	ck.checkEvacuation(rec, node, at)
 	if acknowledgedAt, ok := ck.acknowledgedDrains[upstream]; ok && at > acknowledgedAt+drainGrace && !ck.hadFault(node, acknowledgedAt, at) {
 		ck.addLocked(Late, at, fmt.Sprintf("%s began %v after the node acknowledged the drain of %s", workID, at-acknowledgedAt, upstream), rec)
 	}
--- a/internal/lab/kqsoakrun/document.go
+++ b/internal/lab/kqsoakrun/document.go
@@ -48,14 +48,14 @@
 )
 
 // document returns the fleet's document with a number. Two documents with the same
-// rollouts differ only in the weights of the routes of both.example, whose services are
+// rollouts and evacuations differ only in the weights of the routes of both.example, whose services are
 // equivalent, and in the probe routes of the latest probesKept documents, which show that
 // a document is in force.
-func document(number int, rollouts []kqdocument.Rollout) kqdocument.Document {
+func document(number int, rollouts []kqdocument.Rollout, evacuations []kqdocument.Evacuation) kqdocument.Document {
 	d := kqdocument.Document{
 		Teams:    []kqdocument.Team{{Name: team}},
 		Policies: []kqdocument.Policy{{Name: policy, Prefer: kqdocument.PreferTakingBack}},
-		Rollouts: rollouts,
+		Rollouts: rollouts, Evacuations: evacuations,
 	}
 	for _, s := range services {
 		d.Services = append(d.Services, kqdocument.Service{Name: s, Team: team, Version: goodVersion, TimeoutMS: int(routeTimeout.Milliseconds())})
@@ -90,7 +90,7 @@
 	s.versions.number++
 	o, err := kqcommit.New(kqstoreclient.New(s.storeURL)).Commit(ctx, kqcommit.Request{
 		ID: fmt.Sprintf("soak-%d", s.versions.number), Base: s.versions.lastConfigVersion, Author: "soak", Reason: "soak",
-		At: time.Now(), Document: document(s.versions.number, s.versions.rollouts),
+		At: time.Now(), Document: document(s.versions.number, s.versions.rollouts, s.versions.evacuations),
 	})
 	if err != nil {
 		return fmt.Errorf("commit version: %w", err)
--- a/internal/lab/kqsoakrun/settings.go
+++ b/internal/lab/kqsoakrun/settings.go
@@ -32,6 +32,10 @@
 
 func (n *node) service() kqname.Service { return services[n.number%len(services)] }
 
+func (n *node) domain() kqname.Domain {
+	return kqname.Domain(fmt.Sprintf("domain-%d", n.number%domains))
+}
+
 // changeSettings changes the node's settings file without sending a signal.
 func (n *node) changeSettings() error {
 	n.mu.Lock()
@@ -46,8 +50,8 @@
 	seeds := n.soak.seeds(n)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	text := fmt.Sprintf("[node]\nname = %s\ndomain = domain-%d\nservice = %s\ndrain_timeout = %v\n",
-		n.name, n.number%domains, n.service(), drainTimeout)
+	text := fmt.Sprintf("[node]\nname = %s\ndomain = %s\nservice = %s\ndrain_timeout = %v\n",
+		n.name, n.domain(), n.service(), drainTimeout)
 	for _, role := range roles {
 		text += fmt.Sprintf("%s_listen = %s\n", role, n.addresses[role])
 		if fp, ok := n.proxies[kqsoak.Role(role)]; ok {
--- a/internal/lab/kqsoakrun/soak.go
+++ b/internal/lab/kqsoakrun/soak.go
@@ -74,6 +74,8 @@
 		// exceed the configuration versions.
 		number, committed int
 
+		// evacuations are those of the next document.
+		evacuations []kqdocument.Evacuation
 		// lastConfigVersion is the base of the next commit.
 		lastConfigVersion kqname.ConfigVersion
 		rollouts          []kqdocument.Rollout
--- a/internal/lab/kqsoakrun/unplanned.go
+++ b/internal/lab/kqsoakrun/unplanned.go
@@ -11,6 +11,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqchild"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqproxy"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqsoak"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqsoakcheck"
 )
 
 // faultProxy is a proxy whose mode faults set; of overlapping faults, the last to begin
@@ -108,10 +109,12 @@
 	default:
 		c = n.process()
 	}
-	if f.Kind != kqsoak.PauseStore {
-		ended := s.checker.Disruption(n.number, s.now())
-		defer func() { ended(s.now()) }()
+	disrupted := n.number
+	if f.Kind == kqsoak.PauseStore {
+		disrupted = kqsoakcheck.Store
 	}
+	ended := s.checker.Disruption(disrupted, s.now())
+	defer func() { ended(s.now()) }()
 	err := c.Signal(syscall.SIGSTOP)
 	sleep(ctx, f.For)
 	s.logEvent(event{Event: "fault ended", Target: n.name, Fault: &f})
@@ -121,12 +124,12 @@
 // disrupt sets the mode of a proxy for the fault's duration. Disrupting the store's
 // connections excuses no lost call.
 func (s *Soak) disrupt(ctx context.Context, n *node, f kqsoak.Fault) error {
-	fp := s.storeProxy
+	fp, disrupted := s.storeProxy, kqsoakcheck.Store
 	if f.Kind == kqsoak.NodeNetwork {
-		fp = n.proxies[f.Role]
-		ended := s.checker.Disruption(n.number, s.now())
-		defer func() { ended(s.now()) }()
+		fp, disrupted = n.proxies[f.Role], n.number
 	}
+	ended := s.checker.Disruption(disrupted, s.now())
+	defer func() { ended(s.now()) }()
 	fp.mu.Lock()
 	fp.generation++
 	generation := fp.generation
