kqgate: an answer of an earlier start says nothing of the present one

Cause: an answer that came after the next start of its upstream had announced itself reset the condition to the earlier start, and dropped the limit of the present one. Fix: such an answer is read for the departure of its own start only.

--- a/internal/call/kqgate/condition.go
+++ b/internal/call/kqgate/condition.go
@@ -184,11 +184,15 @@
 }
 
 // update records what the answer to a call that was sent at the given time says of the
-// announced upstream, and reports whether it says for the first time that it leaves. A part
-// of the answer that cannot be read changes nothing.
+// announced upstream, and reports whether the upstream leaves by it and had not said so before.
+// A part of the answer that cannot be read changes nothing.
 func (n *condition) update(a kqlocal.Announcement, c kqcall.Condition, sent, now time.Time) (leaves bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if a.Instance == n.upstream.Instance && a.StartedMS < n.upstream.StartedMS {
+		// The answer of an earlier start says nothing of the one that has announced itself.
+		return c.Leaving
+	}
 	n.restart(a, now)
 	c.Limited, c.Leaving = c.Limited && !ignoresLimit, c.Leaving && !ignoresLeaving
 	if c.Err != nil {
--- a/internal/call/kqgate/limit_test.go
+++ b/internal/call/kqgate/limit_test.go
@@ -217,3 +217,20 @@
 		t.Errorf("%d of 20 calls were received by an upstream that takes one in 2 s", got)
 	}
 }
+
+// Guards against the late answer of an earlier start that ends the limit of the present one.
+func TestAnswerOfAnEarlierStartKeepsTheLimit(t *testing.T) {
+	u := newLimitingUpstream(t)
+	u.work = 300 * time.Millisecond
+	local := u.announce(t, "i-1", 1)
+	g := kqgate.New(local)
+	var group conc.WaitGroup
+	group.Go(func() { sendAll(g, 1, kqcall.Hint{}) })
+	time.Sleep(100 * time.Millisecond)
+	u.announceTo(t, local, "i-1", 2)
+	sendAll(g, 1, kqcall.Hint{Instance: "i-1", StartedMS: 2, Limited: true, Limit: 0.5})
+	group.Wait()
+	if ended := sendAll(g, 5, kqcall.Hint{}); ended[kqcall.Limited] < 4 {
+		t.Errorf("calls ended as %v, want them refused as limited", ended)
+	}
+}
