kqratelimit: a class whose calls are refused gets one call in five of a limit

Cause: with the strict order of classes, orders that alone exceed a limit kept all others out for as long as it lasted. Fix: after four calls of others it is the turn of a priority that was refused a moment ago; the next token is left for it.

--- a/internal/decide/kqratelimit/doc.go
+++ b/internal/decide/kqratelimit/doc.go
@@ -14,7 +14,9 @@
 // once.
 //
 // The few calls go to the highest priority that has any: some tokens are kept for it, and
-// while its calls are refused, those of lower ones are.
+// while its calls are refused, those of lower ones are. After four calls of
+// others it is the turn of a priority that was refused: one that alone asks for more than the
+// limit would keep all others out for as long as it lasts.
 //
 // After the limit is lifted, the rate grows over some seconds. An upstream that gets all that
 // was kept from it at once is in need again in the next moment.
--- a/internal/decide/kqratelimit/limiter.go
+++ b/internal/decide/kqratelimit/limiter.go
@@ -26,6 +26,9 @@
 	// ones, and keptShare the share that they leave of those beyond leastBurst.
 	leastKept = 1.0
 	keptShare = 0.5
+	// turnCalls is after how many calls of other priorities one that was refused has its
+	// turn.
+	turnCalls = 4
 	// yieldCalls is for how many calls' time after the refusal of a call those of lower
 	// priority are refused too, between leastYield and mostYield.
 	yieldCalls = 2
@@ -56,6 +59,10 @@
 	filledAt time.Time
 	reserved int
 	sent     window
+	// granted counts the calls that were allowed, and grantedAt holds its value after the
+	// last call of each priority.
+	granted   int
+	grantedAt [priorities]int
 	// refusedAt holds when a call of each priority was last refused, and promisedAt the
 	// latest time that a refused caller was told to come back.
 	refusedAt  [priorities]time.Time
@@ -109,12 +116,14 @@
 func (l *Limiter) Reserve(priority int, now time.Time) (retryAfter time.Duration, allowed bool) {
 	priority = min(max(priority, 0), priorities-1)
 	l.refill(now)
-	if l.tokens < l.needed(priority) || l.isWindowFull(now) || l.yields(priority, now) {
+	if l.isWindowFull(now) || !l.isDue(priority, now) {
 		l.refusedAt[priority] = now
 		return l.promise(priority, now), false
 	}
 	l.tokens--
 	l.reserved++
+	l.granted++
+	l.grantedAt[priority] = l.granted
 	return 0, true
 }
 
@@ -196,17 +205,45 @@
 	return float64(l.sent.sum(now)+l.reserved) >= windowFactor*windowLength.Seconds()*l.limit+windowExtra
 }
 
+// isDue reports whether there is a token for a call of the priority.
+func (l *Limiter) isDue(priority int, now time.Time) bool {
+	if l.hasTurn(priority, now) {
+		return l.tokens >= 1
+	}
+	needed := l.needed(priority)
+	for lower := priority + 1; lower < priorities; lower++ {
+		if l.hasTurn(lower, now) {
+			// The next token is the lower priority's.
+			needed++
+			break
+		}
+	}
+	return l.tokens >= needed && !l.yields(priority, now)
+}
+
+// hasTurn reports whether calls of the priority were refused a moment ago while turnCalls of
+// others were allowed.
+func (l *Limiter) hasTurn(priority int, now time.Time) bool {
+	return l.granted-l.grantedAt[priority] >= turnCalls && l.wasRefused(priority, now)
+}
+
 // yields reports whether a call of a higher priority was refused a moment ago.
 func (l *Limiter) yields(priority int, now time.Time) bool {
-	yieldTime := min(max(seconds(yieldCalls/l.rate(now)), leastYield), mostYield)
-	for _, at := range l.refusedAt[:priority] {
-		if !at.IsZero() && now.Sub(at) < yieldTime {
+	for higher := range priority {
+		if l.wasRefused(higher, now) {
 			return true
 		}
 	}
 	return false
 }
 
+// wasRefused reports whether a call of the priority was refused a moment ago.
+func (l *Limiter) wasRefused(priority int, now time.Time) bool {
+	at := l.refusedAt[priority]
+	yieldTime := min(max(seconds(yieldCalls/l.rate(now)), leastYield), mostYield)
+	return !at.IsZero() && now.Sub(at) < yieldTime
+}
+
 // promise returns after which time a refused caller should come back: each of several gets a
 // later one, as far apart as calls may be sent.
 func (l *Limiter) promise(priority int, now time.Time) time.Duration {
--- a/internal/decide/kqratelimit/limiter_test.go
+++ b/internal/decide/kqratelimit/limiter_test.go
@@ -238,3 +238,17 @@
 		t.Error("the calls that were not sent still count")
 	}
 }
+
+// Guards against a priority that alone exceeds the limit and keeps all others out.
+func TestNoPriorityIsKeptOutEntirely(t *testing.T) {
+	const limit = 10
+	p := newPlay()
+	p.Name(limit, p.now)
+	for end := p.now.Add(30 * time.Second); p.now.Before(end); p.now = p.now.Add(step) {
+		p.offer(order)
+		p.offer(browse)
+	}
+	if p.count[browse] < len(p.sent)/8 || p.count[order] < 2*len(p.sent)/3 {
+		t.Errorf("%d orders and %d other calls were sent, want most of them orders and at least an eighth others", p.count[order], p.count[browse])
+	}
+}
