Soak: upstreams that are cold after each start, two more faults put in on purpose

Upstreams of one service are cold for 2 s and bear 10 calls a second; more is COLD. The product's code has two constants more, false outside the soak's build.

--- a/cmd/kumquatgw/soak_fault_test.go
+++ b/cmd/kumquatgw/soak_fault_test.go
@@ -19,7 +19,8 @@
 // that a reload ends during its drain, non-idempotent calls that run twice when a node or
 // an upstream dies, calls that begin at a draining upstream long after its node has
 // acknowledged that it drains (its goodbye) or its answers have said so, and limits of
-// upstreams that are ignored or outlive their end.
+// upstreams that are ignored or outlive their end, calls to cold upstreams beyond what they bear,
+// and calls into evacuated failure domains.
 func TestSoakFindsFaultsPutInOnPurpose(t *testing.T) {
 	for _, c := range []struct {
 		fault     kqfault.Kind
@@ -32,6 +33,8 @@
 		{kqfault.IgnoreLimit, []string{"--planned"}, kqsoakcheck.OverLimit},
 		{kqfault.KeepLimit, []string{"--planned"}, kqsoakcheck.StaleLimit},
 		{kqfault.IgnoreLeaving, []string{"--planned"}, kqsoakcheck.Late},
+		{kqfault.IgnoreCold, []string{"--planned"}, kqsoakcheck.TooManyCold},
+		{kqfault.IgnoreEvacuation, []string{"--planned"}, kqsoakcheck.InEvacuated},
 	} {
 		t.Run(string(c.fault), func(t *testing.T) {
 			t.Parallel()
--- a/internal/call/kqgate/fault_injection.go
+++ b/internal/call/kqgate/fault_injection.go
@@ -10,4 +10,6 @@
 	ignoresLimit   = kqfault.Enabled(kqfault.IgnoreLimit)
 	keepsLimit     = kqfault.Enabled(kqfault.KeepLimit)
 	ignoresLeaving = kqfault.Enabled(kqfault.IgnoreLeaving)
+	// ignoresCold makes the gate send a cold upstream any number of calls.
+	ignoresCold = kqfault.Enabled(kqfault.IgnoreCold)
 )
--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -32,6 +32,9 @@
 	}
 	t := u.newTicket(c)
 	cold, priority := g.coldStart(c), kqslots.Priority(c.Class, c.Depth > 0)
+	if ignoresCold {
+		cold.Bound = 0
+	}
 	if cold.Bound > 0 {
 		u.cold.prepare(cold, a, g.local.ColdUntil(a.Address), g.started, now)
 		if u.cold.check(priority, now) == kqcold.Refused {
--- a/internal/config/kqsnapshot/snapshot.go
+++ b/internal/config/kqsnapshot/snapshot.go
@@ -72,7 +72,12 @@
 }
 
 // Evacuated returns the evacuated failure domains. The caller must not change the slice.
-func (s *Snapshot) Evacuated() []kqname.Domain { return s.root.Evacuated }
+func (s *Snapshot) Evacuated() []kqname.Domain {
+	if ignoresEvacuations {
+		return nil
+	}
+	return s.root.Evacuated
+}
 
 // Services returns the services that the snapshot holds, by name. The caller must
 // not change the map.
--- a/internal/lab/kqfault/kind.go
+++ b/internal/lab/kqfault/kind.go
@@ -20,6 +20,11 @@
 	// IgnoreLeaving makes a gate ignore that an upstream says in its answers that it leaves.
 	IgnoreLeaving Kind = "leaving"
 
+	// IgnoreCold makes a gate send a cold upstream any number of calls.
+	IgnoreCold Kind = "cold"
+	// IgnoreEvacuation makes a node ignore evacuations of failure domains.
+	IgnoreEvacuation Kind = "evacuation"
+
 	// EnvVariable is the environment variable that selects the fault.
 	EnvVariable = "KUMQUATGW_FAULT"
 )
--- a/internal/lab/kqsoakcheck/check.go
+++ b/internal/lab/kqsoakcheck/check.go
@@ -42,6 +42,9 @@
 	// evacuationGrace after the document that evacuates it was committed, and was sent
 	// after that time.
 	InEvacuated Kind = "EVACUATED"
+	// TooManyCold is a call that began to run at a cold upstream which had got as many calls
+	// in the last second as it bears.
+	TooManyCold Kind = "COLD"
 	// Unrecovered is a fleet that answers too few calls, or gets none, after the last
 	// fault.
 	Unrecovered Kind = "UNRECOVERED"
@@ -73,9 +76,11 @@
 
 	// Call is one call as observed by its caller.
 	Call struct {
-		WorkID     string        `json:"work"`
-		Node       int           `json:"node"`
-		Route      string        `json:"route"`
+		WorkID string `json:"work"`
+		Node   int    `json:"node"`
+		Route  string `json:"route"`
+		// Service is where the route leads, empty if there are several.
+		Service    string        `json:"service,omitempty"`
 		Idempotent bool          `json:"idempotent"`
 		ConnMode   string        `json:"habit"`
 		ConnUses   int           `json:"uses"`
@@ -152,6 +157,7 @@
 		disruptions        []Disruption
 		badUpstreams       map[string]*badUpstream
 		conditions         map[string]*condition
+		coldStarts         map[string]*coldStart
 		// evacuatedAt holds when the failure domain of each node was evacuated.
 		evacuatedAt map[int]time.Duration
 		// pending holds calls that are lost unless an unplanned fault excuses them.
@@ -191,7 +197,7 @@
 func New() *Checker {
 	return &Checker{
 		records: make(map[string]*callRecord), acknowledgedDrains: make(map[string]time.Duration),
-		badUpstreams: make(map[string]*badUpstream), conditions: make(map[string]*condition), evacuatedAt: make(map[int]time.Duration), tally: Tally{Reasons: make(map[string]int)},
+		badUpstreams: make(map[string]*badUpstream), conditions: make(map[string]*condition), evacuatedAt: make(map[int]time.Duration), coldStarts: make(map[string]*coldStart), tally: Tally{Reasons: make(map[string]int)},
 	}
 }
 
@@ -224,6 +230,7 @@
 	}
 	ck.checkCondition(rec, upstream, at)
 	ck.checkEvacuation(rec, node, at)
+	ck.checkCold(rec, upstream, at)
 	if acknowledgedAt, ok := ck.acknowledgedDrains[upstream]; ok && at > acknowledgedAt+drainGrace && !ck.hadFault(node, acknowledgedAt, at) {
 		ck.addLocked(Late, at, fmt.Sprintf("%s began %v after the node acknowledged the drain of %s", workID, at-acknowledgedAt, upstream), rec)
 	}
@@ -295,7 +302,7 @@
 	rec.call = &c
 	ck.countCall(c)
 	ck.tellLocked(c)
-	if c.Reason == limited && !ck.isLimitPossible(c.Sent) {
+	if c.Reason == limited && !ck.isLimitPossible(c.Service, c.Sent) {
 		ck.addLocked(StaleLimit, c.Ended, c.WorkID+" was refused within a limit that no upstream names", rec)
 	}
 	for _, other := range c.AnswerIDs {
--- a/internal/lab/kqsoakcheck/limit.go
+++ b/internal/lab/kqsoakcheck/limit.go
@@ -30,6 +30,7 @@
 
 // condition is what an upstream says of itself, and who has heard it.
 type condition struct {
+	service string
 	limited bool
 	limit   float64
 	// namedAt is when the upstream began to name limits, and heardNone when a node first
@@ -42,11 +43,12 @@
 	runs []time.Duration
 }
 
-// LimitNamed records that an upstream names a limit, in calls a second.
-func (ck *Checker) LimitNamed(upstream string, limit float64, at time.Duration) {
+// LimitNamed records that an upstream of a service names a limit, in calls a second.
+func (ck *Checker) LimitNamed(upstream, service string, limit float64, at time.Duration) {
 	ck.mu.Lock()
 	defer ck.mu.Unlock()
 	c := ck.conditionOf(upstream)
+	c.service = service
 	if !c.limited {
 		c.namedAt, c.toldLimit, c.runs = at, make(map[int]time.Duration), nil
 	}
@@ -132,10 +134,13 @@
 	}
 }
 
-// isLimitPossible reports whether a call sent at that time may be refused within a limit. The
-// caller holds mu.
-func (ck *Checker) isLimitPossible(sent time.Duration) bool {
+// isLimitPossible reports whether a call sent at that time to a service, or to any for "", may
+// be refused within a limit. The caller holds mu.
+func (ck *Checker) isLimitPossible(service string, sent time.Duration) bool {
 	for _, c := range ck.conditions {
+		if service != "" && c.service != service {
+			continue
+		}
 		if c.namedAt > 0 && (c.limited || c.heardNone == 0 || sent < c.heardNone+staleGrace) {
 			return true
 		}
--- a/internal/lab/kqsoakcheck/limit_test.go
+++ b/internal/lab/kqsoakcheck/limit_test.go
@@ -38,41 +38,47 @@
 		want    []kqsoakcheck.Kind
 	}{
 		"within the limit": {func(ck *kqsoakcheck.Checker) {
-			ck.LimitNamed("u", 2, second)
+			ck.LimitNamed("u", "s", 2, second)
 			answerFrom(ck, second, true, false)
 			runMany(ck, 1, 16, 5*second, 9*second)
 		}, nil},
 		"beyond the limit": {func(ck *kqsoakcheck.Checker) {
-			ck.LimitNamed("u", 2, second)
+			ck.LimitNamed("u", "s", 2, second)
 			answerFrom(ck, second, true, false)
 			runMany(ck, 1, 18, 5*second, 9*second)
 		}, []kqsoakcheck.Kind{kqsoakcheck.OverLimit}},
 		"beyond the limit at once": {func(ck *kqsoakcheck.Checker) {
-			ck.LimitNamed("u", 2, second)
+			ck.LimitNamed("u", "s", 2, second)
 			answerFrom(ck, second, true, false)
 			runMany(ck, 1, 30, 1600*time.Millisecond, 3900*time.Millisecond)
 		}, nil},
 		"from a node that was not told": {func(ck *kqsoakcheck.Checker) {
-			ck.LimitNamed("u", 2, second)
+			ck.LimitNamed("u", "s", 2, second)
 			answerFrom(ck, second, true, false)
 			runMany(ck, 3, 30, 5*second, 9*second)
 		}, nil},
 		"from a node that was restarted": {func(ck *kqsoakcheck.Checker) {
-			ck.LimitNamed("u", 2, second)
+			ck.LimitNamed("u", "s", 2, second)
 			answerFrom(ck, second, true, false)
 			ck.NodeRestarted(1)
 			runMany(ck, 1, 30, 5*second, 9*second)
 		}, nil},
 		"refused without a limit": {func(ck *kqsoakcheck.Checker) {
-			ck.LimitNamed("u", 2, second)
+			ck.LimitNamed("u", "s", 2, second)
 			ck.LimitEnded("u")
 			answerFrom(ck, 2*second, false, false)
 			a := refusal("a")
 			a.Reason = "limited"
 			ck.Call(a)
 		}, []kqsoakcheck.Kind{kqsoakcheck.StaleLimit}},
+		"refused within a limit of another service": {func(ck *kqsoakcheck.Checker) {
+			ck.LimitNamed("u", "s", 2, second)
+			a := refusal("a")
+			a.Reason, a.Service = "limited", "other"
+			ck.Call(a)
+		}, []kqsoakcheck.Kind{kqsoakcheck.StaleLimit}},
 		"refused before the end was heard": {func(ck *kqsoakcheck.Checker) {
-			ck.LimitNamed("u", 2, second)
+			ck.LimitNamed("u", "s", 2, second)
 			ck.LimitEnded("u")
 			a := refusal("a")
 			a.Reason = "limited"
--- a/internal/lab/kqsoakrun/caller.go
+++ b/internal/lab/kqsoakrun/caller.go
@@ -123,7 +123,7 @@
 	c.serial++
 	c.uses++
 	call := kqsoakcheck.Call{
-		WorkID: fmt.Sprintf("%s-%d", c.name, c.serial), Node: c.node, Route: r.host + r.path, Idempotent: r.idempotent,
+		WorkID: fmt.Sprintf("%s-%d", c.name, c.serial), Node: c.node, Route: r.host + r.path, Service: string(r.service), Idempotent: r.idempotent,
 		ConnMode: string(c.connMode), ConnUses: c.uses, Timeout: routeTimeout, Sent: c.soak.now(),
 	}
 	c.soak.checker.CallSent(call.WorkID, call.Idempotent, call.Node, call.Sent)
--- a/internal/lab/kqsoakrun/document.go
+++ b/internal/lab/kqsoakrun/document.go
@@ -9,6 +9,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqsoak"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqupstream"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqstoreclient"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -25,12 +26,21 @@
 	rolloutDelay  = time.Second
 	routeTimeout  = 5 * time.Second
 	commitTimeout = 10 * time.Second
+
+	// coldService is the service whose upstreams are cold for coldTime after each start:
+	// calls take coldWork longer, and an upstream bears coldRate of them a second.
+	coldService = kqname.Service("beta")
+	coldTime    = 2 * time.Second
+	coldWork    = 100 * time.Millisecond
+	coldRate    = 10
 )
 
 // route is a route that callers or the prober use.
 type route struct {
 	host, path string
 	idempotent bool
+	// service is where the route leads, empty for both services.
+	service kqname.Service
 }
 
 var (
@@ -38,12 +48,12 @@
 
 	services = []kqname.Service{"alpha", "beta"}
 	routes   = []route{
-		{"alpha.example", "/read/", true},
-		{"alpha.example", "/order/", false},
-		{"beta.example", "/read/", true},
-		{"beta.example", "/order/", false},
-		{"both.example", "/read/", true},
-		{"both.example", "/order/", false},
+		{"alpha.example", "/read/", true, "alpha"},
+		{"alpha.example", "/order/", false, "alpha"},
+		{"beta.example", "/read/", true, "beta"},
+		{"beta.example", "/order/", false, "beta"},
+		{"both.example", "/read/", true, ""},
+		{"both.example", "/order/", false, ""},
 	}
 )
 
@@ -58,7 +68,11 @@
 		Rollouts: rollouts, Evacuations: evacuations,
 	}
 	for _, s := range services {
-		d.Services = append(d.Services, kqdocument.Service{Name: s, Team: team, Version: goodVersion, TimeoutMS: int(routeTimeout.Milliseconds())})
+		next := kqdocument.Service{Name: s, Team: team, Version: goodVersion, TimeoutMS: int(routeTimeout.Milliseconds())}
+		if s == coldService {
+			next.ColdRate, next.ColdStartMS, next.HealthPath = coldRate, int(coldTime.Milliseconds()), kqupstream.HealthPath
+		}
+		d.Services = append(d.Services, next)
 	}
 	for i, r := range routes {
 		next := kqdocument.Route{
--- a/internal/lab/kqsoakrun/prober.go
+++ b/internal/lab/kqsoakrun/prober.go
@@ -27,7 +27,9 @@
 
 // probe returns the idempotent route that documents have from this number on, until
 // probesKept newer documents exist.
-func probe(number int) route { return route{probeHost, fmt.Sprintf("/from-%d/", number), true} }
+func probe(number int) route {
+	return route{probeHost, fmt.Sprintf("/from-%d/", number), true, services[0]}
+}
 
 // probe calls random nodes until ctx ends, each on the route of the newest committed
 // document and on that of the newest document that its process is known to have had. It
--- a/internal/lab/kqsoakrun/process.go
+++ b/internal/lab/kqsoakrun/process.go
@@ -226,6 +226,9 @@
 // launchUpstream starts an upstream, waits until it accepts calls and returns its address.
 func (n *node) launchUpstream(name string, extra ...string) (*kqchild.Child, kqname.Address, error) {
 	up := make(chan kqname.Address, 1)
+	if n.service() == coldService {
+		extra = append(extra, "--cold-for", coldTime.String(), "--cold-work", coldWork.String(), "--state-cold")
+	}
 	c, err := n.soak.launch(name, append([]string{
 		"upstream", "--service", string(n.service()), "--node", n.address("local"), "--slots", fmt.Sprint(slots),
 		"--tell", "--instance", name, "--serves-on", upstreamDrainPeriod.String(),
@@ -259,13 +262,16 @@
 	at := e.At.Sub(n.soak.began)
 	switch e.Kind {
 	case kqupstream.Listening:
+		if n.service() == coldService {
+			n.soak.checker.Cold(name, coldRate, at+coldTime)
+		}
 		up <- e.Address
 	case kqupstream.Begun:
 		n.soak.checker.Began(e.WorkID, name, n.number, at)
 	case kqupstream.Ended:
 		n.soak.checker.RunEnded(e.WorkID, name, at)
 	case kqupstream.LimitNamed:
-		n.soak.checker.LimitNamed(name, e.Limit, at)
+		n.soak.checker.LimitNamed(name, string(n.service()), e.Limit, at)
 	case kqupstream.LimitEnded:
 		n.soak.checker.LimitEnded(name)
 	case kqupstream.DrainAcknowledged:
--- a/internal/lab/kqupstream/event.go
+++ b/internal/lab/kqupstream/event.go
@@ -79,6 +79,9 @@
 	}
 }
 
+// WithStatedColdStart makes the upstream announce its cold start.
+func WithStatedColdStart() Option { return func(u *Upstream) { u.statesColdStart = true } }
+
 // WithDrainPeriod sets how long an upstream keeps serving, and announces that it is
 // draining, after Run's context has ended.
 func WithDrainPeriod(d time.Duration) Option { return func(u *Upstream) { u.drainPeriod = d } }
--- a/internal/lab/kqupstream/upstream.go
+++ b/internal/lab/kqupstream/upstream.go
@@ -21,8 +21,12 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
-// ConditionPath is where an upstream takes a Condition from its lab.
-const ConditionPath = "/-/condition"
+const (
+	// ConditionPath is where an upstream takes a Condition from its lab.
+	ConditionPath = "/-/condition"
+	// HealthPath is where an upstream answers health checks.
+	HealthPath = "/-/health"
+)
 
 // HeaderWorkID is the request header with the caller's work id. The answer to a call that
 // ran echoes it, and the upstream counts the runs of each id.
@@ -86,12 +90,15 @@
 	Upstream struct {
 		announcement kqlocal.Announcement
 		drainPeriod  time.Duration
-		onEvent      func(Event)
-		node         kqname.Address
-		server       *fasthttp.Server
-		listener     *kqresetlistener.Listener
-		http         *http.Client
-		started      time.Time
+		// statesColdStart is set if the upstream announces its cold start and answers
+		// health checks with it.
+		statesColdStart bool
+		onEvent         func(Event)
+		node            kqname.Address
+		server          *fasthttp.Server
+		listener        *kqresetlistener.Listener
+		http            *http.Client
+		started         time.Time
 
 		behaviour atomic.Pointer[Behaviour]
 		onRun     atomic.Pointer[func(Run)]
@@ -198,9 +205,13 @@
 }
 
 func (u *Upstream) handle(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) == ConditionPath {
+	switch string(ctx.Path()) {
+	case ConditionPath:
 		u.serveCondition(ctx)
 		return
+	case HealthPath:
+		u.serveHealth(ctx)
+		return
 	}
 	b := *u.behaviour.Load()
 	running := u.running.Add(1)
@@ -259,17 +270,32 @@
 	if b.SlowFactor > 0 && running > int64(b.SlowAbove) {
 		d = time.Duration(float64(d) * b.SlowFactor)
 	}
-	if time.Since(u.started) < b.ColdFor {
+	if u.coldLeft() > 0 {
 		d += b.ColdWork
 	}
 	return d
 }
 
+// coldLeft returns for how much longer the upstream is cold.
+func (u *Upstream) coldLeft() time.Duration {
+	return max(u.behaviour.Load().ColdFor-time.Since(u.started), 0)
+}
+
+// serveHealth answers a health check.
+func (u *Upstream) serveHealth(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Header.Set(kqcall.HeaderInstance, string(u.announcement.Instance))
+	ctx.Response.Header.Set(kqcall.HeaderCold, strconv.FormatInt(u.coldLeft().Milliseconds(), 10))
+	u.stateCondition(ctx)
+}
+
 // announce sends the upstream's announcement to its node and reports whether the node
 // acknowledged it.
 func (u *Upstream) announce() bool {
 	a := u.announcement
 	a.Draining = u.draining.Load()
+	if u.statesColdStart {
+		a.WarmUpLeft = u.coldLeft()
+	}
 	body, err := json.Marshal(a)
 	if err != nil {
 		return false
--- a/internal/run/kqcommand/upstream.go
+++ b/internal/run/kqcommand/upstream.go
@@ -28,6 +28,7 @@
 	fail := clause.Flag("fail-share", "Share of calls that fail, from 0 to 1.").Default("0").Float64()
 	servesOn := clause.Flag("serves-on", "How long it keeps serving after it has begun to say goodbye to its node.").Default("300ms").Duration()
 	instance := clause.Flag("instance", "Instance that the upstream announces; none if empty.").String()
+	stateCold := clause.Flag("state-cold", "Announce the cold start.").Bool()
 	printEvents := clause.Flag("tell", "Print a JSON line when the upstream listens, when a call begins or ends, and when the goodbye is acknowledged.").Bool()
 	shed := clause.Flag("shed", "Answer calls beyond the slots with 503.").Bool()
 	c.register(clause, func(ctx context.Context) error {
@@ -44,9 +45,13 @@
 		case err != nil || host == "" || port == "":
 			return fmt.Errorf("upstream: --node %q is not an address like 127.0.0.1:8081", *node)
 		}
+		options := c.upstreamOptions(kqname.Instance(*instance), *servesOn, *printEvents)
+		if *stateCold {
+			options = append(options, kqupstream.WithStatedColdStart())
+		}
 		u, err := kqupstream.New(kqname.Service(*service), kqname.UpstreamVersion(*version), *slots, kqname.Address(*node),
 			kqupstream.Behaviour{Work: *work, ColdFor: *cold, ColdWork: *coldWork, FailShare: *fail, Shed: *shed},
-			c.upstreamOptions(kqname.Instance(*instance), *servesOn, *printEvents)...)
+			options...)
 		if err != nil {
 			return err
 		}
