Log by their content which requests upstreams end under

Cause: two lines of the same request have nothing in common once its id differs, and cut stands for an upstream that ended, a reset and a killed node alike, so the three hypotheses of the incident could not be told apart. Change: package kqfingerprint; the field request in the lines of calls; a gate whose connection broke looks whether its upstream refuses connections, and then says upstream_ended, counts it and writes a line.

--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -5,6 +5,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/kumquatgw/kumquatgw/internal/call/kqfingerprint"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -65,6 +66,9 @@
 	Timeout Reason = "timeout"
 	// Cut means that the connection broke after the call was sent.
 	Cut Reason = "cut"
+	// UpstreamEnded means that the connection broke after the call was sent because the
+	// upstream ended.
+	UpstreamEnded Reason = "upstream_ended"
 	// Cancelled means that the caller disconnected.
 	Cancelled Reason = "cancelled"
 	// MismatchedResponse means that the response is not the answer to this call: it carries
@@ -133,12 +137,14 @@
 		Caller kqname.Caller
 		// Origin is the service whose upstream runs beside the node where the call
 		// entered the mesh.
-		Origin     kqname.Service
-		Route      kqname.Route
-		Service    kqname.Service
-		Version    kqname.UpstreamVersion
-		Class      kqdocument.Class
-		Idempotent bool
+		Origin kqname.Service
+		// Fingerprint identifies the request by its content.
+		Fingerprint kqfingerprint.Fingerprint
+		Route       kqname.Route
+		Service     kqname.Service
+		Version     kqname.UpstreamVersion
+		Class       kqdocument.Class
+		Idempotent  bool
 		// RefusalMeansNotRun reports whether the service guarantees that a call which it
 		// answers with 503 did not run.
 		RefusalMeansNotRun bool
@@ -188,7 +194,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		NoReason, NoRoute, NoConfig, NoUpstream, QueueFull, Overload, NotStartedInTime, RolledBack, Draining, Evacuated, Cold, Limited, RefusedByUpstream, ConnectFailed,
-		TooLarge, Malformed, TooSlow, Timeout, Cut, Cancelled, MismatchedResponse, Misdirected, NoMemory, Panicked,
+		TooLarge, Malformed, TooSlow, Timeout, Cut, UpstreamEnded, Cancelled, MismatchedResponse, Misdirected, NoMemory, Panicked,
 	}
 }
 
--- a/internal/call/kqcall/header.go
+++ b/internal/call/kqcall/header.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/kumquatgw/kumquatgw/internal/call/kqfingerprint"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -138,7 +139,7 @@
 		Service: kqname.Service(fields[3]), Version: kqname.UpstreamVersion(fields[4]), Class: kqdocument.Class(fields[5]),
 		Idempotent: strings.Contains(fields[6], idempotentFlag), Repeat: strings.Contains(fields[6], repeatFlag), RefusalMeansNotRun: fields[7] == refusalFlag,
 		Origin: kqname.Service(fields[8]), Depth: depth, Arrived: now, Deadline: now.Add(time.Duration(timeout) * time.Microsecond),
-		Request: req, Response: resp,
+		Fingerprint: kqfingerprint.Of(req), Request: req, Response: resp,
 	}
 	if target, err := strconv.ParseInt(fields[11], 10, 64); err == nil {
 		c.Target = now.Add(time.Duration(target) * time.Microsecond)
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqfingerprint"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqhold"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
@@ -89,7 +90,7 @@
 	f := &callState{}
 	f.call = kqcall.Call{
 		ID: info.ID, Caller: caller, Origin: e.origin, Depth: depth, Arrived: now, Dialect: e.dialect,
-		Cancel: &f.cancel, Request: &ctx.Request, Response: &ctx.Response,
+		Fingerprint: kqfingerprint.Of(&ctx.Request), Cancel: &f.cancel, Request: &ctx.Request, Response: &ctx.Response,
 	}
 	c := &f.call
 	c.CheckCaller = f.watched.CheckCaller
--- /dev/null
+++ b/internal/call/kqfingerprint/doc.go
@@ -0,0 +1,3 @@
+// Package kqfingerprint identifies requests by their content, whatever ids they carry and
+// whichever caller sends them.
+package kqfingerprint
--- a/internal/call/kqgate/condition.go
+++ b/internal/call/kqgate/condition.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqfingerprint"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqratelimit"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -19,6 +20,8 @@
 		LimitedCall(sent bool)
 		// UpstreamLeaving records that an upstream said for the first time that it leaves.
 		UpstreamLeaving(a kqlocal.Announcement, now time.Time)
+		// UpstreamEnded records that an upstream ended while it ran the request.
+		UpstreamEnded(a kqlocal.Announcement, f kqfingerprint.Fingerprint, now time.Time)
 		// ConditionInvalid records an answer whose condition cannot be read.
 		ConditionInvalid(a kqlocal.Announcement, err error, now time.Time)
 	}
@@ -71,6 +74,9 @@
 // UpstreamLeaving implements ConditionRecorder.
 func (noop) UpstreamLeaving(kqlocal.Announcement, time.Time) {}
 
+// UpstreamEnded implements ConditionRecorder.
+func (noop) UpstreamEnded(kqlocal.Announcement, kqfingerprint.Fingerprint, time.Time) {}
+
 // ConditionInvalid implements ConditionRecorder.
 func (noop) ConditionInvalid(kqlocal.Announcement, error, time.Time) {}
 
--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -147,11 +147,15 @@
 // into the buffer has been read whole.
 func (g *Gate) exchange(u *upstream, a kqlocal.Announcement, c *kqcall.Call, now time.Time) kqcall.Outcome {
 	o := g.sendToUpstream(u, a, c, now)
-	if o.Result != kqcall.Answered || g.buffer.absorb(c) == nil {
-		return o
+	if o.Result == kqcall.Answered && g.buffer.absorb(c) != nil {
+		c.Response.Reset()
+		o = incompleteOutcome(c, g.now())
+	}
+	if o.Reason == kqcall.Cut && u.client.IsRefused() {
+		o.Reason = kqcall.UpstreamEnded
+		g.conditions.UpstreamEnded(a, c.Fingerprint, g.now())
 	}
-	c.Response.Reset()
-	return incompleteOutcome(c, g.now())
+	return o
 }
 
 // incompleteOutcome returns the outcome of a call whose response ended early.
--- a/internal/call/kqsend/client.go
+++ b/internal/call/kqsend/client.go
@@ -194,14 +194,34 @@
 	return nil, nil
 }
 
+// reserve counts a new connection as open, unless the limit is reached.
+func (c *Client) reserve() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open >= c.maxOpen {
+		return false
+	}
+	c.open++
+	return true
+}
+
+// cancelReservation takes back the count of a connection that was not opened.
+func (c *Client) cancelReservation() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open--
+}
+
 func (c *Client) dial(call *kqcall.Call) (*connection, error) {
 	dialed, err := c.connect(call)
 	if err != nil {
-		c.mu.Lock()
-		c.open--
-		c.mu.Unlock()
+		c.cancelReservation()
 		return nil, fmt.Errorf("connect to %s: %w", c.target, err)
 	}
+	return c.newConnection(dialed), nil
+}
+
+func (c *Client) newConnection(dialed net.Conn) *connection {
 	n := &connection{Conn: dialed, maxIdle: c.idleTimeout}
 	if c.variesSilenceTimeout {
 		kqdisconnect.SetUserTimeout(dialed, shortSilenceTimeout)
@@ -209,7 +229,7 @@
 	n.probe = kqdisconnect.NewProbe(dialed)
 	n.reader = bufio.NewReaderSize(n.Conn, bufferSize)
 	n.writer = bufio.NewWriterSize(n, bufferSize)
-	return n, nil
+	return n
 }
 
 // connect dials the target and retries for up to descriptorWait if the process is out of
--- a/internal/run/kqconditionlog/log.go
+++ b/internal/run/kqconditionlog/log.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"github.com/kumquatgw/kumquatgw/internal/call/kqfingerprint"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -16,6 +17,8 @@
 	// limit, or send one that cannot be read, with each answer.
 	linesPerSecond = 1
 	maxBurst       = 10
+	// maxEndsBurst is larger, since an upstream that ends has several calls at work.
+	maxEndsBurst = 40
 )
 
 type (
@@ -27,6 +30,8 @@
 		LimitEnded(service kqname.Service, version kqname.UpstreamVersion)
 		// LimitedCall counts a call for an upstream that names a limit, as sent or refused.
 		LimitedCall(sent bool)
+		// EndedUnderCall counts a call whose upstream ended while it ran the call.
+		EndedUnderCall()
 		// LineSuppressed counts a line that exceeded its rate.
 		LineSuppressed(kind string)
 	}
@@ -35,15 +40,15 @@
 	Log struct {
 		log     *logrus.Entry
 		counter Counter
-		// limits and invalid are the rate limits of the lines on limits, and of those on
-		// conditions that cannot be read.
-		limits, invalid *rate.Limiter
+		// limits, ends and invalid are the rate limits of the lines on limits, on requests
+		// under which upstreams ended, and on conditions that cannot be read.
+		limits, ends, invalid *rate.Limiter
 	}
 )
 
 // New returns a Log that writes to log.
 func New(log *logrus.Entry, counter Counter) *Log {
-	return &Log{log: log, counter: counter, limits: rate.NewLimiter(linesPerSecond, maxBurst), invalid: rate.NewLimiter(linesPerSecond, maxBurst)}
+	return &Log{log: log, counter: counter, limits: rate.NewLimiter(linesPerSecond, maxBurst), ends: rate.NewLimiter(linesPerSecond, maxEndsBurst), invalid: rate.NewLimiter(linesPerSecond, maxBurst)}
 }
 
 // LimitChanged implements kqgate.ConditionRecorder.
@@ -82,6 +87,19 @@
 	l.log.WithFields(upstreamFields("leaving", a)).Info("Upstream says in an answer that it leaves.")
 }
 
+// UpstreamEnded implements kqgate.ConditionRecorder.
+func (l *Log) UpstreamEnded(a kqlocal.Announcement, f kqfingerprint.Fingerprint, now time.Time) {
+	const event = "ended_under_call"
+	l.counter.EndedUnderCall()
+	if !l.ends.AllowN(now, 1) {
+		l.counter.LineSuppressed(event)
+		return
+	}
+	fields := upstreamFields(event, a)
+	fields["request"] = f
+	l.log.WithFields(fields).Warn("Upstream ended while it ran a request.")
+}
+
 // ConditionInvalid implements kqgate.ConditionRecorder.
 func (l *Log) ConditionInvalid(a kqlocal.Announcement, err error, now time.Time) {
 	const event = "condition_invalid"
--- a/internal/run/kqmetric/metric.go
+++ b/internal/run/kqmetric/metric.go
@@ -30,6 +30,7 @@
 	storeCounts              map[string]uint64
 	version                  prometheus.Gauge
 	evacuated                prometheus.Gauge
+	endedUnderCalls          prometheus.Counter
 	limits                   limitMetrics
 	lastApplied              atomic.Int64
 	sentBytes, receivedBytes atomic.Uint64
@@ -64,6 +65,9 @@
 	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "kumquatgw_evacuated_domains", Help: "Failure domains whose upstreams this node sends no calls to.",
 	})
+	m.endedUnderCalls = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "kumquatgw_calls_upstream_ended_total", Help: "Calls whose upstream, beside this node, ended while it ran them.",
+	})
 	m.gateCalls, m.limits = newGateCalls(), newLimitMetrics()
 	m.suppressedLines = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kumquatgw_log_lines_left_out_total", Help: "Log lines of calls that were over the rate for their reason.",
@@ -79,7 +83,7 @@
 	m.panics = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kumquatgw_panics_total", Help: "Panics that were caught, by the part that panicked.",
 	}, []string{"part"})
-	m.registry.MustRegister(m.limits.limit, m.limits.calls, m.evacuated, m.panics, m.suppressedLines, m.storeCalls, m.stageSeconds)
+	m.registry.MustRegister(m.limits.limit, m.limits.calls, m.evacuated, m.endedUnderCalls, m.panics, m.suppressedLines, m.storeCalls, m.stageSeconds)
 	m.registry.MustRegister(m.calls, m.retries, m.gateCalls, m.configRefused, m.platformFailed, m.budgetExceeded, m.broadcastDropped, m.version,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "kumquatgw_control_sent_bytes_total", Help: "Bytes of control traffic sent to peers.",
@@ -167,6 +171,9 @@
 	return time.Time{}
 }
 
+// EndedUnderCall implements kqconditionlog.Counter.
+func (m *Metrics) EndedUnderCall() { m.endedUnderCalls.Inc() }
+
 // Sent implements kqrpc.Meter.
 func (m *Metrics) Sent(bytes int) { m.sentBytes.Add(uint64(max(bytes, 0))) }
 
--- a/internal/run/kqrecord/record.go
+++ b/internal/run/kqrecord/record.go
@@ -70,7 +70,7 @@
 	c := e.Call
 	fields := logrus.Fields{
 		"id": c.ID, "event": "ended", "result": e.Outcome.Result, "status": e.Status, "route": c.Route, "service": c.Service,
-		"version": e.Version, "took_ms": milliseconds(now.Sub(c.Arrived)), "class": c.Class, "idempotent": c.Idempotent,
+		"version": e.Version, "request": c.Fingerprint, "took_ms": milliseconds(now.Sub(c.Arrived)), "class": c.Class, "idempotent": c.Idempotent,
 	}
 	if e.Outcome.Reason != kqcall.NoReason {
 		fields["reason"] = e.Outcome.Reason
@@ -99,7 +99,7 @@
 	}
 	fields := logrus.Fields{
 		"id": g.Call.ID, "event": "gated", "result": g.Outcome.Result, "status": g.Status, "service": g.Call.Service,
-		"instance": g.Instance, "running": g.Load.Running, "waiting": g.Load.Waiting, "slots": g.Load.Slots,
+		"instance": g.Instance, "request": g.Call.Fingerprint, "running": g.Load.Running, "waiting": g.Load.Waiting, "slots": g.Load.Slots,
 		"waited_ms": milliseconds(g.Waited), "took_ms": milliseconds(g.Took), "left_ms": milliseconds(g.Call.Deadline.Sub(now)), "class": g.Call.Class,
 		"expected_ms": milliseconds(g.Load.RecentDuration),
 	}
