--- a/internal/lab/kqupstream/event.go
+++ b/internal/lab/kqupstream/event.go
@@ -26,6 +26,8 @@
 	Begun Kind = "begin"
 	// Ended is the event that an execution of a call ended.
 	Ended Kind = "end"
+	// Died is the event that the upstream ends under a call.
+	Died Kind = "died"
 	// DrainAcknowledged is the event that, after Run's context has ended, the node first
 	// acknowledged that the upstream is draining. Drain emits no event.
 	DrainAcknowledged Kind = "goodbye"
--- a/internal/lab/kqupstream/upstream.go
+++ b/internal/lab/kqupstream/upstream.go
@@ -70,6 +70,10 @@
 		// of the time in HeaderWorkMS. An empty prefix matches no path.
 		LongPath string        `json:"long_path"`
 		LongWork time.Duration `json:"long_work"`
+		// Deadly makes the upstream end without an answer, DeadlyAfter after it has begun, at
+		// each call whose target or body contains it. Empty, no call does.
+		Deadly      string        `json:"deadly"`
+		DeadlyAfter time.Duration `json:"deadly_after"`
 		// Limited makes the upstream name Limit, in calls a second, in its answers. It does
 		// not enforce it. Leaving makes it say in its answers that it leaves.
 		Limited bool    `json:"limited"`
@@ -103,6 +107,7 @@
 		behaviour atomic.Pointer[Behaviour]
 		onRun     atomic.Pointer[func(Run)]
 		killed    chan struct{}
+		ended     sync.Once
 		draining  atomic.Bool
 		running   atomic.Int64
 
@@ -154,12 +159,17 @@
 func (u *Upstream) OnRun(f func(Run)) { u.onRun.Store(&f) }
 
 // Kill resets every connection at once and ends Run without draining, as when a server
-// is lost. It may be called once.
+// is lost.
 func (u *Upstream) Kill() {
-	close(u.killed)
-	u.listener.ResetAll()
+	u.ended.Do(func() {
+		close(u.killed)
+		u.listener.ResetAll()
+	})
 }
 
+// Killed returns a channel that is closed once the upstream has ended without draining.
+func (u *Upstream) Killed() <-chan struct{} { return u.killed }
+
 // Run serves calls and announces the upstream until ctx ends, and then drains. After Kill
 // it ends without draining.
 func (u *Upstream) Run(ctx context.Context) error {
@@ -229,6 +239,12 @@
 		(*f)(Run{Work: workID, Service: u.announcement.Service, Version: u.announcement.Version, At: time.Now()})
 	}
 	u.emit(Begun, workID)
+	if b.isDeadly(ctx) {
+		time.Sleep(b.DeadlyAfter)
+		u.emit(Died, workID)
+		u.Kill()
+		return
+	}
 	defer u.emit(Ended, workID)
 	time.Sleep(u.duration(b, running, ctx))
 	ctx.Response.Header.Set(HeaderWorkID, workID)
@@ -239,6 +255,11 @@
 	fmt.Fprintf(ctx, "%s %s %s\n", u.announcement.Service, u.announcement.Version, workID)
 }
 
+// isDeadly reports whether the call ends the upstream.
+func (b Behaviour) isDeadly(ctx *fasthttp.RequestCtx) bool {
+	return b.Deadly != "" && (bytes.Contains(ctx.RequestURI(), []byte(b.Deadly)) || bytes.Contains(ctx.PostBody(), []byte(b.Deadly)))
+}
+
 // stateCondition writes the limit that the upstream names now, and whether it leaves, into an
 // answer.
 func (u *Upstream) stateCondition(ctx *fasthttp.RequestCtx) {
