Show and clear requests that end upstreams: console, API, command line

Cause: a request that is refused may be an innocent one, or mended; nobody could see which are refused, or end it. Change: kumquatgw requests list and clear, /v1/suspect-requests, the console's page Requests; admins clear, with an audit record.

--- a/internal/admin/kqadmin/harness_test.go
+++ b/internal/admin/kqadmin/harness_test.go
@@ -20,7 +20,9 @@
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqadmin"
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqproblem"
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqview"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqfingerprint"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqcommit"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqquarantine"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/rollout/kqtracker"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqoperator"
@@ -41,6 +43,7 @@
 		tokens   map[string]string
 		log      *bytes.Buffer
 		counter  *counter
+		cleared  []kqfingerprint.Fingerprint
 	}
 
 	// counter counts refusals by reason.
@@ -50,7 +53,10 @@
 	}
 
 	// fakeNode is a ready node with fixed members, rollouts and reports.
-	fakeNode struct{ platform *kqfakestore.Fake }
+	fakeNode struct {
+		platform *kqfakestore.Fake
+		cleared  *[]kqfingerprint.Fingerprint
+	}
 )
 
 func (c *counter) AdminRefused(reason string) {
@@ -67,6 +73,18 @@
 
 func (c *counter) AdminCommitted(string) {}
 
+func (n fakeNode) Suspects() []kqquarantine.Suspect {
+	return []kqquarantine.Suspect{{
+		Request: kqfingerprint.Fingerprint{1, 2}, Origin: kqquarantine.Origin{Service: "store", Route: "catalogue"}, Refused: true,
+		Ends: []kqquarantine.End{{Upstream: kqquarantine.Start{Node: "node-a"}, Certainty: kqquarantine.Confirmed, Known: time.Unix(1, 0)}},
+	}}
+}
+
+func (n fakeNode) ClearSuspect(r kqfingerprint.Fingerprint) bool {
+	*n.cleared = append(*n.cleared, r)
+	return true
+}
+
 func (n fakeNode) Ready() bool                   { return true }
 func (n fakeNode) Version() kqname.ConfigVersion { return 1 }
 func (n fakeNode) Report(_ context.Context, node kqname.Node) (kqview.Report, error) {
@@ -116,7 +134,7 @@
 	logger := logrus.New()
 	logger.SetOutput(s.log)
 	admin, err := kqadmin.New(kqadmin.Parts{
-		Node: fakeNode{s.platform}, Store: s.platform, Operators: operators,
+		Node: fakeNode{s.platform, &s.cleared}, Store: s.platform, Operators: operators,
 		Registry: prometheus.NewRegistry(), Counter: s.counter, Log: logrus.NewEntry(logger),
 	}, options...)
 	if err != nil {
--- a/internal/admin/kqapi/operations.go
+++ b/internal/admin/kqapi/operations.go
@@ -106,6 +106,8 @@
 		{method: "GET", path: "/fleet/{name}", id: "get_node", summary: "What one node tells of itself: its version, since when, and what it refused.", response: kqview.Report{}, handle: a.report},
 		{method: "GET", path: "/convergence", id: "get_convergence", summary: "How many nodes have the version in force.", response: kqview.Convergence{}, handle: a.convergence},
 		{method: "GET", path: "/rollout-states", id: "get_rollout_states", summary: "Where each rollout stands, and on what evidence.", response: RolloutStates{}, handle: a.rolloutStates},
+		{method: "GET", path: "/suspect-requests", id: "list_suspect_requests", summary: "Requests under which upstreams ended, and whether they are refused.", response: SuspectRequests{}, handle: a.suspectRequests},
+		{method: "DELETE", path: "/suspect-requests/{name}", id: "clear_suspect_request", summary: "Make all nodes send a request again under which upstreams ended.", response: ClearedRequest{}, handle: a.clearSuspectRequest},
 		{method: "GET", path: "/platform", id: "get_platform", summary: "How the platform's service answers this node.", response: kqview.Platform{}, handle: a.platform},
 		{method: "GET", path: "/audit", id: "get_audit", summary: "The latest changes that this node accepted and refused.", response: Records{}, handle: a.auditRecords},
 	}
--- a/internal/admin/kqconsole/console.go
+++ b/internal/admin/kqconsole/console.go
@@ -113,6 +113,8 @@
 	app.Get("/history", c.requireSession(c.history))
 	app.Get("/history/:version", c.requireSession(c.version))
 	app.Get("/platform", c.requireSession(c.platform))
+	app.Get("/requests", c.requireSession(c.requests))
+	app.Post("/requests/clear", c.requireSession(c.clearRequest))
 	app.Get("/audit", c.requireSession(c.audit))
 	for kind := range forms {
 		app.Get("/"+kind, c.requireSession(func(req request) error { return c.list(req, kind) }))
--- a/internal/run/kqcommand/command.go
+++ b/internal/run/kqcommand/command.go
@@ -67,6 +67,7 @@
 	c.addMeasure()
 	c.addRollout()
 	c.addStatus()
+	c.addRequests()
 	c.addItem()
 	c.addMeasureRollouts()
 	c.addReplay()
