Soak: requests that end their upstreams, and a checker that counts them

Cause: no stand-in ended because of what it was asked. Change: upstreams end under given calls and are replaced; callers repeat such requests at all nodes, some at the same moment; the checker finds a request that is sent on after three ends and a usual one that stays refused; three faults put in on purpose.

--- a/cmd/kumquatgw/soak_fault_test.go
+++ b/cmd/kumquatgw/soak_fault_test.go
@@ -20,7 +20,8 @@
 // an upstream dies, calls that begin at a draining upstream long after its node has
 // acknowledged that it drains (its goodbye) or its answers have said so, and limits of
 // upstreams that are ignored or outlive their end, calls to cold upstreams beyond what they bear,
-// and calls into evacuated failure domains.
+// calls into evacuated failure domains, requests that are sent on although upstreams ended under
+// them, and usual requests that are refused for that.
 func TestSoakFindsFaultsPutInOnPurpose(t *testing.T) {
 	for _, c := range []struct {
 		fault     kqfault.Kind
@@ -35,6 +36,9 @@
 		{kqfault.IgnoreLeaving, []string{"--planned"}, kqsoakcheck.Late},
 		{kqfault.IgnoreCold, []string{"--planned"}, kqsoakcheck.TooManyCold},
 		{kqfault.IgnoreEvacuation, []string{"--planned"}, kqsoakcheck.InEvacuated},
+		{kqfault.ForgetEnds, []string{"--planned"}, kqsoakcheck.SentOn},
+		{kqfault.TellNobody, []string{"--planned"}, kqsoakcheck.SentOn},
+		{kqfault.BlameAll, nil, kqsoakcheck.Blamed},
 	} {
 		t.Run(string(c.fault), func(t *testing.T) {
 			t.Parallel()
--- a/internal/lab/kqsoak/plan.go
+++ b/internal/lab/kqsoak/plan.go
@@ -120,6 +120,7 @@
 	}
 	g.addRollout()
 	g.addConditions()
+	g.addDeadly()
 	slices.SortStableFunc(g.plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return g.plan
 }
--- a/internal/lab/kqsoakcheck/check.go
+++ b/internal/lab/kqsoakcheck/check.go
@@ -45,6 +45,11 @@
 	// TooManyCold is a call that began to run at a cold upstream which had got as many calls
 	// in the last second as it bears.
 	TooManyCold Kind = "COLD"
+	// SentOn is a call that began to run although maxEnded upstreams had ended under its
+	// request, while no unplanned fault could explain it.
+	SentOn Kind = "SENT_ON"
+	// Blamed is a usual request that is refused as one that ends upstreams.
+	Blamed Kind = "BLAMED"
 	// Unrecovered is a fleet that answers too few calls, or gets none, after the last
 	// fault.
 	Unrecovered Kind = "UNRECOVERED"
@@ -127,6 +132,8 @@
 	Disruption struct {
 		Node     int
 		From, To time.Duration
+		// UnderCall reports that the node's upstream ended under a call.
+		UnderCall bool
 	}
 
 	// Tally counts calls by outcome. Answered counts every complete answer whose result
@@ -138,6 +145,8 @@
 		Unknown  int `json:"unknown"`
 		// Cut counts calls whose answer could not be read to its end.
 		Cut int `json:"cut"`
+		// EndedUnder counts the upstreams that ended under calls.
+		EndedUnder int `json:"ended_under"`
 		// Excused counts calls that would be lost if no unplanned fault explained them.
 		Excused int `json:"excused"`
 		Runs    int `json:"runs"`
@@ -158,6 +167,10 @@
 		badUpstreams       map[string]*badUpstream
 		conditions         map[string]*condition
 		coldStarts         map[string]*coldStart
+		// deadly holds the ends under each request that ends its upstreams, and blamedSince
+		// since when each route's usual request is refused.
+		deadly      map[string]endsUnder
+		blamedSince map[string]time.Duration
 		// evacuatedAt holds when the failure domain of each node was evacuated.
 		evacuatedAt map[int]time.Duration
 		// pending holds calls that are lost unless an unplanned fault excuses them.
@@ -197,7 +210,7 @@
 func New() *Checker {
 	return &Checker{
 		records: make(map[string]*callRecord), acknowledgedDrains: make(map[string]time.Duration),
-		badUpstreams: make(map[string]*badUpstream), conditions: make(map[string]*condition), evacuatedAt: make(map[int]time.Duration), coldStarts: make(map[string]*coldStart), tally: Tally{Reasons: make(map[string]int)},
+		badUpstreams: make(map[string]*badUpstream), conditions: make(map[string]*condition), evacuatedAt: make(map[int]time.Duration), coldStarts: make(map[string]*coldStart), deadly: make(map[string]endsUnder), blamedSince: make(map[string]time.Duration), tally: Tally{Reasons: make(map[string]int)},
 	}
 }
 
@@ -231,6 +244,7 @@
 	ck.checkCondition(rec, upstream, at)
 	ck.checkEvacuation(rec, node, at)
 	ck.checkCold(rec, upstream, at)
+	ck.checkDeadly(workID, rec, node, at)
 	if acknowledgedAt, ok := ck.acknowledgedDrains[upstream]; ok && at > acknowledgedAt+drainGrace && !ck.hadFault(node, acknowledgedAt, at) {
 		ck.addLocked(Late, at, fmt.Sprintf("%s began %v after the node acknowledged the drain of %s", workID, at-acknowledgedAt, upstream), rec)
 	}
@@ -302,6 +316,7 @@
 	rec.call = &c
 	ck.countCall(c)
 	ck.tellLocked(c)
+	ck.checkBlame(c, rec)
 	if c.Reason == limited && !ck.isLimitPossible(c.Service, c.Sent) {
 		ck.addLocked(StaleLimit, c.Ended, c.WorkID+" was refused within a limit that no upstream names", rec)
 	}
--- /dev/null
+++ b/internal/lab/kqsoakcheck/deadly_test.go
@@ -0,0 +1,53 @@
+package kqsoakcheck_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqsoakcheck"
+)
+
+// A checker that misses a request that is sent on, or that blames what is excused, makes a clean soak worthless.
+func TestRequestSentOnAfterThreeEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		ends int
+		cut  bool
+		want int
+	}{
+		"two ends": {ends: 2}, "three ends": {ends: 3, want: 1}, "three ends, node cut off": {ends: 3, cut: true},
+	} {
+		ck := kqsoakcheck.New()
+		for i := range c.ends {
+			at := time.Duration(i+1) * time.Second
+			ck.EndedUnder("deadly7-0-1", at)
+			ck.EndedUnderCall(2, at)(at + time.Millisecond)
+		}
+		if c.cut {
+			ck.Disruption(2, time.Second)(4 * time.Second)
+		}
+		ck.CallSent("deadly7-1-9", true, 1, 5*time.Second)
+		ck.Began("deadly7-1-9", "upstream-2.1", 2, 5*time.Second)
+		if got := len(ck.Violations()); got != c.want {
+			t.Errorf("%s: %d violations, want %d", name, got, c.want)
+		}
+	}
+}
+
+// Guards against a checker that takes the short wait for a call that tries a request for blame.
+func TestUsualRequestThatStaysRefused(t *testing.T) {
+	ck := kqsoakcheck.New()
+	refuse := func(at time.Duration) {
+		ck.Call(kqsoakcheck.Call{WorkID: "c1-1", Route: "r", Idempotent: true, AnswerRead: true, Status: 503, Result: "not_run", Reason: "quarantined", Ended: at})
+	}
+	refuse(time.Second)
+	refuse(2 * time.Second)
+	ck.Call(kqsoakcheck.Call{WorkID: "c1-2", Route: "r", Idempotent: true, AnswerRead: true, Status: 200, Result: "answered", Ended: 3 * time.Second})
+	refuse(5 * time.Second)
+	if got := ck.Violations(); len(got) > 0 {
+		t.Errorf("short waits count as blame: %+v", got)
+	}
+	refuse(9 * time.Second)
+	if got := ck.Violations(); len(got) != 1 || got[0].Kind != kqsoakcheck.Blamed {
+		t.Errorf("a request that is refused for 4 s gives %+v", got)
+	}
+}
--- a/internal/lab/kqsoakrun/faults.go
+++ b/internal/lab/kqsoakrun/faults.go
@@ -69,6 +69,8 @@
 		return s.rollout(ctx, n, f)
 	case kqsoak.Limit:
 		return s.limitUpstream(ctx, n, f)
+	case kqsoak.DeadlyRequest:
+		return s.repeatDeadly(ctx, f)
 	case kqsoak.Evacuate:
 		return s.evacuate(ctx, n, f)
 	case kqsoak.QuietLeave:
--- a/internal/lab/kqsoakrun/process.go
+++ b/internal/lab/kqsoakrun/process.go
@@ -14,6 +14,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqchild"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqsoak"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqsoakcheck"
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqupstream"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -231,7 +232,7 @@
 	}
 	c, err := n.soak.launch(name, append([]string{
 		"upstream", "--service", string(n.service()), "--node", n.address("local"), "--slots", fmt.Sprint(slots),
-		"--tell", "--instance", name, "--serves-on", upstreamDrainPeriod.String(),
+		"--tell", "--instance", name, "--deadly", "/read/" + kqsoakcheck.DeadlyPrefix, "--serves-on", upstreamDrainPeriod.String(),
 	}, extra...), func(line string) { n.handleEvent(name, line, up) })
 	if err != nil {
 		return nil, "", err
@@ -270,6 +271,9 @@
 		n.soak.checker.Began(e.WorkID, name, n.number, at)
 	case kqupstream.Ended:
 		n.soak.checker.RunEnded(e.WorkID, name, at)
+	case kqupstream.Died:
+		n.soak.checker.EndedUnder(e.WorkID, at)
+		n.soak.group.Go(func() { n.replaceEnded(name, at) })
 	case kqupstream.LimitNamed:
 		n.soak.checker.LimitNamed(name, string(n.service()), e.Limit, at)
 	case kqupstream.LimitEnded:
--- a/internal/run/kqcommand/upstream.go
+++ b/internal/run/kqcommand/upstream.go
@@ -30,6 +30,7 @@
 	instance := clause.Flag("instance", "Instance that the upstream announces; none if empty.").String()
 	stateCold := clause.Flag("state-cold", "Announce the cold start.").Bool()
 	printEvents := clause.Flag("tell", "Print a JSON line when the upstream listens, when a call begins or ends, and when the goodbye is acknowledged.").Bool()
+	deadly := clause.Flag("deadly", "End without an answer at each call whose target or body contains this text; none if empty.").String()
 	shed := clause.Flag("shed", "Answer calls beyond the slots with 503.").Bool()
 	c.register(clause, func(ctx context.Context) error {
 		host, port, err := net.SplitHostPort(*node)
@@ -50,7 +51,7 @@
 			options = append(options, kqupstream.WithStatedColdStart())
 		}
 		u, err := kqupstream.New(kqname.Service(*service), kqname.UpstreamVersion(*version), *slots, kqname.Address(*node),
-			kqupstream.Behaviour{Work: *work, ColdFor: *cold, ColdWork: *coldWork, FailShare: *fail, Shed: *shed},
+			kqupstream.Behaviour{Work: *work, ColdFor: *cold, ColdWork: *coldWork, FailShare: *fail, Shed: *shed, Deadly: *deadly},
 			options...)
 		if err != nil {
 			return err
