--- a/internal/lab/kqloadbench/pattern.go
+++ b/internal/lab/kqloadbench/pattern.go
@@ -19,6 +19,8 @@
 	steadyPeriod = 5 * time.Second
 	shortClass   = "short"
 	longClass    = "long"
+	deadlyClass  = "deadly"
+	deadlyPath   = "/deadly"
 )
 
 type (
@@ -57,6 +59,7 @@
 		"overload":      overload(),
 		"some_limited":  limited(2, 24),
 		"all_limited":   limited(servers, 24),
+		"deadly":        deadlyRequest(),
 	}
 )
 
@@ -153,6 +156,28 @@
 	}
 }
 
+// deadlyRequest has a load of 25% of capacity; after 5 s, ten callers repeat a request that ends
+// each upstream that runs it, twice a second each. Upstreams that end do not come back.
+func deadlyRequest() pattern {
+	p := pattern{
+		streams:   []*kqopenloop.Stream{shortStream(1, phase(16*time.Second, 0.25))},
+		behaviour: kqupstream.Behaviour{Work: serviceTime, Deadly: deadlyPath}, length: 16 * time.Second,
+		windows: []window{
+			{"before", shortClass, time.Second, steadyPeriod},
+			{"first_second", shortClass, steadyPeriod, steadyPeriod + time.Second},
+			{"beside_deadly", shortClass, steadyPeriod + time.Second, 16 * time.Second},
+			{"deadly", deadlyClass, steadyPeriod, 16 * time.Second},
+		},
+	}
+	for i := range callerCount {
+		p.streams = append(p.streams, &kqopenloop.Stream{
+			Caller: caller(i + 2), Class: deadlyClass, Host: service, Path: deadlyPath,
+			Phases: []kqopenloop.Phase{{Length: steadyPeriod}, {Length: 11 * time.Second, Rate: 2}},
+		})
+	}
+	return p
+}
+
 // maxAnswers returns how many short calls the upstreams can answer during the pattern.
 func (p pattern) maxAnswers() float64 { return capacity * p.length.Seconds() }
 
