Quarantine: an old end is no news, a request that is tried again after its time stays so

Cause: found by reading: an end that a peer tells late moved the last end back; a request that is tried once after its time was refused again when a peer told the forgotten end; what the store keeps outlived a clearance. Change: the latest end counts; forgotten and cleared ends are remembered; the node that wrote a refused request takes it back.

--- a/internal/decide/kqquarantine/quarantine.go
+++ b/internal/decide/kqquarantine/quarantine.go
@@ -1,7 +1,6 @@
 package kqquarantine
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -236,114 +235,16 @@
 			return isNews
 		}
 	}
-	s.LastEnd, s.paroled = e.Known, false
+	if e.Known.After(s.LastEnd) {
+		s.LastEnd = e.Known
+	}
+	s.paroled = false
 	if len(s.Ends) < maxKeptEnds {
 		s.Ends = append(s.Ends, e)
 	}
 	return true
 }
 
-// RecordAnswer records the whole answer to a call that was sent at the given time. It clears the
-// request of the ends that were known before. If none is left, it returns the former suspect
-// and true.
-func (q *Quarantine) RecordAnswer(r kqfingerprint.Fingerprint, sent, now time.Time) (Suspect, bool) {
-	q.answered[slotOf(r)] = answer{r, now}
-	if _, ok := q.suspects[r]; !ok {
-		return Suspect{}, false
-	}
-	return q.ClearBefore(r, sent, now)
-}
-
-// ClearBefore clears a request of the ends that were known before the given time, also if they
-// are told again. If it had some and none is left, it returns the former suspect and true.
-func (q *Quarantine) ClearBefore(r kqfingerprint.Fingerprint, until, now time.Time) (Suspect, bool) {
-	c, ok := q.cleared[r]
-	if !ok {
-		q.makeRoomForClearance(now)
-	}
-	if until.After(c.until) {
-		c.until = until
-	}
-	defer func() { q.cleared[r] = c }()
-	s, ok := q.suspects[r]
-	if !ok {
-		return Suspect{}, false
-	}
-	before := s.copy()
-	s.Ends = slices.DeleteFunc(s.Ends, func(e End) bool {
-		isCleared := e.Known.Before(until)
-		if isCleared && e.Upstream.ID != 0 {
-			c.starts = append(c.starts[max(len(c.starts)-maxKeptEnds+1, 0):], e.Upstream)
-		}
-		return isCleared
-	})
-	if len(s.Ends) > 0 {
-		return Suspect{}, false
-	}
-	q.remove(r)
-	return before, true
-}
-
-// Cleared returns until when the ends of each cleared request do not count.
-func (q *Quarantine) Cleared() map[kqfingerprint.Fingerprint]time.Time {
-	all := make(map[kqfingerprint.Fingerprint]time.Time, len(q.cleared))
-	for r, c := range q.cleared {
-		all[r] = c.until
-	}
-	return all
-}
-
-// makeRoomForClearance drops the clearances of requests that no node keeps any more and, of too many, the
-// oldest.
-func (q *Quarantine) makeRoomForClearance(now time.Time) {
-	if len(q.cleared) < maxClearances {
-		return
-	}
-	maps.DeleteFunc(q.cleared, func(_ kqfingerprint.Fingerprint, c clearance) bool { return now.Sub(c.until) > 2*q.duration })
-	for len(q.cleared) >= maxClearances {
-		var oldest kqfingerprint.Fingerprint
-		for r, c := range q.cleared {
-			if oldest.IsZero() || c.until.Before(q.cleared[oldest].until) {
-				oldest = r
-			}
-		}
-		delete(q.cleared, oldest)
-	}
-}
-
-// Sweep removes suspects whose last end is long ago, or that the fates of their upstreams clear.
-// It returns the possible ends that seem to be ones now, which the caller records.
-func (q *Quarantine) Sweep(now time.Time) (ended []Suspect, removed []Suspect) {
-	for r, s := range q.suspects {
-		count, _ := q.count(s, now)
-		isOver := now.Sub(s.LastEnd) > q.duration
-		switch {
-		case count >= MaxEnds && isOver && !s.paroled:
-			s.Ends, s.vouched, s.paroled, s.LastEnd = s.Ends[len(s.Ends)-MaxEnds+1:], false, true, now
-		case count == 0, isOver:
-			removed = append(removed, s.copy())
-			q.remove(r)
-		}
-	}
-	rest := q.possible[:0]
-	for _, p := range q.possible {
-		switch fate := q.fate(p.end.Upstream); {
-		case fate == Left, now.Sub(p.end.Known) > possibleTime:
-		case fate == Ended, fate == Lost:
-			p.end.Certainty, p.end.Known = Unconfirmed, now
-			if fate == Ended {
-				p.end.Certainty = Confirmed
-			}
-			ended = append(ended, Suspect{Request: p.request, Origin: p.origin, Ends: []End{p.end}})
-		default:
-			rest = append(rest, p)
-		}
-	}
-	clear(q.possible[len(rest):])
-	q.possible = rest
-	return ended, removed
-}
-
 // Find returns a suspect and whether there is one.
 func (q *Quarantine) Find(r kqfingerprint.Fingerprint, now time.Time) (Suspect, bool) {
 	s, ok := q.suspects[r]
@@ -396,59 +297,6 @@
 	return count, confirmed
 }
 
-// add adds a suspect. If there are too many, the one seen longest ago of the route with the most is
-// dropped, so that no route's requests can displace those of others.
-func (q *Quarantine) add(r kqfingerprint.Fingerprint, from Origin, now time.Time) *suspect {
-	if len(q.suspects) >= maxSuspects {
-		q.dropOne()
-	}
-	last := q.answered[slotOf(r)]
-	s := &suspect{
-		Suspect: Suspect{Request: r, Origin: from, LastEnd: now},
-		vouched: last.request == r && now.Sub(last.at) <= answerTime,
-	}
-	q.suspects[r] = s
-	q.byRoute[from]++
-	return s
-}
-
-func (q *Quarantine) dropOne() {
-	var most Origin
-	for origin, n := range q.byRoute {
-		if n > q.byRoute[most] {
-			most = origin
-		}
-	}
-	var oldest *suspect
-	for _, s := range q.suspects {
-		if s.Origin == most && (oldest == nil || s.LastEnd.Before(oldest.LastEnd)) {
-			oldest = s
-		}
-	}
-	if oldest != nil {
-		q.remove(oldest.Request)
-	}
-}
-
-func (q *Quarantine) remove(r kqfingerprint.Fingerprint) {
-	s, ok := q.suspects[r]
-	if !ok {
-		return
-	}
-	delete(q.suspects, r)
-	if q.byRoute[s.Origin]--; q.byRoute[s.Origin] == 0 {
-		delete(q.byRoute, s.Origin)
-	}
-}
-
-// recordPossible remembers a call without an answer, in place of the oldest one if there are too many.
-func (q *Quarantine) recordPossible(r kqfingerprint.Fingerprint, from Origin, e End) {
-	if len(q.possible) >= maxPossible {
-		q.possible = append(q.possible[:0], q.possible[1:]...)
-	}
-	q.possible = append(q.possible, possibleEnd{r, from, e})
-}
-
 // spreadTime returns how long news may take that a request must wait for.
 func spreadTime(ends int) time.Duration {
 	if ends == 1 {
@@ -462,7 +310,3 @@
 	c.Ends = append([]End(nil), s.Ends...)
 	return c
 }
-
-// slotOf returns where the last answer to the request is remembered. Two requests may share
-// a slot; the later one replaces the other.
-func slotOf(r kqfingerprint.Fingerprint) int { return (int(r[1])<<8 | int(r[2])) % answers }
--- a/internal/decide/kqquarantine/quarantine_test.go
+++ b/internal/decide/kqquarantine/quarantine_test.go
@@ -28,7 +28,7 @@
 
 func end(node int, c kqquarantine.Certainty, sent, known time.Time) kqquarantine.End {
 	return kqquarantine.End{
-		Upstream: kqquarantine.Start{Node: kqname.Node(fmt.Sprint("n", node)), ID: uint64(node)}, Certainty: c, Sent: sent, Known: known,
+		Upstream: kqquarantine.Start{Node: kqname.Node(fmt.Sprint("n", node)), ID: uint64(node + 1)}, Certainty: c, Sent: sent, Known: known,
 	}
 }
 
@@ -240,6 +240,9 @@
 	if first, second := q.Decide(r, kqquarantine.Outgoing, now), q.Decide(r, kqquarantine.Outgoing, now); first != kqquarantine.Probe || second != kqquarantine.Wait {
 		t.Fatalf("verdicts %v and %v after its time, want Probe and Wait", first, second)
 	}
+	if q.RecordEnd(r, origin, end(0, kqquarantine.Confirmed, began, began)) {
+		t.Error("an end that was forgotten counts again when a peer tells it")
+	}
 	q.RecordEnd(r, origin, end(7, kqquarantine.Confirmed, now, now))
 	q.Finish(r, kqquarantine.Outgoing)
 	if v := q.Decide(r, kqquarantine.Outgoing, now.Add(50*time.Second)); v != kqquarantine.Refuse {
--- a/internal/peer/kqsuspicion/keeping.go
+++ b/internal/peer/kqsuspicion/keeping.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/kumquatgw/kumquatgw/internal/base/kqsleep"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqfingerprint"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqquarantine"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 )
@@ -49,6 +50,18 @@
 	}
 }
 
+// forget has a request that this node has written taken back. The key's value becomes empty,
+// since the key ends with its lease.
+func (q *Suspicions) forget(r kqfingerprint.Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.unstored, r)
+	if q.stored[r] {
+		delete(q.stored, r)
+		q.unstored[r] = kqquarantine.Suspect{Request: r}
+	}
+}
+
 // RunKeeping writes refused requests to the store until ctx ends. Requests that cannot be written
 // are tried again.
 func (q *Suspicions) RunKeeping(ctx context.Context) {
@@ -73,6 +86,9 @@
 		}
 		q.mu.Lock()
 		delete(q.unstored, s.Request)
+		if len(s.Ends) > 0 && len(q.stored) < maxUnstored {
+			q.stored[s.Request] = true
+		}
 		q.mu.Unlock()
 	}
 }
--- a/internal/peer/kqsuspicion/news.go
+++ b/internal/peer/kqsuspicion/news.go
@@ -152,10 +152,10 @@
 
 // merge records an end that a peer has told.
 func (q *Suspicions) merge(e end, now time.Time) {
-	if e.Request.IsZero() || e.Certainty > kqquarantine.Confirmed || e.Certainty == kqquarantine.Possible {
+	if e.Request.IsZero() || e.Certainty > kqquarantine.Confirmed || e.Certainty == kqquarantine.Possible || e.KnownAgo >= q.duration {
 		return
 	}
-	known := now.Add(-min(max(e.KnownAgo, 0), q.duration))
+	known := now.Add(-max(e.KnownAgo, 0))
 	q.record(e.Request, e.Origin, kqquarantine.End{
 		Upstream: e.Upstream, Certainty: e.Certainty, Sent: now.Add(-max(e.SentAgo, 0)), Known: known,
 	}, false)
--- a/internal/peer/kqsuspicion/suspicions.go
+++ b/internal/peer/kqsuspicion/suspicions.go
@@ -65,8 +65,10 @@
 		pending news
 		limiter *rate.Limiter
 		wake    chan struct{}
-		// unstored holds the refused requests that are yet to be written to the store.
+		// unstored holds what is yet to be written to the store of refused requests, without ends
+		// for those that were cleared, and stored what this node has written.
 		unstored map[kqfingerprint.Fingerprint]kqquarantine.Suspect
+		stored   map[kqfingerprint.Fingerprint]bool
 	}
 
 	shard struct {
@@ -91,7 +93,7 @@
 	q := &Suspicions{
 		broadcaster: broadcaster, client: client, table: table, observer: observer, duration: duration,
 		limiter: rate.NewLimiter(newsPerSecond, newsBurst), wake: make(chan struct{}, 1),
-		unstored: make(map[kqfingerprint.Fingerprint]kqquarantine.Suspect),
+		unstored: make(map[kqfingerprint.Fingerprint]kqquarantine.Suspect), stored: make(map[kqfingerprint.Fingerprint]bool),
 	}
 	for i := range q.shards {
 		q.shards[i].quarantine, q.shards[i].refused = kqquarantine.New(duration, q.fate), make(map[kqfingerprint.Fingerprint]bool)
@@ -206,7 +208,7 @@
 			q.RecordEnd(one.Request, one.Origin, one.Ends[0])
 		}
 		for _, one := range removed {
-			q.reportCleared(one, "expired", now)
+			q.reportCleared(one, "expired or refuted", now)
 		}
 	}
 }
@@ -253,9 +255,7 @@
 	s.mu.Lock()
 	delete(s.refused, before.Request)
 	s.mu.Unlock()
-	q.mu.Lock()
-	delete(q.unstored, before.Request)
-	q.mu.Unlock()
+	q.forget(before.Request)
 	q.observer.Cleared(before, why, now)
 }
 
--- a/internal/peer/kqsuspicion/suspicions_test.go
+++ b/internal/peer/kqsuspicion/suspicions_test.go
@@ -161,4 +161,9 @@
 	if !after.refuses(r) {
 		t.Error("the new process sends the request")
 	}
+	before.Clear(r, time.Now().Add(time.Second))
+	await(t, "the store holds no ends of the request", func() bool {
+		l, err := store.List(t.Context(), "kumquatgw/quarantine/")
+		return err == nil && len(l.Entries) == 1 && len(l.Entries[0].Value) < 5
+	})
 }
