A probe at the own upstream ends; all entries choose the same upstream for a probe

Cause: the gate's second look at a probe of its own entry reserved the gate's turn for other nodes' probes and never gave it back. Entries left out their own server and those that they had ejected, so two of them tried the request at two upstreams. Change: the second look of a probe asks only whether the request is refused; a probe goes to the upstream that ranks first of all that are allowed. TestProbeAtTheOwnUpstreamEnds failed before (Wait, not Probe).

--- a/internal/call/kqentry/quarantine.go
+++ b/internal/call/kqentry/quarantine.go
@@ -50,7 +50,7 @@
 	case kqquarantine.Caution:
 		criteria.LeastPreferred = e.self
 	case kqquarantine.Probe:
-		c.Probing, criteria.Affinity, criteria.LeastPreferred = true, max(c.Fingerprint.Hash(), 1), e.self
+		c.Probing, criteria.Affinity = true, max(c.Fingerprint.Hash(), 1)
 	default:
 		return criteria, false
 	}
--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -163,6 +163,9 @@
 // selectUpstream returns an ejected upstream that is due for a probe, if there is one. Else it
 // chooses among the upstreams that are not ejected or, if there are none, uses lastResort.
 func (p *Pool) selectUpstream(criteria Criteria, tried []kqname.Node, now time.Time, random *rand.Rand) *PoolUpstream {
+	if criteria.Affinity != 0 {
+		return p.mostAffine(criteria, tried)
+	}
 	p.eligible = p.eligible[:0]
 	ejected := 0
 	for _, upstream := range p.upstreams {
@@ -170,7 +173,7 @@
 			continue
 		}
 		if upstream.state.Ejected() {
-			if criteria.Affinity == 0 && upstream.state.ProbeDue(now) {
+			if upstream.state.ProbeDue(now) {
 				return upstream
 			}
 			ejected++
@@ -190,18 +193,19 @@
 	if p.uniform {
 		return p.eligible[random.IntN(len(p.eligible))]
 	}
-	if criteria.Affinity != 0 {
-		return mostAffine(p.eligible, criteria.Affinity)
-	}
 	return p.selectBest(p.eligible, criteria, now, random)
 }
 
-// mostAffine returns the upstream that ranks first for the affinity (rendezvous hashing).
-func mostAffine(list []*PoolUpstream, affinity uint64) *PoolUpstream {
+// mostAffine returns the allowed upstream that ranks first for the affinity (rendezvous hashing),
+// whether or not this entry has ejected it: other entries may not have.
+func (p *Pool) mostAffine(criteria Criteria, tried []kqname.Node) *PoolUpstream {
 	var first *PoolUpstream
 	var highest uint64
-	for _, upstream := range list {
-		rank := xxhash.Sum64String(strconv.FormatUint(affinity, 36) + " " + string(upstream.Node))
+	for _, upstream := range p.upstreams {
+		if !criteria.allows(upstream.Candidate) || slices.Contains(tried, upstream.Node) {
+			continue
+		}
+		rank := xxhash.Sum64String(strconv.FormatUint(criteria.Affinity, 36) + " " + string(upstream.Node))
 		if first == nil || rank > highest {
 			first, highest = upstream, rank
 		}
--- a/internal/decide/kqquarantine/quarantine.go
+++ b/internal/decide/kqquarantine/quarantine.go
@@ -44,7 +44,8 @@
 	// Caution lets a call be sent, but to another server if there is one: the node where it
 	// began must be left to tell, in case that a server is lost under it.
 	Caution
-	// Probe does what Caution does, and makes others of the same request wait until Finish.
+	// Probe lets a call be sent to the server that all nodes choose for its request, and makes
+	// others of the same request wait until Finish.
 	Probe
 	// Wait means that the call may be sent later, once the verdict is another.
 	Wait
@@ -206,6 +207,16 @@
 	}
 }
 
+// Refuses reports whether calls of the request are refused.
+func (q *Quarantine) Refuses(r kqfingerprint.Fingerprint, now time.Time) bool {
+	s, ok := q.suspects[r]
+	if !ok {
+		return false
+	}
+	count, _ := q.count(s, now)
+	return count >= MaxEnds
+}
+
 // Finish ends a probe.
 func (q *Quarantine) Finish(r kqfingerprint.Fingerprint, side Side) {
 	if s, ok := q.suspects[r]; ok {
--- a/internal/peer/kqsuspicion/suspicions.go
+++ b/internal/peer/kqsuspicion/suspicions.go
@@ -132,8 +132,14 @@
 	s := q.shard(c.Fingerprint)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	switch {
+	case s.quarantine.Refuses(c.Fingerprint, now):
+		return kqquarantine.Refuse
+	case c.Probing:
+		return kqquarantine.Allow
+	}
 	verdict := s.quarantine.Decide(c.Fingerprint, side, now)
-	if verdict == kqquarantine.Wait || c.Probing && verdict != kqquarantine.Refuse {
+	if verdict == kqquarantine.Wait {
 		return kqquarantine.Allow
 	}
 	return verdict
--- a/internal/peer/kqsuspicion/suspicions_test.go
+++ b/internal/peer/kqsuspicion/suspicions_test.go
@@ -167,3 +167,23 @@
 		return err == nil && len(l.Entries) == 1 && len(l.Entries[0].Value) < 5
 	})
 }
+
+// Guards against a probe at the node's own upstream after which all probes of other nodes wait there.
+func TestProbeAtTheOwnUpstreamEnds(t *testing.T) {
+	n, r := &network{}, kqfingerprint.Fingerprint{9}
+	a := start(t, "a", n)
+	a.end(r, 1)
+	own := &kqcall.Call{Fingerprint: r, Deadline: time.Now().Add(time.Second)}
+	if v := a.Admit(own, kqquarantine.Outgoing); v != kqquarantine.Probe {
+		t.Fatalf("verdict %v, want Probe", v)
+	}
+	own.Probing = true
+	if v := a.Recheck(own, kqquarantine.Incoming, time.Now()); v != kqquarantine.Allow {
+		t.Fatalf("verdict %v at the gate, want Allow", v)
+	}
+	a.Finish(own, kqquarantine.Outgoing)
+	other := &kqcall.Call{Fingerprint: r, Deadline: time.Now().Add(time.Second)}
+	if v := a.Admit(other, kqquarantine.Incoming); v != kqquarantine.Probe {
+		t.Errorf("verdict %v for another node's probe, want Probe", v)
+	}
+}
