Innocent requests beside a deadly one: a gate tries one request at a time, calls wait for news

And a request reached a fourth server when its caller repeated it elsewhere within milliseconds of the third end. Cause: suspects wait the same times and met at the same upstream, whose end was held against all of them. A node that had not heard of the last end tried at once, since its own last news were old. Change: a gate runs one probe at a time, of whichever request; a call of a suspect waits for news from its own arrival on.

--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -89,6 +89,9 @@
 // since most of them are refused until an operator clears the request.
 const quarantineRetryAfter = time.Minute
 
+// suspectRetryAfter is the Retry-After of calls whose request is being tried by another call.
+const suspectRetryAfter = time.Second
+
 type (
 	// Result is how a call ended.
 	Result string
@@ -223,6 +226,14 @@
 	return o
 }
 
+// RefuseSuspect returns the outcome of a call that did not run because another one still tells
+// whether its request may.
+func RefuseSuspect() Outcome {
+	o := Refuse(Quarantined)
+	o.RetryAfter = suspectRetryAfter
+	return o
+}
+
 // UnknownOutcome returns the outcome of a call that may have run.
 func UnknownOutcome(reason Reason) Outcome { return Outcome{Result: Unknown, Reason: reason} }
 
--- a/internal/call/kqentry/quarantine.go
+++ b/internal/call/kqentry/quarantine.go
@@ -42,8 +42,9 @@
 func WithQuarantine(q Quarantine) Option { return func(e *Entry) { e.quarantine = q } }
 
 // admitSuspect returns the criteria for the next attempt and whether there may be one, as far as
-// other calls of the same request tell. If it probes, finishProbe must be called after it.
-func (e *Entry) admitSuspect(c *kqcall.Call, criteria kqpick.Criteria) (kqpick.Criteria, bool) {
+// other calls of the same request tell, and if not, the refusal. If it probes, finishProbe must be
+// called after it.
+func (e *Entry) admitSuspect(c *kqcall.Call, criteria kqpick.Criteria) (kqpick.Criteria, kqcall.Outcome) {
 	criteria.Affinity, criteria.LeastPreferred = 0, ""
 	switch e.quarantine.Admit(c, kqquarantine.Outgoing) {
 	case kqquarantine.Allow:
@@ -51,10 +52,12 @@
 		criteria.LeastPreferred = e.self
 	case kqquarantine.Probe:
 		c.Probing, criteria.Affinity = true, max(c.Fingerprint.Hash(), 1)
+	case kqquarantine.Wait:
+		return criteria, kqcall.RefuseSuspect()
 	default:
-		return criteria, false
+		return criteria, kqcall.RefuseQuarantined()
 	}
-	return criteria, true
+	return criteria, kqcall.OK()
 }
 
 // finishProbe ends the probe that the call is, if it is one.
--- a/internal/call/kqentry/quarantine_test.go
+++ b/internal/call/kqentry/quarantine_test.go
@@ -24,9 +24,9 @@
 }
 
 func (q *lockedQuarantine) Admit(c *kqcall.Call, side kqquarantine.Side) kqquarantine.Verdict {
-	for {
+	for came := time.Now(); ; {
 		q.mu.Lock()
-		v := q.Decide(c.Fingerprint, side, time.Now())
+		v := q.Decide(c.Fingerprint, side, came, time.Now())
 		q.mu.Unlock()
 		if v != kqquarantine.Wait {
 			return v
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -233,9 +233,9 @@
 	last.RetryAfter = defaultRetryAfter
 	defer e.finishProbe(c)
 	for {
-		var admitted bool
-		if criteria, admitted = e.admitSuspect(c, criteria); !admitted {
-			return combined(kqcall.RefuseQuarantined(), possibleRuns)
+		var refusal kqcall.Outcome
+		if criteria, refusal = e.admitSuspect(c, criteria); refusal.Result != kqcall.Answered {
+			return combined(refusal, possibleRuns)
 		}
 		now := e.now()
 		c.Version = criteria.Version
--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -23,9 +23,9 @@
 		return kqcall.Refuse(reason), kqcall.Load{}
 	}
 	r.Instance = a.Instance
-	finish, allowed := g.admitSuspect(c)
-	if !allowed {
-		return kqcall.RefuseQuarantined(), kqcall.Load{}
+	finish, refusal := g.admitSuspect(c)
+	if refusal.Result != kqcall.Answered {
+		return refusal, kqcall.Load{}
 	}
 	defer finish()
 	now := g.now()
@@ -69,9 +69,7 @@
 			u.releaseSlot(t, kqcall.UnknownOutcome(kqcall.Panicked), true, 0, began)
 		}
 	}()
-	finishRecheck, allowed := g.recheckSuspect(c)
-	defer finishRecheck()
-	if o = kqcall.RefuseQuarantined(); allowed {
+	if o = kqcall.RefuseQuarantined(); !g.quarantine.IsRefused(c.Fingerprint, g.now()) {
 		o = g.confirm(u, a, &p, cold)
 	}
 	if o.Result != kqcall.Answered {
--- a/internal/call/kqgate/quarantine.go
+++ b/internal/call/kqgate/quarantine.go
@@ -15,8 +15,10 @@
 // Quarantine knows under which requests upstreams have ended.
 type Quarantine interface {
 	Admit(c *kqcall.Call, side kqquarantine.Side) kqquarantine.Verdict
-	Recheck(c *kqcall.Call, side kqquarantine.Side, now time.Time) kqquarantine.Verdict
+	IsRefused(r kqfingerprint.Fingerprint, now time.Time) bool
 	Finish(c *kqcall.Call, side kqquarantine.Side)
+	BeginProbe(c *kqcall.Call) bool
+	EndProbe()
 	RecordEnd(r kqfingerprint.Fingerprint, from kqquarantine.Origin, e kqquarantine.End)
 	RecordAnswer(r kqfingerprint.Fingerprint, sent, now time.Time)
 }
@@ -30,10 +32,14 @@
 // Admit implements Quarantine.
 func (noop) Admit(*kqcall.Call, kqquarantine.Side) kqquarantine.Verdict { return kqquarantine.Allow }
 
-// Recheck implements Quarantine.
-func (noop) Recheck(*kqcall.Call, kqquarantine.Side, time.Time) kqquarantine.Verdict {
-	return kqquarantine.Allow
-}
+// IsRefused implements Quarantine.
+func (noop) IsRefused(kqfingerprint.Fingerprint, time.Time) bool { return false }
+
+// BeginProbe implements Quarantine.
+func (noop) BeginProbe(*kqcall.Call) bool { return true }
+
+// EndProbe implements Quarantine.
+func (noop) EndProbe() {}
 
 // Finish implements Quarantine.
 func (noop) Finish(*kqcall.Call, kqquarantine.Side) {}
@@ -44,30 +50,30 @@
 // RecordAnswer implements Quarantine.
 func (noop) RecordAnswer(kqfingerprint.Fingerprint, time.Time, time.Time) {}
 
-// admitSuspect returns whether a call may be sent as far as other calls of its request tell. If
-// it may, finish must be called once the call has ended. An entry of this node has asked already.
-func (g *Gate) admitSuspect(c *kqcall.Call) (finish func(), allowed bool) {
-	if c.Probing {
-		return func() {}, true
+// admitSuspect returns whether a call may be sent as far as other calls of its request tell, and
+// how to refuse it if not. If it may, finish must be called once the call has ended. An entry of
+// this node has asked already, except for the gate's turn.
+func (g *Gate) admitSuspect(c *kqcall.Call) (finish func(), refusal kqcall.Outcome) {
+	finish = func() {}
+	if !c.Probing {
+		switch g.quarantine.Admit(c, kqquarantine.Incoming) {
+		case kqquarantine.Allow, kqquarantine.Caution:
+			return finish, kqcall.OK()
+		case kqquarantine.Probe:
+			c.Probing = true
+			finish = func() { c.Probing = false; g.quarantine.Finish(c, kqquarantine.Incoming) }
+		case kqquarantine.Wait:
+			return finish, kqcall.RefuseSuspect()
+		default:
+			return finish, kqcall.RefuseQuarantined()
+		}
 	}
-	return g.follow(c, g.quarantine.Admit(c, kqquarantine.Incoming))
-}
-
-// recheckSuspect does what admitSuspect does for a call that was admitted before it waited.
-func (g *Gate) recheckSuspect(c *kqcall.Call) (finish func(), allowed bool) {
-	return g.follow(c, g.quarantine.Recheck(c, kqquarantine.Incoming, g.now()))
-}
-
-func (g *Gate) follow(c *kqcall.Call, v kqquarantine.Verdict) (finish func(), allowed bool) {
-	switch v {
-	case kqquarantine.Allow, kqquarantine.Caution:
-		return func() {}, true
-	case kqquarantine.Probe:
-		c.Probing = true
-		return func() { c.Probing = false; g.quarantine.Finish(c, kqquarantine.Incoming) }, true
-	default:
-		return func() {}, false
+	if !g.quarantine.BeginProbe(c) {
+		finish()
+		return func() {}, kqcall.RefuseSuspect()
 	}
+	finishProbe := finish
+	return func() { finishProbe(); g.quarantine.EndProbe() }, kqcall.OK()
 }
 
 // recordFate records what a call that was sent at the given time tells of its request: whether its
--- a/internal/call/kqgate/quarantine_test.go
+++ b/internal/call/kqgate/quarantine_test.go
@@ -24,10 +24,14 @@
 	return q.verdict
 }
 
-func (q *recordingQuarantine) Recheck(*kqcall.Call, kqquarantine.Side, time.Time) kqquarantine.Verdict {
-	return q.verdict
+func (q *recordingQuarantine) IsRefused(kqfingerprint.Fingerprint, time.Time) bool {
+	return q.verdict == kqquarantine.Refuse
 }
 
+func (q *recordingQuarantine) BeginProbe(*kqcall.Call) bool { return true }
+
+func (q *recordingQuarantine) EndProbe() {}
+
 func (q *recordingQuarantine) Finish(*kqcall.Call, kqquarantine.Side) {}
 
 func (q *recordingQuarantine) RecordEnd(_ kqfingerprint.Fingerprint, _ kqquarantine.Origin, e kqquarantine.End) {
--- a/internal/decide/kqquarantine/quarantine.go
+++ b/internal/decide/kqquarantine/quarantine.go
@@ -181,9 +181,9 @@
 	}
 }
 
-// Decide returns whether a call of the request may be sent. After Probe, the caller must call
-// Finish for the same side.
-func (q *Quarantine) Decide(r kqfingerprint.Fingerprint, side Side, now time.Time) Verdict {
+// Decide returns whether a call of the request may be sent that came at the given time. After Probe, the
+// caller must call Finish for the same side.
+func (q *Quarantine) Decide(r kqfingerprint.Fingerprint, side Side, came, now time.Time) Verdict {
 	s, ok := q.suspects[r]
 	if !ok {
 		return Allow
@@ -194,7 +194,9 @@
 		return Allow
 	case count >= MaxEnds:
 		return Refuse
-	case now.Sub(s.LastEnd) < spreadTime(count):
+	case now.Sub(s.LastEnd) < spreadTime(count), side == Outgoing && now.Sub(came) < spreadTime(count):
+		// News of a further end may be on their way, also of one that ended just before the
+		// call came.
 		return Wait
 	case count == 1 && confirmed == 0:
 		// Most such upstreams are alive or ended for another reason.
@@ -207,8 +209,8 @@
 	}
 }
 
-// Refuses reports whether calls of the request are refused.
-func (q *Quarantine) Refuses(r kqfingerprint.Fingerprint, now time.Time) bool {
+// IsRefused reports whether calls of the request are refused.
+func (q *Quarantine) IsRefused(r kqfingerprint.Fingerprint, now time.Time) bool {
 	s, ok := q.suspects[r]
 	if !ok {
 		return false
--- a/internal/decide/kqquarantine/quarantine_test.go
+++ b/internal/decide/kqquarantine/quarantine_test.go
@@ -32,15 +32,20 @@
 	}
 }
 
+// decide decides on a call that has waited for news.
+func decide(q *kqquarantine.Quarantine, r kqfingerprint.Fingerprint, side kqquarantine.Side, now time.Time) kqquarantine.Verdict {
+	return q.Decide(r, side, now.Add(-time.Second), now)
+}
+
 func Example() {
 	q, r, now := kqquarantine.New(time.Minute, unknownFate), request(1), began
 	for node := range 3 {
-		fmt.Println(q.Decide(r, kqquarantine.Outgoing, now) == kqquarantine.Refuse)
+		fmt.Println(decide(q, r, kqquarantine.Outgoing, now) == kqquarantine.Refuse)
 		q.RecordEnd(r, origin, end(node, kqquarantine.Confirmed, now, now))
 		q.Finish(r, kqquarantine.Outgoing)
 		now = now.Add(time.Second)
 	}
-	fmt.Println(q.Decide(r, kqquarantine.Outgoing, now) == kqquarantine.Refuse)
+	fmt.Println(decide(q, r, kqquarantine.Outgoing, now) == kqquarantine.Refuse)
 	// Output:
 	// false
 	// false
@@ -62,7 +67,7 @@
 		for range rapid.IntRange(5, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
 			if rapid.Bool().Draw(t, "send") {
-				switch q.Decide(r, kqquarantine.Outgoing, now) {
+				switch decide(q, r, kqquarantine.Outgoing, now) {
 				case kqquarantine.Allow, kqquarantine.Caution:
 					flying = append(flying, sending{at: now})
 				case kqquarantine.Probe:
@@ -100,7 +105,7 @@
 	now = now.Add(kqquarantine.SpreadTime)
 	for node := 1; node < 10; node++ {
 		for range 10 {
-			if v := q.Decide(r, kqquarantine.Outgoing, now); v < kqquarantine.Wait {
+			if v := decide(q, r, kqquarantine.Outgoing, now); v < kqquarantine.Wait {
 				sent++
 			}
 		}
@@ -123,7 +128,7 @@
 		q.RecordEnd(r, origin, end(node, kqquarantine.Unconfirmed, lost.Add(-20*time.Millisecond), lost.Add(time.Duration(node)*time.Millisecond)))
 	}
 	sent := lost.Add(50 * time.Millisecond)
-	if v := q.Decide(r, kqquarantine.Outgoing, sent); v != kqquarantine.Caution {
+	if v := decide(q, r, kqquarantine.Outgoing, sent); v != kqquarantine.Caution {
 		t.Fatalf("verdict %v after a domain was lost, want Caution", v)
 	}
 	q.RecordAnswer(r, sent, sent.Add(10*time.Millisecond))
@@ -139,13 +144,13 @@
 	q.RecordAnswer(r, now, now)
 	for node := range 3 {
 		now = now.Add(200 * time.Millisecond)
-		if v := q.Decide(r, kqquarantine.Outgoing, now); v == kqquarantine.Refuse {
+		if v := decide(q, r, kqquarantine.Outgoing, now); v == kqquarantine.Refuse {
 			t.Fatalf("refused after %d ends", node)
 		}
 		q.RecordEnd(r, origin, end(node, kqquarantine.Confirmed, now, now.Add(time.Millisecond)))
 		q.Finish(r, kqquarantine.Outgoing)
 	}
-	if v := q.Decide(r, kqquarantine.Outgoing, now.Add(time.Second)); v != kqquarantine.Refuse {
+	if v := decide(q, r, kqquarantine.Outgoing, now.Add(time.Second)); v != kqquarantine.Refuse {
 		t.Errorf("verdict %v after three ends, want Refuse", v)
 	}
 }
@@ -156,7 +161,7 @@
 	for node := range 3 {
 		q.RecordEnd(r, origin, end(node, kqquarantine.Confirmed, now, now))
 	}
-	if _, cleared := q.RecordAnswer(r, now.Add(-time.Millisecond), now.Add(time.Second)); cleared || q.Decide(r, kqquarantine.Outgoing, now.Add(time.Second)) != kqquarantine.Refuse {
+	if _, cleared := q.RecordAnswer(r, now.Add(-time.Millisecond), now.Add(time.Second)); cleared || decide(q, r, kqquarantine.Outgoing, now.Add(time.Second)) != kqquarantine.Refuse {
 		t.Error("cleared by the answer to a call that was sent before")
 	}
 	if _, cleared := q.RecordAnswer(r, now.Add(time.Millisecond), now.Add(time.Second)); !cleared {
@@ -171,18 +176,18 @@
 	for node := range 3 {
 		q.RecordEnd(r, origin, end(node, kqquarantine.Unconfirmed, now, now))
 	}
-	if v := q.Decide(r, kqquarantine.Outgoing, now); v != kqquarantine.Refuse {
+	if v := decide(q, r, kqquarantine.Outgoing, now); v != kqquarantine.Refuse {
 		t.Fatalf("verdict %v while three upstreams may have ended, want Refuse", v)
 	}
 	fate = kqquarantine.Alive
-	if v := q.Decide(r, kqquarantine.Outgoing, now.Add(10*time.Second)); v != kqquarantine.Allow {
+	if v := decide(q, r, kqquarantine.Outgoing, now.Add(10*time.Second)); v != kqquarantine.Allow {
 		t.Errorf("verdict %v once their nodes list them, want Allow", v)
 	}
 	fate = kqquarantine.Ended
 	for node := range 3 {
 		q.RecordEnd(r, origin, end(node, kqquarantine.Unconfirmed, now, now))
 	}
-	if v := q.Decide(r, kqquarantine.Outgoing, now.Add(20*time.Second)); v != kqquarantine.Refuse {
+	if v := decide(q, r, kqquarantine.Outgoing, now.Add(20*time.Second)); v != kqquarantine.Refuse {
 		t.Errorf("verdict %v once other upstreams stand in their place, want Refuse", v)
 	}
 }
@@ -213,7 +218,7 @@
 	for n := 1; n < 5000; n++ {
 		q.RecordEnd(request(n), origin, end(n, kqquarantine.Confirmed, now, now))
 	}
-	if v := q.Decide(victim, kqquarantine.Outgoing, now); v != kqquarantine.Refuse {
+	if v := decide(q, victim, kqquarantine.Outgoing, now); v != kqquarantine.Refuse {
 		t.Errorf("verdict %v on the other route's request after 5,000 of this one, want Refuse", v)
 	}
 	if got := len(q.Suspects(now)); got > 512 {
@@ -230,14 +235,14 @@
 	}
 	for range 5 {
 		now = now.Add(10 * time.Second)
-		if _, removed := q.Sweep(now); len(removed) > 0 || q.Decide(r, kqquarantine.Outgoing, now) != kqquarantine.Refuse {
+		if _, removed := q.Sweep(now); len(removed) > 0 || decide(q, r, kqquarantine.Outgoing, now) != kqquarantine.Refuse {
 			t.Fatal("not refused within its time")
 		}
 	}
 	now = now.Add(11 * time.Second)
 	q.Sweep(now)
 	now = now.Add(kqquarantine.SpreadTime)
-	if first, second := q.Decide(r, kqquarantine.Outgoing, now), q.Decide(r, kqquarantine.Outgoing, now); first != kqquarantine.Probe || second != kqquarantine.Wait {
+	if first, second := decide(q, r, kqquarantine.Outgoing, now), decide(q, r, kqquarantine.Outgoing, now); first != kqquarantine.Probe || second != kqquarantine.Wait {
 		t.Fatalf("verdicts %v and %v after its time, want Probe and Wait", first, second)
 	}
 	if q.RecordEnd(r, origin, end(0, kqquarantine.Confirmed, began, began)) {
@@ -245,7 +250,7 @@
 	}
 	q.RecordEnd(r, origin, end(7, kqquarantine.Confirmed, now, now))
 	q.Finish(r, kqquarantine.Outgoing)
-	if v := q.Decide(r, kqquarantine.Outgoing, now.Add(50*time.Second)); v != kqquarantine.Refuse {
+	if v := decide(q, r, kqquarantine.Outgoing, now.Add(50*time.Second)); v != kqquarantine.Refuse {
 		t.Errorf("verdict %v after one more end, want Refuse", v)
 	}
 }
@@ -280,7 +285,22 @@
 	q, r, now := kqquarantine.New(time.Minute, unknownFate), request(1), began
 	q.RecordEnd(r, origin, end(1, kqquarantine.Confirmed, now, now))
 	now = now.Add(kqquarantine.SpreadTime)
-	if out, in := q.Decide(r, kqquarantine.Outgoing, now), q.Decide(r, kqquarantine.Incoming, now); out != kqquarantine.Probe || in != kqquarantine.Probe {
+	if out, in := decide(q, r, kqquarantine.Outgoing, now), decide(q, r, kqquarantine.Incoming, now); out != kqquarantine.Probe || in != kqquarantine.Probe {
 		t.Errorf("verdicts %v and %v on both sides, want Probe", out, in)
 	}
 }
+
+// A caller repeats a request elsewhere right after its last end, of which that node has not heard yet.
+func TestCallWaitsForNewsOfAnEndJustBeforeIt(t *testing.T) {
+	q, r, now := kqquarantine.New(time.Minute, unknownFate), request(1), began
+	for node := range 2 {
+		q.RecordEnd(r, origin, end(node, kqquarantine.Confirmed, now, now))
+	}
+	came := now.Add(time.Second)
+	if v := q.Decide(r, kqquarantine.Outgoing, came, came); v != kqquarantine.Wait {
+		t.Errorf("verdict %v as the call comes, want Wait", v)
+	}
+	if v := q.Decide(r, kqquarantine.Outgoing, came, came.Add(kqquarantine.SpreadTime)); v != kqquarantine.Probe {
+		t.Errorf("verdict %v after the news had time, want Probe", v)
+	}
+}
--- a/internal/peer/kqsuspicion/suspicions.go
+++ b/internal/peer/kqsuspicion/suspicions.go
@@ -59,7 +59,9 @@
 		initial     Initial
 		duration    time.Duration
 		learned     atomic.Bool
-		shards      [shardCount]shard
+		// probe holds an element while the node's gate runs a probe.
+		probe  chan struct{}
+		shards [shardCount]shard
 
 		mu      sync.Mutex
 		pending news
@@ -92,7 +94,7 @@
 func New(server *kqrpc.Server, client *kqrpc.Client, broadcaster Broadcaster, table *kqmember.Table, observer Observer, duration time.Duration, options ...Option) *Suspicions {
 	q := &Suspicions{
 		broadcaster: broadcaster, client: client, table: table, observer: observer, duration: duration,
-		limiter: rate.NewLimiter(newsPerSecond, newsBurst), wake: make(chan struct{}, 1),
+		limiter: rate.NewLimiter(newsPerSecond, newsBurst), probe: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 		unstored: make(map[kqfingerprint.Fingerprint]kqquarantine.Suspect), stored: make(map[kqfingerprint.Fingerprint]bool),
 	}
 	for i := range q.shards {
@@ -112,11 +114,11 @@
 // tells, or while news may be on their way, and then returns Wait if that takes too long or the
 // call is cancelled. After Probe, the caller must call Finish.
 func (q *Suspicions) Admit(c *kqcall.Call, side kqquarantine.Side) kqquarantine.Verdict {
-	now := time.Now()
+	came := time.Now()
 	s := q.shard(c.Fingerprint)
-	for end := now.Add(maxWait); ; now = time.Now() {
+	for now, end := came, came.Add(maxWait); ; now = time.Now() {
 		s.mu.Lock()
-		verdict := s.quarantine.Decide(c.Fingerprint, side, now)
+		verdict := s.quarantine.Decide(c.Fingerprint, side, came, now)
 		s.mu.Unlock()
 		if verdict != kqquarantine.Wait || !now.Before(end) || !now.Before(c.Deadline) || c.Cancel.Done() {
 			return verdict
@@ -125,26 +127,33 @@
 	}
 }
 
-// Recheck returns whether a call that Admit allowed may still be sent: Allow, Probe or Refuse. It
-// does not wait. After Probe, the caller must call Finish. A call that probes already gets no
-// further Probe.
-func (q *Suspicions) Recheck(c *kqcall.Call, side kqquarantine.Side, now time.Time) kqquarantine.Verdict {
-	s := q.shard(c.Fingerprint)
+// IsRefused reports whether calls of the request are refused. It does not wait.
+func (q *Suspicions) IsRefused(r kqfingerprint.Fingerprint, now time.Time) bool {
+	s := q.shard(r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case s.quarantine.Refuses(c.Fingerprint, now):
-		return kqquarantine.Refuse
-	case c.Probing:
-		return kqquarantine.Allow
-	}
-	verdict := s.quarantine.Decide(c.Fingerprint, side, now)
-	if verdict == kqquarantine.Wait {
-		return kqquarantine.Allow
+	return s.quarantine.IsRefused(r, now)
+}
+
+// BeginProbe waits until the node's gate runs no probe, of whichever request: an upstream that ends
+// under two of them would be held against both. It reports false if that takes too long or the
+// call is cancelled. After true, the caller must call EndProbe.
+func (q *Suspicions) BeginProbe(c *kqcall.Call) bool {
+	timer := time.NewTimer(min(maxWait, time.Until(c.Deadline)))
+	defer timer.Stop()
+	select {
+	case q.probe <- struct{}{}:
+		return true
+	case <-timer.C:
+		return false
+	case <-c.Cancel.Signal():
+		return false
 	}
-	return verdict
 }
 
+// EndProbe lets the next probe begin at the node's gate.
+func (q *Suspicions) EndProbe() { <-q.probe }
+
 // Finish ends a probe.
 func (q *Suspicions) Finish(c *kqcall.Call, side kqquarantine.Side) {
 	s := q.shard(c.Fingerprint)
--- a/internal/peer/kqsuspicion/suspicions_test.go
+++ b/internal/peer/kqsuspicion/suspicions_test.go
@@ -102,7 +102,7 @@
 }
 
 func (n *testNode) refuses(r kqfingerprint.Fingerprint) bool {
-	return n.Recheck(&kqcall.Call{Fingerprint: r}, kqquarantine.Incoming, time.Now()) == kqquarantine.Refuse
+	return n.IsRefused(r, time.Now())
 }
 
 func await(t *testing.T, what string, done func() bool) {
@@ -168,22 +168,19 @@
 	})
 }
 
-// Guards against a probe at the node's own upstream after which all probes of other nodes wait there.
-func TestProbeAtTheOwnUpstreamEnds(t *testing.T) {
-	n, r := &network{}, kqfingerprint.Fingerprint{9}
-	a := start(t, "a", n)
-	a.end(r, 1)
-	own := &kqcall.Call{Fingerprint: r, Deadline: time.Now().Add(time.Second)}
-	if v := a.Admit(own, kqquarantine.Outgoing); v != kqquarantine.Probe {
-		t.Fatalf("verdict %v, want Probe", v)
+// Guards against two requests that are tried at one upstream at the same time, and against a turn that is kept for
+// ever.
+func TestGateTriesOneRequestAtATime(t *testing.T) {
+	a := start(t, "a", &network{})
+	deadline := time.Now().Add(100 * time.Millisecond)
+	if !a.BeginProbe(&kqcall.Call{Deadline: deadline}) {
+		t.Fatal("the first probe does not begin")
 	}
-	own.Probing = true
-	if v := a.Recheck(own, kqquarantine.Incoming, time.Now()); v != kqquarantine.Allow {
-		t.Fatalf("verdict %v at the gate, want Allow", v)
+	if a.BeginProbe(&kqcall.Call{Deadline: deadline}) {
+		t.Error("a second probe begins beside the first one")
 	}
-	a.Finish(own, kqquarantine.Outgoing)
-	other := &kqcall.Call{Fingerprint: r, Deadline: time.Now().Add(time.Second)}
-	if v := a.Admit(other, kqquarantine.Incoming); v != kqquarantine.Probe {
-		t.Errorf("verdict %v for another node's probe, want Probe", v)
+	a.EndProbe()
+	if !a.BeginProbe(&kqcall.Call{Deadline: time.Now().Add(time.Second)}) {
+		t.Error("no probe begins after the first one has ended")
 	}
 }
--- a/internal/run/kqnode/quarantine_test.go
+++ b/internal/run/kqnode/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -134,6 +135,9 @@
 		request.SetBodyString(body)
 	}
 	request.Header.Set(kqupstream.HeaderWorkID, fmt.Sprintf("%s%s %d", target, body, f.serial.Add(1)))
+	if strings.HasPrefix(target, "/long") {
+		request.Header.Set(kqupstream.HeaderWorkMS, "400")
+	}
 	if fasthttp.DoTimeout(&request, &response, 5*time.Second) != nil {
 		return 0
 	}
@@ -365,3 +369,24 @@
 		return true
 	})
 }
+
+// An innocent request is at work at the only upstream each time that another one ends it.
+func TestRequestBesideOneThatEndsTheOnlyUpstream(t *testing.T) {
+	f := newDeadlyFleet(t, 1, 50*time.Millisecond)
+	f.restartUpstreams()
+	end := time.Now().Add(4 * time.Second)
+	var group conc.WaitGroup
+	for _, target := range []string{"/deadly", "/long", "/long"} {
+		group.Go(func() {
+			for time.Now().Before(end) {
+				f.call(f.servers[0], target, "")
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+	if got := f.runsOf("/deadly"); got > maxEnded {
+		t.Errorf("%d upstreams got the request under which each ended, want at most %d", got, maxEnded)
+	}
+	f.await("the innocent request is answered", func() bool { return f.call(f.servers[0], "/long", "") == fasthttp.StatusOK })
+}
