--- a/internal/lab/kqsoakrun/children.go
+++ b/internal/lab/kqsoakrun/children.go
@@ -51,6 +51,20 @@
 	return s.children.wasKilled[child]
 }
 
+// setDied records that an upstream ends under a call.
+func (c *children) setDied(name string) {
+	c.Lock()
+	defer c.Unlock()
+	c.died[name] = true
+}
+
+// hasDied reports whether an upstream ended under a call.
+func (c *children) hasDied(name string) bool {
+	c.Lock()
+	defer c.Unlock()
+	return c.died[name]
+}
+
 // killAll kills every process that still runs, including suspended ones, and prevents
 // further starts.
 func (c *children) killAll() {
--- a/internal/lab/kqsoakrun/soak.go
+++ b/internal/lab/kqsoakrun/soak.go
@@ -92,6 +92,8 @@
 		sync.Mutex
 		all       map[*kqchild.Child]bool
 		wasKilled map[*kqchild.Child]bool
+		// died holds the names of upstreams that ended under a call.
+		died map[string]bool
 		// closed is set once no more processes may be started.
 		closed bool
 	}
@@ -139,7 +141,7 @@
 		return nil, fmt.Errorf("create timeline: %w", err)
 	}
 	s := &Soak{options: o, program: program, folder: folder, command: command, began: time.Now(), checker: kqsoakcheck.New(), timeline: timeline{file: f}}
-	s.children.all, s.children.wasKilled = make(map[*kqchild.Child]bool), make(map[*kqchild.Child]bool)
+	s.children.all, s.children.wasKilled, s.children.died = make(map[*kqchild.Child]bool), make(map[*kqchild.Child]bool), make(map[string]bool)
 	for i := range o.Nodes {
 		n := &node{soak: s, number: i, name: fmt.Sprintf("node-%d", i), addresses: make(map[string]string)}
 		for _, role := range roles {
