Find the upstream of a call after it has waited for its request to be tried

Callers saw: nothing yet; found by reading. A call that waits at the gate, for a second at most, while another call of its request is tried kept the announcement that it had found before, and would be sent to an upstream that had said goodbye meanwhile; its queue was even opened again. Change: the gate looks for the upstream after the wait. Evidence: TestUpstreamLeavesWhileASuspectWaits failed before (1 run after the goodbye). Measured: the tests of kqgate pass.

--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -18,16 +18,16 @@
 // forward admits the call, sends it to the upstream and reports the result to the observer.
 // It returns the outcome and the upstream's load, and fills in the rest of the record.
 func (g *Gate) forward(c *kqcall.Call, r *Record, arrived time.Time) (kqcall.Outcome, kqcall.Load) {
-	a, reason := g.findUpstream(c)
-	if reason != kqcall.NoReason {
-		return kqcall.Refuse(reason), kqcall.Load{}
-	}
-	r.Instance = a.Instance
 	finish, refusal := g.admitSuspect(c)
 	if refusal.Result != kqcall.Answered {
 		return refusal, kqcall.Load{}
 	}
 	defer finish()
+	a, reason := g.findUpstream(c)
+	if reason != kqcall.NoReason {
+		return kqcall.Refuse(reason), kqcall.Load{}
+	}
+	r.Instance = a.Instance
 	now := g.now()
 	u := g.upstream(a, now)
 	u.condition.adopt(a, c.Hint, now)
--- a/internal/call/kqgate/quarantine_test.go
+++ b/internal/call/kqgate/quarantine_test.go
@@ -10,7 +10,9 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqfingerprint"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqquarantine"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
 // recordingQuarantine allows all calls and records what the gate tells it.
@@ -96,3 +98,31 @@
 		t.Errorf("ended as %+v after %d runs, want not_run, quarantined, with a Retry-After", o, runs)
 	}
 }
+
+// waitingQuarantine lets a call wait for as long as its function takes.
+type waitingQuarantine struct {
+	recordingQuarantine
+	wait func()
+}
+
+func (q *waitingQuarantine) Admit(*kqcall.Call, kqquarantine.Side) kqquarantine.Verdict {
+	q.wait()
+	return kqquarantine.Allow
+}
+
+// Guards against a call that is sent to an upstream which said goodbye while the call waited for another of its request.
+func TestUpstreamLeavesWhileASuspectWaits(t *testing.T) {
+	runs := 0
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs++ }))
+	t.Cleanup(server.Close)
+	local := announceServer(t, server)
+	goodbye := kqlocal.Announcement{Service: "store", Version: "v1", Address: kqname.Address(server.Listener.Addr().String()), Slots: 1, Draining: true}
+	q := &waitingQuarantine{wait: func() {
+		if err := local.Announce(goodbye, time.Now()); err != nil {
+			t.Error(err)
+		}
+	}}
+	if o, _ := kqgate.New(local, kqgate.WithQuarantine("a", q)).Do(newCall("/")); o.Reason != kqcall.Draining || runs > 0 {
+		t.Errorf("ended as %+v after %d runs, want draining", o, runs)
+	}
+}
--- a/internal/peer/kqsuspicion/suspicions_test.go
+++ b/internal/peer/kqsuspicion/suspicions_test.go
@@ -168,8 +168,7 @@
 	})
 }
 
-// Guards against two requests that are tried at one upstream at the same time, and against a turn that is kept for
-// ever.
+// Guards against two requests that are tried at one upstream at once, and against a turn that is kept for ever.
 func TestGateTriesOneRequestAtATime(t *testing.T) {
 	a := start(t, "a", &network{})
 	deadline := time.Now().Add(100 * time.Millisecond)
