explain names a request that is refused because upstreams ended under it

Cause: explain said only "quarantined." of such a call. Change: the cause names the request and where to see it; the checker's new kinds of violation stand beside their checks. Measured: TestExplainStatesCause with a line of such a call.

--- a/internal/lab/kqsoakcheck/check.go
+++ b/internal/lab/kqsoakcheck/check.go
@@ -45,11 +45,6 @@
 	// TooManyCold is a call that began to run at a cold upstream which had got as many calls
 	// in the last second as it bears.
 	TooManyCold Kind = "COLD"
-	// SentOn is a call that began to run although maxEnded upstreams had ended under its
-	// request, while no unplanned fault could explain it.
-	SentOn Kind = "SENT_ON"
-	// Blamed is a usual request that is refused as one that ends upstreams.
-	Blamed Kind = "BLAMED"
 	// Unrecovered is a fleet that answers too few calls, or gets none, after the last
 	// fault.
 	Unrecovered Kind = "UNRECOVERED"
--- a/internal/lab/kqsoakcheck/deadly.go
+++ b/internal/lab/kqsoakcheck/deadly.go
@@ -7,6 +7,12 @@
 )
 
 const (
+	// SentOn is a call that began to run although maxEnded upstreams had ended under its
+	// request, while no unplanned fault could explain it.
+	SentOn Kind = "SENT_ON"
+	// Blamed is a usual request that is refused as one that ends upstreams.
+	Blamed Kind = "BLAMED"
+
 	// DeadlyPrefix begins the work ids of calls of requests that end their upstreams. The
 	// request is named up to the caller's number.
 	DeadlyPrefix = "deadly"
--- a/internal/run/kqexplain/explain.go
+++ b/internal/run/kqexplain/explain.go
@@ -120,6 +120,8 @@
 		return fmt.Sprintf("timeout. It was at %s when its deadline passed after %.0f ms%s.", last.To, end.Took, l.laterMemberState(end, last.To))
 	// "draining" also means that the entry's node was stopping and refused the call, without
 	// an attempt, or cancelled it.
+	case "quarantined":
+		return fmt.Sprintf("quarantine. Upstreams ended under request %s, which this one is by its content; \"kumquatgw requests list\" shows them.", end.Request)
 	case "upstream_ended":
 		return fmt.Sprintf("the upstream at %s, which ended while it ran the request, after %.0f ms; %s.", last.To, last.Took, noRetryReason(end))
 	case "cut", "connect_failed", "draining", "rolled_back", "moved", "crossed", "shed":
--- a/internal/run/kqexplain/explain_test.go
+++ b/internal/run/kqexplain/explain_test.go
@@ -21,6 +21,7 @@
 {"time":"2026-01-02T03:04:09.000Z","node":"c","part":"call","event":"ended","id":"r3.1","result":"not_run","reason":"late","status":503,"service":"wood","tries":[{"to":"d"}]}
 {"time":"2026-01-02T03:04:09.001Z","node":"a","part":"call","event":"ended","id":"r3","result":"answered","status":500,"service":"front","took_ms":90,"tries":[{"to":"c","result":"answered","status":500,"took_ms":89}]}
 {"time":"2026-01-02T03:04:09.100Z","node":"a","part":"call","event":"ended","id":"r4","result":"not_run","reason":"limited","status":503,"service":"wood","retry_after_ms":400,"tries":[{"to":"d","result":"not_run","reason":"limited"}]}
+{"time":"2026-01-02T03:04:09.200Z","node":"a","part":"call","event":"ended","id":"r5","result":"not_run","reason":"quarantined","status":503,"service":"wood","request":"330c"}
 words of somebody else
 {"time":"2026-01-02T03:04:10.000Z","node":"a","part":"call","event":"en`
 
@@ -39,6 +40,7 @@
 	for id, want := range map[string][]string{
 		"r1": {"Cause: overload. 1 gates of front had no room", "caller told to retry after 250 ms", "b alive for", "version in force for"},
 		"r4": {"Cause: limit. The last of 1 gates of wood, d,", "caller told to retry after 400 ms"},
+		"r5": {"Cause: quarantine. Upstreams ended under request 330c"},
 		"r2": {"Cause: the upstream. The last attempt, to b, ended as cut", "b was marked", "marked dead at 03:04:08.000"},
 		"r3": {"Cause: a call that it caused. r3.1 ended as not_run, late"},
 	} {
--- a/internal/run/kqexplain/read.go
+++ b/internal/run/kqexplain/read.go
@@ -35,6 +35,8 @@
 		Result string    `json:"result"`
 		Reason string    `json:"reason"`
 		Status int       `json:"status"`
+		// Request is the fingerprint of the call's request.
+		Request string `json:"request"`
 
 		Route      string    `json:"route"`
 		Service    string    `json:"service"`
