An end of an upstream that is told late counts once

Callers saw: a request that many make was refused for good although fewer than three upstreams had ended under it.

Cause: two reports of the same start were one end only if the call of the later one had been sent up to 150 ms after the earlier one was known. Ages are told in place of times, so a node that was paused hears of, and tells, an end as younger than it is: the same start counted again with each report that came later than the one before. A call that a node sent to a start which had ended, after its own pause, became an end of that start as well once its node listed the next one. Class: identity by time where there is an identity.

Change: the ID of a start is even if the upstream announces when it started, and then identifies one start: a second report of its end is the same end, whenever it comes. An unconfirmed end of a start whose end is confirmed, which may be a later start that was lost with its server, is dropped once the node lists another start. Upstreams that do not announce their start keep the rule by time.

--- a/internal/call/kqlocal/upstreams.go
+++ b/internal/call/kqlocal/upstreams.go
@@ -251,9 +251,14 @@
 }
 
 // StartID identifies the start of the upstream that made the announcement among all at this
-// node. An upstream that announces no instance has the same at its address after a restart.
+// node. An upstream that does not announce when it started has the same ID at its address after
+// a restart, which is odd; all others are even.
 func (a Announcement) StartID() uint64 {
-	return xxhash.Sum64String(string(a.Address) + " " + string(a.Instance) + " " + strconv.FormatInt(a.StartedMS, 10))
+	id := xxhash.Sum64String(string(a.Address) + " " + string(a.Instance) + " " + strconv.FormatInt(a.StartedMS, 10))
+	if a.StartedMS == 0 {
+		return id | 1
+	}
+	return id &^ 1
 }
 
 // sameForPeers reports whether two announcements make no difference to other nodes.
--- a/internal/decide/kqquarantine/quarantine.go
+++ b/internal/decide/kqquarantine/quarantine.go
@@ -98,7 +98,8 @@
 	// Fate is what became of an upstream.
 	Fate uint8
 
-	// Start identifies one start of an upstream beside a node.
+	// Start identifies one start of an upstream beside a node. An even ID is that of one start only;
+	// with an odd one, a later start at the same address may have it too. 0 is an unknown one.
 	Start struct {
 		Node kqname.Node `cbor:"1,keyasint" json:"node"`
 		ID   uint64      `cbor:"2,keyasint" json:"start"`
@@ -241,8 +242,7 @@
 		s = q.add(r, from, e.Known)
 	}
 	for i := range s.Ends {
-		// A call that was sent after all nodes knew of the end ran at a later start.
-		if known := &s.Ends[i]; known.Upstream == e.Upstream && !e.Sent.After(known.Known.Add(SpreadTime)) {
+		if known := &s.Ends[i]; known.isSame(e) {
 			isNews := e.Certainty > known.Certainty
 			known.Certainty = max(known.Certainty, e.Certainty)
 			return isNews
@@ -290,6 +290,9 @@
 	for _, e := range s.Ends {
 		if e.Certainty == Unconfirmed {
 			switch fate := q.fate(e.Upstream); {
+			case fate == Ended && slices.ContainsFunc(kept, func(known End) bool { return known.Certainty == Confirmed && known.Upstream == e.Upstream }):
+				// The start in whose place there are others has been counted.
+				continue
 			case fate == Ended:
 				e.Certainty = Confirmed
 			case fate == Left, fate == Alive && now.Sub(e.Known) >= refutationTime:
@@ -310,6 +313,20 @@
 	return count, confirmed
 }
 
+// isExact reports whether no other start has the same ID.
+func (s Start) isExact() bool { return s.ID != 0 && s.ID%2 == 0 }
+
+// isSame reports whether an end that is told is the one that is known. A node that was paused tells
+// and hears of ends as younger than they are. A call without an answer may have been sent to a later
+// start than its node knew of.
+func (known End) isSame(e End) bool {
+	if known.Upstream != e.Upstream {
+		return false
+	}
+	isOneStart := e.Upstream.isExact() && (e.Certainty == Confirmed || known.Certainty != Confirmed)
+	return isOneStart || !e.Sent.After(known.Known.Add(SpreadTime))
+}
+
 // spreadTime returns how long news may take that a request must wait for.
 func spreadTime(ends int) time.Duration {
 	if ends == 1 {
--- a/internal/decide/kqquarantine/quarantine_test.go
+++ b/internal/decide/kqquarantine/quarantine_test.go
@@ -304,3 +304,37 @@
 		t.Errorf("verdict %v after the news had time, want Probe", v)
 	}
 }
+
+// Guards against an end that counts twice, since a paused node tells or hears of it late.
+func TestEndThatIsToldLateCountsOnce(t *testing.T) {
+	q, r, now := kqquarantine.New(time.Minute, unknownFate), request(1), began
+	for _, delay := range []time.Duration{0, 3 * time.Second, 5 * time.Second, 6 * time.Second} {
+		e := end(1, kqquarantine.Confirmed, now.Add(delay), now.Add(delay+20*time.Millisecond))
+		if isNews := q.RecordEnd(r, origin, e); isNews != (delay == 0) {
+			t.Errorf("an end that is told %v late is news: %v", delay, isNews)
+		}
+	}
+	if v := decide(q, r, kqquarantine.Outgoing, now.Add(10*time.Second)); v != kqquarantine.Probe {
+		t.Errorf("verdict %v after one end, want Probe", v)
+	}
+}
+
+// Guards against a call that was sent to an upstream which had ended, and counts as its second end.
+func TestCallToAnUpstreamThatHadEndedCountsNoEnd(t *testing.T) {
+	fate, now := kqquarantine.Lost, began
+	q, r := kqquarantine.New(time.Minute, func(kqquarantine.Start) kqquarantine.Fate { return fate }), request(1)
+	q.RecordEnd(r, origin, end(1, kqquarantine.Confirmed, now, now))
+	now = now.Add(2 * time.Second)
+	q.RecordEnd(r, origin, end(1, kqquarantine.Possible, now, now.Add(time.Second)))
+	now = now.Add(time.Second)
+	for _, f := range []kqquarantine.Fate{kqquarantine.Lost, kqquarantine.Ended} {
+		fate = f
+		ended, _ := q.Sweep(now)
+		for _, one := range ended {
+			q.RecordEnd(one.Request, one.Origin, one.Ends[0])
+		}
+	}
+	if one, _ := q.Find(r, now); len(one.Ends) != 1 {
+		t.Errorf("%d ends of one upstream: %+v", len(one.Ends), one.Ends)
+	}
+}
