A request whose trial hangs is tried at one more server

Cause: a suspect has one probe at work, however long that takes and however far the request is from its third end. Class: one attempt that hangs holds all others.

TestHungProbeDoesNotStopARequest failed before (Wait).

Change: after 500 ms a second probe goes to the server that ranks next for the request, if its end and that of the first would not be more than the three that are allowed. With two ends known there is still one probe alone.

--- a/internal/call/kqentry/quarantine.go
+++ b/internal/call/kqentry/quarantine.go
@@ -45,13 +45,15 @@
 // other calls of the same request tell, and if not, the refusal. If it probes, finishProbe must be
 // called after it.
 func (e *Entry) admitSuspect(c *kqcall.Call, criteria kqpick.Criteria) (kqpick.Criteria, kqcall.Outcome) {
-	criteria.Affinity, criteria.LeastPreferred = 0, ""
+	criteria.Affinity, criteria.AffinityRank, criteria.LeastPreferred = 0, 0, ""
 	switch e.quarantine.Admit(c, kqquarantine.Outgoing) {
 	case kqquarantine.Allow:
 	case kqquarantine.Caution:
 		criteria.LeastPreferred = e.self
 	case kqquarantine.Probe:
 		c.Probing, criteria.Affinity = true, max(c.Fingerprint.Hash(), 1)
+	case kqquarantine.ProbeElsewhere:
+		c.Probing, criteria.Affinity, criteria.AffinityRank = true, max(c.Fingerprint.Hash(), 1), 1
 	case kqquarantine.Wait:
 		return criteria, kqcall.RefuseSuspect()
 	default:
--- a/internal/call/kqgate/quarantine.go
+++ b/internal/call/kqgate/quarantine.go
@@ -59,7 +59,7 @@
 		switch g.quarantine.Admit(c, kqquarantine.Incoming) {
 		case kqquarantine.Allow, kqquarantine.Caution:
 			return finish, kqcall.OK()
-		case kqquarantine.Probe:
+		case kqquarantine.Probe, kqquarantine.ProbeElsewhere:
 			c.Probing = true
 			finish = func() { c.Probing = false; g.quarantine.Finish(c, kqquarantine.Incoming) }
 		case kqquarantine.Wait:
--- a/internal/decide/kqpick/criteria.go
+++ b/internal/decide/kqpick/criteria.go
@@ -42,6 +42,8 @@
 	// Affinity makes all entries send calls with the same value to the same upstream, as far
 	// as they know the same ones; 0 means none.
 	Affinity uint64
+	// AffinityRank is which one that is: 0 for the first choice, 1 for the next.
+	AffinityRank int
 	// LeastPreferred is the node whose upstream is used only if there is no other.
 	LeastPreferred kqname.Node
 }
@@ -51,9 +53,9 @@
 func (c Criteria) Next() Criteria {
 	switch {
 	case c.Fallback != "":
-		return Criteria{Version: c.Fallback, Evacuated: c.Evacuated, ComfortableLatency: c.ComfortableLatency, Route: c.Route, Affinity: c.Affinity, LeastPreferred: c.LeastPreferred}
+		return Criteria{Version: c.Fallback, Evacuated: c.Evacuated, ComfortableLatency: c.ComfortableLatency, Route: c.Route, Affinity: c.Affinity, AffinityRank: c.AffinityRank, LeastPreferred: c.LeastPreferred}
 	case len(c.FallbackExcludedVersions) > 0:
-		return Criteria{ExcludedVersions: c.FallbackExcludedVersions, Evacuated: c.Evacuated, ComfortableLatency: c.ComfortableLatency, Route: c.Route, Affinity: c.Affinity, LeastPreferred: c.LeastPreferred}
+		return Criteria{ExcludedVersions: c.FallbackExcludedVersions, Evacuated: c.Evacuated, ComfortableLatency: c.ComfortableLatency, Route: c.Route, Affinity: c.Affinity, AffinityRank: c.AffinityRank, LeastPreferred: c.LeastPreferred}
 	default:
 		return c
 	}
--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -1,6 +1,7 @@
 package kqpick
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -196,21 +197,23 @@
 	return p.selectBest(p.eligible, criteria, now, random)
 }
 
-// mostAffine returns the allowed upstream that ranks first for the affinity (rendezvous hashing),
-// whether or not this entry has ejected it: other entries may not have.
+// mostAffine returns the allowed upstream that has the criteria's rank for the affinity (rendezvous
+// hashing), whether or not this entry has ejected it: other entries may not have.
 func (p *Pool) mostAffine(criteria Criteria, tried []kqname.Node) *PoolUpstream {
-	var first *PoolUpstream
-	var highest uint64
+	weight := func(u *PoolUpstream) uint64 {
+		return xxhash.Sum64String(strconv.FormatUint(criteria.Affinity, 36) + " " + string(u.Node))
+	}
+	p.eligible = p.eligible[:0]
 	for _, upstream := range p.upstreams {
-		if !criteria.allows(upstream.Candidate) || slices.Contains(tried, upstream.Node) {
-			continue
-		}
-		rank := xxhash.Sum64String(strconv.FormatUint(criteria.Affinity, 36) + " " + string(upstream.Node))
-		if first == nil || rank > highest {
-			first, highest = upstream, rank
+		if criteria.allows(upstream.Candidate) && !slices.Contains(tried, upstream.Node) {
+			p.eligible = append(p.eligible, upstream)
 		}
 	}
-	return first
+	if criteria.AffinityRank >= len(p.eligible) {
+		return nil
+	}
+	slices.SortFunc(p.eligible, func(a, b *PoolUpstream) int { return cmp.Compare(weight(b), weight(a)) })
+	return p.eligible[criteria.AffinityRank]
 }
 
 // lastResort makes the ejected upstream with the earliest end of its ejection eligible: if
--- a/internal/decide/kqquarantine/quarantine.go
+++ b/internal/decide/kqquarantine/quarantine.go
@@ -19,6 +19,8 @@
 	firstSpreadTime = 20 * time.Millisecond
 	// lossTime is the time within which upstreams that are lost at one moment are known to be.
 	lossTime = 100 * time.Millisecond
+	// probePatience is how long calls wait for a probe before another server is probed as well.
+	probePatience = 500 * time.Millisecond
 	// refutationTime is how long the node of an upstream that may have ended must be known
 	// as alive before the end counts as refuted. A lost server is noticed sooner.
 	refutationTime = 5 * time.Second
@@ -47,6 +49,9 @@
 	// Probe lets a call be sent to the server that all nodes choose for its request, and makes
 	// others of the same request wait until Finish.
 	Probe
+	// ProbeElsewhere is a Probe of the server that all nodes choose next, since the first one takes
+	// long.
+	ProbeElsewhere
 	// Wait means that the call may be sent later, once the verdict is another.
 	Wait
 	// Refuse means that the call must not be sent.
@@ -154,7 +159,9 @@
 		Suspect
 		// vouched reports whether the request had been answered shortly before its first end.
 		vouched bool
-		probing [sides]bool
+		// probing is the number of probes at work, the first of which began at probedSince.
+		probing     [sides]int
+		probedSince [sides]time.Time
 		// paroled reports whether the request was refused for the whole duration, and may be
 		// tried once more.
 		paroled bool
@@ -182,8 +189,8 @@
 	}
 }
 
-// Decide returns whether a call of the request may be sent that came at the given time. After Probe, the
-// caller must call Finish for the same side.
+// Decide returns whether a call of the request may be sent that came at the given time. After Probe or
+// ProbeElsewhere, the caller must call Finish for the same side.
 func (q *Quarantine) Decide(r kqfingerprint.Fingerprint, side Side, came, now time.Time) Verdict {
 	s, ok := q.suspects[r]
 	if !ok {
@@ -202,11 +209,14 @@
 	case count == 1 && confirmed == 0:
 		// Most such upstreams are alive or ended for another reason.
 		return Caution
-	case s.probing[side]:
-		return Wait
-	default:
-		s.probing[side] = true
+	case s.probing[side] == 0:
+		s.probing[side], s.probedSince[side] = 1, now
 		return Probe
+	case side == Outgoing && count+s.probing[side] < MaxEnds && now.Sub(s.probedSince[side]) >= probePatience:
+		s.probing[side]++
+		return ProbeElsewhere
+	default:
+		return Wait
 	}
 }
 
@@ -223,7 +233,7 @@
 // Finish ends a probe.
 func (q *Quarantine) Finish(r kqfingerprint.Fingerprint, side Side) {
 	if s, ok := q.suspects[r]; ok {
-		s.probing[side] = false
+		s.probing[side] = max(s.probing[side]-1, 0)
 	}
 }
 
--- a/internal/decide/kqquarantine/quarantine_test.go
+++ b/internal/decide/kqquarantine/quarantine_test.go
@@ -70,7 +70,7 @@
 				switch decide(q, r, kqquarantine.Outgoing, now) {
 				case kqquarantine.Allow, kqquarantine.Caution:
 					flying = append(flying, sending{at: now})
-				case kqquarantine.Probe:
+				case kqquarantine.Probe, kqquarantine.ProbeElsewhere:
 					flying = append(flying, sending{now, true})
 				default:
 					continue
@@ -338,3 +338,27 @@
 		t.Errorf("%d ends of one upstream: %+v", len(one.Ends), one.Ends)
 	}
 }
+
+// A suspect that is probed at a server that hangs is tried at one more while few enough have ended.
+func TestHungProbeDoesNotStopARequest(t *testing.T) {
+	for ends, want := range map[int]kqquarantine.Verdict{1: kqquarantine.ProbeElsewhere, 2: kqquarantine.Wait} {
+		q, r, now := kqquarantine.New(time.Minute, unknownFate), request(1), began
+		for node := range ends {
+			q.RecordEnd(r, origin, end(node, kqquarantine.Confirmed, now, now))
+		}
+		now = now.Add(time.Second)
+		if v := decide(q, r, kqquarantine.Outgoing, now); v != kqquarantine.Probe {
+			t.Fatalf("verdict %v after %d ends, want Probe", v, ends)
+		}
+		if v := decide(q, r, kqquarantine.Outgoing, now.Add(400*time.Millisecond)); v != kqquarantine.Wait {
+			t.Errorf("verdict %v beside a young probe, want Wait", v)
+		}
+		now = now.Add(600 * time.Millisecond)
+		if v := decide(q, r, kqquarantine.Outgoing, now); v != want {
+			t.Errorf("verdict %v beside a hung probe after %d ends, want %v", v, ends, want)
+		}
+		if v := decide(q, r, kqquarantine.Outgoing, now.Add(time.Second)); v != kqquarantine.Wait {
+			t.Errorf("verdict %v beside all the probes there may be, want Wait", v)
+		}
+	}
+}
