A caller is told of an end after the nodes that it may turn to

Cause: an entry answers its caller as soon as the last attempt has failed, while the news of the end cross the fleet. A repeat may overtake them, and a node that has heard of no end sends at once. Class: an effect that is visible before what depends on it.

Evidence: TestCallerHearsOfAnEndAfterAllNodes failed before: when the caller was answered, nodes knew of 5 of 6 such requests, at no load.

Change: the answer to a call whose result is unknown waits until the news of the last end under its request have had their 150 ms, or until the call's deadline. Calls that are answered or refused don't wait. What remains: callers who make the request at the same moment, before any of them is answered.

--- a/internal/call/kqentry/quarantine.go
+++ b/internal/call/kqentry/quarantine.go
@@ -17,6 +17,7 @@
 		Finish(c *kqcall.Call, side kqquarantine.Side)
 		RecordEnd(r kqfingerprint.Fingerprint, from kqquarantine.Origin, e kqquarantine.End)
 		RecordAnswer(r kqfingerprint.Fingerprint, sent, now time.Time)
+		AwaitSpread(c *kqcall.Call)
 	}
 
 	// noopQuarantine suspects no request.
@@ -37,6 +38,9 @@
 // RecordAnswer implements Quarantine.
 func (noopQuarantine) RecordAnswer(kqfingerprint.Fingerprint, time.Time, time.Time) {}
 
+// AwaitSpread implements Quarantine.
+func (noopQuarantine) AwaitSpread(*kqcall.Call) {}
+
 // WithQuarantine refuses calls of requests under which upstreams have ended, and records under which
 // upstreams end.
 func WithQuarantine(q Quarantine) Option { return func(e *Entry) { e.quarantine = q } }
--- a/internal/call/kqentry/quarantine_test.go
+++ b/internal/call/kqentry/quarantine_test.go
@@ -35,6 +35,8 @@
 	}
 }
 
+func (*lockedQuarantine) AwaitSpread(*kqcall.Call) {}
+
 func (q *lockedQuarantine) Finish(c *kqcall.Call, side kqquarantine.Side) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -188,6 +188,10 @@
 		return o
 	}
 	o := e.sendAttempts(f, s, criteria)
+	if o.Result == kqcall.Unknown {
+		// The caller may repeat the request at any node as soon as it is answered.
+		e.quarantine.AwaitSpread(c)
+	}
 	if isFull(o.Reason) {
 		s.recordRefusal(c)
 	}
--- a/internal/decide/kqquarantine/quarantine.go
+++ b/internal/decide/kqquarantine/quarantine.go
@@ -230,6 +230,16 @@
 	return count >= MaxEnds
 }
 
+// SpreadLeft returns how much longer news of the last end under the request may take to reach all
+// nodes.
+func (q *Quarantine) SpreadLeft(r kqfingerprint.Fingerprint, now time.Time) time.Duration {
+	s, ok := q.suspects[r]
+	if !ok {
+		return 0
+	}
+	return max(SpreadTime-now.Sub(s.LastEnd), 0)
+}
+
 // Finish ends a probe.
 func (q *Quarantine) Finish(r kqfingerprint.Fingerprint, side Side) {
 	if s, ok := q.suspects[r]; ok {
--- a/internal/peer/kqsuspicion/suspicions.go
+++ b/internal/peer/kqsuspicion/suspicions.go
@@ -135,6 +135,25 @@
 	return s.quarantine.IsRefused(r, now)
 }
 
+// AwaitSpread waits while news of the last end under the call's request may be on their way, up to the
+// call's deadline.
+func (q *Suspicions) AwaitSpread(c *kqcall.Call) {
+	now := time.Now()
+	s := q.shard(c.Fingerprint)
+	s.mu.Lock()
+	left := s.quarantine.SpreadLeft(c.Fingerprint, now)
+	s.mu.Unlock()
+	if left = min(left, c.Deadline.Sub(now)); left <= 0 {
+		return
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.Cancel.Signal():
+	}
+}
+
 // BeginProbe waits until the node's gate runs no probe, of whichever request: an upstream that ends
 // under two of them would be held against both. It reports false if that takes too long or the
 // call is cancelled. After true, the caller must call EndProbe.
