Soak: a refusal by a node that was paused during the call is no blame

The trace shows that nothing was refused for 3.7 s: a first call of the route was refused at 12.93 s; the second was made at 12.96 s at node-0, which was paused from 13.17 to 16.60 s and refused it 7 ms after it went on; in between no call of that route ended anywhere, since one domain was evacuated. The node spent the time neither waiting nor refusing.

Change: such a call is not held against the request if its own node had an unplanned fault between the call's begin and end. Calls at other nodes, and at this one before and after it, are checked as before, with the same 3 s; a test shows both.

--- a/internal/lab/kqsoakcheck/deadly.go
+++ b/internal/lab/kqsoakcheck/deadly.go
@@ -87,11 +87,22 @@
 		delete(ck.blamedSince, c.Route)
 	case c.Reason == quarantined && !blamed:
 		ck.blamedSince[c.Route] = c.Ended
-	case c.Reason == quarantined && c.Ended > since+blameGrace:
+	case c.Reason == quarantined && c.Ended > since+blameGrace && !ck.stoodStill(rec.node, c.Sent, c.Ended):
 		ck.addLocked(Blamed, c.Ended, fmt.Sprintf("%s is refused for %v although its request ends no upstream", c.WorkID, c.Ended-since), rec)
 	}
 }
 
+// stoodStill reports whether a node had an unplanned fault at any time of a call, such as a pause, which
+// the node spends neither waiting nor refusing. The caller holds mu.
+func (ck *Checker) stoodStill(node int, sent, ended time.Duration) bool {
+	for _, f := range ck.disruptions {
+		if !f.UnderCall && f.Node == node && f.From <= ended && (f.To == 0 || sent <= f.To) {
+			return true
+		}
+	}
+	return false
+}
+
 // hadOtherFault reports whether a node had an unplanned fault during a time span or up to faultGrace
 // before it, other than the end of its upstream under a call. The caller holds mu.
 func (ck *Checker) hadOtherFault(node int, from, to time.Duration) bool {
--- a/internal/lab/kqsoakcheck/deadly_test.go
+++ b/internal/lab/kqsoakcheck/deadly_test.go
@@ -51,3 +51,28 @@
 		t.Errorf("a request that is refused for 4 s gives %+v", got)
 	}
 }
+
+// Guards against a checker that holds the time of a paused node against the refusal that follows, or that
+// excuses more than the calls at work at that node.
+func TestRefusalByANodeThatWasPaused(t *testing.T) {
+	for name, c := range map[string]struct {
+		paused int
+		until  time.Duration
+		want   int
+	}{
+		"its node": {paused: 1, until: 6 * time.Second}, "another node": {paused: 2, until: 6 * time.Second, want: 1},
+		"before the call": {paused: 1, until: 2900 * time.Millisecond, want: 1},
+	} {
+		ck := kqsoakcheck.New()
+		refuse := func(id string, sent, ended time.Duration) {
+			ck.CallSent(id, true, 1, sent)
+			ck.Call(kqsoakcheck.Call{WorkID: id, Route: "r", Idempotent: true, AnswerRead: true, Status: 503, Result: "not_run", Reason: "quarantined", Sent: sent, Ended: ended})
+		}
+		refuse("c1-1", time.Second, 2*time.Second)
+		ck.Disruption(c.paused, 2500*time.Millisecond)(c.until)
+		refuse("c1-2", 3*time.Second, 6*time.Second)
+		if got := len(ck.Violations()); got != c.want {
+			t.Errorf("%s was paused: %d violations, want %d", name, got, c.want)
+		}
+	}
+}
