--- a/internal/decide/kqpick/criteria.go
+++ b/internal/decide/kqpick/criteria.go
@@ -42,7 +42,7 @@
 	// Affinity makes all entries send calls with the same value to the same upstream, as far
 	// as they know the same ones; 0 means none.
 	Affinity uint64
-	// AffinityRank is which one that is: 0 for the first choice, 1 for the next.
+	// AffinityRank selects that upstream: 0 is the first choice for the affinity, 1 the next.
 	AffinityRank int
 	// LeastPreferred is the node whose upstream is used only if there is no other.
 	LeastPreferred kqname.Node
--- a/internal/lab/kqsoakcheck/deadly.go
+++ b/internal/lab/kqsoakcheck/deadly.go
@@ -87,14 +87,14 @@
 		delete(ck.blamedSince, c.Route)
 	case c.Reason == quarantined && !blamed:
 		ck.blamedSince[c.Route] = c.Ended
-	case c.Reason == quarantined && c.Ended > since+blameGrace && !ck.stoodStill(rec.node, c.Sent, c.Ended):
+	case c.Reason == quarantined && c.Ended > since+blameGrace && !ck.hadFaultDuring(rec.node, c.Sent, c.Ended):
 		ck.addLocked(Blamed, c.Ended, fmt.Sprintf("%s is refused for %v although its request ends no upstream", c.WorkID, c.Ended-since), rec)
 	}
 }
 
-// stoodStill reports whether a node had an unplanned fault at any time of a call, such as a pause, which
-// the node spends neither waiting nor refusing. The caller holds mu.
-func (ck *Checker) stoodStill(node int, sent, ended time.Duration) bool {
+// hadFaultDuring reports whether a node had an unplanned fault during a call, such as a pause, in
+// which it neither waits nor refuses. The caller holds mu.
+func (ck *Checker) hadFaultDuring(node int, sent, ended time.Duration) bool {
 	for _, f := range ck.disruptions {
 		if !f.UnderCall && f.Node == node && f.From <= ended && (f.To == 0 || sent <= f.To) {
 			return true
--- a/internal/peer/kqsuspicion/suspicions.go
+++ b/internal/peer/kqsuspicion/suspicions.go
@@ -112,7 +112,7 @@
 
 // Admit returns whether the call may be sent. It waits while another call of the same request
 // tells, or while news may be on their way, and then returns Wait if that takes too long or the
-// call is cancelled. After Probe, the caller must call Finish.
+// call is cancelled. After Probe or ProbeElsewhere, the caller must call Finish.
 func (q *Suspicions) Admit(c *kqcall.Call, side kqquarantine.Side) kqquarantine.Verdict {
 	came := time.Now()
 	s := q.shard(c.Fingerprint)
