Soak: a usual request that is refused between its answers is blame

Cause: the checker forgave a route as soon as one of its calls was answered. A node that takes each call without an answer for an end, and answers for nothing, leaves a usual request with one or two ends for good; since ends of one start count once fewer requests reach three.

Change: once a call that was sent while no fault was at work, nor had been for 3 s, is answered, its request is innocent; a call that is sent over 1 s later and refused as quarantined is blamed, unless a node had a fault or an upstream ended meanwhile. The check for a route that is refused for 3 s without an answer stays.

--- a/internal/lab/kqsoakcheck/check.go
+++ b/internal/lab/kqsoakcheck/check.go
@@ -162,10 +162,11 @@
 		badUpstreams       map[string]*badUpstream
 		conditions         map[string]*condition
 		coldStarts         map[string]*coldStart
-		// deadly holds the ends under each request that ends its upstreams, and blamedSince
-		// since when each route's usual request is refused.
+		// deadly holds the ends under each request that ends its upstreams, blamedSince since
+		// when each route's usual request is refused, and cleared the call that cleared it.
 		deadly      map[string]endsUnder
 		blamedSince map[string]time.Duration
+		cleared     map[string]clearance
 		// evacuatedAt holds when the failure domain of each node was evacuated.
 		evacuatedAt map[int]time.Duration
 		// pending holds calls that are lost unless an unplanned fault excuses them.
@@ -205,7 +206,7 @@
 func New() *Checker {
 	return &Checker{
 		records: make(map[string]*callRecord), acknowledgedDrains: make(map[string]time.Duration),
-		badUpstreams: make(map[string]*badUpstream), conditions: make(map[string]*condition), evacuatedAt: make(map[int]time.Duration), coldStarts: make(map[string]*coldStart), deadly: make(map[string]endsUnder), blamedSince: make(map[string]time.Duration), tally: Tally{Reasons: make(map[string]int)},
+		badUpstreams: make(map[string]*badUpstream), conditions: make(map[string]*condition), evacuatedAt: make(map[int]time.Duration), coldStarts: make(map[string]*coldStart), deadly: make(map[string]endsUnder), blamedSince: make(map[string]time.Duration), cleared: make(map[string]clearance), tally: Tally{Reasons: make(map[string]int)},
 	}
 }
 
--- a/internal/lab/kqsoakcheck/deadly.go
+++ b/internal/lab/kqsoakcheck/deadly.go
@@ -22,12 +22,19 @@
 	// blameGrace is how long a usual request may be refused because upstreams ended under it:
 	// the call that tries it must end first.
 	blameGrace = 3 * time.Second
+	// clearGrace is how long the answer that clears a usual request may take to reach all nodes.
+	clearGrace = time.Second
 	// quarantined is the reason given for calls of requests under which upstreams ended.
 	quarantined = "quarantined"
 )
 
-// endsUnder holds when upstreams ended under one request.
-type endsUnder []time.Duration
+type (
+	// endsUnder holds when upstreams ended under one request.
+	endsUnder []time.Duration
+
+	// clearance is the time span of an answered call that clears its request of all ends.
+	clearance struct{ sent, ended time.Duration }
+)
 
 // requestOf returns the request that ends its upstreams of which the work id is, "" for others.
 func requestOf(workID string) string {
@@ -82,9 +89,16 @@
 	if !c.Idempotent || requestOf(c.WorkID) != "" {
 		return
 	}
+	cl, cleared := ck.cleared[c.Route]
+	cleared = cleared && ck.isQuiet(cl.sent, c.Ended)
 	switch since, blamed := ck.blamedSince[c.Route]; {
 	case c.Reason != quarantined && c.Result == answered:
 		delete(ck.blamedSince, c.Route)
+		if !cleared && ck.isQuiet(c.Sent, c.Ended) {
+			ck.cleared[c.Route] = clearance{c.Sent, c.Ended}
+		}
+	case c.Reason == quarantined && cleared && c.Sent > cl.ended+clearGrace:
+		ck.addLocked(Blamed, c.Ended, fmt.Sprintf("%s is refused %v after its request was answered, and no upstream has ended since", c.WorkID, c.Sent-cl.ended), rec)
 	case c.Reason == quarantined && !blamed:
 		ck.blamedSince[c.Route] = c.Ended
 	case c.Reason == quarantined && c.Ended > since+blameGrace && !ck.hadFaultDuring(rec.node, c.Sent, c.Ended):
@@ -92,6 +106,17 @@
 	}
 }
 
+// isQuiet reports whether no node has had an unplanned fault during a time span or up to faultGrace
+// before it. The caller holds mu.
+func (ck *Checker) isQuiet(from, to time.Duration) bool {
+	for _, f := range ck.disruptions {
+		if f.Node != Store && f.From <= to && (f.To == 0 || from <= f.To+faultGrace) {
+			return false
+		}
+	}
+	return true
+}
+
 // hadFaultDuring reports whether a node had an unplanned fault during a call, such as a pause, in
 // which it neither waits nor refuses. The caller holds mu.
 func (ck *Checker) hadFaultDuring(node int, sent, ended time.Duration) bool {
--- a/internal/lab/kqsoakcheck/deadly_test.go
+++ b/internal/lab/kqsoakcheck/deadly_test.go
@@ -76,3 +76,30 @@
 		}
 	}
 }
+
+// Guards against a checker that lets a usual request be refused for ever, as long as some of its calls are answered.
+func TestUsualRequestThatIsRefusedBetweenAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  time.Duration
+		want int
+	}{
+		"no upstream ended": {want: 1}, "one ended before": {end: time.Second, want: 1},
+		"one ended shortly before": {end: 7 * time.Second}, "one ended between": {end: 10200 * time.Millisecond},
+	} {
+		ck := kqsoakcheck.New()
+		if c.end > 0 {
+			ck.EndedUnderCall(2, c.end)(c.end + time.Millisecond)
+		}
+		call := func(id string, sent time.Duration, status int, result, reason string) {
+			ck.CallSent(id, true, 1, sent)
+			ck.Call(kqsoakcheck.Call{WorkID: id, Route: "r", Idempotent: true, AnswerRead: true, Status: status, Result: result, Reason: reason, Sent: sent, Ended: sent + 100*time.Millisecond})
+		}
+		call("c1-1", 9*time.Second, 200, "answered", "")
+		call("c1-2", 10*time.Second, 503, "not_run", "quarantined")
+		call("c1-3", 10300*time.Millisecond, 200, "answered", "")
+		call("c1-4", 10600*time.Millisecond, 503, "not_run", "quarantined")
+		if got := len(ck.Violations()); got != c.want {
+			t.Errorf("%s: %d violations, want %d", name, got, c.want)
+		}
+	}
+}
