Starting nodes ask random peers which requests end upstreams

Cause: kqsuspicion.Learn asked the first two alive members of a list that is sorted by name at all nodes.

Change: the members are asked in random order.

Measured: the test failed before (40 of 40 starting nodes asked each of the first two of 20 peers), and passes with -race.

--- a/internal/peer/kqsuspicion/news.go
+++ b/internal/peer/kqsuspicion/news.go
@@ -191,7 +191,9 @@
 	defer cancel()
 	asked := make(map[kqname.Node]bool)
 	for answered := 0; answered < learnPeers && ctx.Err() == nil; kqsleep.For(ctx, learnPause) {
-		for _, m := range q.table.Members() {
+		members := q.table.Members()
+		rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+		for _, m := range members {
 			if m.Node == q.table.Self().Node || m.State != kqmember.Alive || asked[m.Node] || answered >= learnPeers {
 				continue
 			}
--- a/internal/peer/kqsuspicion/suspicions_test.go
+++ b/internal/peer/kqsuspicion/suspicions_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,9 +41,24 @@
 		observer *observer
 		table    *kqmember.Table
 		member   kqmember.Member
+		// conns is the number of connections that peers have opened to the node.
+		conns *atomic.Int32
+	}
+
+	countingListener struct {
+		net.Listener
+		conns atomic.Int32
 	}
 )
 
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.conns.Add(1)
+	}
+	return conn, err
+}
+
 func (n *network) PublishUrgent(_ context.Context, _ kqbroadcast.Topic, payload []byte) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -71,12 +88,13 @@
 
 func start(t *testing.T, name kqname.Node, peers *network, options ...kqsuspicion.Option) *testNode {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	l := &countingListener{Listener: listener}
 	server, client := kqrpc.NewServer(nil), kqrpc.NewClient(name, nil)
-	n := &testNode{observer: &observer{}, member: kqmember.Member{Node: name, Control: kqname.Address(l.Addr().String()), Incarnation: 1}}
+	n := &testNode{observer: &observer{}, member: kqmember.Member{Node: name, Control: kqname.Address(l.Addr().String()), Incarnation: 1}, conns: &l.conns}
 	n.table = kqmember.NewTable(n.member)
 	n.Suspicions = kqsuspicion.New(server, client, peers, n.table, n.observer, time.Minute, options...)
 	ctx, stop := context.WithCancel(context.Background())
@@ -145,6 +163,28 @@
 	await(t, "the node refuses what its peer refuses, and sends what its peer cleared", func() bool { return b.refuses(r) && !b.refuses(cleared) })
 }
 
+// Guards against starting nodes that all ask the same peers.
+func TestStartingNodesAskDifferentPeers(t *testing.T) {
+	const peers, starting = 20, 40
+	n := &network{}
+	var members []*testNode
+	for i := range peers {
+		members = append(members, start(t, kqname.Node(fmt.Sprintf("peer-%02d", i)), n))
+	}
+	for i := range starting {
+		s := start(t, kqname.Node(fmt.Sprintf("starting-%02d", i)), n)
+		for _, m := range members {
+			s.table.Merge(m.member)
+		}
+		s.Learn(t.Context())
+	}
+	for _, m := range members {
+		if got := m.conns.Load(); got > starting/2 {
+			t.Errorf("%d of %d starting nodes ask %s", got, starting, m.member.Node)
+		}
+	}
+}
+
 // All nodes start anew at the same moment, so that only the store can tell.
 func TestRefusedRequestOutlivesARestartOfAllNodes(t *testing.T) {
 	store, r := kqfakestore.New(), kqfingerprint.Fingerprint{9}
