Soak: runs at the same time have networks of their own

Traced by its logs: all runs used the same IP addresses. No fault of a node: two fleets shared one address.

Change: nodes, upstreams and proxies of a run listen in a network that is chosen by the run's process id. The fake upstream has an option and a flag for where it listens.

--- a/internal/lab/kqproxy/proxy.go
+++ b/internal/lab/kqproxy/proxy.go
@@ -31,9 +31,6 @@
 	delay       = 150 * time.Millisecond
 	dialTimeout = time.Second
 	bufferSize  = 16 << 10
-	// listenAddress has an IP address from which no connection is opened: on any other,
-	// an outgoing connection could hold the port when the proxy listens on it again.
-	listenAddress = "127.2.0.1:0"
 )
 
 type (
@@ -60,9 +57,11 @@
 	connPair struct{ near, far *net.TCPConn }
 )
 
-// New opens a proxy that forwards to a target. SetTarget may set the target later.
-func New(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", listenAddress)
+// New opens a proxy that listens on an address and forwards to a target. SetTarget may set the
+// target later. No connection should be opened from the address's IP address, since it could hold
+// the port when the proxy listens on it again.
+func New(listen, target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, fmt.Errorf("open proxy: %w", err)
 	}
--- a/internal/lab/kqproxy/proxy_test.go
+++ b/internal/lab/kqproxy/proxy_test.go
@@ -52,7 +52,7 @@
 // in flight and release it afterwards; Reset must break connections at once; while
 // Down, connections must be refused.
 func TestModesTakeEffectAndEnd(t *testing.T) {
-	p, err := kqproxy.New(echo(t))
+	p, err := kqproxy.New("127.2.0.1:0", echo(t))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/kqsoakrun/process.go
+++ b/internal/lab/kqsoakrun/process.go
@@ -231,7 +231,7 @@
 		extra = append(extra, "--cold-for", coldTime.String(), "--cold-work", coldWork.String(), "--state-cold")
 	}
 	c, err := n.soak.launch(name, append([]string{
-		"upstream", "--service", string(n.service()), "--node", n.address("local"), "--slots", fmt.Sprint(slots),
+		"upstream", "--service", string(n.service()), "--node", n.address("local"), "--listen", n.soak.address(upstreamSubnet, n.number), "--slots", fmt.Sprint(slots),
 		"--tell", "--instance", name, "--deadly", "/read/" + kqsoakcheck.DeadlyPrefix, "--serves-on", upstreamDrainPeriod.String(),
 	}, extra...), func(line string) { n.handleEvent(name, line, up) })
 	if err != nil {
--- a/internal/lab/kqsoakrun/settings.go
+++ b/internal/lab/kqsoakrun/settings.go
@@ -14,6 +14,12 @@
 	drainTimeout = 10 * time.Second
 	// nodesPerSubnet is how many nodes get an address of their own in one subnet.
 	nodesPerSubnet = 200
+	// networks is the number of networks that runs at the same time have, by process id, and
+	// the subnets are the first ones of nodes, upstreams and proxies in each.
+	networks       = 254
+	nodeSubnet     = 0
+	upstreamSubnet = 100
+	proxySubnet    = 200
 )
 
 // roles are the roles of the addresses that the settings give. A node prints these
@@ -26,8 +32,13 @@
 // which the node then keeps. Each node has an IP address from which no connection is
 // opened: on a shared one, another process's outgoing connection could hold the port when
 // the node restarts.
-func (n *node) initialAddress() string {
-	return fmt.Sprintf("127.1.%d.%d:0", n.number/nodesPerSubnet, 1+n.number%nodesPerSubnet)
+func (n *node) initialAddress() string { return n.soak.address(nodeSubnet, n.number) }
+
+// address returns the address with port 0 of a process in a subnet of this run. Runs at the same
+// time have networks of their own: the port of a process that has ended, to which nodes may still
+// send, could be given to a process of another run.
+func (s *Soak) address(subnet, number int) string {
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%networks, subnet+number/nodesPerSubnet, 1+number%nodesPerSubnet)
 }
 
 func (n *node) service() kqname.Service { return services[n.number%len(services)] }
--- a/internal/lab/kqsoakrun/unplanned.go
+++ b/internal/lab/kqsoakrun/unplanned.go
@@ -28,7 +28,7 @@
 	if s.options.PlannedOnly {
 		return nil
 	}
-	p, err := kqproxy.New(strings.TrimPrefix(s.storeURL, "http://"))
+	p, err := kqproxy.New(s.address(proxySubnet, 0), strings.TrimPrefix(s.storeURL, "http://"))
 	if err != nil {
 		return fmt.Errorf("open proxy for the store: %w", err)
 	}
@@ -39,7 +39,7 @@
 			if role == kqsoak.RoleGate && !s.options.HasGateProxy(n.number) {
 				continue
 			}
-			if p, err = kqproxy.New(""); err != nil {
+			if p, err = kqproxy.New(s.address(proxySubnet, 0), ""); err != nil {
 				return fmt.Errorf("open proxy for %s: %w", n.name, err)
 			}
 			n.proxies[role] = &faultProxy{proxy: p}
--- a/internal/lab/kqupstream/event.go
+++ b/internal/lab/kqupstream/event.go
@@ -74,6 +74,9 @@
 // function must be safe for concurrent use.
 func WithEventHandler(f func(Event)) Option { return func(u *Upstream) { u.onEvent = f } }
 
+// WithListenAddress sets the address that the upstream listens on.
+func WithListenAddress(a string) Option { return func(u *Upstream) { u.listen = a } }
+
 // WithInstance makes the upstream announce an instance and when it started.
 func WithInstance(i kqname.Instance) Option {
 	return func(u *Upstream) {
--- a/internal/lab/kqupstream/upstream.go
+++ b/internal/lab/kqupstream/upstream.go
@@ -45,6 +45,7 @@
 	// upstream is draining may reach the upstream a moment after it. If the upstream
 	// closed its connections at once, that call would be lost whatever the node does.
 	defaultDrainPeriod = 300 * time.Millisecond
+	defaultListen      = "127.0.0.1:0"
 )
 
 type (
@@ -93,6 +94,7 @@
 	// Upstream is a fake upstream. It is safe for concurrent use.
 	Upstream struct {
 		announcement kqlocal.Announcement
+		listen       string
 		drainPeriod  time.Duration
 		// statesColdStart is set if the upstream announces its cold start and answers
 		// health checks with it.
@@ -126,16 +128,12 @@
 // with the given slots to the node whose local address is node. It enforces the slots only
 // with Behaviour.Shed.
 func New(service kqname.Service, version kqname.UpstreamVersion, slots int, node kqname.Address, b Behaviour, options ...Option) (*Upstream, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("open upstream of %s: %w", service, err)
-	}
 	u := &Upstream{
-		announcement: kqlocal.Announcement{Service: service, Version: version, Address: kqname.Address(l.Addr().String()), Slots: slots},
+		announcement: kqlocal.Announcement{Service: service, Version: version, Slots: slots},
+		listen:       defaultListen,
 		drainPeriod:  defaultDrainPeriod,
 		onEvent:      func(Event) {},
 		node:         node,
-		listener:     kqresetlistener.New(l, new(atomic.Int64)),
 		killed:       make(chan struct{}),
 		http:         &http.Client{Timeout: time.Second},
 		started:      time.Now(),
@@ -144,6 +142,11 @@
 	for _, o := range options {
 		o(u)
 	}
+	l, err := net.Listen("tcp", u.listen)
+	if err != nil {
+		return nil, fmt.Errorf("open upstream of %s: %w", service, err)
+	}
+	u.announcement.Address, u.listener = kqname.Address(l.Addr().String()), kqresetlistener.New(l, new(atomic.Int64))
 	u.SetBehaviour(b)
 	u.server = &fasthttp.Server{Handler: u.handle, NoDefaultServerHeader: true, IdleTimeout: time.Minute, Logger: nopLogger{}, MaxRequestBodySize: maxBody}
 	return u, nil
--- a/internal/run/kqcommand/upstream.go
+++ b/internal/run/kqcommand/upstream.go
@@ -21,6 +21,7 @@
 	// The slots are announced to the node. The upstream itself enforces them only with
 	// --shed.
 	slots := clause.Flag("slots", "Largest number of calls that run concurrently.").Default("6").Int()
+	listen := clause.Flag("listen", "Address to listen on.").Default("127.0.0.1:0").String()
 	node := clause.Flag("node", "The node's local address.").Default("127.0.0.1:8081").String()
 	work := clause.Flag("work", "Duration of a call.").Default("5ms").Duration()
 	cold := clause.Flag("cold-for", "Duration of the cold start.").Default("0s").Duration()
@@ -46,7 +47,7 @@
 		case err != nil || host == "" || port == "":
 			return fmt.Errorf("upstream: --node %q is not an address like 127.0.0.1:8081", *node)
 		}
-		options := c.upstreamOptions(kqname.Instance(*instance), *servesOn, *printEvents)
+		options := append(c.upstreamOptions(kqname.Instance(*instance), *servesOn, *printEvents), kqupstream.WithListenAddress(*listen))
 		if *stateCold {
 			options = append(options, kqupstream.WithStatedColdStart())
 		}
