--- a/cmd/kumquatgw/soak_fault_test.go
+++ b/cmd/kumquatgw/soak_fault_test.go
@@ -4,6 +4,9 @@
 
 import (
 	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
 	"testing"
 
 	"github.com/kumquatgw/kumquatgw/internal/lab/kqfault"
@@ -23,6 +26,8 @@
 // calls into evacuated failure domains, requests that are sent on although upstreams ended under
 // them, and usual requests that are refused for that.
 func TestSoakFindsFaultsPutInOnPurpose(t *testing.T) {
+	// Processes inherit an ignored SIGHUP, and would not end by it.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	for _, c := range []struct {
 		fault     kqfault.Kind
 		arguments []string
