Broadcaster starts no sends once it waits for those in flight

Cause: since urgent messages any request handler may start a send while Run waits, which a WaitGroup does not allow: Run may return while one is still at work. SendDirect, looked at for the same cause, did the same.

Change: both start sends through one function, which starts none once Run is stopping. Messages are still delivered locally. Nothing changes before the stop.

--- a/internal/peer/kqbroadcast/broadcaster.go
+++ b/internal/peer/kqbroadcast/broadcaster.go
@@ -68,8 +68,10 @@
 		queuedBytes int
 		wake        chan struct{}
 		// busy holds the peers to which SendDirect has a message in flight.
-		busy    map[kqname.Address]bool
-		sending conc.WaitGroup
+		busy map[kqname.Address]bool
+		// sending holds the sends in flight that Run waits for once it is stopping.
+		sending    conc.WaitGroup
+		isStopping bool
 		// urgent is the number of urgent messages in flight to neighbours.
 		urgent atomic.Int64
 	}
--- a/internal/peer/kqbroadcast/direct.go
+++ b/internal/peer/kqbroadcast/direct.go
@@ -18,8 +18,7 @@
 			b.onDrop()
 			continue
 		}
-		b.sending.Go(func() {
-			defer b.release(address)
+		b.send(func() { b.release(address) }, func() {
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout)
 			defer cancel()
 			_, _ = kqrpc.Call[message, empty](ctx, b.client, address, methodDirect, m)
--- a/internal/peer/kqbroadcast/direct_test.go
+++ b/internal/peer/kqbroadcast/direct_test.go
@@ -82,3 +82,28 @@
 		return ""
 	}
 }
+
+// Guards against a data race of messages that arrive or are published while the node stops.
+func TestUrgentMessagesWhileStopping(t *testing.T) {
+	overlay := &neighbours{}
+	b := start(t, "b", overlay)
+	sender := kqbroadcast.New(kqrpc.NewServer(nil), kqrpc.NewClient("a", nil), "a", &neighbours{[]kqmember.Member{{Node: "b", Control: b.address}}}, func() {})
+	for range 50 {
+		ctx, stop := context.WithCancel(t.Context())
+		var group conc.WaitGroup
+		group.Go(func() { sender.Run(ctx) })
+		for range 4 {
+			group.Go(func() {
+				for range 10 {
+					sender.PublishUrgent(ctx, topic, []byte("news"))
+					sender.SendDirect(ctx, topic, []byte("evidence"), []kqname.Address{b.address})
+				}
+			})
+		}
+		stop()
+		group.Wait()
+		for len(b.received) > 0 {
+			<-b.received
+		}
+	}
+}
--- a/internal/peer/kqbroadcast/flood.go
+++ b/internal/peer/kqbroadcast/flood.go
@@ -16,9 +16,11 @@
 const maxBatchBytes = 256 << 10
 
 // Run floods queued messages to the neighbours until ctx ends, and then waits for the
-// direct messages in flight.
+// direct and urgent messages in flight.
 func (b *Broadcaster) Run(ctx context.Context) {
+	b.setStopping(false)
 	defer b.sending.Wait()
+	defer b.setStopping(true)
 	for {
 		select {
 		case <-ctx.Done():
@@ -77,8 +79,7 @@
 		return false
 	}
 	for _, to := range neighbours {
-		b.sending.Go(func() {
-			defer b.urgent.Add(-1)
+		b.send(func() { b.urgent.Add(-1) }, func() {
 			ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 			defer cancel()
 			_, _ = kqrpc.Call[delivery, empty](ctx, b.client, to.Control, methodDeliver, delivery{[]message{m}})
@@ -87,6 +88,28 @@
 	return true
 }
 
+// send runs f in the background, unless Run is stopping, and then done.
+func (b *Broadcaster) send(done, f func()) {
+	b.mu.Lock()
+	isStopping := b.isStopping
+	if !isStopping {
+		b.sending.Go(func() {
+			defer done()
+			f()
+		})
+	}
+	b.mu.Unlock()
+	if isStopping {
+		done()
+	}
+}
+
+func (b *Broadcaster) setStopping(stopping bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.isStopping = stopping
+}
+
 // sendTo offers the ids of a batch to a peer and sends the messages that it lacks.
 // Failures are ignored: the peer's other neighbours offer it the same messages.
 func (b *Broadcaster) sendTo(ctx context.Context, to kqname.Address, ids idList, batch []message) {
