Workspaces: document, configuration objects, keys at the entry, wire format

Cause: the new portal's document names tenants with API keys and rates, and its mesh has uploads; the code refused the kind upload and passed keys on to upstreams. Change: kqdocument.Workspace with digests of keys, split into parts like routes and held whole by every node; the entry identifies the workspace, removes the key and tells the upstream the name; 401 and 429 reasons; uploads are calls that may run once. The rates and the question to peers for unknown keys are interfaces without an implementation yet. A document without workspaces is encoded as before.

--- a/cmd/kumquatgw/panic_adapters_test.go
+++ b/cmd/kumquatgw/panic_adapters_test.go
@@ -79,6 +79,9 @@
 
 func (panickingDialect) ReadCondition(*fasthttp.ResponseHeader) (c kqcall.Condition) { return c }
 func (panickingDialect) ReadHealth(*fasthttp.ResponseHeader) kqcall.Health           { return kqcall.Health{} }
+func (panickingDialect) Key(*fasthttp.RequestHeader) []byte                          { return nil }
+func (panickingDialect) StripKey(*fasthttp.RequestHeader)                            {}
+func (panickingDialect) ReadReport(*fasthttp.ResponseHeader) (r kqcall.ServerReport) { return r }
 
 func (panickingDialect) RetryAfter(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -81,6 +81,20 @@
 	Misdirected Reason = "moved"
 	// NoMemory means that the node has no memory for the call's body at the moment.
 	NoMemory Reason = "no_memory"
+	// NoKey means that the call has no API key, or more than one, and its route needs one.
+	NoKey Reason = "no_key"
+	// UnknownKey means that no workspace holds the call's API key.
+	UnknownKey Reason = "unknown_key"
+	// KeyRevoked means that the call's API key was removed while the call waited.
+	KeyRevoked Reason = "key_revoked"
+	// UnverifiedKey means that no workspace holds the call's API key as far as this node
+	// knows, and that it could not find out whether its configuration is the newest.
+	UnverifiedKey Reason = "unverified_key"
+	// UnknownParent means that the call names a call that it is nested in, but that this
+	// process does not know.
+	UnknownParent Reason = "unknown_parent"
+	// OverRate means that the workspace has used up its rate over all nodes.
+	OverRate Reason = "over_rate"
 	// Panicked means that a panic in this program ended the call.
 	Panicked Reason = "panicked"
 )
@@ -154,6 +168,15 @@
 		Version     kqname.UpstreamVersion
 		Class       kqdocument.Class
 		Idempotent  bool
+		// Workspace is the tenant that the call is made for, empty if there is none, and
+		// WorkspaceClass is the tenant's priority, which goes before Class; empty means
+		// that it has none.
+		Workspace      kqname.Workspace
+		WorkspaceClass kqdocument.Class
+		// KeyID identifies the API key that the call came with, 0 if there is none, and
+		// ConfigVersion is the version by which the entry found it valid.
+		KeyID         uint64
+		ConfigVersion kqname.ConfigVersion
 		// RefusalMeansNotRun reports whether the service guarantees that a call which it
 		// answers with 503 did not run.
 		RefusalMeansNotRun bool
@@ -208,7 +231,8 @@
 func Reasons() []Reason {
 	return []Reason{
 		NoReason, NoRoute, NoConfig, NoUpstream, QueueFull, Overload, NotStartedInTime, RolledBack, Draining, Evacuated, Cold, Limited, Quarantined, RefusedByUpstream, ConnectFailed,
-		TooLarge, Malformed, TooSlow, Timeout, Cut, UpstreamEnded, Cancelled, MismatchedResponse, Misdirected, NoMemory, Panicked,
+		TooLarge, Malformed, TooSlow, Timeout, Cut, UpstreamEnded, Cancelled, MismatchedResponse, Misdirected, NoMemory,
+		NoKey, UnknownKey, KeyRevoked, UnverifiedKey, UnknownParent, OverRate, Panicked,
 	}
 }
 
@@ -239,8 +263,9 @@
 
 // Status returns the HTTP status of an outcome other than Answered. Four reasons decide it
 // alone, even if the call may have run: it is 404 for no route, 413 for a call that is too
-// large, 400 for a malformed one and 408 for one that arrived too slowly. For any other
-// reason it is 503 if the call did not run and 504 if it may have run.
+// large, 400 for a malformed one and 408 for one that arrived too slowly. If the call did not
+// run, it is 401 without a valid key, 429 beyond the workspace's rate and else 503; if it may
+// have run, it is 504.
 func (o Outcome) Status() int {
 	switch {
 	case o.Reason == NoRoute:
@@ -251,6 +276,10 @@
 		return fasthttp.StatusBadRequest
 	case o.Reason == TooSlow:
 		return fasthttp.StatusRequestTimeout
+	case o.Result == NotRun && (o.Reason == NoKey || o.Reason == UnknownKey || o.Reason == KeyRevoked):
+		return fasthttp.StatusUnauthorized
+	case o.Result == NotRun && o.Reason == OverRate:
+		return fasthttp.StatusTooManyRequests
 	case o.Result == NotRun:
 		return fasthttp.StatusServiceUnavailable
 	default:
--- a/internal/call/kqcall/dialect.go
+++ b/internal/call/kqcall/dialect.go
@@ -27,6 +27,12 @@
 		ReadCondition(h *fasthttp.ResponseHeader) Condition
 		// ReadHealth reads an upstream's answer to a health check.
 		ReadHealth(h *fasthttp.ResponseHeader) Health
+		// Key returns the API key in a caller's headers, as ReadKey does.
+		Key(h *fasthttp.RequestHeader) []byte
+		// StripKey removes the API key and what the caller says of its workspace.
+		StripKey(h *fasthttp.RequestHeader)
+		// ReadReport reads what an upstream's answer says of its load.
+		ReadReport(h *fasthttp.ResponseHeader) ServerReport
 		// RetryAfter formats how long a refused caller should wait before it retries.
 		RetryAfter(d time.Duration) string
 	}
@@ -39,6 +45,8 @@
 		// ParentID is the id of the running call that this one is nested in, as claimed by
 		// a caller that is a local upstream.
 		ParentID ID
+		// Workspace is that of the running call, as passed on by a local upstream.
+		Workspace kqname.Workspace
 	}
 
 	// Health is what an upstream's answer to a health check says of its cold start.
@@ -49,6 +57,17 @@
 		ColdFor time.Duration
 	}
 
+	// ServerReport is what an upstream's answer says of its load. The upstream may be wrong.
+	ServerReport struct {
+		// HasLoad reports whether the answer states Running, Waiting and Slots, which are
+		// numbers of calls.
+		HasLoad                 bool
+		Running, Waiting, Slots int
+		// Slowdown is how many times longer than usual work takes at this moment, 0 if the
+		// answer does not say.
+		Slowdown float64
+	}
+
 	// Verdict is what an upstream's answer says about whether the call ran.
 	Verdict struct {
 		// NotRunReason is why the upstream has not run the call and will not, or NoReason if
--- a/internal/call/kqcall/header.go
+++ b/internal/call/kqcall/header.go
@@ -32,6 +32,8 @@
 	// milliseconds the upstream stays cold, and which one it is.
 	HeaderCold     = "Kq-Cold-Ms"
 	HeaderInstance = "Kq-Instance"
+	// HeaderWorkspace tells the upstream which workspace the call is made for.
+	HeaderWorkspace = "Kq-Workspace"
 
 	// headerCall carries a call's fields from the entry to the gate; headerLoad carries
 	// the upstream's load back.
@@ -39,6 +41,8 @@
 	headerLoad = "Kq-Load"
 	// headerCold carries the call's Cold to the gate, unless its rate is 0.
 	headerCold = "Kq-Cold"
+	// headerWorkspace carries the call's workspace fields to the gate, if it has a workspace.
+	headerWorkspace = "Kq-Tenant"
 	// headerRetry carries Retry-After between nodes in milliseconds, since callers may
 	// need it in another format. Callers get it too.
 	headerRetry = "Kq-Retry-Ms"
@@ -119,6 +123,7 @@
 	c.Request.Header.SetBytesV(headerCall, b)
 	c.Cold.write(&c.Request.Header)
 	c.Hint.write(&c.Request.Header)
+	c.writeWorkspace()
 }
 
 // Read returns the call whose fields Write put into a request, or ErrMalformed if they are
@@ -147,6 +152,7 @@
 		c.Target = now.Add(time.Duration(target) * time.Microsecond)
 	}
 	c.Cold, c.Hint = readColdStart(&req.Header), parseHint(string(req.Header.Peek(headerHint)))
+	c.readWorkspace()
 	if c.ID == "" || c.Service == "" {
 		return nil, fmt.Errorf("call id or service is missing: %w", ErrMalformed)
 	}
@@ -196,6 +202,7 @@
 	h.Del(headerCall)
 	h.Del(headerCold)
 	h.Del(headerHint)
+	h.Del(headerWorkspace)
 	if c.Dialect != nil {
 		c.Dialect.WriteUpstreamHeaders(c, max(c.Deadline.Sub(now), time.Millisecond))
 		return
@@ -203,6 +210,9 @@
 	h.Set(HeaderID, string(c.ID))
 	h.Set(HeaderTimeout, strconv.FormatInt(max(c.Deadline.Sub(now).Milliseconds(), 1), 10))
 	h.Set(HeaderDepth, strconv.Itoa(c.Depth))
+	if c.Workspace != "" {
+		h.Set(HeaderWorkspace, string(c.Workspace))
+	}
 }
 
 // Answer writes the outcome into the call's response. If the outcome is not Answered, it
@@ -224,6 +234,9 @@
 	if o.Reason != NoReason {
 		h.Set(HeaderReason, string(o.Reason))
 	}
+	if o.Status() == fasthttp.StatusUnauthorized && o.Result != Answered {
+		h.Set(fasthttp.HeaderWWWAuthenticate, challenge)
+	}
 	if o.RetryAfter > 0 {
 		format := wholeSeconds
 		if c.Dialect != nil {
--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqcallerretry"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -114,6 +115,9 @@
 		returningCallers returningCallers
 		hints            hints
 		quarantine       Quarantine
+		// rates and freshness are nil if no option sets them.
+		rates     Rates
+		freshness Freshness
 
 		idPrefix    string
 		sequence    atomic.Uint64
@@ -126,9 +130,14 @@
 
 	// callState holds what one call needs besides its request, in a single allocation.
 	callState struct {
-		call    kqcall.Call
-		cancel  kqcall.Cancel
-		watched kqdisconnect.WatchedCall
+		call kqcall.Call
+		info kqcall.CallInfo
+		// workspace is the one that the call came with a key of, nil if none, and admitted
+		// is set if the call counts towards its rate.
+		workspace *kqdocument.Workspace
+		admitted  bool
+		cancel    kqcall.Cancel
+		watched   kqdisconnect.WatchedCall
 		// version and sendAttempts are for the record.
 		version      kqname.ConfigVersion
 		sendAttempts []Attempt
--- a/internal/call/kqentry/returning_callers_test.go
+++ b/internal/call/kqentry/returning_callers_test.go
@@ -36,6 +36,9 @@
 func (timeoutDialect) ReadVerdict(*kqcall.Call) kqcall.Verdict                     { return kqcall.Verdict{} }
 func (timeoutDialect) ReadCondition(*fasthttp.ResponseHeader) (c kqcall.Condition) { return c }
 func (timeoutDialect) ReadHealth(*fasthttp.ResponseHeader) kqcall.Health           { return kqcall.Health{} }
+func (timeoutDialect) Key(*fasthttp.RequestHeader) []byte                          { return nil }
+func (timeoutDialect) StripKey(*fasthttp.RequestHeader)                            {}
+func (timeoutDialect) ReadReport(*fasthttp.ResponseHeader) (r kqcall.ServerReport) { return r }
 
 func (timeoutDialect) RetryAfter(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -33,10 +33,12 @@
 }
 
 // ServeLocal handles calls from the node's own upstream. The only internal headers that it
-// reads are the depth and the remaining time of the call that the upstream is running.
+// reads are the depth, the remaining time and the workspace of the call that the upstream is
+// running.
 func (e *Entry) ServeLocal(ctx *fasthttp.RequestCtx, caller kqname.Caller) {
 	depth, left := kqcall.ReadPropagated(&ctx.Request.Header)
-	e.serve(ctx, caller, depth+1, kqcall.CallInfo{TimeLeft: left})
+	workspace := kqname.Workspace(ctx.Request.Header.Peek(kqcall.HeaderWorkspace))
+	e.serve(ctx, caller, depth+1, kqcall.CallInfo{TimeLeft: left, Workspace: workspace})
 }
 
 // Drain starts draining the entry before the node stops: new calls are still served, but
@@ -87,7 +89,7 @@
 	kqcall.StripRequest(&ctx.Request.Header)
 	stripHopByHop(&ctx.Request.Header)
 	sequence := e.sequence.Add(1)
-	f := &callState{}
+	f := &callState{info: info}
 	f.call = kqcall.Call{
 		ID: info.ID, Caller: caller, Origin: e.origin, Depth: depth, Arrived: now, Dialect: e.dialect,
 		Fingerprint: kqfingerprint.Of(&ctx.Request), Cancel: &f.cancel, Request: &ctx.Request, Response: &ctx.Response,
@@ -113,6 +115,7 @@
 	e.watcher.Untrack(&f.watched)
 	if o.Result == kqcall.NotRun {
 		f.extendRetryAfter(&o, e.now())
+		e.returnAdmission(f)
 	}
 	e.counter.Ended(o)
 	e.returningCallers.ended(f, o)
@@ -158,6 +161,13 @@
 		}
 		return o
 	}
+	if snapshot.HasWorkspaces() {
+		var o kqcall.Outcome
+		if snapshot, route, o = e.authenticate(f, snapshot, route); o.Result != kqcall.Answered {
+			return o
+		}
+		now = e.now()
+	}
 	f.version = snapshot.Version()
 	found, _ := snapshot.Service(route.Choose(rand.Float64()))
 	applyConfig(c, route, found, now)
@@ -172,6 +182,9 @@
 	if !now.Before(c.Deadline) {
 		return kqcall.Refuse(kqcall.NotStartedInTime)
 	}
+	if o := e.admitToRate(f, now); o.Result != kqcall.Answered {
+		return o
+	}
 	evacuated := snapshot.Evacuated()
 	criteria, allowsAny := e.criteria(found, route, evacuated, c)
 	if !allowsAny {
--- a/internal/call/kqnesting/nesting.go
+++ b/internal/call/kqnesting/nesting.go
@@ -25,6 +25,9 @@
 		Caller kqname.Caller
 		Depth  int
 		Class  kqdocument.Class
+		// Workspace and WorkspaceClass are those of the parent.
+		Workspace      kqname.Workspace
+		WorkspaceClass kqdocument.Class
 		// Repeat reports whether an upstream may have been sent the parent, or a call that
 		// the parent is nested in, before.
 		Repeat bool
@@ -66,7 +69,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.running[call.ID]
-	r.Parent = Parent{Caller: call.Caller, Depth: call.Depth, Class: call.Class, Repeat: call.Repeat, Fingerprint: call.Fingerprint, Service: call.Service, Route: call.Route}
+	r.Parent = Parent{Caller: call.Caller, Depth: call.Depth, Class: call.Class, Workspace: call.Workspace, WorkspaceClass: call.WorkspaceClass, Repeat: call.Repeat, Fingerprint: call.Fingerprint, Service: call.Service, Route: call.Route}
 	r.runs++
 	s.running[call.ID] = r
 }
--- a/internal/config/kqcommit/collect.go
+++ b/internal/config/kqcommit/collect.go
@@ -209,7 +209,7 @@
 	for i := len(c.expiredRoots) - 1; i >= 0; i-- {
 		h := c.expiredRoots[i]
 		h.Trimmed = true
-		h.Root.Hosts, h.Root.Services, h.Root.Ownership = nil, nil, kqresource.Digest{}
+		h.Root.Hosts, h.Root.Services, h.Root.Workspaces, h.Root.Ownership = nil, nil, nil, kqresource.Digest{}
 		data, err := kqresource.Encode(h)
 		if err != nil {
 			return err
--- a/internal/config/kqcommit/intent.go
+++ b/internal/config/kqcommit/intent.go
@@ -161,7 +161,7 @@
 // contentDigest returns the digest of a document's content, independent of the
 // version, author, reason and time of the commit.
 func contentDigest(r kqresource.Root) (kqresource.Digest, error) {
-	data, err := kqresource.Encode(kqresource.Root{Hosts: r.Hosts, Services: r.Services, Ownership: r.Ownership})
+	data, err := kqresource.Encode(kqresource.Root{Hosts: r.Hosts, Services: r.Services, Ownership: r.Ownership, Workspaces: r.Workspaces})
 	if err != nil {
 		return kqresource.Digest{}, fmt.Errorf("encode content: %w", err)
 	}
--- a/internal/config/kqdelta/delta.go
+++ b/internal/config/kqdelta/delta.go
@@ -19,7 +19,7 @@
 	Base   kqresource.Digest `cbor:"1,keyasint"`
 	Result kqresource.Digest `cbor:"2,keyasint"`
 	// Changed is the newer root, reduced to the hosts and services that were added or
-	// changed.
+	// changed. Its workspaces are complete.
 	Changed         kqresource.Root  `cbor:"3,keyasint"`
 	RemovedHosts    []kqname.Host    `cbor:"4,keyasint,omitempty"`
 	RemovedServices []kqname.Service `cbor:"5,keyasint,omitempty"`
--- a/internal/config/kqresource/resource.go
+++ b/internal/config/kqresource/resource.go
@@ -44,7 +44,8 @@
 	// Objects maps digests to the canonical encodings of objects.
 	Objects map[Digest][]byte
 
-	// Parts lists the digests of the objects that together hold one host's routes.
+	// Parts lists the digests of the objects that together hold one host's routes, or all
+	// workspaces.
 	Parts []Digest
 
 	// Root names every object of one configuration version. A commit replaces the
@@ -61,6 +62,13 @@
 		Ownership Digest                    `cbor:"9,keyasint"`
 		// Evacuated is sorted. It is part of the root, since every node needs it.
 		Evacuated []kqname.Domain `cbor:"10,keyasint,omitempty"`
+		// Workspaces names the objects that together hold all workspaces.
+		Workspaces Parts `cbor:"11,keyasint,omitempty"`
+	}
+
+	// Workspaces holds one part of the workspaces, or all of them.
+	Workspaces struct {
+		Workspaces []kqdocument.Workspace `cbor:"1,keyasint"`
 	}
 
 	// Host holds one part of a host's routes, or all of them.
--- a/internal/config/kqresource/split.go
+++ b/internal/config/kqresource/split.go
@@ -48,6 +48,9 @@
 	for _, e := range d.Evacuations {
 		root.Evacuated = append(root.Evacuated, e.Name)
 	}
+	if root.Workspaces, err = objects.addWorkspaces(d.Workspaces); err != nil {
+		return Root{}, nil, fmt.Errorf("split workspaces: %w", err)
+	}
 	return root, objects, nil
 }
 
@@ -80,6 +83,13 @@
 	for _, domain := range root.Evacuated {
 		d.Evacuations = append(d.Evacuations, kqdocument.Evacuation{Name: domain})
 	}
+	for _, part := range root.Workspaces {
+		var w Workspaces
+		if err := objects.decode(part, &w); err != nil {
+			return d, fmt.Errorf("join workspaces: %w", err)
+		}
+		d.Workspaces = append(d.Workspaces, w.Workspaces...)
+	}
 	return Sorted(d), nil
 }
 
@@ -98,6 +108,9 @@
 	for _, d := range r.Services {
 		digests[d] = true
 	}
+	for _, d := range r.Workspaces {
+		digests[d] = true
+	}
 	return slices.SortedFunc(maps.Keys(digests), Digest.Compare)
 }
 
@@ -110,6 +123,7 @@
 	d.Routes = sortedBy(d.Routes, func(r kqdocument.Route) kqname.Route { return r.Name })
 	d.Rollouts = sortedBy(d.Rollouts, func(r kqdocument.Rollout) kqname.Rollout { return r.Name })
 	d.Evacuations = sortedBy(d.Evacuations, func(e kqdocument.Evacuation) kqname.Domain { return e.Name })
+	d.Workspaces = sortedBy(d.Workspaces, func(w kqdocument.Workspace) kqname.Workspace { return w.Name })
 	for i, r := range d.Rollouts {
 		d.Rollouts[i].Start, d.Rollouts[i].Deadline = r.Start.UTC(), r.Deadline.UTC()
 	}
--- a/internal/config/kqresource/split_test.go
+++ b/internal/config/kqresource/split_test.go
@@ -73,6 +73,9 @@
 			})
 		}
 	}
+	for i := range rapid.IntRange(0, 40).Draw(t, "workspaces") {
+		d.Workspaces = append(d.Workspaces, kqdocument.Workspace{Name: kqname.Workspace(fmt.Sprintf("w%d", i)), RatePerS: 2})
+	}
 	return d
 }
 
@@ -90,6 +93,7 @@
 	for i := range d.Rollouts {
 		d.Rollouts[i].Start = d.Rollouts[i].Start.In(time.FixedZone("east", 3600))
 	}
+	d.Workspaces = rapid.Permutation(d.Workspaces).Draw(t, "workspaces in order")
 	slices.Reverse(d.Routes)
 	slices.Reverse(d.Rollouts)
 	return d
--- a/internal/config/kqsnapshot/build.go
+++ b/internal/config/kqsnapshot/build.go
@@ -28,7 +28,7 @@
 func WithPrevious(s *Snapshot) BuildOption { return func(b *builder) { b.previous = s } }
 
 // Build builds the snapshot of a root, which names every object of one version, for the
-// given hosts and services and the services that the hosts' routes name. If objects are
+// given hosts and services, the services that the hosts' routes name, and all workspaces. If objects are
 // missing, it returns ErrIncomplete and the digests of those known to be missing; while
 // a host's routes are missing, these lack the services that the routes name. It returns
 // ErrInvalid if an object is malformed or belongs to another host or service, if a route
@@ -60,6 +60,9 @@
 			return nil, nil, fmt.Errorf("build version %d: %w", root.Version, err)
 		}
 	}
+	if err := b.addWorkspaces(); err != nil {
+		return nil, nil, fmt.Errorf("build version %d: %w", root.Version, err)
+	}
 	if len(b.missing) > 0 {
 		return nil, b.missing, fmt.Errorf("build version %d, %d objects missing: %w", root.Version, len(b.missing), ErrIncomplete)
 	}
@@ -167,6 +170,43 @@
 	return nil
 }
 
+// addWorkspaces adds all workspaces of the root, or the digests of their missing objects to
+// b.missing. Every node holds all, since a workspace's callers may come to any node.
+func (b *builder) addWorkspaces() error {
+	parts := b.snapshot.root.Workspaces
+	if len(parts) == 0 {
+		return nil
+	}
+	previous := b.previous.workspaces
+	if previous != nil && slices.Equal(b.previous.root.Workspaces, parts) {
+		b.snapshot.workspaces = previous
+		return nil
+	}
+	decoded := make(map[kqresource.Digest][]kqdocument.Workspace, len(parts))
+	for _, digest := range parts {
+		if previous != nil && previous.parts[digest] != nil {
+			decoded[digest] = previous.parts[digest]
+			continue
+		}
+		data, ok := b.objects[digest]
+		if !ok {
+			b.missing = append(b.missing, digest)
+			continue
+		}
+		var w kqresource.Workspaces
+		if err := kqresource.Decode(data, &w); err != nil {
+			return fmt.Errorf("workspaces: %w", errors.Join(ErrInvalid, err))
+		}
+		decoded[digest] = w.Workspaces
+	}
+	if len(decoded) < len(parts) {
+		return nil
+	}
+	var err error
+	b.snapshot.workspaces, err = newWorkspaceIndex(decoded)
+	return err
+}
+
 // compareRoutes orders the more specific route first: by the length of the prefix, the
 // number of headers and the length of the method, which is 0 for a route that matches
 // every method. Ties are ordered by name.
--- a/internal/config/kqsnapshot/snapshot.go
+++ b/internal/config/kqsnapshot/snapshot.go
@@ -27,6 +27,8 @@
 		root     kqresource.Root
 		hosts    map[kqname.Host]*index
 		services map[kqname.Service]kqresource.Service
+		// workspaces is nil if the version has no workspaces.
+		workspaces *workspaceIndex
 	}
 
 	// Request holds the properties of a call that routes are matched against.
@@ -54,7 +56,7 @@
 	for n := range s.services {
 		list = append(list, s.root.Services[n])
 	}
-	return list
+	return append(list, s.root.Workspaces...)
 }
 
 // HostStatus reports whether the configuration version has routes for the host, and
--- a/internal/config/kqsnapshot/validate.go
+++ b/internal/config/kqsnapshot/validate.go
@@ -44,6 +44,7 @@
 	for _, domain := range s.root.Evacuated {
 		d.Evacuations = append(d.Evacuations, kqdocument.Evacuation{Name: domain})
 	}
+	d.Workspaces = s.Workspaces()
 	if problems := kqdocument.Validate(d); len(problems) > 0 {
 		return fmt.Errorf("%d validation problems, first %w: %w", len(problems), problems[0], ErrInvalid)
 	}
--- a/internal/run/kqrecord/record.go
+++ b/internal/run/kqrecord/record.go
@@ -1,6 +1,7 @@
 package kqrecord
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,6 +76,9 @@
 	if e.Outcome.Reason != kqcall.NoReason {
 		fields["reason"] = e.Outcome.Reason
 	}
+	if c.Workspace != "" {
+		fields["workspace"], fields["key"] = c.Workspace, strconv.FormatUint(c.KeyID, 36)
+	}
 	if !c.Deadline.IsZero() {
 		fields["left_ms"] = milliseconds(c.Deadline.Sub(now))
 	}
@@ -103,6 +107,9 @@
 		"waited_ms": milliseconds(g.Waited), "took_ms": milliseconds(g.Took), "left_ms": milliseconds(g.Call.Deadline.Sub(now)), "class": g.Call.Class,
 		"expected_ms": milliseconds(g.Load.RecentDuration),
 	}
+	if g.Call.Workspace != "" {
+		fields["workspace"] = g.Call.Workspace
+	}
 	if g.Outcome.Reason != kqcall.NoReason {
 		fields["reason"] = g.Outcome.Reason
 	}
--- a/pkg/kqdocument/diff.go
+++ b/pkg/kqdocument/diff.go
@@ -33,7 +33,7 @@
 )
 
 // Diff returns the items that differ between two documents: teams, policies, services,
-// routes, rollouts and evacuations, each sorted by name. The order of items within the documents is
+// routes, rollouts, evacuations and workspaces, each sorted by name. The order of items within the documents is
 // not compared. Of several items with the same name only the last is compared.
 func Diff(before, after Document) []Change {
 	var changes []Change
@@ -43,6 +43,7 @@
 	changes = append(changes, diff("routes", before.Routes, after.Routes, func(r Route) string { return string(r.Name) })...)
 	changes = append(changes, diff("rollouts", before.Rollouts, after.Rollouts, func(r Rollout) string { return string(r.Name) })...)
 	changes = append(changes, diff("evacuations", before.Evacuations, after.Evacuations, func(e Evacuation) string { return string(e.Name) })...)
+	changes = append(changes, diff("workspaces", before.Workspaces, after.Workspaces, func(w Workspace) string { return string(w.Name) })...)
 	return changes
 }
 
--- a/pkg/kqdocument/document.go
+++ b/pkg/kqdocument/document.go
@@ -36,6 +36,24 @@
 		Rollouts []Rollout `json:"rollouts,omitempty"`
 		// Evacuations lists the failure domains whose upstreams must get no calls.
 		Evacuations []Evacuation `json:"evacuations,omitempty"`
+		// Workspaces lists the fleet's tenants. If there are any, callers from outside need
+		// an API key of one of them, except on routes that allow anonymous calls.
+		Workspaces []Workspace `json:"workspaces,omitempty"`
+	}
+
+	// Workspace is a tenant of the fleet. Its callers identify themselves by an API key.
+	Workspace struct {
+		Name kqname.Workspace `json:"name"`
+		// KeyDigests are the SHA-256 digests of the workspace's API keys, in lower-case
+		// hex. The document never holds the keys themselves.
+		KeyDigests []string `json:"key_digests,omitempty"`
+		// Class is the priority of the workspace's calls under overload, which goes before
+		// that of their routes; empty means that only the routes' classes count.
+		Class Class `json:"class,omitempty" jsonschema:"enum=critical,enum=normal,enum=background"`
+		// RatePerS and Burst limit the workspace's calls over all nodes together: in any
+		// time t, at most RatePerS times t plus Burst. A RatePerS of 0 means no limit.
+		RatePerS float64 `json:"rate_per_s,omitempty" jsonschema:"minimum=0"`
+		Burst    float64 `json:"burst,omitempty" jsonschema:"minimum=0"`
 	}
 
 	// Evacuation keeps all calls away from the upstreams of a failure domain until it is
@@ -130,6 +148,9 @@
 		// NotIdempotent states that calls must not run twice, even if their method
 		// is idempotent by default.
 		NotIdempotent bool `json:"not_idempotent,omitempty"`
+		// AllowAnonymous states that callers need no API key even if the document has
+		// workspaces.
+		AllowAnonymous bool `json:"allow_anonymous,omitempty"`
 	}
 
 	// Rollout moves a service's traffic from one upstream version to another.
--- a/pkg/kqdocument/validate.go
+++ b/pkg/kqdocument/validate.go
@@ -14,6 +14,7 @@
 	maxRollouts = 1000
 	// maxEvacuations exceeds the number of failure domains of any fleet.
 	maxEvacuations = 200
+	maxWorkspaces  = 20000
 	maxTimeoutMS   = 600000
 	// defaultTimeoutMS applies to services whose TimeoutMS is 0.
 	defaultTimeoutMS = 10000
@@ -49,6 +50,7 @@
 	c.checkCount("routes", len(d.Routes), maxRoutes)
 	c.checkCount("rollouts", len(d.Rollouts), maxRollouts)
 	c.checkCount("evacuations", len(d.Evacuations), maxEvacuations)
+	c.checkCount("workspaces", len(d.Workspaces), maxWorkspaces)
 	teams := uniqueNames(c, "teams", d.Teams, func(t Team) kqname.Team { return t.Name })
 	policies := uniqueNames(c, "policies", d.Policies, func(p Policy) kqname.Policy { return p.Name })
 	services := uniqueNames(c, "services", d.Services, func(s Service) kqname.Service { return s.Name })
@@ -89,6 +91,7 @@
 	}
 	c.checkSequence(d.Rollouts, services)
 	c.checkQuotas(d)
+	c.checkWorkspaces(d.Workspaces)
 	return c.problems
 }
 
--- a/pkg/kqname/name.go
+++ b/pkg/kqname/name.go
@@ -26,6 +26,8 @@
 	Policy string
 	// Team names a group of operators that owns services.
 	Team string
+	// Workspace names a tenant of the fleet, whose callers identify themselves by API keys.
+	Workspace string
 	// Instance distinguishes an upstream from others that used the same address. It
 	// can have several processes, one after the other.
 	Instance string
