Large bodies are announced to the gate, which paces them by its server's link

Cause: on a mesh with uploads of 60 KB to few servers with links of 13 Mbit/s, bodies that arrive together fill the queue of the link. The processors are at 0.03 of 0.16 cores, so they do not bind. Change: an entry sends a body of 32 KB or more once the gate asks for it (Expect: 100-continue). kqinbound gives the link's time to one body after the other, up to 0.75 of the bandwidth, and declines a body that would wait for over a quarter of its call's time; such a call has not run and may go to another gate. The gate reports the backlog as the wait of such calls. Bodies under 32 KB are sent as before.

--- a/internal/call/kqcall/header.go
+++ b/internal/call/kqcall/header.go
@@ -159,6 +159,20 @@
 	return c, nil
 }
 
+// ReadTimeLeft returns the time until the deadline of the call whose fields Write put into a
+// request, 0 if it cannot be read.
+func ReadTimeLeft(h *fasthttp.RequestHeader) time.Duration {
+	fields, ok := splitFields(string(h.Peek(headerCall)))
+	if !ok {
+		return 0
+	}
+	microseconds, err := strconv.ParseInt(fields[9], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(microseconds) * time.Microsecond
+}
+
 // write puts the cold start into a request for a gate, if it has a rate.
 func (s ColdStart) write(h *fasthttp.RequestHeader) {
 	if s.Rate <= 0 {
@@ -203,6 +217,7 @@
 	h.Del(headerCold)
 	h.Del(headerHint)
 	h.Del(headerWorkspace)
+	h.Del(fasthttp.HeaderExpect)
 	if c.Dialect != nil {
 		c.Dialect.WriteUpstreamHeaders(c, max(c.Deadline.Sub(now), time.Millisecond))
 		return
--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -11,6 +11,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqsend"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqallowance"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqinbound"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqretry"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqshed"
@@ -242,7 +243,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if found, ok = c.byAddress[to]; !ok {
-		found = &gateClient{Client: kqsend.New(to, kqsend.WithDialer(c.dial), kqsend.WithRequiredCallID(), kqsend.WithSilenceTimeout()), used: time.Now()}
+		found = &gateClient{Client: kqsend.New(to, kqsend.WithDialer(c.dial), kqsend.WithRequiredCallID(), kqsend.WithSilenceTimeout(), kqsend.WithAnnouncedBodies(kqinbound.LargeBody)), used: time.Now()}
 		c.byAddress[to] = found
 	}
 	return found.Client
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -12,6 +12,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqdisconnect"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqnesting"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqinbound"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqslots"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -86,7 +87,10 @@
 		// started is when the gate was created, at the start of the process.
 		started time.Time
 		buffer  responseBuffer
-		counter Counter
+		// bodyBacklog returns how long a large body from another node would have to wait for
+		// the server's link.
+		bodyBacklog func(now time.Time) time.Duration
+		counter     Counter
 		// queue returns a new queue for the upstream at the address.
 		queue      func(slots int, address kqname.Address) queue
 		watcher    *kqdisconnect.Watcher
@@ -169,7 +173,8 @@
 func New(local Finder, options ...Option) *Gate {
 	g := &Gate{
 		local: local, withdrawer: noop{}, observer: noop{}, guard: noop{}, quarantine: noop{}, evacuated: func() bool { return false },
-		coldStart: func(*kqcall.Call) ColdStart { return ColdStart{} }, started: time.Now(), counter: noop{}, recorder: noopRecorder{}, conditions: noop{}, onDeparture: func(kqlocal.Announcement, time.Time) {}, now: time.Now, watcher: kqdisconnect.New(),
+		bodyBacklog: func(time.Time) time.Duration { return 0 },
+		coldStart:   func(*kqcall.Call) ColdStart { return ColdStart{} }, started: time.Now(), counter: noop{}, recorder: noopRecorder{}, conditions: noop{}, onDeparture: func(kqlocal.Announcement, time.Time) {}, now: time.Now, watcher: kqdisconnect.New(),
 		upstreams: make(map[upstreamKey]*upstream), hints: make(map[kqname.Address]kqcall.Hint), nesting: kqnesting.New(),
 		queue: func(slots int, address kqname.Address) queue {
 			return kqslots.New(slots, saltOf(address))
@@ -200,6 +205,9 @@
 	c.Answer(o)
 	c.WriteStarved()
 	c.WriteUpstreamStart()
+	if len(ctx.Request.Body()) >= kqinbound.LargeBody {
+		load.Wait = max(load.Wait, g.bodyBacklog(g.now()))
+	}
 	load.Write(&ctx.Response.Header)
 	c.Hint.WriteResponse(&ctx.Response.Header)
 	if g.draining.Load() {
--- a/internal/call/kqgate/options.go
+++ b/internal/call/kqgate/options.go
@@ -47,6 +47,12 @@
 // WithWithdrawer sets the Withdrawer for upstreams that accept no connections.
 func WithWithdrawer(w Withdrawer) Option { return func(g *Gate) { g.withdrawer = w } }
 
+// WithBodyBacklog sets the function that returns how long a large body from another node would
+// have to wait for the server's link. Calls with such bodies report it as their wait.
+func WithBodyBacklog(f func(now time.Time) time.Duration) Option {
+	return func(g *Gate) { g.bodyBacklog = f }
+}
+
 // WithDialect sets the dialect that upstreams use instead of this project's headers.
 func WithDialect(d kqcall.Dialect) Option { return func(g *Gate) { g.dialect = d } }
 
--- a/internal/call/kqsend/client.go
+++ b/internal/call/kqsend/client.go
@@ -55,6 +55,9 @@
 		// variesSilenceTimeout is set if calls that are not idempotent and streamed
 		// responses have a longer silence timeout.
 		variesSilenceTimeout bool
+		// announcedBody is the least size in bytes of the bodies that are announced before
+		// they are sent, 0 for none.
+		announcedBody int
 		// matches reports whether the response belongs to the call; if nil, call ids are
 		// compared.
 		matches     func(*kqcall.Call) bool
@@ -107,6 +110,11 @@
 // its caller could not tell whether it ran and could not safely make it again.
 func WithSilenceTimeout() Option { return func(c *Client) { c.variesSilenceTimeout = true } }
 
+// WithAnnouncedBodies announces each body of at least the given size in bytes, and sends it once
+// the peer asks for it. A body that the peer declines has not been sent, and its call has not
+// run.
+func WithAnnouncedBodies(least int) Option { return func(c *Client) { c.announcedBody = least } }
+
 // WithResponseMatcher sets the function that reports whether a response belongs to the
 // call that was sent, for peers that do not use this mesh's headers.
 func WithResponseMatcher(f func(*kqcall.Call) bool) Option { return func(c *Client) { c.matches = f } }
--- a/internal/call/kqsend/exchange.go
+++ b/internal/call/kqsend/exchange.go
@@ -14,7 +14,7 @@
 
 const (
 	// connectionLimitRetryAfter is the RetryAfter of calls refused because all connections
-	// are in use.
+	// are in use, or because the peer has no room for their bodies.
 	connectionLimitRetryAfter = time.Second
 	// earlyResponseTimeout bounds reading a response that has already arrived, in case it
 	// is incomplete.
@@ -111,7 +111,15 @@
 	if c.variesSilenceTimeout {
 		n.setSilenceTimeout(!call.Idempotent)
 	}
-	err := writeRequest(call.Request, n.writer)
+	var err error
+	if c.announcedBody > 0 && len(call.Request.Body()) >= c.announcedBody {
+		if err = n.announceBody(call); err != nil {
+			return err
+		}
+		_, err = n.writer.Write(call.Request.Body())
+	} else {
+		err = writeRequest(call.Request, n.writer)
+	}
 	if err == nil {
 		err = n.writer.Flush()
 	}
@@ -189,7 +197,7 @@
 
 func connectFailureOutcome(err error, deadline time.Time) kqcall.Outcome {
 	switch {
-	case errors.Is(err, errConnectionLimit):
+	case errors.Is(err, errConnectionLimit), errors.Is(err, errBodyDeclined):
 		o := kqcall.Refuse(kqcall.QueueFull)
 		o.RetryAfter = connectionLimitRetryAfter
 		return o
--- a/internal/run/kqnode/body.go
+++ b/internal/run/kqnode/body.go
@@ -25,6 +25,9 @@
 	entryBodyWait = 250 * time.Millisecond
 	// noMemoryRetryAfter is the Retry-After of a call refused for lack of body memory.
 	noMemoryRetryAfter = time.Second
+	// bodyWaitParts divides the time until a call's deadline to get how long its body may wait
+	// for the link; the rest is for the upstream's work or for another server.
+	bodyWaitParts = 4
 	// rejectedBodyLimit is the body limit, in bytes, of a request without reserved
 	// memory; the HTTP library rejects a larger body.
 	rejectedBodyLimit = 1
@@ -75,6 +78,21 @@
 	}
 }
 
+// allowBody waits until the node's link has room for a large body that another node announces,
+// and reports false if it has none within the body's share of the time until the deadline.
+func (n *Node) allowBody(h *fasthttp.RequestHeader) bool {
+	if n.inbound == nil {
+		return true
+	}
+	wait, allowed := n.inbound.Reserve(h.ContentLength(), kqcall.ReadTimeLeft(h)/bodyWaitParts, time.Now())
+	if !allowed {
+		n.bodies.ReleaseRequest(h)
+		return false
+	}
+	time.Sleep(wait)
+	return true
+}
+
 // noMemoryOutcome returns the outcome of a call refused for lack of body memory.
 func noMemoryOutcome() kqcall.Outcome {
 	o := kqcall.Refuse(kqcall.NoMemory)
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -17,6 +17,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqnesting"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqallowance"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqinbound"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqconditionlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqrecord"
@@ -79,6 +80,10 @@
 		bound := kqallowance.Bound{Ratio: c.RepeatRatio, Slack: c.RepeatSlack}
 		entry = append(entry, kqentry.WithRetryBound(bound, n.table.LiveCount))
 	}
+	if n.settings.Node.LinkMbits > 0 {
+		n.inbound = kqinbound.New(n.settings.Node.LinkMbits)
+		gate = append(gate, kqgate.WithBodyBacklog(n.inbound.Backlog))
+	}
 	n.gate = kqgate.New(n.local, gate...)
 	n.entry = kqentry.New(n.settings.Node.Name, n.replica, n.table, n.gate, entry...)
 	n.servers = callServers{
@@ -87,6 +92,7 @@
 		gate:  n.newServer(n.gate.Serve, n.metrics.GateCallEnded, n.settings.Call.ReadTimeout/2),
 		ready: n.newServer(n.serveReady, func(kqcall.Outcome) {}, 0),
 	}
+	n.servers.gate.ContinueHandler = n.allowBody
 }
 
 // coldStart returns what the upstreams of a call's service bear while they are cold, by the
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -22,6 +22,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqreplica"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqinbound"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqbroadcast"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqbudget"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
@@ -119,10 +120,12 @@
 		recorder             *kqrecord.Recorder
 		supervisor           *kqsupervisor.Supervisor
 		bodies               *kqbody.Limiter
-		storeUnavailable     atomic.Bool
-		recentEvents         kqevents.History
-		memberProcesses      memberProcesses
-		memberLog            *kqmemberlog.Log
+		// inbound is nil if the settings do not state the link's bandwidth.
+		inbound          *kqinbound.Link
+		storeUnavailable atomic.Bool
+		recentEvents     kqevents.History
+		memberProcesses  memberProcesses
+		memberLog        *kqmemberlog.Log
 		// suspicions is nil if the settings switch the quarantine off.
 		suspicions *kqsuspicion.Suspicions
 		// evacuated are the evacuated failure domains of the snapshot in force.
