--- a/internal/config/kqsnapshot/workspace.go
+++ b/internal/config/kqsnapshot/workspace.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
+	"math/bits"
 	"slices"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
@@ -14,6 +15,9 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
+// keyIDBits is the length of a KeyID.
+const keyIDBits = 64
+
 type (
 	// KeyID identifies an API key by the first 8 bytes of its digest, from which the key
 	// cannot be found. Unlike the key, it may be sent to other nodes and logged.
@@ -26,10 +30,14 @@
 		parts map[kqresource.Digest][]kqdocument.Workspace
 		// all is sorted by name.
 		all []kqdocument.Workspace
-		// keys is sorted by digest, and byID finds the first key of an id in it. Two keys of
-		// one id are not expected, but possible.
+		// keys is sorted by digest.
 		keys []workspaceKey
-		byID map[KeyID]int32
+		// starts divides keys into buckets by the first bits of their digests, which are
+		// uniform: bucket b is keys[starts[b]:starts[b+1]], and holds about one key. A look-up
+		// thus reads two places in memory. In a map among 100,000 keys it took twice as long.
+		starts []uint32
+		// shift is by how many bits an id is shifted to get its bucket.
+		shift uint
 	}
 
 	workspaceKey struct {
@@ -54,13 +62,30 @@
 		}
 	}
 	slices.SortFunc(x.keys, func(a, b workspaceKey) int { return slices.Compare(a.digest[:], b.digest[:]) })
-	x.byID = make(map[KeyID]int32, len(x.keys))
-	for i := len(x.keys) - 1; i >= 0; i-- {
-		x.byID[idOf(&x.keys[i].digest)] = int32(i)
-	}
+	x.divide()
 	return x, nil
 }
 
+// divide sets starts and shift for the sorted keys.
+func (x *workspaceIndex) divide() {
+	bucketBits := uint(bits.Len(uint(len(x.keys))))
+	x.shift = keyIDBits - bucketBits
+	x.starts = make([]uint32, 1<<bucketBits+1)
+	for i := range x.keys {
+		x.starts[idOf(&x.keys[i].digest)>>x.shift+1]++
+	}
+	for b := range len(x.starts) - 1 {
+		x.starts[b+1] += x.starts[b]
+	}
+}
+
+// bucket returns the keys among which those of the id are. Two keys of one id are not expected,
+// but possible.
+func (x *workspaceIndex) bucket(id KeyID) []workspaceKey {
+	b := id >> x.shift
+	return x.keys[x.starts[b]:x.starts[b+1]]
+}
+
 func idOf(digest *[sha256.Size]byte) KeyID { return KeyID(binary.BigEndian.Uint64(digest[:])) }
 
 // HasWorkspaces reports whether the version has workspaces, so that callers need API keys.
@@ -84,25 +109,22 @@
 	return &all[i]
 }
 
-// WorkspaceOfKey returns the workspace that holds an API key and the key's id, or nil if none
-// does. The digests are compared in constant time, so that the time of a refusal tells
-// nothing about the keys that exist.
+// WorkspaceOfKey returns the workspace that holds an API key, or nil if none does, and the key's
+// id. The digests are compared in constant time, so that the time of a refusal tells nothing
+// about the keys that exist.
 func (s *Snapshot) WorkspaceOfKey(key []byte) (*kqdocument.Workspace, KeyID) {
-	if s.workspaces == nil {
+	if s.workspaces == nil || len(key) == 0 {
 		return nil, 0
 	}
 	x, digest := s.workspaces, sha256.Sum256(key)
 	id := idOf(&digest)
-	first, ok := x.byID[id]
-	if !ok {
-		return nil, 0
-	}
-	for i := int(first); i < len(x.keys) && idOf(&x.keys[i].digest) == id; i++ {
-		if subtle.ConstantTimeCompare(x.keys[i].digest[:], digest[:]) == 1 {
-			return &x.all[x.keys[i].workspace], id
+	bucket := x.bucket(id)
+	for i := range bucket {
+		if subtle.ConstantTimeCompare(bucket[i].digest[:], digest[:]) == 1 {
+			return &x.all[bucket[i].workspace], id
 		}
 	}
-	return nil, 0
+	return nil, id
 }
 
 // HoldsKey reports whether a workspace holds a key of the id.
@@ -111,12 +133,8 @@
 		return false
 	}
 	x := s.workspaces
-	first, ok := x.byID[id]
-	if !ok {
-		return false
-	}
-	for i := int(first); i < len(x.keys) && idOf(&x.keys[i].digest) == id; i++ {
-		if x.all[x.keys[i].workspace].Name == w {
+	for _, k := range x.bucket(id) {
+		if idOf(&k.digest) == id && x.all[k.workspace].Name == w {
 			return true
 		}
 	}
