Unknown keys: ask two peers first; removed keys: refuse waiting calls

Cause: a node that a new version has not reached yet refused its keys as unknown. A node that has never had a peer, and whose store answers, counts as the newest. Refusals record the route, the version and the key's id. The gate refuses a call with key_revoked when it gets its slot if its own version, at least the entry's, lacks the key; so does the entry before each attempt.

--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -118,6 +118,8 @@
 		// rates and freshness are nil if no option sets them.
 		rates     Rates
 		freshness Freshness
+		// isRevoked reports whether the call's API key has been removed since it was accepted.
+		isRevoked func(*kqcall.Call) bool
 
 		idPrefix    string
 		sequence    atomic.Uint64
@@ -222,6 +224,7 @@
 		// The random prefix keeps ids unique across nodes and across restarts of a node.
 		idPrefix:         strconv.FormatUint(rand.Uint64(), 36) + "-",
 		returningCallers: newReturningCallers(), hints: hints{byNode: make(map[kqname.Node]heldHint)}, nesting: kqnesting.New(), quarantine: noopQuarantine{},
+		isRevoked: func(*kqcall.Call) bool { return false },
 	}
 	for _, o := range options {
 		o(e)
@@ -235,3 +238,9 @@
 	}
 	return e
 }
+
+// newID returns an id that is unique among all nodes' calls.
+func (e *Entry) newID(sequence uint64) kqcall.ID {
+	var space [32]byte
+	return kqcall.ID(strconv.AppendUint(append(space[:0], e.idPrefix...), sequence, 36))
+}
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -161,6 +160,7 @@
 		}
 		return o
 	}
+	f.version = snapshot.Version()
 	if snapshot.HasWorkspaces() {
 		var o kqcall.Outcome
 		if snapshot, route, o = e.authenticate(f, snapshot, route); o.Result != kqcall.Answered {
@@ -168,7 +168,6 @@
 		}
 		now = e.now()
 	}
-	f.version = snapshot.Version()
 	found, _ := snapshot.Service(route.Choose(rand.Float64()))
 	applyConfig(c, route, found, now)
 	if f.parent != nil {
@@ -254,6 +253,9 @@
 		if criteria, refusal = e.admitSuspect(c, criteria); refusal.Result != kqcall.Answered {
 			return combined(refusal, possibleRuns)
 		}
+		if e.isRevoked(c) {
+			return combined(kqcall.Refuse(kqcall.KeyRevoked), possibleRuns)
+		}
 		now := e.now()
 		c.Version = criteria.Version
 		to, gate, attempt := s.pick(c, e.directory.Upstreams(c.Service), criteria, tried, now)
@@ -391,9 +393,3 @@
 	e.hints.update(to.Node, kqcall.ReadHint(&c.Response.Header), o, sent, e.now())
 	return o, load, hasLoad && load.Slots > 0, true
 }
-
-// newID returns an id that is unique among all nodes' calls.
-func (e *Entry) newID(sequence uint64) kqcall.ID {
-	var space [32]byte
-	return kqcall.ID(strconv.AppendUint(append(space[:0], e.idPrefix...), sequence, 36))
-}
--- a/internal/call/kqentry/workspace.go
+++ b/internal/call/kqentry/workspace.go
@@ -1,6 +1,7 @@
 package kqentry
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
@@ -35,6 +36,12 @@
 // the node's configuration counts as the newest.
 func WithFreshness(f Freshness) Option { return func(e *Entry) { e.freshness = f } }
 
+// WithRevocation sets the function that reports whether the API key of a call has been removed
+// since the call was accepted. It is asked before each attempt.
+func WithRevocation(isRevoked func(*kqcall.Call) bool) Option {
+	return func(e *Entry) { e.isRevoked = isRevoked }
+}
+
 // authenticate sets the call's workspace: that of the call that it is nested in, or that of its
 // API key, which it removes. If the key is known only to a newer version than the given one, it
 // returns the snapshot and the route by which the key is valid.
@@ -48,11 +55,21 @@
 	key := kqcall.ReadKey(e.dialect, &c.Request.Header)
 	w, id := snapshot.WorkspaceOfKey(key)
 	if w == nil && len(key) > 0 && !route.AllowAnonymous && e.freshness != nil {
+		// The wait depends on the call's deadline.
+		found, _ := snapshot.Service(route.Choose(rand.Float64()))
+		applyConfig(c, route, found, e.now())
 		confirmed, refusal := e.freshness.Confirm(c), kqcall.NoReason
-		if snapshot, route, refusal = e.match(c, e.now()); refusal != kqcall.NoReason {
+		if snapshot, route, refusal = e.match(c, e.now()); refusal == kqcall.NoConfig {
+			return snapshot, route, refuseSoon(refusal)
+		} else if refusal != kqcall.NoReason {
 			return snapshot, route, kqcall.Refuse(refusal)
 		}
+		f.version = snapshot.Version()
+		if !snapshot.HasWorkspaces() {
+			return snapshot, route, kqcall.OK()
+		}
 		if w, id = snapshot.WorkspaceOfKey(key); w == nil && !confirmed {
+			c.KeyID = uint64(id)
 			return snapshot, route, refuseSoon(kqcall.UnverifiedKey)
 		}
 	}
@@ -65,6 +82,7 @@
 	case route.AllowAnonymous:
 		return snapshot, route, kqcall.OK()
 	case len(key) > 0:
+		c.KeyID = uint64(id)
 		return snapshot, route, kqcall.Refuse(kqcall.UnknownKey)
 	case f.info.ParentID != "":
 		// An upstream outlives the process beside it, which then does not know its calls.
--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -70,12 +70,12 @@
 		}
 	}()
 	if o = kqcall.RefuseQuarantined(); !g.quarantine.IsRefused(c.Fingerprint, g.now()) {
-		o = g.confirm(u, a, &p, cold)
+		o = g.confirm(u, a, c, &p, cold)
 	}
 	if o.Result != kqcall.Answered {
 		released = true
 		load := u.releaseSlot(t, o, false, 0, g.now())
-		if o.Reason != kqcall.Quarantined {
+		if o.Reason != kqcall.Quarantined && o.Reason != kqcall.KeyRevoked {
 			load = fullLoad(load)
 		}
 		return o, load
@@ -118,8 +118,12 @@
 }
 
 // confirm decides whether the upstream may get a call that has a slot, and returns kqcall.OK() if
-// so. What the upstream bears may have changed while the call waited.
-func (g *Gate) confirm(u *upstream, a kqlocal.Announcement, p *permit, cold ColdStart) kqcall.Outcome {
+// so. What the upstream bears may have changed while the call waited, and the call's API key may
+// have been removed.
+func (g *Gate) confirm(u *upstream, a kqlocal.Announcement, c *kqcall.Call, p *permit, cold ColdStart) kqcall.Outcome {
+	if g.isRevoked(c) {
+		return kqcall.Refuse(kqcall.KeyRevoked)
+	}
 	if u.condition.isLeaving() {
 		return kqcall.Refuse(kqcall.Draining)
 	}
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -81,6 +81,9 @@
 		quarantine Quarantine
 		// evacuated reports whether the gate's failure domain is evacuated.
 		evacuated func() bool
+		// isRevoked reports whether the call's API key has been removed since its entry
+		// accepted it.
+		isRevoked func(*kqcall.Call) bool
 		// coldStart returns what the upstreams of the call's service bear while they are cold.
 		coldStart func(*kqcall.Call) ColdStart
 		// started is when the gate was created, at the start of the process.
@@ -169,6 +172,7 @@
 func New(local Finder, options ...Option) *Gate {
 	g := &Gate{
 		local: local, withdrawer: noop{}, observer: noop{}, guard: noop{}, quarantine: noop{}, evacuated: func() bool { return false },
+		isRevoked: func(*kqcall.Call) bool { return false },
 		coldStart: func(*kqcall.Call) ColdStart { return ColdStart{} }, started: time.Now(), counter: noop{}, recorder: noopRecorder{}, conditions: noop{}, onDeparture: func(kqlocal.Announcement, time.Time) {}, now: time.Now, watcher: kqdisconnect.New(),
 		upstreams: make(map[upstreamKey]*upstream), hints: make(map[kqname.Address]kqcall.Hint), nesting: kqnesting.New(),
 		queue: func(slots int, address kqname.Address) queue {
--- a/internal/call/kqgate/options.go
+++ b/internal/call/kqgate/options.go
@@ -29,6 +29,12 @@
 // evacuated. The gate then refuses all calls.
 func WithEvacuation(evacuated func() bool) Option { return func(g *Gate) { g.evacuated = evacuated } }
 
+// WithRevocation sets the function that reports whether the API key of a call has been removed
+// since its entry accepted it. Such a call is refused when it gets its slot.
+func WithRevocation(isRevoked func(*kqcall.Call) bool) Option {
+	return func(g *Gate) { g.isRevoked = isRevoked }
+}
+
 // WithDeparture sets the function that is called with each upstream that says in an answer
 // that it leaves, and for which calls still come.
 func WithDeparture(f func(kqlocal.Announcement, time.Time)) Option {
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -61,6 +61,8 @@
 		kqentry.WithForgedHeadersHandler(n.securityMetrics.ForgedHeaders), kqentry.WithSupervisor(n.supervisor))
 	gateSuspicion, entrySuspicion := n.suspicionOptions()
 	gate, entry = append(gate, gateSuspicion...), append(entry, entrySuspicion...)
+	gateWorkspaces, entryWorkspaces := n.workspaceOptions()
+	gate, entry = append(gate, gateWorkspaces...), append(entry, entryWorkspaces...)
 	nesting := kqnesting.New()
 	gate, entry = append(gate, kqgate.WithNesting(nesting)), append(entry, kqentry.WithNesting(nesting))
 	if n.settings.Call.SlotMode == slotsExact {
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -123,6 +123,8 @@
 		recentEvents         kqevents.History
 		memberProcesses      memberProcesses
 		memberLog            *kqmemberlog.Log
+	// hadPeer is set once the node has known another node.
+	hadPeer atomic.Bool
 		// suspicions is nil if the settings switch the quarantine off.
 		suspicions *kqsuspicion.Suspicions
 		// evacuated are the evacuated failure domains of the snapshot in force.
@@ -202,6 +204,7 @@
 		Incarnation: uint64(n.started.UnixMilli()), Process: uint64(n.started.UnixMilli()),
 	})
 	n.table.OnChange(n.logMember)
+	n.table.OnChange(n.recordPeer)
 	if n.adapter.OnResponse != nil {
 		n.adapter.OnResponse(n.recordStoreCall)
 	}
