Operators see workspaces and change their keys

Cause: workspaces could be changed in whole documents only, and no line, number or explanation told why a call with an API key was refused. A console form would have dropped a route's allow_anonymous. Lines name a key by the first 16 digits of its digest, by which operators find it in the document. Pointers of problems in lists are now JSON pointers (key_digests/0, not [0]).

--- a/internal/admin/kqadmin/api_test.go
+++ b/internal/admin/kqadmin/api_test.go
@@ -39,6 +39,8 @@
 		{"another team's service removed", "fatou", "DELETE", "/v1/services/store", "", 403, kqproblem.Forbidden, "/services/store"},
 		{"rollout of another team's service", "fatou", "PUT", "/v1/rollouts/x", `{"item":{"team":"press","service":"store","from":"v1","to":"v2","start":"2030-01-01T00:00:00Z","deadline":"2030-01-02T00:00:00Z","policy":"careful"}}`, 403, kqproblem.Forbidden, "/rollouts/x"},
 		{"a member's own quota", "mika", "PUT", "/v1/teams/shop", `{"item":{"max_routes":100}}`, 403, kqproblem.Forbidden, "/teams/shop"},
+		{"a workspace by a member", "mika", "PUT", "/v1/workspaces/acme", `{"item":{}}`, 403, kqproblem.Forbidden, "/workspaces/acme"},
+		{"a malformed key digest", "ana", "PUT", "/v1/workspaces/acme", `{"item":{"key_digests":["key"]}}`, 422, kqproblem.Invalid, "/item/key_digests/0"},
 		{"an evacuation by a member", "mika", "PUT", "/v1/evacuations/south", `{"item":{}}`, 403, kqproblem.Forbidden, "/evacuations/south"},
 		{"2 MB document", "ana", "PUT", "/v1/document", `{"base":1,"document":{"teams":[{"name":"` + strings.Repeat("a", 2<<20) + `"}]}}`, 413, kqproblem.TooLarge, ""},
 		{"route to a missing service", "mika", "PUT", "/v1/routes/sale", strings.Replace(newRoute, `"service":"store"`, `"service":"gone"`, 1), 422, kqproblem.Invalid, "/item/service"},
@@ -187,7 +189,7 @@
 	}
 	paths := description["paths"].(map[string]any)
 	fill := strings.NewReplacer("{version}", "1", "/requests/{name}", "/requests/first", "/fleet/{name}", "/fleet/one", "/services/{name}", "/services/store",
-		"/routes/{name}", "/routes/store", "/policies/{name}", "/policies/careful", "/teams/{name}", "/teams/shop", "/evacuations/{name}", "/evacuations/north")
+		"/routes/{name}", "/routes/store", "/policies/{name}", "/policies/careful", "/teams/{name}", "/teams/shop", "/evacuations/{name}", "/evacuations/north", "/workspaces/{name}", "/workspaces/acme")
 	requested := 0
 	for path, methods := range paths {
 		for method, operation := range methods.(map[string]any) {
--- a/internal/admin/kqadmin/console_test.go
+++ b/internal/admin/kqadmin/console_test.go
@@ -1,6 +1,7 @@
 package kqadmin_test
 
 import (
+	"fmt"
 	"html"
 	"io"
 	"net/http"
@@ -102,7 +103,7 @@
 	for path, want := range map[string]string{
 		"/": "Version 2 by mika", "/routes/edit/sale": "X-Kind: maple", "/history": "mika", "/history/2": "/sale",
 		"/fleet": "1 behind", "/fleet/one": "config_refused", "/moves": "taken back", "/platform": "answers", "/audit": "put of routes.sale",
-		"/services": "store", "/rollouts/new": "choose …", "/rollouts": "None yet", "/policies": "careful", "/teams": "shop", "/evacuations": "north",
+		"/services": "store", "/rollouts/new": "choose …", "/rollouts": "None yet", "/policies": "careful", "/teams": "shop", "/evacuations": "north", "/workspaces": "0a0a0a0a0a0a0a0a 0b0b0b0b0b0b0b0b",
 	} {
 		if status, page := b.get(path); status != 200 || !strings.Contains(page, want) {
 			t.Errorf("GET %s: status %d, page lacks %q", path, status, want)
@@ -187,3 +188,41 @@
 		t.Error("the browser does not have exactly one cookie")
 	}
 }
+
+// Guards against a form that drops a workspace's keys, or a route's permission for anonymous
+// calls, when an operator changes another field: all callers would be refused.
+func TestFormsKeepWhoMayCall(t *testing.T) {
+	s := newTestServer(t)
+	if status, answer := s.request("ana", "PUT", "/v1/routes/store", `{"item":{"team":"shop","host":"store","path_prefix":"/","service":"store","allow_anonymous":true}}`); status != 200 {
+		t.Fatal(answer)
+	}
+	b := newBrowser(t, s, "ana")
+	_, page := b.get("/workspaces/edit/acme")
+	digests := regexp.MustCompile(`(?s)name="f_key_digests"[^>]*>([^<]*)</textarea>`).FindStringSubmatch(page)
+	if digests == nil {
+		t.Fatal("the form lacks the key digests")
+	}
+	if status, page := b.post("/workspaces/change", changeForm(page, url.Values{
+		"f_name": {"acme"}, "f_rate_per_s": {"12.5"}, "f_key_digests": {digests[1]}, "action": {"commit"},
+	})); status != 200 {
+		t.Fatalf("commit of the workspace: %d %s", status, page)
+	}
+	_, page = b.get("/routes/edit/store")
+	if !strings.Contains(page, `name="f_allow_anonymous" checked`) {
+		t.Error("the form of a route lacks that it allows anonymous calls")
+	}
+	if status, page := b.post("/routes/change", changeForm(page, url.Values{
+		"f_name": {"store"}, "f_team": {"shop"}, "f_host": {"store"}, "f_path_prefix": {"/"}, "f_service": {"store"},
+		"f_timeout_ms": {"700"}, "f_allow_anonymous": {"on"}, "action": {"commit"},
+	})); status != 200 {
+		t.Fatalf("commit of the route: %d %s", status, page)
+	}
+	_, workspace := s.request("ana", "GET", "/v1/workspaces/acme", "")
+	_, route := s.request("ana", "GET", "/v1/routes/store", "")
+	if text := fmt.Sprint(workspace); !strings.Contains(text, "rate_per_s:12.5") || !strings.Contains(text, strings.Repeat("0b", 32)) {
+		t.Errorf("the form left the workspace as %s", text)
+	}
+	if text := fmt.Sprint(route); !strings.Contains(text, "timeout_ms:700") || !strings.Contains(text, "allow_anonymous:true") {
+		t.Errorf("the form left the route as %s", text)
+	}
+}
--- a/internal/admin/kqadmin/harness_test.go
+++ b/internal/admin/kqadmin/harness_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -113,6 +114,7 @@
 			{Name: "gallery", Team: "press", Host: "gallery", PathPrefix: "/", Service: "gallery"},
 		},
 		Evacuations: []kqdocument.Evacuation{{Name: "north"}},
+		Workspaces:  []kqdocument.Workspace{{Name: "acme", KeyDigests: []string{strings.Repeat("0a", 32), strings.Repeat("0b", 32)}}},
 	}
 }
 
--- a/internal/admin/kqapi/operations.go
+++ b/internal/admin/kqapi/operations.go
@@ -88,8 +88,8 @@
 
 var (
 	// kindOrder is the order of the item kinds in the operation table.
-	kindOrder = []string{"services", "routes", "rollouts", "policies", "teams", "evacuations"}
-	singular  = map[string]string{"services": "service", "routes": "route", "rollouts": "rollout", "policies": "policy", "teams": "team", "evacuations": "evacuation"}
+	kindOrder = []string{"services", "routes", "rollouts", "policies", "teams", "evacuations", "workspaces"}
+	singular  = map[string]string{"services": "service", "routes": "route", "rollouts": "rollout", "policies": "policy", "teams": "team", "evacuations": "evacuation", "workspaces": "workspace"}
 )
 
 func (a *API) buildOperations() []operation {
--- a/internal/admin/kqchange/kind.go
+++ b/internal/admin/kqchange/kind.go
@@ -42,6 +42,10 @@
 			items: func(d *kqdocument.Document) *[]kqdocument.Team { return &d.Teams },
 			name:  func(t *kqdocument.Team) *kqname.Team { return &t.Name },
 		},
+		"workspaces": kind[kqdocument.Workspace, kqname.Workspace]{
+			items: func(d *kqdocument.Document) *[]kqdocument.Workspace { return &d.Workspaces },
+			name:  func(w *kqdocument.Workspace) *kqname.Workspace { return &w.Name },
+		},
 		"evacuations": kind[kqdocument.Evacuation, kqname.Domain]{
 			items: func(d *kqdocument.Document) *[]kqdocument.Evacuation { return &d.Evacuations },
 			name:  func(e *kqdocument.Evacuation) *kqname.Domain { return &e.Name },
--- a/internal/admin/kqchange/permission.go
+++ b/internal/admin/kqchange/permission.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqproblem"
@@ -11,6 +12,9 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
+// adminKinds are the kinds of items that belong to no team.
+var adminKinds = []string{"teams", "policies", "evacuations", "workspaces"}
+
 // ownership holds the fields of a changed item that decide which team may
 // change it.
 type ownership struct {
@@ -43,7 +47,7 @@
 // denialReason returns why a member may not make a change, or "" if allowed.
 func denialReason(o kqoperator.Operator, next kqdocument.Document, c kqdocument.Change) string {
 	kind, _, _ := strings.Cut(c.Item, ".")
-	if kind == "teams" || kind == "policies" || kind == "evacuations" {
+	if slices.Contains(adminKinds, kind) {
 		return "only admins change " + kind
 	}
 	for _, raw := range []json.RawMessage{c.Before, c.After} {
--- a/internal/admin/kqchange/validation.go
+++ b/internal/admin/kqchange/validation.go
@@ -14,6 +14,10 @@
 // index and field.
 var pathPattern = regexp.MustCompile(`^([a-z_]+)\[(\d+)\]\.?(.*)$`)
 
+// pointerReplacer turns the field's part of a path, such as "key_digests[0]", into one of a JSON
+// pointer.
+var pointerReplacer = strings.NewReplacer(".", "/", "[", "/", "]", "")
+
 // validationProblem converts validation errors into a problem with JSON pointers:
 // below /item if the error is in the edited item, else below /document, which means
 // the edited document even if the request body has only an item.
@@ -36,7 +40,7 @@
 	if parts == nil {
 		return kqproblem.Field{Pointer: "/document/" + p.Path, Detail: p.Message}
 	}
-	kind, field := parts[1], strings.ReplaceAll(parts[3], ".", "/")
+	kind, field := parts[1], pointerReplacer.Replace(parts[3])
 	index, err := strconv.Atoi(parts[2])
 	k, known := Kinds[kind]
 	if err != nil || !known {
--- a/internal/admin/kqconsole/form.go
+++ b/internal/admin/kqconsole/form.go
@@ -21,6 +21,7 @@
 	typeSelect  inputType = "select"
 	typeCheck   inputType = "check"
 	typeHeaders inputType = "headers"
+	typeLines   inputType = "lines"
 
 	// timeLayout and timeSecondsLayout are the formats of a datetime-local input,
 	// without and with seconds; its values are UTC.
@@ -75,6 +76,7 @@
 		{Name: "service", Label: "Service", Type: typeSelect, Required: true, options: serviceOptions},
 		{Name: "timeout_ms", Label: "Timeout (ms)", Type: typeNumber, Help: "Empty takes the service's."},
 		{Name: "class", Label: "Class", Type: typeSelect, options: fixedOptions("", "critical", "normal", "background"), Help: "Whom the fleet serves first when it is full."},
+		{Name: "allow_anonymous", Label: "Calls need no API key", Type: typeCheck, Help: "Matters only in a document with workspaces."},
 		{Name: "idempotent", Label: "Calls may run twice without harm", Type: typeCheck, Help: "GET, HEAD, OPTIONS and TRACE are taken to be so."},
 	}},
 	"rollouts": {Kind: "rollouts", One: "rollout", About: "A rollout moves a service's traffic from one upstream version to another by its deadline, or takes it back.", Fields: []field{
@@ -91,6 +93,13 @@
 	"evacuations": {Kind: "evacuations", One: "evacuation", AdminOnly: true, About: "An evacuation keeps all calls away from the upstreams of a failure domain until it is removed.", Fields: []field{
 		{Name: "name", Label: "Failure domain", Type: typeText, Required: true},
 	}},
+	"workspaces": {Kind: "workspaces", One: "workspace", AdminOnly: true, About: "A workspace is a tenant whose callers identify themselves by API keys.", Fields: []field{
+		{Name: "name", Label: "Name", Type: typeText, Required: true},
+		{Name: "class", Label: "Class", Type: typeSelect, options: fixedOptions("", "critical", "normal", "background"), Help: "Goes before the class of the route; empty leaves it to the route."},
+		{Name: "rate_per_s", Label: "Calls a second", Type: typeShare, Help: "Over all nodes together; empty sets no limit."},
+		{Name: "burst", Label: "Burst", Type: typeShare, Help: "Calls beyond the rate at once."},
+		{Name: "key_digests", Label: "Key digests", Type: typeLines, Help: "One a line: the SHA-256 digest of an API key in lower-case hex, never the key itself."},
+	}},
 	"policies": {Kind: "policies", One: "policy", AdminOnly: true, About: "A policy says how rollouts are judged.", Fields: []field{
 		{Name: "name", Label: "Name", Type: typeText, Required: true},
 		{Name: "prefer", Label: "Without enough evidence at the deadline", Type: typeSelect, Required: true, options: fixedOptions("finishing", "taking_back")},
@@ -159,6 +168,8 @@
 		return true, true, nil
 	case typeHeaders:
 		return parseHeaders(text)
+	case typeLines:
+		return strings.Fields(text), true, nil
 	default:
 		return text, true, nil
 	}
@@ -176,6 +187,12 @@
 		return ""
 	case float64:
 		return strconv.FormatFloat(v, 'f', -1, 64)
+	case []any:
+		lines := make([]string, 0, len(v))
+		for _, item := range v {
+			lines = append(lines, fmt.Sprint(item))
+		}
+		return strings.Join(lines, "\n")
 	case map[string]any:
 		var lines []string
 		for name, text := range v {
--- a/internal/admin/kqconsole/show.go
+++ b/internal/admin/kqconsole/show.go
@@ -12,6 +12,9 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 )
 
+// keyIDLength is the length of a key's id in hex digits.
+const keyIDLength = 16
+
 type (
 	// difference lists the changed fields of one item.
 	difference struct {
@@ -41,7 +44,7 @@
 )
 
 // omittedInLists names the fields that list pages omit to limit the table width.
-var omittedInLists = []string{"headers", "refusal_means_not_run", "idempotent", "timeout_ms", "cancelled"}
+var omittedInLists = []string{"headers", "refusal_means_not_run", "idempotent", "timeout_ms", "cancelled", "allow_anonymous"}
 
 var functions = template.FuncMap{
 	"clock": func(t time.Time) string {
@@ -116,10 +119,23 @@
 		r := row{Name: fmt.Sprint(item["name"])}
 		for _, field := range f.Fields {
 			if field.Name != "name" && !slices.Contains(omittedInLists, field.Name) {
-				r.Cells = append(r.Cells, cell{Label: field.Label, Value: field.format(item[field.Name])})
+				value := field.format(item[field.Name])
+				if field.Type == typeLines {
+					value = shortLines(value)
+				}
+				r.Cells = append(r.Cells, cell{Label: field.Label, Value: value})
 			}
 		}
 		rows = append(rows, r)
 	}
 	return rows, nil
 }
+
+// shortLines cuts each line to the length of a key's id, by which log lines name it.
+func shortLines(text string) string {
+	lines := strings.Fields(text)
+	for i, line := range lines {
+		lines[i] = line[:min(len(line), keyIDLength)]
+	}
+	return strings.Join(lines, " ")
+}
--- a/internal/run/kqcommand/command.go
+++ b/internal/run/kqcommand/command.go
@@ -69,6 +69,7 @@
 	c.addStatus()
 	c.addRequests()
 	c.addItem()
+	c.addWorkspaces()
 	c.addMeasureRollouts()
 	c.addReplay()
 	c.addExplain()
--- a/internal/run/kqcommand/item.go
+++ b/internal/run/kqcommand/item.go
@@ -36,7 +36,7 @@
 // the administration API, with an operator's token. The document commands instead
 // access the platform directly.
 func (c *Command) addItem() {
-	parent := c.app.Command("item", "List, show, put and delete services, routes, rollouts, policies, teams and evacuations by the administration API.")
+	parent := c.app.Command("item", "List, show, put and delete services, routes, rollouts, policies, teams, evacuations and workspaces by the administration API.")
 	c.addItemShow(parent)
 	c.addItemPut(parent)
 	c.addItemDelete(parent)
@@ -144,8 +144,8 @@
 }
 
 func addKindArgument(clause *kingpin.CmdClause) *string {
-	return clause.Arg("kind", "services, routes, rollouts, policies, teams or evacuations.").Required().
-		Enum("services", "routes", "rollouts", "policies", "teams", "evacuations")
+	return clause.Arg("kind", "services, routes, rollouts, policies, teams, evacuations or workspaces.").Required().
+		Enum("services", "routes", "rollouts", "policies", "teams", "evacuations", "workspaces")
 }
 
 func readItem(file string) (json.RawMessage, error) {
--- a/internal/run/kqexplain/explain_test.go
+++ b/internal/run/kqexplain/explain_test.go
@@ -22,6 +22,8 @@
 {"time":"2026-01-02T03:04:09.001Z","node":"a","part":"call","event":"ended","id":"r3","result":"answered","status":500,"service":"front","took_ms":90,"tries":[{"to":"c","result":"answered","status":500,"took_ms":89}]}
 {"time":"2026-01-02T03:04:09.100Z","node":"a","part":"call","event":"ended","id":"r4","result":"not_run","reason":"limited","status":503,"service":"wood","retry_after_ms":400,"tries":[{"to":"d","result":"not_run","reason":"limited"}]}
 {"time":"2026-01-02T03:04:09.200Z","node":"a","part":"call","event":"ended","id":"r5","result":"not_run","reason":"quarantined","status":503,"service":"wood","request":"330c"}
+{"time":"2026-01-02T03:04:09.300Z","node":"a","part":"call","event":"ended","id":"r6","result":"not_run","reason":"unknown_key","status":401,"route":"browse","version":7,"key":"00c0ffee00c0ffee"}
+{"time":"2026-01-02T03:04:09.400Z","node":"a","part":"call","event":"ended","id":"r7","result":"not_run","reason":"key_revoked","status":401,"workspace":"acme","version":7,"key":"00c0ffee00c0ffee","took_ms":80,"tries":[{"to":"b","result":"not_run","reason":"key_revoked"}]}
 words of somebody else
 {"time":"2026-01-02T03:04:10.000Z","node":"a","part":"call","event":"en`
 
@@ -41,6 +43,8 @@
 		"r1": {"Cause: overload. 1 gates of front had no room", "caller told to retry after 250 ms", "b alive for", "version in force for"},
 		"r4": {"Cause: limit. The last of 1 gates of wood, d,", "caller told to retry after 400 ms"},
 		"r5": {"Cause: quarantine. Upstreams ended under request 330c"},
+		"r6": {"Cause: unknown key.", "begins with 00c0ffee00c0ffee by version 7 at a"},
+		"r7": {"Cause: key revoked. The key of workspace acme", "valid by version 7", "at the gate of b for 80 ms"},
 		"r2": {"Cause: the upstream. The last attempt, to b, ended as cut", "b was marked", "marked dead at 03:04:08.000"},
 		"r3": {"Cause: a call that it caused. r3.1 ended as not_run, late"},
 	} {
--- a/internal/run/kqexplain/read.go
+++ b/internal/run/kqexplain/read.go
@@ -37,6 +37,9 @@
 		Status int       `json:"status"`
 		// Request is the fingerprint of the call's request.
 		Request string `json:"request"`
+		// Workspace is the call's tenant, and Key the id of its API key, a part of its digest.
+		Workspace string `json:"workspace"`
+		Key       string `json:"key"`
 
 		Route      string    `json:"route"`
 		Service    string    `json:"service"`
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -29,6 +29,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqrpc"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqsuspicion"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqevents"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeylog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqmemberlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqmetric"
@@ -123,8 +124,9 @@
 		recentEvents         kqevents.History
 		memberProcesses      memberProcesses
 		memberLog            *kqmemberlog.Log
-	// hadPeer is set once the node has known another node.
-	hadPeer atomic.Bool
+		keyLog               *kqkeylog.Log
+		// hadPeer is set once the node has known another node.
+		hadPeer atomic.Bool
 		// suspicions is nil if the settings switch the quarantine off.
 		suspicions *kqsuspicion.Suspicions
 		// evacuated are the evacuated failure domains of the snapshot in force.
--- a/internal/run/kqnode/workspace.go
+++ b/internal/run/kqnode/workspace.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
@@ -10,6 +11,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqfreshness"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeylog"
 )
 
 // askedPeers implements kqfreshness.Fleet by the node's table.
@@ -35,6 +37,7 @@
 // workspaceOptions returns the options that make the node's gate and entry check API keys
 // against the newest version.
 func (n *Node) workspaceOptions() ([]kqgate.Option, []kqentry.Option) {
+	n.keyLog = kqkeylog.New(n.logger.Part("call"))
 	freshness := kqfreshness.New(n.peers, n.client, n.settings.Node.Name, askedPeers{n}, n.distribution.distributor, n.Version, n.metrics, n.supervisor)
 	return []kqgate.Option{kqgate.WithRevocation(n.isRevoked)},
 		[]kqentry.Option{kqentry.WithFreshness(freshness), kqentry.WithRevocation(n.isRevoked)}
@@ -47,7 +50,11 @@
 		return false
 	}
 	s := n.replica.Current()
-	return s.Version() >= c.ConfigVersion && s.HasWorkspaces() && !s.HoldsKey(c.Workspace, kqsnapshot.KeyID(c.KeyID))
+	if s.Version() < c.ConfigVersion || !s.HasWorkspaces() || s.HoldsKey(c.Workspace, kqsnapshot.KeyID(c.KeyID)) {
+		return false
+	}
+	n.keyLog.Refused(c, time.Now())
+	return true
 }
 
 // recordPeer records that the node is not the only one.
--- a/internal/run/kqrecord/record.go
+++ b/internal/run/kqrecord/record.go
@@ -1,7 +1,7 @@
 package kqrecord
 
 import (
-	"strconv"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +12,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
 // minFailureStatus is the lowest HTTP status of an upstream that counts as a
@@ -33,6 +34,8 @@
 	// Counter counts suppressed lines and observes the durations of calls' stages.
 	Counter interface {
 		LineSuppressed(reason string)
+		// WorkspaceRefused counts a refused call of a workspace.
+		WorkspaceRefused(w kqname.Workspace, r kqcall.Reason)
 		// Took observes the duration of a stage: "call", "queue" or "upstream".
 		Took(stage string, d time.Duration)
 	}
@@ -64,6 +67,9 @@
 // was answered without a failure on its first attempt is a routine success.
 func (r *Recorder) Ended(e kqentry.Record, now time.Time) {
 	r.counter.Took("call", now.Sub(e.Call.Arrived))
+	if e.Call.Workspace != "" && e.Outcome.Result == kqcall.NotRun {
+		r.counter.WorkspaceRefused(e.Call.Workspace, e.Outcome.Reason)
+	}
 	routine := e.Outcome.Result == kqcall.Answered && e.Status < minFailureStatus && len(e.Attempts) == 1
 	if !r.shouldLog(e.Call.ID, "call "+string(e.Outcome.Reason), routine, now) {
 		return
@@ -77,7 +83,10 @@
 		fields["reason"] = e.Outcome.Reason
 	}
 	if c.Workspace != "" {
-		fields["workspace"], fields["key"] = c.Workspace, strconv.FormatUint(c.KeyID, 36)
+		fields["workspace"] = c.Workspace
+	}
+	if c.KeyID != 0 {
+		fields["key"] = fmt.Sprintf("%016x", c.KeyID)
 	}
 	if !c.Deadline.IsZero() {
 		fields["left_ms"] = milliseconds(c.Deadline.Sub(now))
@@ -110,6 +119,9 @@
 	if g.Call.Workspace != "" {
 		fields["workspace"] = g.Call.Workspace
 	}
+	if g.Outcome.Reason == kqcall.KeyRevoked {
+		fields["key"], fields["key_version"] = fmt.Sprintf("%016x", g.Call.KeyID), g.Call.ConfigVersion
+	}
 	if g.Outcome.Reason != kqcall.NoReason {
 		fields["reason"] = g.Outcome.Reason
 	}
--- a/internal/run/kqrecord/record_test.go
+++ b/internal/run/kqrecord/record_test.go
@@ -12,6 +12,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqrecord"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
 // suppressedLines is a kqrecord.Counter that counts the suppressed lines.
@@ -23,6 +24,9 @@
 // Took implements kqrecord.Counter; it ignores the durations of stages.
 func (c *suppressedLines) Took(string, time.Duration) {}
 
+// WorkspaceRefused implements kqrecord.Counter.
+func (c *suppressedLines) WorkspaceRefused(kqname.Workspace, kqcall.Reason) {}
+
 func newRecorder(t testing.TB, sample, perReason int, counter kqrecord.Counter) (*kqrecord.Recorder, *bytes.Buffer) {
 	t.Helper()
 	var out bytes.Buffer
