--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -30,6 +30,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqrpc"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqsuspicion"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqevents"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqkeylog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqmemberlog"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqmetric"
@@ -126,6 +127,9 @@
 		recentEvents     kqevents.History
 		memberProcesses  memberProcesses
 		memberLog        *kqmemberlog.Log
+		keyLog           *kqkeylog.Log
+		// hadPeer is set once the node has known another node.
+		hadPeer atomic.Bool
 		// suspicions is nil if the settings switch the quarantine off.
 		suspicions *kqsuspicion.Suspicions
 		// evacuated are the evacuated failure domains of the snapshot in force.
@@ -205,6 +209,7 @@
 		Incarnation: uint64(n.started.UnixMilli()), Process: uint64(n.started.UnixMilli()),
 	})
 	n.table.OnChange(n.logMember)
+	n.table.OnChange(n.recordPeer)
 	if n.adapter.OnResponse != nil {
 		n.adapter.OnResponse(n.recordStoreCall)
 	}
