kqshare: share a gate's slots between workspaces

Cause: waiting calls were ordered by route class and caller only, so that a workspace's share of an upstream grew with its calls and connections.

Change: waiting calls are ordered by the workspace's class (the route's class if it has none), nested calls first, then between workspaces by start-time fair queueing of expected work, then by the route's class within the workspace. All calls without a workspace share as one does.

--- a/internal/call/kqcall/workspace.go
+++ b/internal/call/kqcall/workspace.go
@@ -58,6 +58,15 @@
 	return key
 }
 
+// EffectiveClass returns the class that orders the call: that of its workspace, or that of its
+// route if it has no workspace or the workspace has no class.
+func (c *Call) EffectiveClass() kqdocument.Class {
+	if c.Workspace != "" && c.WorkspaceClass != "" {
+		return c.WorkspaceClass
+	}
+	return c.Class
+}
+
 // writeWorkspace puts the workspace fields into the request for a gate, if there is a
 // workspace.
 func (c *Call) writeWorkspace() {
--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -37,7 +37,7 @@
 		return kqcall.Refuse(kqcall.Draining), kqcall.Load{}
 	}
 	t := u.newTicket(c)
-	cold, priority := g.coldStart(c), kqslots.Priority(c.Class, c.Depth > 0)
+	cold, priority := g.coldStart(c), kqslots.Priority(c.EffectiveClass(), c.Depth > 0)
 	if ignoresCold {
 		cold.Bound = 0
 	}
--- a/internal/call/kqgate/upstream.go
+++ b/internal/call/kqgate/upstream.go
@@ -122,7 +122,8 @@
 	// The pool holds tickets only.
 	t, _ := tickets.Get().(*kqslots.Ticket)
 	*t = kqslots.Ticket{
-		Caller: c.Caller, Route: c.Route, Class: c.Class, Nested: c.Depth > 0, Deadline: c.Deadline, Target: c.Target, Ready: t.Ready,
+		Caller: c.Caller, Route: c.Route, Class: c.EffectiveClass(), Workspace: c.Workspace, RouteClass: c.Class,
+		Nested: c.Depth > 0, Deadline: c.Deadline, Target: c.Target, Ready: t.Ready,
 	}
 	return t
 }
--- a/internal/decide/kqslots/queue.go
+++ b/internal/decide/kqslots/queue.go
@@ -6,6 +6,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqfair"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqshare"
 )
 
 // enqueue queues the call if it is expected to start in time, and refuses it otherwise.
@@ -53,8 +54,13 @@
 // work of its calling call is lost unless it is answered, late or not.
 func (t *Ticket) hasTarget() bool { return !t.Nested && !t.Target.IsZero() }
 
+// key returns whose call it is, for the queues.
+func (t *Ticket) key() kqshare.Key {
+	return kqshare.Key{Workspace: t.Workspace, Caller: t.Caller, Rank: t.RouteClass.Rank()}
+}
+
 func (s *Slots) push(t *Ticket, expected time.Duration, since time.Time) {
-	t.item = kqfair.Item{Caller: t.Caller, Work: expected, EnqueuedAt: since, Value: t}
+	t.item = kqshare.Item{Key: t.key(), Item: kqfair.Item{Work: expected, EnqueuedAt: since, Value: t}}
 	s.queue(t).Push(&t.item)
 }
 
@@ -65,8 +71,8 @@
 // queued before them.
 func (s *Slots) allowedWait(t *Ticket, wait, limit time.Duration, now time.Time) time.Duration {
 	q := s.queues(t)[t.priority]
-	q.RecordWait(t.Caller, wait < limit/congestedWaitDivisor/shortWaitDivisor, now)
-	if !t.Nested && q.SinceLastPrompt(t.Caller, now) > congestedAfter {
+	q.RecordWait(t.key(), wait < limit/congestedWaitDivisor/shortWaitDivisor, now)
+	if !t.Nested && q.SinceLastPrompt(t.key(), now) > congestedAfter {
 		limit /= congestedWaitDivisor
 	}
 	return max(limit, minAllowedWait)
@@ -75,7 +81,7 @@
 // expectLateWait returns the additional wait of a call that cannot meet its target: the
 // late work before it, at the recent share of slots that calls in time have not needed.
 func (s *Slots) expectLateWait(t *Ticket, expected time.Duration) time.Duration {
-	ahead := s.lateQueues[t.priority].WorkAhead(t.Caller) + expected
+	ahead := s.lateQueues[t.priority].WorkAhead(t.key()) + expected
 	for i := range t.priority {
 		ahead += s.lateQueues[i].Work()
 	}
@@ -91,7 +97,7 @@
 	} else if totalLen(&s.longQueues) > 0 || s.runningLong > 0 {
 		slots = max(s.limit.Allowed()-s.maxLong(now), 1)
 	}
-	ahead := queues[t.priority].WorkAhead(t.Caller)
+	ahead := queues[t.priority].WorkAhead(t.key())
 	for i := range t.priority {
 		ahead += queues[i].Work()
 	}
@@ -135,7 +141,7 @@
 // these use their reserved slots, then those of long jobs up to their maximum, then again
 // those of short calls, then those of late calls. It returns nil if no waiting call may
 // start.
-func (s *Slots) nextQueues(now time.Time) *[priorityLevels]*kqfair.Queue {
+func (s *Slots) nextQueues(now time.Time) *[priorityLevels]*kqshare.Queue {
 	short, long := totalLen(&s.shortQueues) > 0, totalLen(&s.longQueues) > 0 && s.hasFreeSlot(true, now)
 	reserved := s.limit.Allowed() - s.maxLong(now)
 	switch {
@@ -151,7 +157,7 @@
 }
 
 // pop removes the next call of the highest priority that has any waiting.
-func (s *Slots) pop(queues *[priorityLevels]*kqfair.Queue, now time.Time) *Ticket {
+func (s *Slots) pop(queues *[priorityLevels]*kqshare.Queue, now time.Time) *Ticket {
 	for _, q := range queues {
 		if q.Len() == 0 {
 			continue
@@ -163,7 +169,7 @@
 
 // nearExpiry reports whether the queue's oldest call has used more than seven eighths of
 // its maximum wait.
-func nearExpiry(q *kqfair.Queue, now time.Time) bool {
+func nearExpiry(q *kqshare.Queue, now time.Time) bool {
 	item := q.Oldest()
 	return now.Sub(item.EnqueuedAt) > ticketOf(item).ExpireAt.Sub(item.EnqueuedAt)*7/8
 }
@@ -231,14 +237,14 @@
 	return max(s.limit.Allowed()-min(reserved, s.limit.Allowed()/2), 1)
 }
 
-func (s *Slots) queues(t *Ticket) *[priorityLevels]*kqfair.Queue {
+func (s *Slots) queues(t *Ticket) *[priorityLevels]*kqshare.Queue {
 	if t.isLongJob {
 		return &s.longQueues
 	}
 	return &s.shortQueues
 }
 
-func (s *Slots) queue(t *Ticket) *kqfair.Queue {
+func (s *Slots) queue(t *Ticket) *kqshare.Queue {
 	if t.missesTarget {
 		return s.lateQueues[t.priority]
 	}
@@ -249,7 +255,7 @@
 	return totalLen(&s.shortQueues) + totalLen(&s.longQueues) + totalLen(&s.lateQueues)
 }
 
-func totalLen(queues *[priorityLevels]*kqfair.Queue) int {
+func totalLen(queues *[priorityLevels]*kqshare.Queue) int {
 	n := 0
 	for _, q := range queues {
 		n += q.Len()
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
-	"github.com/kumquatgw/kumquatgw/internal/decide/kqfair"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqlimit"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqshare"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqwork"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -74,7 +74,13 @@
 	Ticket struct {
 		Caller kqname.Caller
 		Route  kqname.Route
-		Class  kqdocument.Class
+		// Class orders the call before all else: that of its workspace, or that of its
+		// route if the workspace has none.
+		Class kqdocument.Class
+		// Workspace is the tenant that the call is made for, empty if there is none. Its
+		// calls of one Class are ordered by RouteClass.
+		Workspace  kqname.Workspace
+		RouteClass kqdocument.Class
 		// Nested is set if the call is made by another call that waits for it.
 		Nested   bool
 		Deadline time.Time
@@ -89,7 +95,7 @@
 		// Ready is used by the gate to wake a waiting call.
 		Ready chan struct{}
 
-		item      kqfair.Item
+		item      kqshare.Item
 		priority  int
 		isLongJob bool
 		// startBy is the latest start that meets the target, while ExpireAt ends the wait.
@@ -112,9 +118,9 @@
 		// targets holds the longest time that calls of each route had left until their
 		// target, which is that of first attempts.
 		targets                 map[kqname.Route]time.Duration
-		shortQueues, longQueues [priorityLevels]*kqfair.Queue
+		shortQueues, longQueues [priorityLevels]*kqshare.Queue
 		// lateQueues hold calls that can no longer meet their targets.
-		lateQueues [priorityLevels]*kqfair.Queue
+		lateQueues [priorityLevels]*kqshare.Queue
 		// unneeded is the share of recently started calls that found a free slot on
 		// arrival or could no longer meet their targets.
 		unneeded float64
@@ -138,8 +144,8 @@
 func New(announced int, salt uint64, options ...Option) *Slots {
 	s := &Slots{announced: announced, limit: kqlimit.New(announced), work: kqwork.New(), unneeded: 1, targets: make(map[kqname.Route]time.Duration)}
 	for i := range priorityLevels {
-		s.shortQueues[i], s.longQueues[i] = kqfair.New(salt+uint64(i)), kqfair.New(salt+priorityLevels+uint64(i))
-		s.lateQueues[i] = kqfair.New(salt + 2*priorityLevels + uint64(i))
+		s.shortQueues[i], s.longQueues[i] = kqshare.New(salt+uint64(i)), kqshare.New(salt+priorityLevels+uint64(i))
+		s.lateQueues[i] = kqshare.New(salt + 2*priorityLevels + uint64(i))
 	}
 	for _, o := range options {
 		o(s)
@@ -175,7 +181,7 @@
 	case left <= 0:
 		t.refuse(kqcall.NotStartedInTime, 0)
 	case s.hasFreeSlot(t.isLongJob, now) && totalLen(s.queues(t)) == 0:
-		s.queue(t).RecordUnqueued(t.Caller, expected, now)
+		s.queue(t).RecordUnqueued(t.key(), expected, now)
 		s.start(t, true)
 	default:
 		s.enqueue(t, expected, left, now)
@@ -229,7 +235,7 @@
 func (s *Slots) Close(reason kqcall.Reason) []*Ticket {
 	s.closed, s.closeReason = true, reason
 	var decided []*Ticket
-	for _, queues := range []*[priorityLevels]*kqfair.Queue{&s.shortQueues, &s.longQueues, &s.lateQueues} {
+	for _, queues := range []*[priorityLevels]*kqshare.Queue{&s.shortQueues, &s.longQueues, &s.lateQueues} {
 		for totalLen(queues) > 0 {
 			t := s.pop(queues, time.Time{})
 			t.refuse(reason, minRetryAfter)
