Placement: upstreams' load reports at gates and entries

Cause: a gate saw a slow period of an upstream only by calls that had ended late, and expected slow work for many calls after it; entries counted an upstream's running calls only once its slots were full, so that all sent to the fastest ones. Change: kqslowdown keeps the slowdown that an upstream reports, for 600 ms, and doubts it if calls do not take as much longer. Gates learn work at usual speed and scale it; lower reported slots bound the running calls. Upstreams without reports are decided as before (property test).

--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -143,6 +143,10 @@
 		// route, and Wait is how long such a call would wait for a slot. Each is 0 if
 		// unknown.
 		ExpectedWork, Wait time.Duration
+		// Slowdown is how many times longer than usual work takes at this moment by the
+		// upstream's reports, which ExpectedWork and RecentDuration include; 0 if it has
+		// none.
+		Slowdown float64
 	}
 
 	// ColdStart is what the configuration says of a service's cold upstreams.
--- a/internal/call/kqcall/header.go
+++ b/internal/call/kqcall/header.go
@@ -58,8 +58,8 @@
 	// callFields is the number of fields of headerCall.
 	callFields = 12
 	// loadFields is the number of fields of a load. Gates of an earlier release send
-	// only the first minLoadFields.
-	loadFields    = 7
+	// only the first minLoadFields, and others the last one only with a slowdown.
+	loadFields    = 8
 	minLoadFields = 5
 	// perMille is the scale at which a share is sent as an integer.
 	perMille  = 1000
@@ -297,7 +297,11 @@
 	b = append(strconv.AppendInt(b, l.RecentDuration.Microseconds(), 10), separator)
 	b = append(strconv.AppendInt(b, int64(l.FailureRate*perMille), 10), separator)
 	b = append(strconv.AppendInt(b, l.ExpectedWork.Microseconds(), 10), separator)
-	h.SetBytesV(headerLoad, strconv.AppendInt(b, l.Wait.Microseconds(), 10))
+	b = strconv.AppendInt(b, l.Wait.Microseconds(), 10)
+	if l.Slowdown > 0 {
+		b = strconv.AppendInt(append(b, separator), int64(l.Slowdown*perMille), 10)
+	}
+	h.SetBytesV(headerLoad, b)
 }
 
 // ReadLoad returns the load that Load.Write put into a response, and reports whether the
@@ -320,6 +324,7 @@
 		Running: numbers[0], Waiting: numbers[1], Slots: numbers[2],
 		RecentDuration: time.Duration(numbers[3]) * time.Microsecond, FailureRate: float64(numbers[4]) / perMille,
 		ExpectedWork: time.Duration(numbers[5]) * time.Microsecond, Wait: time.Duration(numbers[6]) * time.Microsecond,
+		Slowdown: min(float64(numbers[7])/perMille, maxSlowdown),
 	}, true
 }
 
--- a/internal/call/kqgate/cold.go
+++ b/internal/call/kqgate/cold.go
@@ -97,8 +97,8 @@
 
 // admit counts a call of the priority that is about to be sent, and reports whether it may be.
 // It checks the upstream's health first if that is needed.
-// heard is called with the condition that the answer states.
-func (g *coldGuard) admit(s ColdStart, priority int, d kqcall.Dialect, heard func(kqcall.Condition), now func() time.Time) bool {
+// heard is called with the condition and the load that the answer states.
+func (g *coldGuard) admit(s ColdStart, priority int, d kqcall.Dialect, heard func(kqcall.Condition, kqcall.ServerReport), now func() time.Time) bool {
 	v := g.count(priority, now())
 	if v != kqcold.Unproven {
 		return v == kqcold.Allowed
@@ -128,7 +128,7 @@
 
 // checkHealth asks the upstream whether it is cold, and records its answer. Whether it is
 // healthy does not matter. heard is called with the condition that the answer states.
-func (g *coldGuard) checkHealth(s ColdStart, d kqcall.Dialect, heard func(kqcall.Condition), now time.Time) {
+func (g *coldGuard) checkHealth(s ColdStart, d kqcall.Dialect, heard func(kqcall.Condition, kqcall.ServerReport), now time.Time) {
 	if s.HealthPath == "" {
 		return
 	}
@@ -143,8 +143,8 @@
 	}
 	health := kqcall.ReadHealth(d, &c.Response.Header)
 	condition := kqcall.ReadCondition(d, &c.Response.Header)
-	if g.record(health, now) && (condition.Limited || condition.Leaving) {
-		heard(condition)
+	if g.record(health, now) {
+		heard(condition, kqcall.ReadReport(d, &c.Response.Header))
 	}
 }
 
--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -124,7 +124,12 @@
 		return kqcall.Refuse(kqcall.Draining)
 	}
 	// A health check that names no limit does not lift that of the calls' answers.
-	heard := func(c kqcall.Condition) { g.recordCondition(u, a, c, time.Time{}) }
+	heard := func(c kqcall.Condition, r kqcall.ServerReport) {
+		u.report(r, g.now())
+		if c.Limited || c.Leaving {
+			g.recordCondition(u, a, c, time.Time{})
+		}
+	}
 	if cold.Bound > 0 && !u.cold.admit(cold, p.priority, g.dialect, heard, g.now) {
 		return coldRefusal()
 	}
@@ -237,6 +242,7 @@
 	}
 	if verdict.NotRunReason != kqcall.Misdirected {
 		g.recordCondition(u, a, kqcall.ReadCondition(c.Dialect, &c.Response.Header), now)
+		u.report(kqcall.ReadReport(c.Dialect, &c.Response.Header), g.now())
 	}
 	kqcall.StripResponse(&c.Response.Header)
 	if c.Dialect == nil && c.RefusalMeansNotRun && c.Response.StatusCode() == fasthttp.StatusServiceUnavailable {
--- a/internal/call/kqgate/upstream.go
+++ b/internal/call/kqgate/upstream.go
@@ -40,6 +40,7 @@
 		Resize(count int, now time.Time) []*kqslots.Ticket
 		Close(reason kqcall.Reason) []*kqslots.Ticket
 		Reopen()
+		Report(r kqcall.ServerReport, now time.Time) []*kqslots.Ticket
 		Load() kqcall.Load
 		LoadFor(t *kqslots.Ticket, now time.Time) kqcall.Load
 	}
@@ -213,6 +214,16 @@
 	return l
 }
 
+// report passes on what an answer of the upstream says of its load, if it does.
+func (u *upstream) report(r kqcall.ServerReport, now time.Time) {
+	if r == (kqcall.ServerReport{}) {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	wake(u.queue.Report(r, now))
+}
+
 // close refuses waiting and new calls for the reason until update reopens the queue.
 func (u *upstream) close(reason kqcall.Reason) {
 	u.mu.Lock()
--- a/internal/decide/kqfifo/fifo.go
+++ b/internal/decide/kqfifo/fifo.go
@@ -104,3 +104,6 @@
 func refuse(t *kqslots.Ticket, r kqcall.Reason) {
 	t.Verdict, t.Refusal = kqslots.Refuse, kqcall.Refuse(r)
 }
+
+// Report implements the gate's queue. The baseline ignores what upstreams report.
+func (q *Queue) Report(kqcall.ServerReport, time.Time) []*kqslots.Ticket { return nil }
--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -143,8 +143,9 @@
 func (p *Pool) Done(upstream *PoolUpstream, outcome kqcall.Outcome, failed bool, load *kqcall.Load, now time.Time) {
 	upstream.sent--
 	if load != nil {
-		upstream.load, upstream.reportedAt = *load, now
-		upstream.routeLoads.update(load, now)
+		usual := usualLoad(*load)
+		upstream.load, upstream.reportedAt = usual, now
+		upstream.routeLoads.update(&usual, now)
 	}
 	if p.uniform {
 		return
--- a/internal/decide/kqpick/pool_upstream.go
+++ b/internal/decide/kqpick/pool_upstream.go
@@ -79,12 +79,13 @@
 //
 // While the service has spare capacity, upstreams that fail part of their calls do not
 // count towards the sample size: if half of the upstreams fail, one in sixteen
-// samples of size four would hold only failing ones.
+// samples of size four would hold only failing ones. Upstreams that report their load count
+// half, see reportedEstimate.
 func (p *Pool) leastEstimate(list []*PoolUpstream, route kqname.Route, now time.Time, random *rand.Rand) (found *PoolUpstream, leastEstimate float64) {
 	hasSpareCapacity := p.hasSpareCapacity(now)
 	counted := 0
 	for i := range min(maxSampleSize, len(list)) {
-		if counted == sampleSize {
+		if counted >= 2*sampleSize {
 			break
 		}
 		j := i + random.IntN(len(list)-i)
@@ -92,6 +93,9 @@
 		upstream := list[i]
 		if !hasSpareCapacity || upstream.failureRate(now) == 0 {
 			counted++
+			if !upstream.reportsLoad() {
+				counted++
+			}
 		}
 		estimate := p.expectedTime(upstream, route, now) * upstream.failurePenalty(hasSpareCapacity, now)
 		if upstream.Domain == p.domain {
@@ -121,6 +125,9 @@
 	}
 	slots := float64(max(upstream.Slots, 1))
 	expectedWork := load.expectedWork.Seconds() * upstream.coldSlowdown(now)
+	if upstream.reportsLoad() {
+		return upstream.reportedEstimate(expectedWork*upstream.slowdown(now), load, now)
+	}
 	ahead := float64(load.sentSince) / slots
 	return expectedWork*(1+occupancyCost*float64(upstream.sent+1)/slots+ahead) + load.wait.Seconds()
 }
@@ -143,7 +150,7 @@
 		busy += float64(upstream.load.Running + upstream.load.Waiting)
 	}
 	used := busy / float64(max(upstream.Slots, 1))
-	return work.Seconds() * upstream.coldSlowdown(now) * (1 + occupancyCost*used + 2*max(used-queueingUtilization, 0))
+	return work.Seconds() * upstream.coldSlowdown(now) * upstream.slowdown(now) * (1 + occupancyCost*used + queueingCost*max(used-queueingUtilization, 0))
 }
 
 // failurePenalty returns the factor on the expected time for the risk of failure. It is 1
--- a/internal/decide/kqslots/queue.go
+++ b/internal/decide/kqslots/queue.go
@@ -10,6 +10,7 @@
 
 // enqueue queues the call if it is expected to start in time, and refuses it otherwise.
 func (s *Slots) enqueue(t *Ticket, expected, left time.Duration, now time.Time) {
+	takes := s.slowdown.Stretch(expected, now)
 	t.expectedWait = s.expectWait(t, expected, now)
 	wait := time.Duration(float64(t.expectedWait) * s.waitCorrection())
 	share := [priorityLevels]float64{nestedWaitShare, criticalWaitShare, nestedWaitShare, normalWaitShare, nestedWaitShare, backgroundWaitShare}[t.priority]
@@ -18,9 +19,9 @@
 	// since the upstream must have become slower since the call was queued. If the allowed
 	// wait is short, the estimate may be off by the work of several calls, so this is added
 	// instead.
-	maxWait := max(2*allowedWait, allowedWait+waitSlackCalls*expected)
+	maxWait := max(2*allowedWait, allowedWait+waitSlackCalls*takes)
 	if t.hasTarget() && !s.checkTargetUnreachable(t, expected, now) {
-		t.startBy = t.Target.Add(-time.Duration(targetMargin * float64(expected)))
+		t.startBy = t.Target.Add(-time.Duration(targetMargin * float64(takes)))
 		if t.missesTarget = now.Add(wait).After(t.startBy); t.missesTarget {
 			wait += s.expectLateWait(t, expected)
 		} else {
@@ -28,12 +29,12 @@
 		}
 		maxWait = allowedWait
 	}
-	if wait > allowedWait || wait+expected > left {
+	if wait > allowedWait || wait+takes > left {
 		t.refuse(kqcall.QueueFull, s.retryAfter())
 		return
 	}
 	t.Verdict = Wait
-	t.ExpireAt = now.Add(min(maxWait, max(left-expected, 0)))
+	t.ExpireAt = now.Add(min(maxWait, max(left-takes, 0)))
 	s.push(t, expected, now)
 }
 
@@ -79,24 +80,24 @@
 	for i := range t.priority {
 		ahead += s.lateQueues[i].Work()
 	}
-	return time.Duration(float64(ahead) / (max(s.unneeded, minUnneededShare) * float64(max(s.limit.Allowed(), 1))))
+	return time.Duration(float64(ahead) / (max(s.unneeded, minUnneededShare) * float64(max(s.allowed(), 1))))
 }
 
 // expectWait returns the expected wait of a call that arrives now, from the work that is
 // served before it and the slots available to short calls or long jobs.
 func (s *Slots) expectWait(t *Ticket, expected time.Duration, now time.Time) time.Duration {
-	queues, slots := &s.shortQueues, s.limit.Allowed()
+	queues, slots := &s.shortQueues, s.allowed()
 	if t.isLongJob {
 		queues, slots = &s.longQueues, s.maxLong(now)
 	} else if totalLen(&s.longQueues) > 0 || s.runningLong > 0 {
-		slots = max(s.limit.Allowed()-s.maxLong(now), 1)
+		slots = max(s.allowed()-s.maxLong(now), 1)
 	}
 	ahead := queues[t.priority].WorkAhead(t.Caller)
 	for i := range t.priority {
 		ahead += queues[i].Work()
 	}
 	// Running calls are half done on average, and the first to finish frees its slot.
-	return (ahead + expected/2) / time.Duration(max(slots, 1))
+	return s.slowdown.Stretch((ahead+expected/2)/time.Duration(max(slots, 1)), now)
 }
 
 // serve starts waiting calls while slots are free. It moves calls that no longer meet their
@@ -104,7 +105,7 @@
 // and returns the tickets that were started or refused.
 func (s *Slots) serve(now time.Time) []*Ticket {
 	var decided []*Ticket
-	for s.running < s.limit.Allowed() && s.waiting() > 0 {
+	for s.running < s.allowed() && s.waiting() > 0 {
 		queues := s.nextQueues(now)
 		if queues == nil {
 			break
@@ -137,7 +138,7 @@
 // start.
 func (s *Slots) nextQueues(now time.Time) *[priorityLevels]*kqfair.Queue {
 	short, long := totalLen(&s.shortQueues) > 0, totalLen(&s.longQueues) > 0 && s.hasFreeSlot(true, now)
-	reserved := s.limit.Allowed() - s.maxLong(now)
+	reserved := s.allowed() - s.maxLong(now)
 	switch {
 	case short && (!long || s.running-s.runningLong < reserved):
 		return &s.shortQueues
@@ -216,7 +217,7 @@
 
 // hasFreeSlot reports whether a slot is free for a long job or a short call.
 func (s *Slots) hasFreeSlot(long bool, now time.Time) bool {
-	return s.running < s.limit.Allowed() && (!long || s.runningLong < s.maxLong(now))
+	return s.running < s.allowed() && (!long || s.runningLong < s.maxLong(now))
 }
 
 // maxLong returns how many slots long jobs may use: all but those reserved for short calls
@@ -225,10 +226,10 @@
 // requests of 1 ms beside its ordinary calls.
 func (s *Slots) maxLong(now time.Time) int {
 	if now.Sub(s.shortDemand.lastArrival) > reserveTimeout {
-		return s.limit.Allowed()
+		return s.allowed()
 	}
 	reserved := max(int(math.Ceil(reserveFactor*s.shortDemand.meanSlots(now))), 1)
-	return max(s.limit.Allowed()-min(reserved, s.limit.Allowed()/2), 1)
+	return max(s.allowed()-min(reserved, s.allowed()/2), 1)
 }
 
 func (s *Slots) queues(t *Ticket) *[priorityLevels]*kqfair.Queue {
@@ -263,5 +264,5 @@
 	for i := range priorityLevels {
 		work += s.shortQueues[i].Work() + s.longQueues[i].Work() + s.lateQueues[i].Work()
 	}
-	return max(work/time.Duration(max(s.limit.Allowed(), 1)), minRetryAfter)
+	return max(work/time.Duration(max(s.allowed(), 1)), minRetryAfter)
 }
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -6,6 +6,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqfair"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqlimit"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqslowdown"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqwork"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -109,6 +110,13 @@
 		announced int
 		limit     *kqlimit.Limit
 		work      *kqwork.Estimator
+		// slowdown is the upstream's by its reports. Expected work is at usual speed
+		// wherever it is stored.
+		slowdown kqslowdown.Tracker
+		// reportedSlots bounds the calls that run at once, 0 for no bound, since a report
+		// at reportedAt.
+		reportedSlots int
+		reportedAt    time.Time
 		// targets holds the longest time that calls of each route had left until their
 		// target, which is that of first attempts.
 		targets                 map[kqname.Route]time.Duration
@@ -163,10 +171,11 @@
 
 // Enter decides whether the call runs, waits or is refused, and sets its verdict.
 func (s *Slots) Enter(t *Ticket, now time.Time) {
+	s.expireReport(now)
 	t.priority, t.isLongJob = Priority(t.Class, t.Nested), s.isLongJob(t.Route)
 	expected := s.work.Expect(t.Route)
 	if !t.isLongJob {
-		s.shortDemand.add(expected, now)
+		s.shortDemand.add(s.slowdown.Stretch(expected, now), now)
 	}
 	left := t.Deadline.Sub(now)
 	switch {
@@ -186,12 +195,17 @@
 // noticeably without reserved slots. If the route's calls alone free a slot more often than
 // every longJobSlotInterval, a reserve would only waste slots.
 func (s *Slots) isLongJob(r kqname.Route) bool {
-	return s.work.Long(r) && s.work.Expect(r) >= longJobSlotInterval*time.Duration(s.limit.Allowed())
+	return s.work.Long(r) && s.work.Expect(r) >= longJobSlotInterval*time.Duration(s.allowed())
 }
 
 // Leave frees the slot of a call that took the given time at the upstream, or 0 if that is
 // unknown, and returns the tickets whose verdicts this changes.
 func (s *Slots) Leave(t *Ticket, took time.Duration, now time.Time) []*Ticket {
+	s.expireReport(now)
+	if took > 0 {
+		usual, _ := s.work.Lookup(t.Route)
+		took = s.slowdown.Normalize(took, usual, now)
+	}
 	if took > 0 && !t.isLongJob && s.runningLong == 0 && !s.fixedLimit {
 		s.limit.Observe(took, s.running)
 	}
@@ -242,20 +256,28 @@
 // Reopen admits calls again after the upstream has withdrawn its shutdown.
 func (s *Slots) Reopen() { s.closed = false }
 
-// Load returns the load that is reported to entries.
+// Load returns the load that is reported to entries, with the work at usual speed.
 func (s *Slots) Load() kqcall.Load {
-	return kqcall.Load{Running: s.running, Waiting: s.waiting(), Slots: s.limit.Allowed(), RecentDuration: s.work.Pace()}
+	return kqcall.Load{Running: s.running, Waiting: s.waiting(), Slots: s.allowed(), RecentDuration: s.work.Pace()}
 }
 
 // LoadFor returns the load with the expected work and wait of a call like the ticket's,
-// which are 0 if the route has no estimate of its own.
+// which are 0 if the route has no estimate of its own. Works are at the present speed.
 func (s *Slots) LoadFor(t *Ticket, now time.Time) kqcall.Load {
 	l := s.Load()
+	slowdown, fresh := s.slowdown.Current(now)
+	if fresh {
+		l.Slowdown = slowdown
+		l.RecentDuration = time.Duration(float64(l.RecentDuration) * slowdown)
+	}
 	expected, ok := s.work.Lookup(t.Route)
 	if !ok {
 		return l
 	}
 	l.ExpectedWork = expected
+	if fresh {
+		l.ExpectedWork = time.Duration(float64(expected) * slowdown)
+	}
 	if !s.hasFreeSlot(t.isLongJob, now) || totalLen(s.queues(t)) > 0 {
 		l.Wait = time.Duration(float64(s.expectWait(t, expected, now)) * s.waitCorrection())
 	}
