Quarantine: callers wait until all nodes confirm the news of an end

Cause: a caller whose request had ended its upstream was answered 150 ms after the end, whether or not all nodes knew. On overloaded processors its next call met nodes that had not heard and sent the request at once, so that a fourth upstream and more got it.

Change: a node acknowledges an urgent message once its own neighbours have, and at once if it has it already. PublishUrgent returns a channel that is closed then, after 1 s at the latest; each hop waits for three quarters of the time of the one before. A neighbour that lets the time pass is not waited for until it confirms. Ends that a node only heard of are told again by it before its caller is answered, since the confirmation goes to the node that tells.

--- a/internal/peer/kqbroadcast/broadcaster.go
+++ b/internal/peer/kqbroadcast/broadcaster.go
@@ -72,8 +72,13 @@
 		// sending holds the sends in flight that Run waits for once it is stopping.
 		sending    conc.WaitGroup
 		isStopping bool
-		// urgent is the number of urgent messages in flight to neighbours.
-		urgent atomic.Int64
+		// urgent is the number of urgent messages in flight to neighbours, and awaited that of
+		// neighbours' confirmations that are waited for.
+		urgent, awaited atomic.Int64
+		// confirming holds the urgent messages that neighbours have not confirmed yet, and
+		// unconfirming the neighbours that did not confirm the last one in time.
+		confirming   map[messageID]*confirmation
+		unconfirming map[kqname.Node]bool
 	}
 
 	messageID uint64
@@ -86,6 +91,9 @@
 		Payload []byte      `cbor:"4,keyasint"`
 		// Urgent messages are sent whole at once, and not offered first.
 		Urgent bool `cbor:"5,keyasint,omitempty"`
+		// ConfirmWithin is how long the receiver of an urgent message waits for its own neighbours
+		// before it confirms, 0 if the sender does not ask.
+		ConfirmWithin time.Duration `cbor:"6,keyasint,omitempty"`
 	}
 
 	// idList holds the ids of an offer, or of the messages that a peer lacks.
@@ -108,16 +116,23 @@
 	b := &Broadcaster{
 		client: client, self: self, overlay: overlay, onDrop: onDrop, receivers: make(map[Topic][]Receiver),
 		seen: make(map[messageID]bool), recent: make([]messageID, maxSeenIDs), wake: make(chan struct{}, 1),
-		busy: make(map[kqname.Address]bool),
+		busy: make(map[kqname.Address]bool), confirming: make(map[messageID]*confirmation), unconfirming: make(map[kqname.Node]bool),
 	}
 	kqrpc.Handle(server, methodOffer, func(_ context.Context, _ kqname.Node, q idList) (idList, error) {
 		return b.missingIDs(q), nil
 	})
-	kqrpc.Handle(server, methodDeliver, func(_ context.Context, _ kqname.Node, q delivery) (empty, error) {
+	kqrpc.Handle(server, methodDeliver, func(_ context.Context, from kqname.Node, q delivery) (acknowledgement, error) {
+		var all acknowledgement
 		for _, m := range q.Messages {
-			b.accept(m)
+			m.ConfirmWithin = min(m.ConfirmWithin, MaxConfirmTime)
+			if c := b.accept(m, from); c != nil && m.ConfirmWithin >= minConfirmTime {
+				all.Pending = append(all.Pending, b.pending(m.ID).Pending...)
+			}
 		}
-		return empty{}, nil
+		return all, nil
+	})
+	kqrpc.Handle(server, methodConfirm, func(_ context.Context, _ kqname.Node, q idList) (acknowledgement, error) {
+		return b.pending(q.IDs...), nil
 	})
 	kqrpc.Handle(server, methodDirect, func(_ context.Context, _ kqname.Node, m message) (empty, error) {
 		b.deliver(m)
@@ -137,31 +152,43 @@
 // Publish delivers a message to the local receivers and queues it for flooding to
 // all other nodes. It does not wait for them.
 func (b *Broadcaster) Publish(_ context.Context, t Topic, payload []byte) {
-	b.accept(message{ID: messageID(rand.Uint64()), From: b.self, Topic: t, Payload: payload})
+	b.accept(message{ID: messageID(rand.Uint64()), From: b.self, Topic: t, Payload: payload}, "")
 }
 
 // PublishUrgent does what Publish does, but waits for no other messages to share a frame with
-// and for no slow neighbour. It is for small and rare messages.
-func (b *Broadcaster) PublishUrgent(_ context.Context, t Topic, payload []byte) {
-	b.accept(message{ID: messageID(rand.Uint64()), From: b.self, Topic: t, Payload: payload, Urgent: true})
+// and for no slow neighbour. It is for small and rare messages. The channel that it returns is
+// closed once all nodes have confirmed the message that can be reached, or after
+// MaxConfirmTime: each node confirms to the one it has the message from once its own
+// neighbours have confirmed, and at once if it has the message already.
+func (b *Broadcaster) PublishUrgent(_ context.Context, t Topic, payload []byte) <-chan struct{} {
+	m := message{ID: messageID(rand.Uint64()), From: b.self, Topic: t, Payload: payload, Urgent: true, ConfirmWithin: MaxConfirmTime}
+	if c := b.accept(m, ""); c != nil {
+		return c.done
+	}
+	unconfirmed := make(chan struct{})
+	close(unconfirmed)
+	return unconfirmed
 }
 
-// accept delivers a message to the local receivers and queues it for the neighbours,
-// unless it was accepted before. If the queue is full, the message is delivered but
-// not flooded.
-func (b *Broadcaster) accept(m message) {
+// accept delivers a message from a node, or "" for this one, to the local receivers and queues it
+// for the neighbours, unless it was accepted before. If the queue is full, the message is delivered
+// but not flooded. Of an urgent message that was not accepted before, it returns the neighbours'
+// confirmation, unless too many are in flight.
+func (b *Broadcaster) accept(m message, from kqname.Node) *confirmation {
 	b.mu.Lock()
 	if b.seen[m.ID] {
 		b.mu.Unlock()
-		return
+		return nil
 	}
 	delete(b.seen, b.recent[b.next])
 	b.seen[m.ID], b.recent[b.next] = true, m.ID
 	b.next = (b.next + 1) % maxSeenIDs
 	b.mu.Unlock()
-	if m.Urgent && b.floodUrgent(m) {
-		b.deliver(m)
-		return
+	if m.Urgent {
+		if c := b.floodUrgent(m, from); c != nil {
+			b.deliver(m)
+			return c
+		}
 	}
 	b.mu.Lock()
 	fits := b.queuedBytes+len(m.Payload) <= maxQueueBytes
@@ -178,6 +205,7 @@
 	case b.wake <- struct{}{}:
 	default:
 	}
+	return nil
 }
 
 // missingIDs returns the offered ids that this node has not seen.
--- a/internal/peer/kqbroadcast/flood.go
+++ b/internal/peer/kqbroadcast/flood.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/base/kqsupervisor"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqrpc"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -70,22 +72,26 @@
 	}
 }
 
-// floodUrgent sends a message to all neighbours without waiting for them. It reports false if
-// too many urgent messages are in flight.
-func (b *Broadcaster) floodUrgent(m message) bool {
-	neighbours := b.overlay.Neighbours()
+// floodUrgent sends a message to all neighbours but the node it is from, without waiting for
+// them, and returns their confirmation. It returns nil if too many urgent messages are in flight.
+func (b *Broadcaster) floodUrgent(m message, from kqname.Node) *confirmation {
+	neighbours := slices.DeleteFunc(slices.Clone(b.overlay.Neighbours()), func(n kqmember.Member) bool { return n.Node == from })
 	if b.urgent.Add(int64(len(neighbours))) > maxUrgent {
 		b.urgent.Add(-int64(len(neighbours)))
-		return false
+		return nil
 	}
+	// One more is counted until all have begun.
+	c := b.beginConfirming(m.ID, len(neighbours)+1)
 	for _, to := range neighbours {
-		b.send(func() { b.urgent.Add(-1) }, func() {
-			ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
-			defer cancel()
-			_, _ = kqrpc.Call[delivery, empty](ctx, b.client, to.Control, methodDeliver, delivery{[]message{m}})
-		})
+		delivered := sync.OnceFunc(func() { b.urgent.Add(-1) })
+		confirmed := sync.OnceFunc(func() { b.confirmOne(m.ID, c) })
+		b.send(func() {
+			delivered()
+			confirmed()
+		}, func() { b.deliverUrgent(to, m, delivered, confirmed) })
 	}
-	return true
+	b.confirmOne(m.ID, c)
+	return c
 }
 
 // send runs f in the background, unless Run is stopping, and then done.
@@ -110,6 +116,12 @@
 	b.isStopping = stopping
 }
 
+func (b *Broadcaster) stopping() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.isStopping
+}
+
 // sendTo offers the ids of a batch to a peer and sends the messages that it lacks.
 // Failures are ignored: the peer's other neighbours offer it the same messages.
 func (b *Broadcaster) sendTo(ctx context.Context, to kqname.Address, ids idList, batch []message) {
--- a/internal/peer/kqsuspicion/news.go
+++ b/internal/peer/kqsuspicion/news.go
@@ -77,23 +77,28 @@
 	}}}
 }
 
-// announce queues news for all nodes.
-func (q *Suspicions) announce(n news) {
+// announce queues news for all nodes and reports whether it did. If told is not nil, it is put
+// in flight with them.
+func (q *Suspicions) announce(n news, told *announcement) bool {
 	if tellsNobody {
-		return
+		return false
 	}
 	q.mu.Lock()
 	if !q.limiter.Allow() {
 		q.mu.Unlock()
 		q.observer.NewsDropped()
-		return
+		return false
 	}
 	q.pending.Ends, q.pending.Cleared = append(q.pending.Ends, n.Ends...), append(q.pending.Cleared, n.Cleared...)
+	for range n.Ends {
+		q.pendingTold = append(q.pendingTold, told)
+	}
 	q.mu.Unlock()
 	select {
 	case q.wake <- struct{}{}:
 	default:
 	}
+	return true
 }
 
 // Run tells all nodes what this one sees, until ctx ends.
@@ -104,23 +109,24 @@
 			return
 		case <-q.wake:
 		}
-		for n := q.nextBatch(); len(n.Ends)+len(n.Cleared) > 0; n = q.nextBatch() {
+		for n, told := q.nextBatch(); len(n.Ends)+len(n.Cleared) > 0; n, told = q.nextBatch() {
 			if payload, err := cbor.Marshal(n); err == nil {
-				q.broadcaster.PublishUrgent(ctx, topic, payload)
+				q.setConfirmed(told, q.broadcaster.PublishUrgent(ctx, topic, payload))
 			}
 		}
 		kqsleep.For(ctx, batchDelay)
 	}
 }
 
-// nextBatch removes and returns the next news.
-func (q *Suspicions) nextBatch() news {
+// nextBatch removes and returns the next news, and the announcements of their ends.
+func (q *Suspicions) nextBatch() (news, []*announcement) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	ends, cleared := min(len(q.pending.Ends), maxBatch), min(len(q.pending.Cleared), maxBatch)
 	n := news{Ends: q.pending.Ends[:ends:ends], Cleared: q.pending.Cleared[:cleared:cleared]}
-	q.pending.Ends, q.pending.Cleared = q.pending.Ends[ends:], q.pending.Cleared[cleared:]
-	return n
+	told := q.pendingTold[:ends:ends]
+	q.pending.Ends, q.pending.Cleared, q.pendingTold = q.pending.Ends[ends:], q.pending.Cleared[cleared:], q.pendingTold[ends:]
+	return n, told
 }
 
 // receive handles news of any node, this one included.
--- a/internal/peer/kqsuspicion/suspicions.go
+++ b/internal/peer/kqsuspicion/suspicions.go
@@ -30,9 +30,10 @@
 )
 
 type (
-	// Broadcaster floods messages to all nodes.
+	// Broadcaster floods messages to all nodes. confirmed is closed once all that can be reached have
+	// the message.
 	Broadcaster interface {
-		PublishUrgent(ctx context.Context, t kqbroadcast.Topic, payload []byte)
+		PublishUrgent(ctx context.Context, t kqbroadcast.Topic, payload []byte) (confirmed <-chan struct{})
 		Subscribe(t kqbroadcast.Topic, r kqbroadcast.Receiver)
 	}
 
@@ -65,12 +66,17 @@
 
 		mu      sync.Mutex
 		pending news
-		limiter *rate.Limiter
-		wake    chan struct{}
+		// pendingTold holds the announcement of each pending end.
+		pendingTold []*announcement
+		limiter     *rate.Limiter
+		wake        chan struct{}
 		// unstored holds what is yet to be written to the store of refused requests, without ends
 		// for those that were cleared, and stored what this node has written.
 		unstored map[kqfingerprint.Fingerprint]kqquarantine.Suspect
 		stored   map[kqfingerprint.Fingerprint]bool
+		// spreads holds what this node has told of requests lately, and spreading their number.
+		spreads   map[kqfingerprint.Fingerprint]*spread
+		spreading atomic.Int64
 	}
 
 	shard struct {
@@ -96,6 +102,7 @@
 		broadcaster: broadcaster, client: client, table: table, observer: observer, duration: duration,
 		limiter: rate.NewLimiter(newsPerSecond, newsBurst), probe: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 		unstored: make(map[kqfingerprint.Fingerprint]kqquarantine.Suspect), stored: make(map[kqfingerprint.Fingerprint]bool),
+		spreads: make(map[kqfingerprint.Fingerprint]*spread),
 	}
 	for i := range q.shards {
 		q.shards[i].quarantine, q.shards[i].refused = kqquarantine.New(duration, q.fate), make(map[kqfingerprint.Fingerprint]bool)
@@ -117,9 +124,12 @@
 	came := time.Now()
 	s := q.shard(c.Fingerprint)
 	for now, end := came, came.Add(maxWait); ; now = time.Now() {
-		s.mu.Lock()
-		verdict := s.quarantine.Decide(c.Fingerprint, side, came, now)
-		s.mu.Unlock()
+		verdict := kqquarantine.Wait
+		if side == kqquarantine.Incoming || now.Sub(came) >= maxAdmitSpread || !q.isSpreading(c.Fingerprint, now) {
+			s.mu.Lock()
+			verdict = s.quarantine.Decide(c.Fingerprint, side, came, now)
+			s.mu.Unlock()
+		}
 		if verdict != kqquarantine.Wait || !now.Before(end) || !now.Before(c.Deadline) || c.Cancel.Done() {
 			return verdict
 		}
@@ -135,25 +145,6 @@
 	return s.quarantine.IsRefused(r, now)
 }
 
-// AwaitSpread waits while news of the last end under the call's request may be on their way, up to the
-// call's deadline.
-func (q *Suspicions) AwaitSpread(c *kqcall.Call) {
-	now := time.Now()
-	s := q.shard(c.Fingerprint)
-	s.mu.Lock()
-	left := s.quarantine.SpreadLeft(c.Fingerprint, now)
-	s.mu.Unlock()
-	if left = min(left, c.Deadline.Sub(now)); left <= 0 {
-		return
-	}
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.Cancel.Signal():
-	}
-}
-
 // BeginProbe waits until the node's gate runs no probe, of whichever request: an upstream that ends
 // under two of them would be held against both. It reports false if that takes too long or the
 // call is cancelled. After true, the caller must call EndProbe.
@@ -190,7 +181,7 @@
 		e.Certainty = kqquarantine.Confirmed
 	}
 	if q.record(r, from, e, true) {
-		q.announce(endNews(r, from, e, e.Known))
+		q.announceEnd(r, from, e, e.Known)
 	}
 }
 
@@ -206,7 +197,7 @@
 	s.mu.Unlock()
 	if cleared {
 		q.reportCleared(before, "answered", now)
-		q.announce(news{Cleared: []clearance{{Request: r, SentAgo: now.Sub(sent)}}})
+		q.announce(news{Cleared: []clearance{{Request: r, SentAgo: now.Sub(sent)}}}, nil)
 	}
 }
 
@@ -214,7 +205,7 @@
 // it.
 func (q *Suspicions) Clear(r kqfingerprint.Fingerprint, now time.Time) bool {
 	known := q.clearBefore(r, now, "operator", now)
-	q.announce(news{Cleared: []clearance{{Request: r, ByOperator: true}}})
+	q.announce(news{Cleared: []clearance{{Request: r, ByOperator: true}}}, nil)
 	return known
 }
 
@@ -233,6 +224,7 @@
 // Sweep removes what has expired, and records the ends of upstreams that only their nodes' records
 // show.
 func (q *Suspicions) Sweep(now time.Time) {
+	q.forgetSpreads(now)
 	for i := range q.shards {
 		s := &q.shards[i]
 		s.mu.Lock()
--- a/internal/peer/kqsuspicion/suspicions_test.go
+++ b/internal/peer/kqsuspicion/suspicions_test.go
@@ -28,6 +28,8 @@
 		mu        sync.Mutex
 		receivers []kqbroadcast.Receiver
 		isCut     bool
+		// confirmed is closed once all nodes have confirmed the messages; nil means at once.
+		confirmed chan struct{}
 	}
 
 	// observer counts what becomes of requests.
@@ -59,14 +61,19 @@
 	return conn, err
 }
 
-func (n *network) PublishUrgent(_ context.Context, _ kqbroadcast.Topic, payload []byte) {
+func (n *network) PublishUrgent(_ context.Context, _ kqbroadcast.Topic, payload []byte) <-chan struct{} {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.confirmed == nil {
+		n.confirmed = make(chan struct{})
+		close(n.confirmed)
+	}
 	for _, r := range n.receivers {
 		if !n.isCut {
 			r("peer", payload)
 		}
 	}
+	return n.confirmed
 }
 
 func (n *network) Subscribe(_ kqbroadcast.Topic, r kqbroadcast.Receiver) {
