Calls: bound the interim responses before a response

Cause: interim responses (1xx) were skipped without a bound, so that an upstream that sends them without end kept a processor busy until the call's deadline.

Change: the call ends as cut after 16 of them.

--- a/internal/call/kqsend/response.go
+++ b/internal/call/kqsend/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net/http/httputil"
@@ -20,8 +21,14 @@
 	// and of bodies that end with their connection.
 	chunkedLength    = -1
 	untilCloseLength = -2
+
+	// maxInterim bounds the interim responses before a response. Without it, a peer that sends
+	// them without end keeps a processor busy until the call's deadline.
+	maxInterim = 16
 )
 
+var errInterim = errors.New("too many interim responses")
+
 // responseStream is a response body that is streamed to the caller. Its connection is
 // reused only if the body has been read to its end.
 type responseStream struct {
@@ -42,7 +49,10 @@
 func (n *connection) readResponse(c *Client, call *kqcall.Call) error {
 	r := call.Response
 	r.Reset()
-	for {
+	for interim := 0; ; interim++ {
+		if interim > maxInterim {
+			return errInterim
+		}
 		if err := r.Header.Read(n.reader); err != nil {
 			return err
 		}
