Calls: bound a chunked body's trailer

Cause: trailer lines after the last chunk were skipped without a bound, so that an upstream that sends them without end kept a processor busy until the call's deadline.

--- a/internal/call/kqsend/response.go
+++ b/internal/call/kqsend/response.go
@@ -25,9 +25,14 @@
 	// maxInterim bounds the interim responses before a response. Without it, a peer that sends
 	// them without end keeps a processor busy until the call's deadline.
 	maxInterim = 16
+	// maxTrailerBytes bounds what follows the last chunk of a body, for the same reason.
+	maxTrailerBytes = bufferSize
 )
 
-var errInterim = errors.New("too many interim responses")
+var (
+	errInterim = errors.New("too many interim responses")
+	errTrailer = errors.New("trailer is too long")
+)
 
 // responseStream is a response body that is streamed to the caller. Its connection is
 // reused only if the body has been read to its end.
@@ -125,11 +130,14 @@
 
 // skipTrailer reads what follows the last chunk, up to and including the empty line.
 func skipTrailer(r *bufio.Reader) error {
-	for {
+	for read := 0; ; {
 		line, err := r.ReadSlice('\n')
 		if err != nil {
 			return err
 		}
+		if read += len(line); read > maxTrailerBytes {
+			return errTrailer
+		}
 		if len(line) <= len("\r\n") {
 			return nil
 		}
--- a/internal/call/kqsend/unbounded_test.go
+++ b/internal/call/kqsend/unbounded_test.go
@@ -37,6 +37,7 @@
 		"interim responses":       {rest: strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000), early: true},
 		"chunks of a byte":        {head: ok + "Transfer-Encoding: chunked\r\n\r\n", rest: strings.Repeat("1\r\nx\r\n", 1000)},
 		"chunk extension":         {head: ok + "Transfer-Encoding: chunked\r\n\r\n1;", rest: block, early: true},
+		"trailer":                 {head: ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", rest: strings.Repeat("X-Line: value\r\n", 1000), early: true},
 		"body without length":     {head: ok + "\r\n", rest: block},
 		"body of which none came": {head: ok + "Content-Length: 1000000000\r\n\r\n", rest: "x", pause: 10 * time.Millisecond},
 	} {
