Soak: end each plan with a limit of a whole service

Cause: TestSoakFindsFaultsPutInOnPurpose/lifted did not find a limit that outlives its end. Calls are refused for a limit only if each upstream of a service has one, upstreams and nodes that start anew forget it, and refusals count only 6 s after its end; few plans had all of that.

Change: 6 s after the time for faults, all upstreams of one service name a limit of 2 calls a second for 2 s, which leaves over 7 s in which refusals count. The other faults of a seed are the same. The checker is as it was: it has enough calls now.

--- a/internal/lab/kqsoak/condition.go
+++ b/internal/lab/kqsoak/condition.go
@@ -28,6 +28,13 @@
 	longestLimit = 8 * time.Second
 	seriesLength = 4
 	seriesPeriod = 1500 * time.Millisecond
+	// The last limit is that of all upstreams of a service, since calls are refused for a limit
+	// only if each has one. It begins lastLimitAfter the time for faults, when most leaves and
+	// replacements are done: a new process forgets the limit. What it keeps back after its end is
+	// observed until the run ends, over 10 s later.
+	lastLimitAfter = 6 * time.Second
+	lastLimitFor   = 2 * time.Second
+	lastLimit      = 2.0
 )
 
 // limits are the limits that upstreams name, in calls a second.
@@ -48,7 +55,7 @@
 		case n < 40:
 			g.add(Fault{At: at, Kind: Limit, Target: target, Limit: limit, For: g.randomDuration(time.Second, longestLimit)})
 		case n < 55:
-			g.addLimitOfService(at, target, limit)
+			g.addLimitOfService(at, target, limit, g.randomDuration(time.Second, longestLimit))
 		case n < 70:
 			for i := range seriesLength {
 				g.add(Fault{At: at + time.Duration(i)*seriesPeriod, Kind: Limit, Target: target, Limit: limit, For: seriesPeriod / 2})
@@ -57,12 +64,12 @@
 			g.add(Fault{At: at, Kind: QuietLeave, Target: target, For: quietLeaveFor})
 		}
 	}
+	g.addLimitOfService(g.options.For+lastLimitAfter, g.randomNode(), lastLimit, lastLimitFor)
 }
 
 // addLimitOfService adds the same limit at all upstreams of the target's service, whose nodes
 // are every second one.
-func (g *generator) addLimitOfService(at time.Duration, target int, limit float64) {
-	duration := g.randomDuration(time.Second, longestLimit)
+func (g *generator) addLimitOfService(at time.Duration, target int, limit float64, duration time.Duration) {
 	for i := target % 2; i < g.options.Nodes; i += 2 {
 		g.add(Fault{At: at, Kind: Limit, Target: i, Limit: limit, For: duration})
 	}
--- a/internal/lab/kqsoak/plan_test.go
+++ b/internal/lab/kqsoak/plan_test.go
@@ -55,3 +55,20 @@
 		t.Errorf("20 plans have %d reloads of leaving nodes, %d of starting nodes and %d overlapping leaves; want at least 40, 40 and 20", reloads, starts, overlaps)
 	}
 }
+
+// Guards against plans in which no limit ends late enough for calls to show that a node keeps it: an
+// upstream or node that is replaced forgets its limit, and another upstream without one takes the calls.
+func TestPlansEndWithALimitOfAService(t *testing.T) {
+	for seed := range uint64(20) {
+		o := kqsoak.Options{Seed: seed, Nodes: 4, For: 20 * time.Second}
+		limited := make(map[int]bool)
+		for _, f := range kqsoak.Generate(o) {
+			if f.At >= o.For+5*time.Second && f.Kind == kqsoak.Limit {
+				limited[f.Target] = true
+			}
+		}
+		if len(limited) < 2 || limited[0] != limited[2] || limited[1] != limited[3] {
+			t.Errorf("seed %d: the plan ends with limits at the upstreams %v, want those of a service", seed, limited)
+		}
+	}
+}
