--- a/internal/call/kqsend/response.go
+++ b/internal/call/kqsend/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net/http/httputil"
@@ -20,6 +21,17 @@
 	// and of bodies that end with their connection.
 	chunkedLength    = -1
 	untilCloseLength = -2
+
+	// maxInterim bounds the interim responses before a response. Without it, a peer that sends
+	// them without end keeps a processor busy until the call's deadline.
+	maxInterim = 16
+	// maxTrailerBytes bounds what follows the last chunk of a body, for the same reason.
+	maxTrailerBytes = bufferSize
+)
+
+var (
+	errInterim = errors.New("too many interim responses")
+	errTrailer = errors.New("trailer is too long")
 )
 
 // responseStream is a response body that is streamed to the caller. Its connection is
@@ -42,7 +54,10 @@
 func (n *connection) readResponse(c *Client, call *kqcall.Call) error {
 	r := call.Response
 	r.Reset()
-	for {
+	for interim := 0; ; interim++ {
+		if interim > maxInterim {
+			return errInterim
+		}
 		if err := r.Header.Read(n.reader); err != nil {
 			return err
 		}
@@ -115,11 +130,14 @@
 
 // skipTrailer reads what follows the last chunk, up to and including the empty line.
 func skipTrailer(r *bufio.Reader) error {
-	for {
+	for read := 0; ; {
 		line, err := r.ReadSlice('\n')
 		if err != nil {
 			return err
 		}
+		if read += len(line); read > maxTrailerBytes {
+			return errTrailer
+		}
 		if len(line) <= len("\r\n") {
 			return nil
 		}
