Keys stay out of the debug log; trailers no longer hide headers of nodes

Cause: the HTTP library's errors quote what it read, so that at debug level a broken request's key was logged. A caller that announced Kq-Workspace as a trailer made the library leave out the header that the node sets, so the upstream got no workspace; the same held for any other header that nodes add. Change: only network errors of the library are logged with their text; announced trailers and their announcement are removed at the entry, where they were dropped before too. A test serves keyed calls of every kind with faults, and searches the fleet's logs, metrics, pages, answers and messages, also compressed ones, for the keys. Another checks that the workspace comes from the system alone.

--- a/internal/call/kqentry/match.go
+++ b/internal/call/kqentry/match.go
@@ -102,6 +102,21 @@
 	return string(path)
 }
 
+// stripTrailers removes the fields that the caller announced as trailers, and the announcement.
+// The HTTP library leaves a header of an announced name out of the header that it sends on, so a
+// caller could keep headers that nodes add, such as the workspace, from the upstream.
+func stripTrailers(h *fasthttp.RequestHeader) {
+	names := h.PeekTrailerKeys()
+	if len(names) == 0 {
+		return
+	}
+	for _, name := range names {
+		h.DelBytes(name)
+	}
+	// Only names that may not be trailers are an error.
+	_ = h.SetTrailer("")
+}
+
 // stripHopByHop removes Expect and, if the request has a Connection header, the usual
 // hop-by-hop headers, which have no effect without it. Passed on, they would make the node
 // close its connections to upstreams, or make an upstream switch to a protocol that the
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -21,6 +21,7 @@
 // those of the node's own upstream, which name the call that they are nested in. It removes
 // this project's internal headers, which outside callers must not set.
 func (e *Entry) ServeOutside(ctx *fasthttp.RequestCtx) {
+	stripTrailers(&ctx.Request.Header)
 	if kqcall.StripRequest(&ctx.Request.Header) > 0 {
 		e.onForged()
 	}
@@ -35,6 +36,7 @@
 // reads are the depth, the remaining time and the workspace of the call that the upstream is
 // running.
 func (e *Entry) ServeLocal(ctx *fasthttp.RequestCtx, caller kqname.Caller) {
+	stripTrailers(&ctx.Request.Header)
 	depth, left := kqcall.ReadPropagated(&ctx.Request.Header)
 	workspace := kqname.Workspace(ctx.Request.Header.Peek(kqcall.HeaderWorkspace))
 	e.serve(ctx, caller, depth+1, kqcall.CallInfo{TimeLeft: left, Workspace: workspace})
--- a/internal/lab/kqfleet/fleet.go
+++ b/internal/lab/kqfleet/fleet.go
@@ -32,6 +32,8 @@
 		logger         *kqlog.Logger
 		store          kqstore.Store
 		adjustSettings func(*kqsettings.Settings)
+		// tap is nil if no option sets it.
+		tap Tap
 		// mu guards servers and serializes the calls of adjustSettings.
 		mu           sync.Mutex
 		servers      []*Server
--- a/internal/lab/kqfleet/server.go
+++ b/internal/lab/kqfleet/server.go
@@ -106,6 +106,9 @@
 	}
 	wrapped := kqresetlistener.New(l, transferred)
 	s.listeners = append(s.listeners, wrapped)
+	if s.fleet.tap != nil {
+		return tapListener{wrapped, role, s.fleet.tap}
+	}
 	return wrapped
 }
 
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -45,8 +47,33 @@
 	debugLogger struct{ log *logrus.Entry }
 )
 
-// Printf implements fasthttp.Logger.
-func (l debugLogger) Printf(format string, args ...any) { l.log.Debugf(format, args...) }
+// Printf implements fasthttp.Logger. The texts of the library's errors quote what was read, which
+// may hold an API key, so only network errors are logged with their text.
+func (l debugLogger) Printf(format string, args ...any) {
+	if !l.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+		return
+	}
+	shown := slices.Clone(args)
+	for i, a := range shown {
+		if err, ok := a.(error); ok {
+			shown[i] = unquoted(err)
+		}
+	}
+	l.log.Debugf(format, shown...)
+}
+
+// unquoted returns what an error of the HTTP library is, without what was read.
+func unquoted(err error) string {
+	var network *net.OpError
+	switch {
+	case errors.As(err, &network):
+		return network.Error()
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		return "the connection ended"
+	default:
+		return "the request cannot be read"
+	}
+}
 
 // setUpCalls assembles the call flow: match a route, admit, pick an upstream, send,
 // classify the result and answer.
--- a/internal/run/kqnode/workspace_test.go
+++ b/internal/run/kqnode/workspace_test.go
@@ -34,13 +34,21 @@
 
 func newKeyedFleet(t *testing.T, work time.Duration, keys ...string) *keyedFleet {
 	t.Helper()
-	f := &keyedFleet{t: t, fleet: kqfleet.New(kqfleet.WithSettings(func(s *kqsettings.Settings) {
-		s.Member.Heartbeat, s.Config.StartSpread = 100*time.Millisecond, 50*time.Millisecond
-	}))}
+	return startKeyedFleet(t, kqfleet.New(kqfleet.WithSettings(adjustForKeys)), work, keys...)
+}
+
+func adjustForKeys(s *kqsettings.Settings) {
+	s.Member.Heartbeat, s.Config.StartSpread = 100*time.Millisecond, 50*time.Millisecond
+}
+
+// startKeyedFleet starts the servers of the given fleet.
+func startKeyedFleet(t *testing.T, fleet *kqfleet.Fleet, work time.Duration, keys ...string) *keyedFleet {
+	t.Helper()
+	f := &keyedFleet{t: t, fleet: fleet}
 	f.commits = kqcommit.New(f.fleet.Platform)
 	f.setKeys(keys...)
 	for i := range 3 {
-		spec := kqfleet.Spec{Node: kqname.Node(fmt.Sprint("node-", i)), Domain: "a", Region: "north"}
+		spec := kqfleet.Spec{Node: kqname.Node(fmt.Sprint("node-", i)), Domain: "a", Region: "north", Admin: i == 1}
 		if i == 0 {
 			spec.Service, spec.Version, spec.Slots, spec.Behaviour = "store", "v1", 1, kqupstream.Behaviour{Work: work}
 		}
@@ -63,13 +71,17 @@
 	return f
 }
 
+func digestOfKey(key string) string {
+	digest := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(digest[:])
+}
+
 // setKeys commits a document in which just these keys are valid.
 func (f *keyedFleet) setKeys(keys ...string) {
 	f.t.Helper()
 	w := kqdocument.Workspace{Name: "acme"}
 	for _, k := range keys {
-		digest := sha256.Sum256([]byte(k))
-		w.KeyDigests = append(w.KeyDigests, hex.EncodeToString(digest[:]))
+		w.KeyDigests = append(w.KeyDigests, digestOfKey(k))
 	}
 	o, err := f.commits.Commit(f.t.Context(), kqcommit.Request{
 		ID: fmt.Sprintf("keys-%d", f.version), Base: f.version, Author: "ana", Reason: "test", At: time.Unix(1, 0),
