--- a/internal/run/kqmetric/metric.go
+++ b/internal/run/kqmetric/metric.go
@@ -34,6 +34,7 @@
 	suspectedRequests        *prometheus.CounterVec
 	suspicionsDropped        prometheus.Counter
 	limits                   limitMetrics
+	rates                    *rateMetrics
 	lastApplied              atomic.Int64
 	sentBytes, receivedBytes atomic.Uint64
 }
@@ -76,7 +77,7 @@
 	m.suspicionsDropped = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kumquatgw_suspicions_dropped_total", Help: "Ends of upstreams under requests that peers were not told of, because there were too many.",
 	})
-	m.gateCalls, m.limits = newGateCalls(), newLimitMetrics()
+	m.gateCalls, m.limits, m.rates = newGateCalls(), newLimitMetrics(), newRateMetrics()
 	m.suppressedLines = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kumquatgw_log_lines_left_out_total", Help: "Log lines of calls that were over the rate for their reason.",
 	})
@@ -91,7 +92,7 @@
 	m.panics = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kumquatgw_panics_total", Help: "Panics that were caught, by the part that panicked.",
 	}, []string{"part"})
-	m.registry.MustRegister(m.limits.limit, m.limits.calls, m.evacuated, m.endedUnderCalls, m.suspectedRequests, m.suspicionsDropped, m.panics, m.suppressedLines, m.storeCalls, m.stageSeconds)
+	m.registry.MustRegister(m.rates, m.rates.calls, m.rates.limited, m.limits.limit, m.limits.calls, m.evacuated, m.endedUnderCalls, m.suspectedRequests, m.suspicionsDropped, m.panics, m.suppressedLines, m.storeCalls, m.stageSeconds)
 	m.registry.MustRegister(m.calls, m.retries, m.gateCalls, m.configRefused, m.platformFailed, m.budgetExceeded, m.broadcastDropped, m.version,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "kumquatgw_control_sent_bytes_total", Help: "Bytes of control traffic sent to peers.",
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -61,6 +61,7 @@
 		kqentry.WithForgedHeadersHandler(n.securityMetrics.ForgedHeaders), kqentry.WithSupervisor(n.supervisor))
 	gateSuspicion, entrySuspicion := n.suspicionOptions()
 	gate, entry = append(gate, gateSuspicion...), append(entry, entrySuspicion...)
+	entry = append(entry, n.ratesOption())
 	nesting := kqnesting.New()
 	gate, entry = append(gate, kqgate.WithNesting(nesting)), append(entry, kqentry.WithNesting(nesting))
 	if n.settings.Call.SlotMode == slotsExact {
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -26,6 +26,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqbudget"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmembersync"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqrates"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqrpc"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqsuspicion"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqevents"
@@ -125,6 +126,7 @@
 		memberLog            *kqmemberlog.Log
 		// suspicions is nil if the settings switch the quarantine off.
 		suspicions *kqsuspicion.Suspicions
+		rates      *kqrates.Service
 		// evacuated are the evacuated failure domains of the snapshot in force.
 		evacuationMu sync.Mutex
 		evacuated    []kqname.Domain
@@ -246,6 +248,7 @@
 	n.runAdmin(background, supervise)
 	n.rollouts.run(background, supervise)
 	n.runSuspicions(background, supervise)
+	supervise("rates", func() { n.rates.Run(background) })
 	failed := make(chan error, 8)
 	serve := func(f func() error) {
 		group.Go(func() {
--- /dev/null
+++ b/internal/run/kqratelog/doc.go
@@ -0,0 +1,2 @@
+// Package kqratelog logs and counts what the rates of workspaces allow and refuse.
+package kqratelog
