--- a/internal/decide/kqadmission/admission.go
+++ b/internal/decide/kqadmission/admission.go
@@ -24,7 +24,8 @@
 	Slack = 4.0
 
 	// graceFactor times its recent rate is what a node admits while reports fail, and beyond
-	// it the calls of graceTime and the node's portion of the burst and the slack.
+	// it one call, since most nodes get few calls of a workspace, the calls of graceTime and
+	// the node's portion of the burst and the slack.
 	graceFactor = 2.0
 	graceTime   = 500 * time.Millisecond
 	// leastDepthTime is the time whose calls a bucket holds at least.
@@ -137,7 +138,7 @@
 	if random.Float64() >= a.answer.Share {
 		return Verdict{Basis: basis, RetryAfter: spread(a.answer.Wait, a.answer.Spread, random)}
 	}
-	if basis == ByGrace && !a.takeGrace(l, k, random, now) {
+	if basis == ByGrace && !a.takeGrace(l, k, now) {
 		return Verdict{Basis: basis, RetryAfter: spread(FreshFor, FreshFor, random)}
 	}
 	if !a.whole.take() {
@@ -149,10 +150,10 @@
 
 // takeGrace takes a token of the recent rate. The bucket is not filled up by an answer, so that
 // reports which fail every now and then allow no more calls than ones that fail for long.
-func (a *Admission) takeGrace(l Limit, k Link, random Random, now time.Time) bool {
+func (a *Admission) takeGrace(l Limit, k Link, now time.Time) bool {
 	rate := graceFactor * a.recent
-	a.grace.fill(rate, rate*graceTime.Seconds()+(l.Depth()+Slack)*k.Portion, now)
-	return a.grace.takeRounded(random.Float64())
+	a.grace.fill(rate, 1+rate*graceTime.Seconds()+(l.Depth()+Slack)*k.Portion, now)
+	return a.grace.take()
 }
 
 // admitByPortion decides by the node's own portion. Its bucket starts without a burst, and with
@@ -198,9 +199,14 @@
 		rate := max(float64(admitted), 0) / covered.Seconds()
 		a.recent += recentWeight * (min(rate, maxGrowth*a.recent+1) - a.recent)
 	}
+	a.Reported(arrived, admitted)
+	a.answer, a.unknown = x, false
+}
+
+// Reported records that a coordinator has counts which it cannot answer yet.
+func (a *Admission) Reported(arrived, admitted int64) {
 	a.arrived -= float64(arrived)
 	a.admitted -= float64(admitted)
-	a.answer, a.unknown = x, false
 }
 
 // IsUrgent reports whether so many more calls than usual were admitted since the given time, that
--- a/internal/decide/kqrateshare/shard.go
+++ b/internal/decide/kqrateshare/shard.go
@@ -27,6 +27,9 @@
 	// maxWait bounds the time after which refused callers return. Those that would have to
 	// wait for longer return in the second half of it.
 	maxWait = 30 * time.Second
+	// learnTime is for how long a shard has no answers after its first report. Every node has
+	// reported by then; before, no workspace would seem to be limited.
+	learnTime = 600 * time.Millisecond
 	// idleCredit is after how many seconds of the whole rate the bucket of a workspace without
 	// calls is dropped. A new one starts with what the shard has filled since it began.
 	idleCredit = 60.0
@@ -63,6 +66,8 @@
 		// lent is the sum of the portions at the last report or look, 1 at most.
 		lent       float64
 		reportedAt time.Time
+		// began is the time of the first report since the shard was created or reset.
+		began time.Time
 	}
 
 	lender struct {
@@ -124,7 +129,7 @@
 // reset empties the buckets after a time without reports, in which another coordinator may have
 // given out the burst. Debt is kept for as long as a window lasts.
 func (s *Shard) reset(now time.Time) {
-	s.credit = 0
+	s.credit, s.began = 0, now
 	for w, b := range s.buckets {
 		if b.level >= 0 || now.Sub(s.reportedAt) > maxDebtTime {
 			delete(s.buckets, w)
@@ -133,6 +138,9 @@
 	}
 }
 
+// IsLearning reports whether the shard has no answers yet.
+func (s *Shard) IsLearning(now time.Time) bool { return now.Sub(s.began) < learnTime }
+
 // expire removes the portions whose time has passed.
 func (s *Shard) expire(now time.Time) {
 	for n, l := range s.lenders {
--- a/internal/peer/kqrates/coordinator.go
+++ b/internal/peer/kqrates/coordinator.go
@@ -36,8 +36,13 @@
 		reportedAt time.Time
 		use        map[kqrateshare.Workspace]kqrateshare.Use
 		lookedAt   time.Time
-		// limited holds when each limited workspace last had a share below 1.
-		limited map[kqrateshare.Workspace]time.Time
+		limited    map[kqrateshare.Workspace]limitedWorkspace
+	}
+
+	// limitedWorkspace is a workspace whose share was last below 1 at the time at.
+	limitedWorkspace struct {
+		name kqname.Workspace
+		at   time.Time
 	}
 
 	// Use is how much of its rate a workspace uses over all nodes, in calls a second. Share is
@@ -74,6 +79,10 @@
 			Portion: 1 / float64(q.Known), Covered: time.Duration(one.CoveredMS) * time.Millisecond, Counts: one.counts(),
 		}, r.index.limit, now)
 		changes = append(changes, r.look(s, now)...)
+		if s.shard.IsLearning(now) {
+			a.Shards = append(a.Shards, ShardAnswer{Index: one.Index, Unknown: unknown, Learning: true})
+			continue
+		}
 		answer := ShardAnswer{Index: one.Index, Unknown: unknown}
 		for w, u := range s.use {
 			if u.Answer.Share < 1 {
@@ -92,7 +101,7 @@
 func (c *coordinator) shard(key shardKey) *coordinated {
 	s, ok := c.shards[key]
 	if !ok {
-		s = &coordinated{shard: kqrateshare.New(), limited: make(map[kqrateshare.Workspace]time.Time)}
+		s = &coordinated{shard: kqrateshare.New(), limited: make(map[kqrateshare.Workspace]limitedWorkspace)}
 		c.shards[key] = s
 	}
 	return s
@@ -107,39 +116,36 @@
 	s.use, s.lookedAt = s.shard.Use(r.index.limit, now), now
 	var changes []LimitChange
 	for hash, u := range s.use {
-		_, was := s.limited[hash]
-		if u.Answer.Share < 1 {
-			s.limited[hash] = now
-			if !was {
-				changes = append(changes, r.limitChange(hash, u, true))
-			}
+		w, ok := r.index.find(hash)
+		if !ok || u.Answer.Share >= 1 {
+			continue
 		}
-	}
-	for hash, at := range s.limited {
-		if now.Sub(at) >= limitedUntil {
-			delete(s.limited, hash)
-			changes = append(changes, r.limitChange(hash, s.use[hash], false))
+		if _, was := s.limited[hash]; !was {
+			changes = append(changes, LimitChange{Workspace: w.Name, Limited: true, Coordinator: true, Limit: limitOf(w), Arrived: u.Arrived, Share: u.Answer.Share})
 		}
+		s.limited[hash] = limitedWorkspace{w.Name, now}
 	}
-	return changes
+	return append(changes, r.freed(s, func(l limitedWorkspace) bool { return now.Sub(l.at) >= limitedUntil })...)
 }
 
-func (r *Rates) limitChange(hash kqrateshare.Workspace, u kqrateshare.Use, limited bool) LimitChange {
-	c := LimitChange{Limited: limited, Coordinator: true, Arrived: u.Arrived, Share: u.Answer.Share}
-	if !limited {
-		c.Share = 1
-	}
-	if w, ok := r.index.find(hash); ok {
-		c.Workspace, c.Limit = w.Name, limitOf(w)
+// freed removes the limited workspaces that isFree selects, and returns the changes.
+func (r *Rates) freed(s *coordinated, isFree func(limitedWorkspace) bool) []LimitChange {
+	var changes []LimitChange
+	for hash, l := range s.limited {
+		if !isFree(l) {
+			continue
+		}
+		delete(s.limited, hash)
+		c := LimitChange{Workspace: l.name, Coordinator: true, Arrived: s.use[hash].Arrived, Share: 1}
+		c.Limit, _ = r.index.limit(hash)
+		changes = append(changes, c)
 	}
-	return c
+	return changes
 }
 
 func (r *Rates) notify(changes []LimitChange, now time.Time) {
 	for _, c := range changes {
-		if c.Workspace != "" {
-			r.config.Observer.LimitChanged(c, now)
-		}
+		r.config.Observer.LimitChanged(c, now)
 	}
 }
 
@@ -152,6 +158,7 @@
 	for key, s := range c.shards {
 		if now.Sub(s.reportedAt) > coordinatedFor {
 			delete(c.shards, key)
+			changes = append(changes, r.freed(s, func(limitedWorkspace) bool { return true })...)
 		} else if len(s.limited) > 0 && now.Sub(s.reportedAt) < kqadmission.FreshFor {
 			changes = append(changes, r.look(s, now)...)
 		}
--- a/internal/peer/kqrates/cost_test.go
+++ b/internal/peer/kqrates/cost_test.go
@@ -28,10 +28,16 @@
 
 func (random) Float64() float64 { return rand.Float64() }
 
-// BenchmarkControlBytes measures what 89 nodes send on loopback for the rates of 87 workspaces at
-// 20 calls a second a node, without TLS. It runs once, for 13 s.
+// BenchmarkControlBytes measures what 89 nodes send on loopback for the rates of 87 workspaces
+// without calls and at 20 calls a second a node, without TLS. Each runs once, for 13 s.
 func BenchmarkControlBytes(b *testing.B) {
-	const nodes, perSecond, span = 89, 20, 10 * time.Second
+	for _, perSecond := range []int{0, 20} {
+		b.Run(fmt.Sprintf("calls=%d", perSecond), func(b *testing.B) { measureControlBytes(b, perSecond) })
+	}
+}
+
+func measureControlBytes(b *testing.B, perSecond int) {
+	const nodes, span = 89, 10 * time.Second
 	ctx, cancel := context.WithCancel(b.Context())
 	var group conc.WaitGroup
 	defer group.Wait()
@@ -64,13 +70,13 @@
 		group.Go(func() { _ = server.Serve(ctx, listeners[i]) })
 		group.Go(func() { s.Run(ctx); client.Close() })
 		group.Go(func() {
-			for ctx.Err() == nil {
+			for perSecond > 0 && ctx.Err() == nil {
 				draw, k := rand.Float64()*sum, 0
 				for ; k < len(workspaces)-1 && draw > workspaces[k].RatePerS; k++ {
 					draw -= workspaces[k].RatePerS
 				}
 				s.Rates().Admit(&workspaces[k], time.Now())
-				time.Sleep(time.Second / perSecond)
+				time.Sleep(time.Second / time.Duration(perSecond))
 			}
 		})
 	}
--- a/internal/peer/kqrates/message.go
+++ b/internal/peer/kqrates/message.go
@@ -42,11 +42,13 @@
 	// ShardAnswer names the workspaces of a shard whose share of calls is below 1. Values
 	// holds three numbers for each: the share in units of 1/10,000, and wait and spread in
 	// milliseconds. Unknown are the reported workspaces that have no rate at the coordinator.
+	// Learning is set while the coordinator has counts but no answers yet.
 	ShardAnswer struct {
 		Index      int                     `cbor:"1,keyasint,omitempty"`
 		Workspaces []kqrateshare.Workspace `cbor:"2,keyasint,omitempty"`
 		Values     []int64                 `cbor:"3,keyasint,omitempty"`
 		Unknown    []kqrateshare.Workspace `cbor:"4,keyasint,omitempty"`
+		Learning   bool                    `cbor:"5,keyasint,omitempty"`
 	}
 )
 
--- a/internal/peer/kqrates/rates.go
+++ b/internal/peer/kqrates/rates.go
@@ -191,6 +191,10 @@
 	}
 	before := r.shards
 	link := kqadmission.Link{}
+	if len(before) == 0 && now.Sub(r.started) > startTime {
+		// No workspace had a rate until now, so that no coordinator is known to be away.
+		link.AnsweredAt = now
+	}
 	for _, s := range before {
 		if link.AnsweredAt.IsZero() || s.link.AnsweredAt.Before(link.AnsweredAt) {
 			link = s.link
@@ -212,9 +216,7 @@
 	r.index.refresh()
 	r.observeCoordinated(now)
 	if r.index.isEmpty() {
-		r.mu.Lock()
-		r.shards, r.ownPortion = nil, 0
-		r.mu.Unlock()
+		r.notify(r.clear(), now)
 		return
 	}
 	known := r.fleet.count(now)
@@ -229,6 +231,23 @@
 	}
 }
 
+// clear forgets all shards, since no workspace has a rate, and returns which workspaces stop being
+// limited.
+func (r *Rates) clear() []LimitChange {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var changes []LimitChange
+	for _, s := range r.shards {
+		for _, e := range s.entries {
+			if e.limited {
+				changes = append(changes, LimitChange{Workspace: e.name, Limit: e.limit, Share: 1})
+			}
+		}
+	}
+	r.shards, r.ownPortion = nil, 0
+	return changes
+}
+
 // portionChange returns a function that tells the observer if the number of shards without an
 // answer has changed to or from 0. A node that has just started is not reported.
 func (r *Rates) portionChange(now time.Time) func() {
--- a/internal/peer/kqrates/rates_test.go
+++ b/internal/peer/kqrates/rates_test.go
@@ -71,6 +71,10 @@
 func (s *simulation) fault(kind string, parts int, length time.Duration) {
 	switch kind {
 	case "partition":
+		if s.killedAt > 0 && s.now-s.killedAt < 5*time.Second {
+			// The same: nodes that have just started know only their side.
+			return
+		}
 		for i := range s.group {
 			s.group[i] = s.random.IntN(parts)
 		}
@@ -80,6 +84,7 @@
 			// Nobody is left who knows how many nodes are on the other side.
 			return
 		}
+		s.killedAt = s.now
 		for _, n := range s.nodes {
 			s.kill(n, 100*time.Millisecond+time.Duration(s.random.Int64N(int64(time.Second))))
 		}
@@ -180,3 +185,61 @@
 		t.Errorf("%d of %d returning calls admitted", admitted, returned)
 	}
 }
+
+// Guards against a lowered rate that does not bind: one window after the version, the new rate
+// must hold, and 0.9 of it be used.
+func TestLoweredRateBinds(t *testing.T) {
+	s := newSimulation(1, 89, zipfWorkspaces(20))
+	for i := range s.workspaces {
+		w := s.workspaces[i]
+		s.demand(&w, 40*time.Second, func(time.Duration) float64 { return 1.5 * w.RatePerS })
+	}
+	const lowered = 12 * time.Second
+	s.at(lowered, func() {
+		s.workspaces = slices.Clone(s.workspaces)
+		for i := range s.workspaces {
+			s.workspaces[i].RatePerS /= 5
+			s.workspaces[i].Burst /= 5
+		}
+	})
+	s.runUntil(40 * time.Second)
+	for _, w := range s.workspaces {
+		s.admitted[w.Name] = slices.DeleteFunc(s.admitted[w.Name], func(at time.Duration) bool { return at < lowered+2500*time.Millisecond })
+		if part, at := s.worstWindow(w); part > 1 {
+			t.Errorf("%s admitted %.2f of its bound in the window until %v", w.Name, part, at)
+		}
+		if used := float64(countBetween(s.admitted[w.Name], 20*time.Second, 40*time.Second)) / (20 * w.RatePerS); w.RatePerS > 4 && used < 0.9 {
+			t.Errorf("%s used %.2f of its lowered rate", w.Name, used)
+		}
+	}
+}
+
+// Guards against the loss of all coordinators that lets calls within the rate fail: at 0.62 of
+// the rate, next to none may be refused while all coordinators are killed, three times.
+func TestCoordinatorsDieWithinTheRate(t *testing.T) {
+	s := newSimulation(1, 89, zipfWorkspaces(87))
+	s.runUntil(6 * time.Second)
+	for i := range s.workspaces {
+		w := &s.workspaces[i]
+		s.demand(w, 40*time.Second, func(time.Duration) float64 { return 0.62 * w.RatePerS })
+	}
+	for i := range 3 {
+		s.at(time.Duration(10+8*i)*time.Second, func() {
+			for n, at := range s.asked {
+				if s.now-at < time.Second {
+					s.kill(n, 3*time.Second)
+				}
+			}
+		})
+	}
+	s.runUntil(40 * time.Second)
+	refused, all := 0, 0
+	for _, w := range s.workspaces {
+		refused += len(s.refused[w.Name])
+		all += len(s.refused[w.Name]) + len(s.admitted[w.Name])
+	}
+	t.Logf("%d of %d calls refused", refused, all)
+	if refused*100 > all {
+		t.Errorf("%d of %d calls refused", refused, all)
+	}
+}
--- a/internal/peer/kqrates/report.go
+++ b/internal/peer/kqrates/report.go
@@ -93,13 +93,14 @@
 	r.mu.Lock()
 	for i, s := range b.shards {
 		s.inFlight, s.failures = false, 0
-		s.link.AnsweredAt, s.link.Failing = b.sent, false
-		changes = append(changes, r.apply(s, b.report.Shards[i], answers[s.index], now)...)
+		a := answers[s.index]
+		if s.link.Basis(b.sent) != kqadmission.ByPortion || !a.Learning {
+			s.link.AnsweredAt, s.link.Failing = b.sent, a.Learning
+		}
+		changes = append(changes, r.apply(s, b.report.Shards[i], a, now)...)
 	}
 	r.mu.Unlock()
-	for _, c := range changes {
-		r.config.Observer.LimitChanged(c, now)
-	}
+	r.notify(changes, now)
 }
 
 // apply applies the answer to a shard's report.
@@ -113,6 +114,10 @@
 	covered := time.Duration(reported.CoveredMS) * time.Millisecond
 	var changes []LimitChange
 	for hash, e := range s.entries {
+		if a.Learning {
+			e.admission.Reported(counts[hash].Arrived, counts[hash].Admitted)
+			continue
+		}
 		x, isNamed := named[hash]
 		if !isNamed {
 			x = kqadmission.Answer{Share: 1}
--- a/internal/peer/kqrates/simulation_test.go
+++ b/internal/peer/kqrates/simulation_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqadmission"
@@ -42,7 +43,10 @@
 		admitted, refused  map[kqname.Workspace][]time.Duration
 		// onRefusal, if set, is called with each refused call's time to retry.
 		onRefusal func(w *kqdocument.Workspace, retryAfter time.Duration)
-		reports   int
+		// asked holds when each node last got a report.
+		asked map[*simulatedNode]time.Duration
+		// killedAt is when all nodes were last killed.
+		killedAt time.Duration
 	}
 
 	simulatedNode struct {
@@ -94,6 +98,7 @@
 	s := &simulation{
 		random: rand.New(rand.NewPCG(seed, 1)), workspaces: workspaces, group: make([]int, nodes),
 		admitted: make(map[kqname.Workspace][]time.Duration), refused: make(map[kqname.Workspace][]time.Duration),
+		asked: make(map[*simulatedNode]time.Duration),
 	}
 	for i := range nodes {
 		n := &simulatedNode{
@@ -248,7 +253,6 @@
 
 func (t transport) Send(to kqmember.Member, q kqrates.Report, done func(kqrates.Answer, error)) {
 	s, generation, finished := t.s, t.from.generation, false
-	s.reports++
 	finish := func(a kqrates.Answer, err error) {
 		if !finished && t.from.generation == generation {
 			finished = true
@@ -263,6 +267,7 @@
 			peer = n
 		}
 	}
+	s.asked[peer] = s.now
 	delay, ok := t.delay()
 	if !ok {
 		return
@@ -310,6 +315,10 @@
 
 // call makes a call at a random one of the callers' nodes and reports whether it was admitted.
 func (s *simulation) call(w *kqdocument.Workspace) bool {
+	// The version in force may be newer than the caller's.
+	if i := slices.IndexFunc(s.workspaces, func(o kqdocument.Workspace) bool { return o.Name == w.Name }); i >= 0 {
+		w = &s.workspaces[i]
+	}
 	n := s.nodes[s.callers[s.random.IntN(len(s.callers))]]
 	if !s.runs(n) {
 		return false
--- a/internal/run/kqexplain/explain.go
+++ b/internal/run/kqexplain/explain.go
@@ -126,6 +126,8 @@
 		return fmt.Sprintf("the upstream at %s, which ended while it ran the request, after %.0f ms; %s.", last.To, last.Took, noRetryReason(end))
 	case "cut", "connect_failed", "draining", "rolled_back", "moved", "crossed", "shed":
 		return fmt.Sprintf("the upstream. The last attempt, to %s, ended as %s after %.0f ms%s; %s.", last.To, end.Reason, last.Took, l.laterMemberState(end, last.To), noRetryReason(end))
+	case "over_rate":
+		return l.rateCause(end)
 	case "cancelled":
 		return "the caller, which disconnected before the answer."
 	default:
--- a/internal/run/kqexplain/explain_test.go
+++ b/internal/run/kqexplain/explain_test.go
@@ -8,7 +8,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/run/kqexplain"
 )
 
-// recorded holds the log lines of four calls, r1 to r4, on nodes a to c, and three
+// recorded holds the log lines of seven calls, r1 to r7, on nodes a to c, and three
 // lines that must be skipped: an empty one, one of another program, and a truncated
 // one.
 const recorded = `
@@ -22,6 +22,11 @@
 {"time":"2026-01-02T03:04:09.001Z","node":"a","part":"call","event":"ended","id":"r3","result":"answered","status":500,"service":"front","took_ms":90,"tries":[{"to":"c","result":"answered","status":500,"took_ms":89}]}
 {"time":"2026-01-02T03:04:09.100Z","node":"a","part":"call","event":"ended","id":"r4","result":"not_run","reason":"limited","status":503,"service":"wood","retry_after_ms":400,"tries":[{"to":"d","result":"not_run","reason":"limited"}]}
 {"time":"2026-01-02T03:04:09.200Z","node":"a","part":"call","event":"ended","id":"r5","result":"not_run","reason":"quarantined","status":503,"service":"wood","request":"330c"}
+{"time":"2026-01-02T03:04:09.250Z","node":"c","part":"rates","event":"workspace_limited","workspace":"tenant","coordinator":true,"rate_per_s":60,"burst":30,"share":0.4,"arrived_per_s":150.5}
+{"time":"2026-01-02T03:04:09.300Z","node":"a","part":"rates","event":"workspace_limited","workspace":"tenant","coordinator":false,"rate_per_s":60,"burst":30,"share":0.4}
+{"time":"2026-01-02T03:04:09.400Z","node":"a","part":"call","event":"ended","id":"r6","result":"not_run","reason":"over_rate","status":429,"workspace":"tenant","retry_after_ms":900}
+{"time":"2026-01-02T03:04:09.450Z","node":"a","part":"rates","event":"own_portion","shards":4,"nodes":89}
+{"time":"2026-01-02T03:04:09.500Z","node":"a","part":"call","event":"ended","id":"r7","result":"not_run","reason":"over_rate","status":429,"workspace":"other"}
 words of somebody else
 {"time":"2026-01-02T03:04:10.000Z","node":"a","part":"call","event":"en`
 
@@ -41,6 +46,8 @@
 		"r1": {"Cause: overload. 1 gates of front had no room", "caller told to retry after 250 ms", "b alive for", "version in force for"},
 		"r4": {"Cause: limit. The last of 1 gates of wood, d,", "caller told to retry after 400 ms"},
 		"r5": {"Cause: quarantine. Upstreams ended under request 330c"},
+		"r6": {`Cause: rate. Workspace "tenant"`, "60 a second and 30 at once", "for 100ms, a share of 0.4", "coordinator c had counted 150.5 calls a second"},
+		"r7": {`Cause: rate. Workspace "other"`, "by its own portion, one of 89"},
 		"r2": {"Cause: the upstream. The last attempt, to b, ended as cut", "b was marked", "marked dead at 03:04:08.000"},
 		"r3": {"Cause: a call that it caused. r3.1 ended as not_run, late"},
 	} {
--- a/internal/run/kqexplain/read.go
+++ b/internal/run/kqexplain/read.go
@@ -54,6 +54,14 @@
 		Waited   float64 `json:"waited_ms"`
 		Expected float64 `json:"expected_ms"`
 
+		Workspace   string  `json:"workspace"`
+		Coordinator bool    `json:"coordinator"`
+		RatePerS    float64 `json:"rate_per_s"`
+		Burst       float64 `json:"burst"`
+		Share       float64 `json:"share"`
+		ArrivedPerS float64 `json:"arrived_per_s"`
+		Nodes       int     `json:"nodes"`
+
 		Member    string   `json:"member"`
 		State     string   `json:"state"`
 		Upstreams []string `json:"upstreams"`
