--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -91,6 +91,7 @@
 	gate, entry = append(gate, gateSuspicion...), append(entry, entrySuspicion...)
 	gateWorkspaces, entryWorkspaces := n.workspaceOptions()
 	gate, entry = append(gate, gateWorkspaces...), append(entry, entryWorkspaces...)
+	entry = append(entry, n.ratesOption())
 	nesting := kqnesting.New()
 	gate, entry = append(gate, kqgate.WithNesting(nesting)), append(entry, kqentry.WithNesting(nesting))
 	if n.settings.Call.SlotMode == slotsExact {
