kqexcess, kqslots, kqshed: bound what one workspace's excess costs others

Change: calls beyond 1.5 times a workspace's usual load and beyond its fair share are served after all others, and leave one slot free while others arrive. Workspaces below their share have a credit of 1 s of work. The entry counts refusals per workspace, and refuses a call at once that has less than half of the least known work left.

--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -195,10 +195,11 @@
 		now = e.now()
 	}
 	s := e.service(c.Service)
+	if s.cannotEndInTime(c, now) {
+		return refuseSoon(kqcall.NotStartedInTime)
+	}
 	if !s.admit(c, e.baseline, now) {
-		o := kqcall.Refuse(kqcall.Overload)
-		o.RetryAfter = defaultRetryAfter
-		return o
+		return refuseSoon(kqcall.Overload)
 	}
 	o := e.sendAttempts(f, s, criteria)
 	if o.Result == kqcall.Unknown {
@@ -206,7 +207,7 @@
 		e.quarantine.AwaitSpread(c)
 	}
 	if isFull(o.Reason) {
-		s.recordRefusal(c)
+		s.recordRefusal(c, e.now())
 	}
 	return o
 }
--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -104,7 +104,7 @@
 	} else {
 		s.budgetFor(c.Depth).Earn()
 	}
-	return baseline || !s.shedder.ShouldShed(c.Class, s.missesTarget(c, now), now, s.random)
+	return baseline || !s.shedder.For(c.Workspace, now).ShouldShed(c.EffectiveClass(), s.missesTarget(c, now), now, s.random)
 }
 
 // missesTarget reports whether the call can no longer meet its target, even if it takes the
@@ -114,6 +114,18 @@
 	return c.Depth == 0 && !c.Target.IsZero() && now.Add(s.pool.LeastWork(c.Route)).After(c.Target)
 }
 
+// cannotEndInTime reports whether a call with a workspace surely cannot end before its deadline:
+// it has less than half of the least work left that an upstream's gate expects for calls of the
+// route. Calls take less than half of their mean in about one case in fifty.
+func (s *service) cannotEndInTime(c *kqcall.Call, now time.Time) bool {
+	if c.Workspace == "" {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Add(s.pool.LeastWork(c.Route) / 2).After(c.Deadline)
+}
+
 // pick returns the upstream for the next attempt, how to reach it, and the attempt's record.
 // The upstream is nil if the criteria allow none whose node has not been tried.
 func (s *service) pick(c *kqcall.Call, all []kqmember.Candidate, criteria kqpick.Criteria, tried []kqname.Node, now time.Time) (*kqpick.PoolUpstream, kqmember.Candidate, Attempt) {
@@ -197,10 +209,10 @@
 // recordRefusal counts for load shedding a call that was refused because gates were full. It
 // counts once however many gates refused it: otherwise, after one second at capacity, the
 // entry would shed most calls for many seconds although gates have free slots again.
-func (s *service) recordRefusal(c *kqcall.Call) {
+func (s *service) recordRefusal(c *kqcall.Call, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.shedder.RecordRefusal(c.Class)
+	s.shedder.For(c.Workspace, now).RecordRefusal(c.EffectiveClass())
 }
 
 // hasSpareGate reports whether a call that a gate refused as full, cold or limited may be sent to another gate
--- a/internal/decide/kqshare/estimate.go
+++ b/internal/decide/kqshare/estimate.go
@@ -69,14 +69,21 @@
 	if len(q.backlogged) == 0 || len(q.backlogged) == 1 && q.backlogged[0] == own {
 		return ownWork
 	}
-	finishTag := max(startTag, q.virtualTime) + ownWork
+	startTag = max(startTag, q.virtualTime-credit)
+	finishTag := startTag + ownWork
+	// A workspace that is served first has one call served at least.
+	oneCall := q.queuedWork / time.Duration(q.length)
 	ahead, lighterWork := ownWork, q.recent-recent
 	for _, other := range q.backlogged {
 		if other == own {
 			continue
 		}
 		work := other.work()
-		ahead += min(work, max(0, finishTag-other.startTag))
+		if other.startTag <= startTag {
+			ahead += min(work, max(oneCall, finishTag-other.startTag))
+		} else {
+			ahead += min(work, max(0, finishTag-other.startTag))
+		}
 		if work >= ownWork {
 			lighterWork -= other.recent
 		}
--- a/internal/decide/kqshare/share.go
+++ b/internal/decide/kqshare/share.go
@@ -19,6 +19,12 @@
 	// workspaces are removed after some ten halvings.
 	recentUnit = time.Millisecond
 
+	// credit is the work by which a workspace that has been given less than its share may be
+	// ahead when it has waiting calls again. With 87 workspaces on 18 slots, the share of one
+	// is a call of 350 ms each 1.7 s: without credit, the second of two calls within that
+	// time is late although the workspace asks for less than its share.
+	credit = 1 * time.Second
+
 	// promptStreak is the number of consecutive calls with almost no wait that show that a
 	// workspace's calls no longer queue, as in kqfair.
 	promptStreak = 8
@@ -36,10 +42,12 @@
 		// unused holds removed flows for reuse.
 		unused     []*flow
 		backlogged flowHeap
-		// virtualTime is the start tag of the call served last.
+		// virtualTime is the highest start tag of the calls served.
 		virtualTime time.Duration
 		queuedWork  time.Duration
 		length      int
+		// sequence is that of the flow that became backlogged last.
+		sequence uint64
 		// recent is the work recently given to all flows, activeFlows how many were given
 		// any, and callsSinceHalving the number of calls since recent work was halved.
 		recent                         time.Duration
@@ -73,6 +81,8 @@
 		queuedWork [ranks]time.Duration
 		// startTag is the start tag of the flow's next call.
 		startTag time.Duration
+		// sequence orders flows with the same start tag by when they became backlogged.
+		sequence uint64
 		// position is the flow's index in the heap, -1 without waiting calls.
 		position int
 		// prompt is when a call of the flow last ran at once or completed a streak of calls
@@ -112,7 +122,9 @@
 	q.queuedWork += item.Work
 	q.length++
 	if f.position < 0 {
-		f.startTag = max(f.startTag, q.virtualTime)
+		f.startTag = max(f.startTag, q.virtualTime-credit)
+		q.sequence++
+		f.sequence = q.sequence
 		heap.Push(&q.backlogged, f)
 	}
 }
@@ -138,7 +150,7 @@
 		return nil
 	}
 	f := q.backlogged[0]
-	q.virtualTime = f.startTag
+	q.virtualTime = max(q.virtualTime, f.startTag)
 	var item *kqfair.Item
 	if f == q.anonymousFlow {
 		item = q.anonymous.Pop(newest)
@@ -236,7 +248,12 @@
 func (h flowHeap) Len() int { return len(h) }
 
 // Less implements heap.Interface: flows that have been given less work are served first.
-func (h flowHeap) Less(i, j int) bool { return h[i].startTag < h[j].startTag }
+func (h flowHeap) Less(i, j int) bool {
+	if h[i].startTag != h[j].startTag {
+		return h[i].startTag < h[j].startTag
+	}
+	return h[i].sequence < h[j].sequence
+}
 
 // Swap implements heap.Interface.
 func (h flowHeap) Swap(i, j int) {
--- a/internal/decide/kqshed/doc.go
+++ b/internal/decide/kqshed/doc.go
@@ -11,6 +11,10 @@
 // times what they accept. The gates stay fully used, and recovery shows at once. The factor
 // is smaller for less important classes, which are shed first.
 //
+// Calls of a workspace are counted apart from those of others. Gates share their slots between
+// workspaces, so that they refuse the calls of the one that sends too many; counted together,
+// its refusals would shed the calls of all workspaces of its class.
+//
 // Within a class, calls that can no longer meet their targets are shed before those that
 // can. Random shedding would drop first attempts in favour of retries whose answers are
 // late in any case.
--- a/internal/decide/kqshed/shed.go
+++ b/internal/decide/kqshed/shed.go
@@ -5,18 +5,28 @@
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
 const (
 	halfLife = time.Second
 	// minCalls is the decayed number of calls below which nothing is shed.
 	minCalls = 20
+	// idleTimeout is how long the counts of a workspace without calls are kept, and
+	// sweepInterval the interval between removals.
+	idleTimeout   = 10 * time.Second
+	sweepInterval = 10 * time.Second
 )
 
 type (
 	// Shedder sheds the load of one service. It is not safe for concurrent use.
 	Shedder struct {
 		classes [3]decayingCounts
+		// workspaces holds the Shedder of each workspace with recent calls.
+		workspaces map[kqname.Workspace]*Shedder
+		// lastCall is when For returned the Shedder last, lastSweep when idle ones were
+		// removed.
+		lastCall, lastSweep time.Time
 	}
 
 	// decayingCounts are counts of one class, halved once every halfLife.
@@ -35,6 +45,33 @@
 // New returns a Shedder without data.
 func New() *Shedder { return &Shedder{} }
 
+// For returns the Shedder for the calls of a workspace, which is s itself for those without
+// one. Each workspace has counts of its own, so that the refusals of one that sends more than
+// the gates accept do not shed the calls of others.
+func (s *Shedder) For(w kqname.Workspace, now time.Time) *Shedder {
+	if w == "" {
+		return s
+	}
+	if now.Sub(s.lastSweep) >= sweepInterval {
+		s.lastSweep = now
+		for name, one := range s.workspaces {
+			if now.Sub(one.lastCall) >= idleTimeout {
+				delete(s.workspaces, name)
+			}
+		}
+	}
+	found := s.workspaces[w]
+	if found == nil {
+		if s.workspaces == nil {
+			s.workspaces = make(map[kqname.Workspace]*Shedder)
+		}
+		found = New()
+		s.workspaces[w] = found
+	}
+	found.lastCall = now
+	return found
+}
+
 // ShouldShed counts a call of the class and reports whether to refuse it. late is set if
 // the call can no longer meet its target.
 func (s *Shedder) ShouldShed(c kqdocument.Class, late bool, now time.Time, random *rand.Rand) bool {
--- a/internal/decide/kqslots/bench_test.go
+++ b/internal/decide/kqslots/bench_test.go
@@ -16,6 +16,9 @@
 		b.Run(fmt.Sprint(flows, " callers"), func(b *testing.B) {
 			benchmarkFlows(b, flows, func(t *kqslots.Ticket, i int) { t.Caller = kqname.Caller(fmt.Sprint("c", i)) })
 		})
+		b.Run(fmt.Sprint(flows, " workspaces"), func(b *testing.B) {
+			benchmarkFlows(b, flows, func(t *kqslots.Ticket, i int) { t.Workspace = kqname.Workspace(fmt.Sprint("w", i)) })
+		})
 	}
 }
 
--- a/internal/decide/kqslots/overload_test.go
+++ b/internal/decide/kqslots/overload_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqslots"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -26,6 +28,9 @@
 		duration time.Duration
 		// maxRetries is how often a refused request is retried.
 		maxRetries int
+		// countFrom and countUntil bound the first attempts of the counted requests, all if
+		// countUntil is zero.
+		countFrom, countUntil time.Duration
 	}
 
 	// stream is the calls of one route, made by a number of identical callers at the given
@@ -39,6 +44,14 @@
 		from, until            time.Duration
 		sigma                  float64
 		nested                 bool
+		workspace              kqname.Workspace
+		workspaceClass         kqdocument.Class
+		// retryDelay replaces the delay that refused callers are told, and retries replaces
+		// load.maxRetries, if they are not zero.
+		retryDelay time.Duration
+		retries    int
+		// random is the stream's own source, so that other streams do not change it.
+		random *rand.Rand
 	}
 
 	// request is one request of a caller, over all its attempts.
@@ -47,6 +60,7 @@
 		caller   kqname.Caller
 		first    time.Time
 		attempts int
+		counted  *results
 	}
 
 	// results counts the outcomes of a stream's requests.
@@ -89,7 +103,10 @@
 	}
 	for i := range l.streams {
 		s := &l.streams[i]
-		sim.results[s.route] = &results{}
+		if s.random = sim.random; s.workspace != "" {
+			s.random = rand.New(rand.NewPCG(seed, xxhash.Sum64String(fmt.Sprint(s.workspace, s.route, s.from))))
+		}
+		sim.results[s.key()] = &results{}
 		sim.after(s.from, func() { sim.arrive(s) })
 	}
 	for len(sim.events) > 0 {
@@ -109,16 +126,23 @@
 	if sim.now.Sub(time.Unix(1000, 0)) >= until {
 		return
 	}
-	sim.results[s.route].requests++
-	sim.try(&request{stream: s, caller: kqname.Caller(fmt.Sprint(sim.random.IntN(s.callers))), first: sim.now})
-	sim.after(time.Duration(sim.random.ExpFloat64()/s.rate*float64(time.Second)), func() { sim.arrive(s) })
+	counted := &results{}
+	if at := sim.now.Sub(time.Unix(1000, 0)); sim.countUntil == 0 || at >= sim.countFrom && at < sim.countUntil {
+		counted = sim.results[s.key()]
+	}
+	counted.requests++
+	sim.try(&request{stream: s, caller: kqname.Caller(fmt.Sprint(s.random.IntN(s.callers))), first: sim.now, counted: counted})
+	sim.after(time.Duration(s.random.ExpFloat64()/s.rate*float64(time.Second)), func() { sim.arrive(s) })
 }
 
 func (sim *simulation) try(r *request) {
 	s := r.stream
 	r.attempts++
 	t := &kqslots.Ticket{
-		Caller: r.caller, Route: s.route, Class: s.class, Nested: s.nested, Deadline: sim.now.Add(s.deadline), Target: r.first.Add(s.target), Ready: make(chan struct{}, 1),
+		Caller: r.caller, Route: s.route, Class: s.class, RouteClass: s.class, Workspace: s.workspace, Nested: s.nested, Deadline: sim.now.Add(s.deadline), Target: r.first.Add(s.target), Ready: make(chan struct{}, 1),
+	}
+	if s.workspaceClass != "" {
+		t.Class = s.workspaceClass
 	}
 	sim.calls[t], sim.entered[t] = r, sim.now
 	sim.slots.Enter(t, sim.now)
@@ -130,10 +154,10 @@
 	r := sim.calls[t]
 	switch t.Verdict {
 	case kqslots.Run:
-		z := sim.random.NormFloat64()
+		z := r.stream.random.NormFloat64()
 		took := time.Duration(float64(r.stream.work) * math.Exp(r.stream.sigma*z-r.stream.sigma*r.stream.sigma/2))
 		sim.after(took, func() {
-			g := sim.results[r.stream.route]
+			g := r.counted
 			if sim.now.After(r.first.Add(r.stream.target)) {
 				g.late++
 			} else {
@@ -151,10 +175,14 @@
 		})
 	case kqslots.Refuse:
 		if sim.now.Sub(sim.entered[t]) > 50*time.Millisecond {
-			sim.results[r.stream.route].refusedAfterWait++
+			r.counted.refusedAfterWait++
 		}
-		if r.attempts > sim.maxRetries {
-			sim.results[r.stream.route].refused++
+		if r.attempts > cmp.Or(r.stream.retries, sim.maxRetries) {
+			r.counted.refused++
+			return
+		}
+		if r.stream.retryDelay > 0 {
+			sim.after(r.stream.retryDelay, func() { sim.try(r) })
 			return
 		}
 		// A refused caller retries after RetryAfter or a third of its remaining patience,
@@ -164,6 +192,14 @@
 	}
 }
 
+// key returns under which key the stream's results are counted: its workspace, or its route.
+func (s *stream) key() kqname.Route {
+	if s.workspace != "" {
+		return kqname.Route(s.workspace)
+	}
+	return s.route
+}
+
 // credit returns the value of the answers per request: one after its target counts 0.3.
 func (g *results) credit() float64 {
 	return (float64(g.inTime) + 0.3*float64(g.late)) / float64(max(g.requests, 1))
--- a/internal/decide/kqslots/queue.go
+++ b/internal/decide/kqslots/queue.go
@@ -13,7 +13,7 @@
 func (s *Slots) enqueue(t *Ticket, expected, left time.Duration, now time.Time) {
 	t.expectedWait = s.expectWait(t, expected, now)
 	wait := time.Duration(float64(t.expectedWait) * s.waitCorrection())
-	share := [priorityLevels]float64{nestedWaitShare, criticalWaitShare, nestedWaitShare, normalWaitShare, nestedWaitShare, backgroundWaitShare}[t.priority]
+	share := [priorityLevels]float64{nestedWaitShare, criticalWaitShare, nestedWaitShare, normalWaitShare, nestedWaitShare, backgroundWaitShare, backgroundWaitShare}[t.priority]
 	allowedWait := s.allowedWait(t, wait, time.Duration(share*float64(left)), now)
 	// A call that is not scheduled by its target is refused after twice the allowed wait,
 	// since the upstream must have become slower since the call was queued. If the allowed
@@ -101,6 +101,12 @@
 	for i := range t.priority {
 		ahead += queues[i].Work()
 	}
+	if t.priority == excessLevel {
+		ahead += s.lateQueues[excessLevel].WorkAhead(t.key())
+		for i := range excessLevel {
+			ahead += s.lateQueues[i].Work()
+		}
+	}
 	// Running calls are half done on average, and the first to finish frees its slot.
 	return (ahead + expected/2) / time.Duration(max(slots, 1))
 }
@@ -130,7 +136,7 @@
 			}
 			t.refuse(kqcall.NotStartedInTime, s.retryAfter())
 		default:
-			s.start(t, t.missesTarget)
+			s.start(t, t.missesTarget || t.priority == excessLevel)
 		}
 		decided = append(decided, t)
 	}
@@ -149,7 +155,7 @@
 		return &s.shortQueues
 	case long:
 		return &s.longQueues
-	case totalLen(&s.lateQueues) > 0:
+	case totalLen(&s.lateQueues) > s.lateQueues[excessLevel].Len(), s.hasSlotForExcess(now) && totalLen(&s.lateQueues) > 0:
 		return &s.lateQueues
 	default:
 		return nil
@@ -190,9 +196,11 @@
 }
 
 // recordWait updates the mean actual and expected waits with those of a call that is taken
-// from its queue for a free slot. Calls that miss their targets do not count.
+// from its queue for a free slot. Calls that miss their targets and those in excess of their
+// workspace's usual load do not count: others overtake them, and their waits would make the
+// expected waits of all other calls too long.
 func (s *Slots) recordWait(t *Ticket, now time.Time) {
-	if t.missesTarget {
+	if t.missesTarget || t.priority == excessLevel {
 		return
 	}
 	s.actualWait += (now.Sub(t.item.EnqueuedAt).Seconds() - s.actualWait) / waitWindow
@@ -237,6 +245,17 @@
 	return max(s.limit.Allowed()-min(reserved, s.limit.Allowed()/2), 1)
 }
 
+// hasSlotForExcess reports whether a slot is free for a call in excess of its workspace's usual
+// load: one is kept for other calls until a second after the last of them. A call cannot be
+// stopped, so that others would otherwise always wait for one to end.
+func (s *Slots) hasSlotForExcess(now time.Time) bool {
+	reserved := 0
+	if now.Sub(s.lastUsual) <= reserveTimeout {
+		reserved = 1
+	}
+	return s.running < s.limit.Allowed()-reserved
+}
+
 func (s *Slots) queues(t *Ticket) *[priorityLevels]*kqshare.Queue {
 	if t.isLongJob {
 		return &s.longQueues
@@ -245,7 +264,7 @@
 }
 
 func (s *Slots) queue(t *Ticket) *kqshare.Queue {
-	if t.missesTarget {
+	if t.missesTarget || t.priority == excessLevel {
 		return s.lateQueues[t.priority]
 	}
 	return s.queues(t)[t.priority]
@@ -263,10 +282,11 @@
 	return n
 }
 
-// retryAfter returns the time in which the current queue will be served.
+// retryAfter returns the time in which the current queue will be served, without the calls in
+// excess of their workspace's usual load: a refused call that is not in excess goes before them.
 func (s *Slots) retryAfter() time.Duration {
 	work := time.Duration(0)
-	for i := range priorityLevels {
+	for i := range classLevels {
 		work += s.shortQueues[i].Work() + s.longQueues[i].Work() + s.lateQueues[i].Work()
 	}
 	return max(work/time.Duration(max(s.limit.Allowed(), 1)), minRetryAfter)
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqexcess"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqlimit"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqshare"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqwork"
@@ -19,9 +20,12 @@
 	// Refuse means that the call is refused for the reason in its Refusal.
 	Refuse
 
-	// priorityLevels counts the priorities: for each of the three classes, nested calls, then
-	// the others.
-	priorityLevels = 6
+	// classLevels counts the priorities by class: for each of the three classes, nested
+	// calls, then the others. After them, priority excessLevel is that of calls in excess of
+	// their workspace's usual load.
+	classLevels    = 6
+	excessLevel    = classLevels
+	priorityLevels = classLevels + 1
 	// Limits on the expected wait of calls that have no target or cannot meet it, as shares
 	// of the time left until the deadline, by priority.
 	nestedWaitShare, criticalWaitShare, normalWaitShare, backgroundWaitShare = 0.6, 0.6, 0.6, 0.125
@@ -115,6 +119,7 @@
 		announced int
 		limit     *kqlimit.Limit
 		work      *kqwork.Estimator
+		excess    *kqexcess.Detector
 		// targets holds the longest time that calls of each route had left until their
 		// target, which is that of first attempts.
 		targets                 map[kqname.Route]time.Duration
@@ -133,6 +138,9 @@
 		closeReason              kqcall.Reason
 		// fixedLimit is set if the announced slots are the upstream's real concurrency.
 		fixedLimit bool
+		// lastUsual is when the last call came that was not in excess of its workspace's
+		// usual load.
+		lastUsual time.Time
 		// shortDemand is the recent demand of short calls.
 		shortDemand demand
 	}
@@ -142,10 +150,10 @@
 // different salt at each gate, callers whose hashes collide at one gate do not collide at
 // all of them.
 func New(announced int, salt uint64, options ...Option) *Slots {
-	s := &Slots{announced: announced, limit: kqlimit.New(announced), work: kqwork.New(), unneeded: 1, targets: make(map[kqname.Route]time.Duration)}
+	s := &Slots{announced: announced, limit: kqlimit.New(announced), work: kqwork.New(), excess: kqexcess.New(), unneeded: 1, targets: make(map[kqname.Route]time.Duration)}
 	for i := range priorityLevels {
-		s.shortQueues[i], s.longQueues[i] = kqshare.New(salt+uint64(i)), kqshare.New(salt+priorityLevels+uint64(i))
-		s.lateQueues[i] = kqshare.New(salt + 2*priorityLevels + uint64(i))
+		s.shortQueues[i], s.longQueues[i] = kqshare.New(salt+uint64(i)), kqshare.New(salt+classLevels+uint64(i))
+		s.lateQueues[i] = kqshare.New(salt + 2*classLevels + uint64(i))
 	}
 	for _, o := range options {
 		o(s)
@@ -153,7 +161,7 @@
 	return s
 }
 
-// Priority returns the priority of a call, from 0, served first, to priorityLevels-1.
+// Priority returns the priority of a call, from 0, served first, to classLevels-1.
 func Priority(class kqdocument.Class, nested bool) int {
 	priority := 2*class.Rank() + 1
 	if nested {
@@ -174,13 +182,18 @@
 	if !t.isLongJob {
 		s.shortDemand.add(expected, now)
 	}
+	if t.Workspace != "" && s.excess.Record(t.Workspace, expected, s.limit.Allowed(), now) {
+		t.priority = excessLevel
+	} else {
+		s.lastUsual = now
+	}
 	left := t.Deadline.Sub(now)
 	switch {
 	case s.closed:
 		t.refuse(s.closeReason, minRetryAfter)
 	case left <= 0:
 		t.refuse(kqcall.NotStartedInTime, 0)
-	case s.hasFreeSlot(t.isLongJob, now) && totalLen(s.queues(t)) == 0:
+	case s.hasFreeSlot(t.isLongJob, now) && totalLen(s.queues(t)) == 0 && (t.priority != excessLevel || s.hasSlotForExcess(now)):
 		s.queue(t).RecordUnqueued(t.key(), expected, now)
 		s.start(t, true)
 	default:
