kqentry, kqexplain: refuse calls that cannot end in time, name the workspace of late calls

Cause: a call of a workspace was sent although no upstream could answer it before its deadline, and explain named neither its workspace nor what the gate decided from.

Change: the entry refuses such a call with a Retry-After before it is sent; explain shows the workspace, the wait, the slots and the recent work of the gate's line.

--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -195,11 +195,8 @@
 		now = e.now()
 	}
 	s := e.service(c.Service)
-	if s.cannotEndInTime(c, now) {
-		return refuseSoon(kqcall.NotStartedInTime)
-	}
-	if !s.admit(c, e.baseline, now) {
-		return refuseSoon(kqcall.Overload)
+	if refusal := s.admit(c, e.baseline, now); refusal != kqcall.NoReason {
+		return refuseSoon(refusal)
 	}
 	o := e.sendAttempts(f, s, criteria)
 	if o.Result == kqcall.Unknown {
--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -90,9 +90,10 @@
 	return found
 }
 
-// admit counts a call for the retry limits and for load shedding, and reports false if load
-// shedding refuses it. The baseline sheds no load.
-func (s *service) admit(c *kqcall.Call, baseline bool, now time.Time) bool {
+// admit counts a call for the retry limits and for load shedding, and returns the reason for
+// which it is refused: it cannot end in time, or load shedding refuses it. It returns NoReason
+// if it is admitted. The baseline refuses none.
+func (s *service) admit(c *kqcall.Call, baseline bool, now time.Time) kqcall.Reason {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.allowance != nil {
@@ -104,7 +105,16 @@
 	} else {
 		s.budgetFor(c.Depth).Earn()
 	}
-	return baseline || !s.shedder.For(c.Workspace, now).ShouldShed(c.EffectiveClass(), s.missesTarget(c, now), now, s.random)
+	switch {
+	case baseline:
+		return kqcall.NoReason
+	case s.cannotEndInTime(c, now):
+		return kqcall.NotStartedInTime
+	case s.shedder.For(c.Workspace, now).ShouldShed(c.EffectiveClass(), s.missesTarget(c, now), now, s.random):
+		return kqcall.Overload
+	default:
+		return kqcall.NoReason
+	}
 }
 
 // missesTarget reports whether the call can no longer meet its target, even if it takes the
@@ -118,12 +128,7 @@
 // it has less than half of the least work left that an upstream's gate expects for calls of the
 // route. Calls take less than half of their mean in about one case in fifty.
 func (s *service) cannotEndInTime(c *kqcall.Call, now time.Time) bool {
-	if c.Workspace == "" {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return now.Add(s.pool.LeastWork(c.Route) / 2).After(c.Deadline)
+	return c.Workspace != "" && now.Add(s.pool.LeastWork(c.Route)/2).After(c.Deadline)
 }
 
 // pick returns the upstream for the next attempt, how to reach it, and the attempt's record.
--- a/internal/decide/kqshed/shed_test.go
+++ b/internal/decide/kqshed/shed_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqshed"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
 // caller is a caller whose call is sent next at the given time, after so many attempts.
@@ -79,3 +80,26 @@
 		t.Errorf("%d of %d slots were idle, want at most 1 in 20", idleSlots, slots)
 	}
 }
+
+// Guards against a workspace whose refused calls make the entry shed those of others: one sends
+// ten times what the gates accept of it, the other a call in ten that is always accepted.
+func TestExcessOfOneWorkspaceShedsNoOther(t *testing.T) {
+	s, random, now := kqshed.New(), rand.New(rand.NewPCG(1, 1)), time.Unix(1000, 0)
+	shed := map[kqname.Workspace]int{}
+	for i := range 10000 {
+		now = now.Add(time.Millisecond)
+		w := kqname.Workspace("flood")
+		if i%10 == 0 {
+			w = "other"
+		}
+		one := s.For(w, now)
+		if one.ShouldShed(kqdocument.ClassNormal, false, now, random) {
+			shed[w]++
+		} else if w == "flood" && i%10 != 1 {
+			one.RecordRefusal(kqdocument.ClassNormal)
+		}
+	}
+	if shed["other"] > 0 || shed["flood"] < 5000 {
+		t.Errorf("shed %v of 1,000 calls of the other workspace and 9,000 of the flood, want none and most", shed)
+	}
+}
--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -192,7 +192,11 @@
 	case s.closed:
 		t.refuse(s.closeReason, minRetryAfter)
 	case left <= 0:
-		t.refuse(kqcall.NotStartedInTime, 0)
+		after := time.Duration(0)
+		if t.Workspace != "" {
+			after = minRetryAfter
+		}
+		t.refuse(kqcall.NotStartedInTime, after)
 	case s.hasFreeSlot(t.isLongJob, now) && totalLen(s.queues(t)) == 0 && (t.priority != excessLevel || s.hasSlotForExcess(now)):
 		s.queue(t).RecordUnqueued(t.key(), expected, now)
 		s.start(t, true)
--- a/internal/run/kqexplain/explain.go
+++ b/internal/run/kqexplain/explain.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -40,8 +41,8 @@
 	at := fmt.Sprintf("%s %s", one.Time.Format("15:04:05.000"), one.Node)
 	switch one.Event {
 	case "gated":
-		text := fmt.Sprintf("%s gate: %s, %s, %d of %d slots in use, %d waiting, queued for %.0f ms, at the upstream for %.0f ms, %.0f ms left.",
-			at, one.ID, outcomeText(one.Result, one.Reason, one.Status), one.Running, one.Slots, one.Waiting, one.Waited, one.Took, one.TimeLeft)
+		text := fmt.Sprintf("%s gate: %s%s, %s, %d of %d slots in use, %d waiting, queued for %.0f ms, at the upstream for %.0f ms, %.0f ms left.",
+			at, one.ID, workspaceText(one.Workspace), outcomeText(one.Result, one.Reason, one.Status), one.Running, one.Slots, one.Waiting, one.Waited, one.Took, one.TimeLeft)
 		return []string{text}
 	case "ended":
 		list := []string{fmt.Sprintf("%s entry: %s matched route %q of service %s by version %d%s.", at, one.ID, one.Route, one.Service, one.Version, l.entryKnowledge(one))}
@@ -108,8 +109,7 @@
 		return fmt.Sprintf("limit. The last of %d gates of %s, %s, keeps its upstream to the limit of calls a second that it names in its answers, and no other had room.",
 			len(end.Attempts), end.Service, last.To)
 	case "late":
-		// Also if no connection to the gate was made in time.
-		return fmt.Sprintf("overload. It waited at the gate of %s until it was too late to start, and was refused without reaching the upstream.", last.To)
+		return lateCause(end, last, lines)
 	case "no_upstream":
 		return fmt.Sprintf("no upstream. The entry knew of none of %s that takes calls%s.", end.Service, l.unavailableMembers(end))
 	case "no_config":
@@ -133,6 +133,30 @@
 	}
 }
 
+// lateCause describes why a call was refused as too late, with the inputs of the last gate that
+// logged it.
+func lateCause(end line, last attempt, lines []line) string {
+	if len(end.Attempts) == 0 {
+		return fmt.Sprintf("overload. The entry refused it%s unsent with %.0f ms left, in which no upstream of %s could have answered it.", workspaceText(end.Workspace), end.TimeLeft, end.Service)
+	}
+	// Also if no connection to the gate was made in time.
+	text := fmt.Sprintf("overload. It waited%s at the gate of %s until it was too late to start, and was refused without reaching the upstream", workspaceText(end.Workspace), last.To)
+	for _, one := range slices.Backward(lines) {
+		if one.Event == "gated" && one.ID == end.ID && one.Reason == "late" {
+			return text + fmt.Sprintf("; it was queued for %.0f ms beside %d waiting calls, with %d of %d slots in use and recent calls of %.0f ms.", one.Waited, one.Waiting, one.Running, one.Slots, one.Expected)
+		}
+	}
+	return text + "."
+}
+
+// workspaceText names the workspace that a call was made for, and is "" if there is none.
+func workspaceText(name string) string {
+	if name == "" {
+		return ""
+	}
+	return fmt.Sprintf(" for workspace %q", name)
+}
+
 // answeredCause describes the cause of an answer: none if its status is under 500, else
 // the first failed call that the call caused, or the upstream itself if there is none.
 func (l *Log) answeredCause(end line, last attempt, lines []line) string {
--- a/internal/run/kqexplain/explain_test.go
+++ b/internal/run/kqexplain/explain_test.go
@@ -8,7 +8,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/run/kqexplain"
 )
 
-// recorded holds the log lines of four calls, r1 to r4, on nodes a to c, and three
+// recorded holds the log lines of seven calls, r1 to r7, on nodes a to c, and three
 // lines that must be skipped: an empty one, one of another program, and a truncated
 // one.
 const recorded = `
@@ -22,6 +22,9 @@
 {"time":"2026-01-02T03:04:09.001Z","node":"a","part":"call","event":"ended","id":"r3","result":"answered","status":500,"service":"front","took_ms":90,"tries":[{"to":"c","result":"answered","status":500,"took_ms":89}]}
 {"time":"2026-01-02T03:04:09.100Z","node":"a","part":"call","event":"ended","id":"r4","result":"not_run","reason":"limited","status":503,"service":"wood","retry_after_ms":400,"tries":[{"to":"d","result":"not_run","reason":"limited"}]}
 {"time":"2026-01-02T03:04:09.200Z","node":"a","part":"call","event":"ended","id":"r5","result":"not_run","reason":"quarantined","status":503,"service":"wood","request":"330c"}
+{"time":"2026-01-02T03:04:09.300Z","node":"d","part":"gate","event":"gated","id":"r6","result":"not_run","reason":"late","workspace":"atlas","running":18,"waiting":40,"slots":18,"waited_ms":900,"expected_ms":345}
+{"time":"2026-01-02T03:04:09.301Z","node":"a","part":"call","event":"ended","id":"r6","result":"not_run","reason":"late","status":503,"service":"wood","workspace":"atlas","tries":[{"to":"d","result":"not_run","reason":"late"}]}
+{"time":"2026-01-02T03:04:09.400Z","node":"a","part":"call","event":"ended","id":"r7","result":"not_run","reason":"late","status":503,"service":"wood","workspace":"atlas","left_ms":40}
 words of somebody else
 {"time":"2026-01-02T03:04:10.000Z","node":"a","part":"call","event":"en`
 
@@ -41,6 +44,8 @@
 		"r1": {"Cause: overload. 1 gates of front had no room", "caller told to retry after 250 ms", "b alive for", "version in force for"},
 		"r4": {"Cause: limit. The last of 1 gates of wood, d,", "caller told to retry after 400 ms"},
 		"r5": {"Cause: quarantine. Upstreams ended under request 330c"},
+		"r6": {`d gate: r6 for workspace "atlas"`, "queued for 900 ms beside 40 waiting calls, with 18 of 18 slots in use and recent calls of 345 ms"},
+		"r7": {`The entry refused it for workspace "atlas" unsent with 40 ms left`},
 		"r2": {"Cause: the upstream. The last attempt, to b, ended as cut", "b was marked", "marked dead at 03:04:08.000"},
 		"r3": {"Cause: a call that it caused. r3.1 ended as not_run, late"},
 	} {
--- a/internal/run/kqexplain/read.go
+++ b/internal/run/kqexplain/read.go
@@ -41,6 +41,7 @@
 		Route      string    `json:"route"`
 		Service    string    `json:"service"`
 		Class      string    `json:"class"`
+		Workspace  string    `json:"workspace"`
 		Version    uint64    `json:"version"`
 		Took       float64   `json:"took_ms"`
 		TimeLeft   float64   `json:"left_ms"`
