--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -196,10 +196,8 @@
 		now = e.now()
 	}
 	s := e.service(c.Service)
-	if !s.admit(c, e.baseline, now) {
-		o := kqcall.Refuse(kqcall.Overload)
-		o.RetryAfter = defaultRetryAfter
-		return o
+	if refusal := s.admit(c, e.baseline, now); refusal != kqcall.NoReason {
+		return refuseSoon(refusal)
 	}
 	o := e.sendAttempts(f, s, criteria)
 	if o.Result == kqcall.Unknown {
@@ -207,7 +205,7 @@
 		e.quarantine.AwaitSpread(c)
 	}
 	if isFull(o.Reason) {
-		s.recordRefusal(c)
+		s.recordRefusal(c, e.now())
 	}
 	return o
 }
--- a/internal/run/kqexplain/explain_test.go
+++ b/internal/run/kqexplain/explain_test.go
@@ -29,6 +29,9 @@
 {"time":"2026-01-02T03:04:09.400Z","node":"a","part":"call","event":"ended","id":"r8","result":"not_run","reason":"over_rate","status":429,"workspace":"tenant","retry_after_ms":900}
 {"time":"2026-01-02T03:04:09.450Z","node":"a","part":"rates","event":"own_portion","shards":4,"nodes":89}
 {"time":"2026-01-02T03:04:09.500Z","node":"a","part":"call","event":"ended","id":"r9","result":"not_run","reason":"over_rate","status":429,"workspace":"other"}
+{"time":"2026-01-02T03:04:09.300Z","node":"d","part":"gate","event":"gated","id":"r10","result":"not_run","reason":"late","workspace":"atlas","running":18,"waiting":40,"slots":18,"waited_ms":900,"expected_ms":345}
+{"time":"2026-01-02T03:04:09.301Z","node":"a","part":"call","event":"ended","id":"r10","result":"not_run","reason":"late","status":503,"service":"wood","workspace":"atlas","tries":[{"to":"d","result":"not_run","reason":"late"}]}
+{"time":"2026-01-02T03:04:09.400Z","node":"a","part":"call","event":"ended","id":"r11","result":"not_run","reason":"late","status":503,"service":"wood","workspace":"atlas","left_ms":40}
 words of somebody else
 {"time":"2026-01-02T03:04:10.000Z","node":"a","part":"call","event":"en`
 
@@ -45,15 +48,17 @@
 // connection, and of a failure that comes from a call that the call caused.
 func TestExplainStatesCause(t *testing.T) {
 	for id, want := range map[string][]string{
-		"r1": {"Cause: overload. 1 gates of front had no room", "caller told to retry after 250 ms", "b alive for", "version in force for"},
-		"r4": {"Cause: limit. The last of 1 gates of wood, d,", "caller told to retry after 400 ms"},
-		"r5": {"Cause: quarantine. Upstreams ended under request 330c"},
-		"r6": {"Cause: unknown key.", "begins with 00c0ffee00c0ffee by version 7 at a"},
-		"r7": {"Cause: key revoked. The key of workspace acme", "valid by version 7", "at the gate of b for 80 ms"},
-		"r8": {`Cause: rate. Workspace "tenant"`, "60 a second and 30 at once", "for 100ms, a share of 0.4", "coordinator c had counted 150.5 calls a second"},
-		"r9": {`Cause: rate. Workspace "other"`, "by its own portion, one of 89"},
-		"r2": {"Cause: the upstream. The last attempt, to b, ended as cut", "b was marked", "marked dead at 03:04:08.000"},
-		"r3": {"Cause: a call that it caused. r3.1 ended as not_run, late"},
+		"r1":  {"Cause: overload. 1 gates of front had no room", "caller told to retry after 250 ms", "b alive for", "version in force for"},
+		"r4":  {"Cause: limit. The last of 1 gates of wood, d,", "caller told to retry after 400 ms"},
+		"r5":  {"Cause: quarantine. Upstreams ended under request 330c"},
+		"r6":  {"Cause: unknown key.", "begins with 00c0ffee00c0ffee by version 7 at a"},
+		"r7":  {"Cause: key revoked. The key of workspace acme", "valid by version 7", "at the gate of b for 80 ms"},
+		"r8":  {`Cause: rate. Workspace "tenant"`, "60 a second and 30 at once", "for 100ms, a share of 0.4", "coordinator c had counted 150.5 calls a second"},
+		"r9":  {`Cause: rate. Workspace "other"`, "by its own portion, one of 89"},
+		"r10": {`d gate: r10 for workspace "atlas"`, "queued for 900 ms beside 40 waiting calls, with 18 of 18 slots in use and recent calls of 345 ms"},
+		"r11": {`The entry refused it for workspace "atlas" unsent with 40 ms left`},
+		"r2":  {"Cause: the upstream. The last attempt, to b, ended as cut", "b was marked", "marked dead at 03:04:08.000"},
+		"r3":  {"Cause: a call that it caused. r3.1 ended as not_run, late"},
 	} {
 		lines, err := readRecorded(t).Explain(id)
 		if err != nil {
--- a/internal/run/kqexplain/read.go
+++ b/internal/run/kqexplain/read.go
@@ -57,7 +57,6 @@
 		Waited   float64 `json:"waited_ms"`
 		Expected float64 `json:"expected_ms"`
 
-		Workspace   string  `json:"workspace"`
 		Coordinator bool    `json:"coordinator"`
 		RatePerS    float64 `json:"rate_per_s"`
 		Burst       float64 `json:"burst"`
--- a/internal/run/kqmetric/rate.go
+++ b/internal/run/kqmetric/rate.go
@@ -16,7 +16,6 @@
 	// maxRefusedWorkspaces bounds the workspaces whose refusals are counted one by one. A
 	// document has at most 20,000.
 	maxRefusedWorkspaces = 20000
-	otherWorkspaces      = "other"
 )
 
 // rateMetrics holds the metrics of workspaces' rates. It implements prometheus.Collector for the
