Placement: calls leave a full domain earlier if upstreams report

Change: for upstreams that report their load the limit is 0.75 of that, and 0.45 until calls stay in the domain again. Upstreams without reports keep the limit.

--- a/internal/decide/kqpick/pick.go
+++ b/internal/decide/kqpick/pick.go
@@ -73,6 +73,8 @@
 		lastUtilization float64
 		utilizationAt   time.Time
 		initialized     bool
+		// away is set if the latest call might leave the entry's domain.
+		away bool
 	}
 
 	// Option configures a Pool.
--- a/internal/decide/kqpick/pool_upstream.go
+++ b/internal/decide/kqpick/pool_upstream.go
@@ -55,7 +55,8 @@
 
 // localBest returns the best sampled upstream of the own failure domain if its weighted
 // estimate is below criteria.ComfortableLatency, else nil. A faster upstream in another
-// domain would gain nothing then, while its responses would cross between domains.
+// domain would gain nothing then, while its responses would cross between domains. If it
+// reports its load, the limit is lower and depends on whether calls leave the domain already.
 func (p *Pool) localBest(list []*PoolUpstream, criteria Criteria, now time.Time, random *rand.Rand) *PoolUpstream {
 	local := 0
 	for i, upstream := range list {
@@ -65,7 +66,11 @@
 		}
 	}
 	found, leastEstimate := p.leastEstimate(list[:local], criteria.Route, now, random)
-	if leastEstimate >= criteria.ComfortableLatency.Seconds() {
+	limit := criteria.ComfortableLatency.Seconds()
+	if found != nil && found.reportsLoad() {
+		limit *= p.domainLimit()
+	}
+	if p.away = leastEstimate >= limit; p.away {
 		return nil
 	}
 	return found
--- a/internal/decide/kqpick/slowdown.go
+++ b/internal/decide/kqpick/slowdown.go
@@ -14,6 +14,11 @@
 	occupancyTTL = 5 * time.Second
 	// queueingCost is the weight of the share of slots in use above queueingUtilization.
 	queueingCost = 2.0
+	// leaveShare and returnShare are the shares of the comfortable latency from which on
+	// calls leave their domain, and below which they stay in it again, if upstreams report
+	// their load: their estimates tell earlier that a domain fills up. With a single limit,
+	// entries whose estimates are near it change sides with every other call.
+	leaveShare, returnShare = 0.75, 0.45
 )
 
 // usualLoad returns the load with its works at usual speed. The slowdown of a moment must not
@@ -40,6 +45,15 @@
 	return 1 + (upstream.load.Slowdown-1)*(1-age.Seconds()/kqslowdown.Period.Seconds())
 }
 
+// domainLimit returns the share of the comfortable latency up to which calls stay in the
+// entry's domain.
+func (p *Pool) domainLimit() float64 {
+	if p.away {
+		return returnShare
+	}
+	return leaveShare
+}
+
 // reportedEstimate returns the expected time in seconds of a call that takes the expected work
 // in seconds at an upstream that reports its load. Unlike for others, the running calls count
 // before they fill the slots, and for occupancyTTL: work at usual speed is the same in each
--- a/internal/lab/kqplacement/placement.go
+++ b/internal/lab/kqplacement/placement.go
@@ -72,6 +72,9 @@
 		InTime         float64
 		Herd           int
 		Crossed        float64
+		// Switched is the share of attempts that left the entry's domain or stayed in it
+		// unlike the entry's attempt before.
+		Switched float64
 		// ByUpstream holds how many attempts each upstream got.
 		ByUpstream []int
 	}
@@ -89,6 +92,7 @@
 		took      []time.Duration
 		sent      int
 		crossed   int
+		switched  int
 		inTime    int
 		result    Result
 		nodeIndex map[kqname.Node]int
@@ -99,6 +103,8 @@
 		// inFlight holds this entry's calls at each upstream, and reported the running ones
 		// by the last report.
 		inFlight, reported []int
+		// crossed is set if the latest attempt left the entry's domain.
+		crossed bool
 	}
 
 	gate struct {
--- a/internal/lab/kqplacement/result.go
+++ b/internal/lab/kqplacement/result.go
@@ -18,9 +18,14 @@
 	m.result.Herd = max(m.result.Herd, len(g.recent))
 	m.result.ByUpstream[c.upstream]++
 	m.sent++
-	if c.upstream%m.Domains != c.entry%m.Domains {
+	crosses, e := c.upstream%m.Domains != c.entry%m.Domains, m.entries[c.entry]
+	if crosses {
 		m.crossed++
 	}
+	if crosses != e.crossed {
+		m.switched++
+	}
+	e.crossed = crosses
 }
 
 // end records how a call ended.
@@ -52,6 +57,7 @@
 	}
 	r.InTime = float64(m.inTime) / float64(max(r.Calls, 1))
 	r.Crossed = float64(m.crossed) / float64(max(m.sent, 1))
+	r.Switched = float64(m.switched) / float64(max(m.sent, 1))
 	return r
 }
 
