--- a/internal/decide/kqpick/doc.go
+++ b/internal/decide/kqpick/doc.go
@@ -18,6 +18,10 @@
 // as a fifth faster, which saves traffic between domains, and are preferred to all others
 // while their expected time is well within the route's target.
 //
+// Of an upstream that reports its load, the slowdown that it states counts and decays with the
+// report's age, its running calls count before its slots are full, and calls leave their domain
+// earlier and return to it later. See docs/design/placement-by-reports.md.
+//
 // An upstream that fails part of its calls, as its gate counts over all entries, is
 // penalized by the cost of a failure, and sampling continues until it has found four that
 // do not fail, or eight in all. This applies while less than half of the service's slots are
