Gate: count malformed and cut off streams as the upstream's failures

Cause: the gate recorded a streamed response as a success when its head had come. An upstream whose chunks were malformed or whose bodies broke off was sent as many calls as before.

Change: the stream tells its call that its body failed, and the gate records that at the end of the stream. A body that is not whole at the deadline does not count, since its caller may be slow, nor one whose caller has gone.

--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -221,9 +221,12 @@
 		CheckCaller func()
 		// Finish is called once a streamed response has been passed on or cut off; nil
 		// if nothing needs to run then.
-		Finish   func()
-		Request  *fasthttp.Request
-		Response *fasthttp.Response
+		Finish func()
+		// BodyFailed is set if a streamed response turned out to be malformed or was cut off by
+		// its peer.
+		BodyFailed bool
+		Request    *fasthttp.Request
+		Response   *fasthttp.Response
 	}
 )
 
--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -112,7 +112,7 @@
 	c.Finish = func() {
 		c.Finish = nil
 		now := g.now()
-		u.releaseSlot(t, o, upstreamFailed, now.Sub(began), now)
+		u.releaseSlot(t, o, upstreamFailed || c.BodyFailed, now.Sub(began), now)
 	}
 	return o, u.load(t, ended)
 }
--- a/internal/call/kqsend/response.go
+++ b/internal/call/kqsend/response.go
@@ -94,13 +94,19 @@
 }
 
 // Read implements io.Reader.
-func (s *responseStream) Read(b []byte) (int, error) {
+func (s *responseStream) Read(b []byte) (count int, err error) {
 	// Another read after the last chunk would wait for a second trailer.
 	if s.complete {
 		return 0, io.EOF
 	}
-	count, err := s.reader.Read(b)
+	count, err = s.reader.Read(b)
 	s.read += count
+	defer func() {
+		// A response that is not read whole by its deadline may have a slow caller.
+		if err != nil && err != io.EOF && !isTimeout(err) && !s.call.Cancel.Done() {
+			s.call.BodyFailed = true
+		}
+	}()
 	switch {
 	case s.length >= 0 && s.read == s.length:
 		s.complete = true
