--- a/internal/call/kqentry/workspace.go
+++ b/internal/call/kqentry/workspace.go
@@ -58,7 +58,8 @@
 		// The wait depends on the call's deadline.
 		found, _ := snapshot.Service(route.Choose(rand.Float64()))
 		applyConfig(c, route, found, e.now())
-		confirmed, refusal := e.freshness.Confirm(c), kqcall.NoReason
+		confirmed := e.freshness.Confirm(c)
+		var refusal kqcall.Reason
 		if snapshot, route, refusal = e.match(c, e.now()); refusal == kqcall.NoConfig {
 			return snapshot, route, refuseSoon(refusal)
 		} else if refusal != kqcall.NoReason {
