Docs: what was weighed for fair shares between workspaces

Cause: the order of waiting calls, the excess rule and the credit were chosen by plays whose figures stood nowhere.

--- a/internal/decide/kqexcess/doc.go
+++ b/internal/decide/kqexcess/doc.go
@@ -3,7 +3,7 @@
 //
 // Load pattern: a workspace of an urgent class sends seven times its usual load for some
 // seconds. Ordered by class alone, the flood takes the capacity of all less urgent workspaces:
-// some got 0.48 of their calls in time in place of 0.95.
+// on 18 slots that 87 workspaces share, some lose 0.23 of their calls.
 //
 // Each workspace has a bucket of expected work. It is filled at maxRatio times the workspace's
 // usual load, which is a mean over a minute, or at the workspace's fair share of the slots if
--- a/internal/decide/kqexcess/excess.go
+++ b/internal/decide/kqexcess/excess.go
@@ -9,7 +9,8 @@
 
 const (
 	// maxRatio is how many times its usual load a workspace may send before its calls are
-	// in excess. Daily waves reach 1.55 times the mean.
+	// in excess. In trials, others lost up to 0.055 more in a flood with 2, and more urgent
+	// workspaces lost 0.051 to a class at 2.6 times its load with 1.3.
 	maxRatio = 1.5
 
 	// floodRatio is how many times its usual load and fair share a workspace sends in a
--- a/internal/decide/kqshare/share.go
+++ b/internal/decide/kqshare/share.go
@@ -22,8 +22,10 @@
 	// credit is the work by which a workspace that has been given less than its share may be
 	// ahead when it has waiting calls again. With 87 workspaces on 18 slots, the share of one
 	// is a call of 350 ms each 1.7 s: without credit, the second of two calls within that
-	// time is late although the workspace asks for less than its share.
-	credit = 1 * time.Second
+	// time is late although the workspace asks for less than its share. Workspaces that asked
+	// for 0.75 of their share got 0.79 to 0.84 of it in time without credit, 0.93 to 0.95
+	// with it.
+	credit = time.Second
 
 	// promptStreak is the number of consecutive calls with almost no wait that show that a
 	// workspace's calls no longer queue, as in kqfair.
@@ -111,7 +113,7 @@
 func (q *Queue) Push(item *Item) {
 	f := q.anonymousFlow
 	if item.Key.Workspace == "" {
-		item.Item.Caller = item.Key.Caller
+		item.Caller = item.Key.Caller
 		q.anonymous.Push(&item.Item)
 		f.queuedWork[0] = q.anonymous.Work()
 	} else {
@@ -173,10 +175,10 @@
 // Remove removes a waiting call and reports whether it was in the queue.
 func (q *Queue) Remove(item *Item) bool {
 	f := item.flow
-	switch {
-	case f == nil:
+	switch f {
+	case nil:
 		return false
-	case f == q.anonymousFlow:
+	case q.anonymousFlow:
 		if !q.anonymous.Remove(&item.Item) {
 			return false
 		}
--- a/internal/decide/kqslots/doc.go
+++ b/internal/decide/kqslots/doc.go
@@ -35,6 +35,10 @@
 // queues apart from short calls, and twice the recent demand of short calls, up to half of
 // the slots, is reserved for the latter until a second after the last of them. Otherwise a
 // few long jobs would occupy every slot and delay each short call by the duration of a long
-// job. Within a queue, kqfair divides the slots among callers; more important classes are
-// served first.
+// job. Within a queue, kqshare divides the slots among workspaces, and among the callers without
+// one; more important classes are served first.
+//
+// Calls in excess of their workspace's usual load (kqexcess) are served after all others, late
+// ones included, and leave one slot free until a second after the last other call. Calls run to
+// their end: with all slots full of excess calls, each other call would wait for one to end.
 package kqslots
