kqslots: a nested call of a flooding workspace keeps its place

Cause: calls beyond a workspace's usual load go after all others, nested ones too, so that the calls which wait for them, and hold a slot elsewhere, would fail. Change: nested calls count as use and are not demoted.

--- a/internal/decide/kqslots/slots.go
+++ b/internal/decide/kqslots/slots.go
@@ -191,7 +191,8 @@
 	if !t.isLongJob {
 		s.shortDemand.add(s.slowdown.Stretch(expected, now), now)
 	}
-	if t.Workspace != "" && s.excess.Record(t.Workspace, expected, s.limit.Allowed(), now) {
+	// A nested call keeps its place: the work of the call that waits for it would be lost.
+	if t.Workspace != "" && s.excess.Record(t.Workspace, expected, s.limit.Allowed(), now) && !t.Nested {
 		t.priority = excessLevel
 	} else {
 		s.lastUsual = now
