--- a/internal/run/kqmetric/metric.go
+++ b/internal/run/kqmetric/metric.go
@@ -35,7 +35,7 @@
 	suspicionsDropped        prometheus.Counter
 	limits                   limitMetrics
 	workspaces               workspaceMetrics
-	rates                    *rateMetrics
+	rates                    rateMetrics
 	lastApplied              atomic.Int64
 	sentBytes, receivedBytes atomic.Uint64
 }
@@ -93,7 +93,7 @@
 	m.panics = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kumquatgw_panics_total", Help: "Panics that were caught, by the part that panicked.",
 	}, []string{"part"})
-	m.registry.MustRegister(m.rates, m.rates.calls, m.rates.limited, m.workspaces.peersAsked, m.workspaces.refusals, m.limits.limit, m.limits.calls, m.evacuated, m.endedUnderCalls, m.suspectedRequests, m.suspicionsDropped, m.panics, m.suppressedLines, m.storeCalls, m.stageSeconds)
+	m.registry.MustRegister(m.rates.decisions, m.rates.limited, m.workspaces.peersAsked, m.workspaces.refusals, m.limits.limit, m.limits.calls, m.evacuated, m.endedUnderCalls, m.suspectedRequests, m.suspicionsDropped, m.panics, m.suppressedLines, m.storeCalls, m.stageSeconds)
 	m.registry.MustRegister(m.calls, m.retries, m.gateCalls, m.configRefused, m.platformFailed, m.budgetExceeded, m.broadcastDropped, m.version,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "kumquatgw_control_sent_bytes_total", Help: "Bytes of control traffic sent to peers.",
--- a/internal/run/kqmetric/workspace.go
+++ b/internal/run/kqmetric/workspace.go
@@ -76,6 +76,14 @@
 	w.count[refusal{name, reason}]++
 }
 
+// RefusedByRate returns how many calls of a workspace this node has refused beyond its rate.
+func (m *Metrics) RefusedByRate(w kqname.Workspace) uint64 {
+	r := m.workspaces.refusals
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.count[refusal{w, string(kqcall.OverRate)}]
+}
+
 // Describe implements prometheus.Collector.
 func (w *workspaceRefusals) Describe(c chan<- *prometheus.Desc) { c <- w.description }
 
--- a/internal/run/kqratelog/log.go
+++ b/internal/run/kqratelog/log.go
@@ -27,8 +27,8 @@
 type (
 	// Counter counts the decisions about calls of workspaces that have a rate.
 	Counter interface {
-		// RateDecided counts a call of a workspace that was admitted or refused.
-		RateDecided(w kqname.Workspace, admitted bool, basis string)
+		// RateDecided counts a call that was admitted or refused.
+		RateDecided(admitted bool, basis string)
 		// RateLimited counts the workspaces that are limited: change is 1 or -1.
 		RateLimited(coordinator bool, change int)
 		// LineSuppressed counts a line that exceeded its rate.
@@ -77,7 +77,7 @@
 
 // Decided implements kqrates.Observer.
 func (l *Log) Decided(w kqname.Workspace, v kqadmission.Verdict) {
-	l.counter.RateDecided(w, v.Allowed, v.Basis.String())
+	l.counter.RateDecided(v.Allowed, v.Basis.String())
 }
 
 func (l *Log) write(event, text string, fields logrus.Fields, now time.Time) {
