--- a/internal/run/kqratelog/log.go
+++ b/internal/run/kqratelog/log.go
@@ -76,7 +76,7 @@
 }
 
 // Decided implements kqrates.Observer.
-func (l *Log) Decided(w kqname.Workspace, v kqadmission.Verdict) {
+func (l *Log) Decided(_ kqname.Workspace, v kqadmission.Verdict) {
 	l.counter.RateDecided(v.Allowed, v.Basis.String())
 }
 
