Rates: two shards below 128 nodes

Change: two coordinators below 128 nodes in place of four. A coordinator gets as many reports as before, each with more workspaces.

--- a/internal/peer/kqrates/fleet.go
+++ b/internal/peer/kqrates/fleet.go
@@ -153,7 +153,7 @@
 func shardCount(known int) int {
 	switch {
 	case known < 128:
-		return 4
+		return 2
 	case known < 256:
 		return 8
 	case known < 512:
