--- a/internal/decide/kqinbound/link.go
+++ b/internal/decide/kqinbound/link.go
@@ -12,7 +12,7 @@
 
 	// usableShare is the share of the link's bandwidth that large bodies use; the rest is
 	// left to small requests, answers and the traffic between nodes.
-	usableShare = 0.75
+	usableShare = 0.6
 	// maxAhead is how far bodies may run ahead of the link, so that it does not fall idle
 	// while the next sender is being told.
 	maxAhead    = 20 * time.Millisecond
