--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -32,6 +32,19 @@
 	Started time.Time
 }
 
+// starting is held while a process is started; once ending is set, none is.
+var (
+	starting sync.Mutex
+	ending   bool
+)
+
+// End lets no further process be started.
+func End() {
+	starting.Lock()
+	defer starting.Unlock()
+	ending = true
+}
+
 // Fleet is the machines of a run.
 type Fleet struct {
 	Machines []*Machine
@@ -139,6 +152,11 @@
 	c := exec.Command(filepath.Join(m.root, "target/kumquatgw"), "node", "--settings", file)
 	c.Dir, c.Stdout, c.Stderr = m.root, log, log
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + m.folder, "KUMQUATGW_BOOT=" + file}
+	starting.Lock()
+	defer starting.Unlock()
+	if ending {
+		return fmt.Errorf("the case is ending")
+	}
 	if err := c.Start(); err != nil {
 		return err
 	}
--- a/review/standin/foreign.go
+++ b/review/standin/foreign.go
@@ -161,7 +161,7 @@
 	}
 	wrong := 0
 	for _, a := range all {
-		if a.Status == 200 && (a.Stamp == "" || !strings.HasPrefix(a.Body, "answer to "+a.ID+" by ")) {
+		if a.Err == nil && a.Status == 200 && (a.Stamp == "" || !strings.HasPrefix(a.Body, "answer to "+a.ID+" by ")) {
 			wrong++
 			w.Record.Sayf("the client of %s gets the answer of another request: %q", a.ID, strings.TrimSpace(a.Body))
 		}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -55,6 +55,7 @@
 	case <-time.After(110 * time.Second):
 		record.Sayf("the case takes too long")
 	}
+	End()
 	if w.Fleet != nil {
 		w.Fleet.Close()
 	}
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -59,7 +59,7 @@
 	return nil
 }
 
-// beat sends a heartbeat every second until the server stops to do so.
+// beat sends a heartbeat every 1.5 s until the server stops to do so.
 func (s *Server) beat() {
 	for {
 		s.sendBeat()
