--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -249,11 +249,13 @@
 	Stamp, Body string
 	RetryAfter  string
 	Err         error
+	// From is the machine beside the client.
+	From *Machine
 }
 
 // Send sends one request through the node beside the client on a connection of its own.
 func Send(m *Machine, record *Record, method, host, path, id, body string, timeout time.Duration) Answer {
-	a := Answer{Sent: time.Now(), ID: id}
+	a := Answer{Sent: time.Now(), ID: id, From: m}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+m.Outbound()+path, strings.NewReader(body))
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,7 +32,7 @@
 		fmt.Println("usage: standin CASE ROOT FOLDER")
 		os.Exit(cannotRun)
 	}
-	cases := map[string]func(*World) int{"departure": departure, "exposure": exposure, "foreign": foreign}
+	cases := map[string]func(*World) int{"goodbye": goodbye, "rolledback": rolledback}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Println("no such case")
@@ -77,7 +77,7 @@
 	if w.Fleet, err = NewFleet(w.Root, w.Record, l.Addr().String(), services); err != nil {
 		return err
 	}
-	if err := w.Add(0, now, "v1", work, 0); err != nil {
+	if err := w.Add(0, now, "v1", work, ""); err != nil {
 		return err
 	}
 	if !AwaitReady(w.Machines[:now], 15*time.Second) {
@@ -87,8 +87,8 @@
 }
 
 // Add starts the machines from the first to before the last, each with a server of the version
-// that fails the given share of its requests.
-func (w *World) Add(first, last int, version string, work time.Duration, failing float64) error {
+// that is slow on the given path, if there is one.
+func (w *World) Add(first, last int, version string, work time.Duration, slowPath string) error {
 	for _, m := range w.Machines[first:last] {
 		if err := m.Start(); err != nil {
 			return err
@@ -98,7 +98,7 @@
 	for i, m := range w.Machines[first:last] {
 		s := &Server{
 			ID: fmt.Sprintf("i-%d-%d", first+i+1, time.Now().UnixNano()%100000), Service: m.Service, Version: version, Zone: m.Zone,
-			Address: m.App(), Control: m.Control(), Slots: 6, Work: work, Failing: failing,
+			Address: m.App(), Control: m.Control(), Slots: 6, Work: work, SlowPath: slowPath, SlowTimes: slowTimes,
 		}
 		if err := s.Start(w.Record); err != nil {
 			return err
