--- a/review/standin/rolledback.go
+++ b/review/standin/rolledback.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	orderDuration = 12 * time.Second
+	orderDuration = 16 * time.Second
 	// drainAfter is how long after the report the servers of a version that was rolled back
 	// begin to leave.
-	drainAfter    = 8 * time.Second
+	drainAfter    = 9 * time.Second
 	exposureShare = 0.1
 	exposureSlack = 50
 	badAnswers    = 50
@@ -35,7 +35,7 @@
 }
 
 // rolledback orders a bad version, and once it is reported as rolled back the next version.
-// Then it kills all processes of the system.
+// Right after that order it kills all processes of the system.
 func rolledback(w *World) int {
 	services := make([]string, 12)
 	for i := range services {
@@ -53,7 +53,7 @@
 	request := func(path, prefix string, gap time.Duration) {
 		sent <- w.Requests("GET", "shop.example", path, prefix, gap, 24*time.Second, 2500*time.Millisecond, w.Machines[:4])
 	}
-	go request("/browse/list", "b", 5*time.Millisecond)
+	go request("/browse/list", "b", 3500*time.Microsecond)
 	go request("/stock/list", "s", 20*time.Millisecond)
 	time.Sleep(2 * time.Second)
 	if err := w.Add(4, 8, "v2", work, "/stock/"); err != nil {
@@ -70,16 +70,15 @@
 	reported := time.Now()
 	bad := append([]*Server(nil), w.Servers[4:8]...)
 	w.Record.Sayf("the system reports v2 as rolled back")
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
+	w.order("storefront", "v3")
+	if w.Trouble {
+		w.KillAll(w.Machines[:8])
+	}
 	if err := w.Add(8, 12, "v3", work, ""); err != nil {
 		w.Record.Sayf("%v", err)
 		return cannotRun
 	}
-	w.order("storefront", "v3")
-	time.Sleep(700 * time.Millisecond)
-	if w.Trouble {
-		w.KillAll(w.Machines)
-	}
 	time.Sleep(time.Until(reported.Add(drainAfter)))
 	for _, s := range bad {
 		go s.Drain()
