--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,7 +32,11 @@
 		fmt.Println("usage: standin CASE ROOT FOLDER")
 		os.Exit(cannotRun)
 	}
-	cases := map[string]func(*World) int{"forgotten": forgotten, "longname": longname}
+	cases := map[string]func(*World) int{
+		"secondrun": secondrun, "forgotten": forgotten, "longname": longname,
+		// Cases of earlier reviews that KNOWN-RED.txt names.
+		"foreign": foreign, "rolledback": rolledback,
+	}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Println("no such case")
@@ -66,18 +70,10 @@
 // Begin starts the store, the nodes and a server beside each, and waits until the fleet serves.
 // services are those of the machines; only the first now machines are started.
 func (w *World) Begin(config any, services []string, now int, work time.Duration) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	if err := w.beginStore(config, services); err != nil {
 		return err
 	}
-	w.Store = NewStore()
-	w.Store.onWrite = func(key string, deleted bool) { w.Record.Printf("store: %s is written (deleted: %v)", key, deleted) }
-	w.Store.Serve(l)
-	w.Store.Put("op/config", config)
-	if w.Fleet, err = NewFleet(w.Root, w.Record, l.Addr().String(), services); err != nil {
-		return err
-	}
-	if err := w.Add(0, now, "v1", work); err != nil {
+	if err := w.Add(0, now, "v1", work, ""); err != nil {
 		return err
 	}
 	if !AwaitReady(w.Machines[:now], 15*time.Second) {
@@ -86,8 +82,36 @@
 	return nil
 }
 
-// Add starts the machines from the first to before the last, each with a server of the version.
-func (w *World) Add(first, last int, version string, work time.Duration) error {
+// BeginEmpty starts the store and the nodes, but no servers.
+func (w *World) BeginEmpty(config any, services []string) error {
+	if err := w.beginStore(config, services); err != nil {
+		return err
+	}
+	for _, m := range w.Machines {
+		if err := m.Start(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	return nil
+}
+
+func (w *World) beginStore(config any, services []string) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	w.Store = NewStore()
+	w.Store.onWrite = func(key string, deleted bool) { w.Record.Printf("store: %s is written (deleted: %v)", key, deleted) }
+	w.Store.Serve(l)
+	w.Store.Put("op/config", config)
+	w.Fleet, err = NewFleet(w.Root, w.Record, l.Addr().String(), services)
+	return err
+}
+
+// Add starts the machines from the first to before the last, each with a server of the version
+// that is slow on the given path, if there is one.
+func (w *World) Add(first, last int, version string, work time.Duration, slowPath string) error {
 	for _, m := range w.Machines[first:last] {
 		if err := m.Start(); err != nil {
 			return err
@@ -97,7 +121,7 @@
 	for i, m := range w.Machines[first:last] {
 		s := &Server{
 			ID: fmt.Sprintf("i-%d-%d", first+i+1, time.Now().UnixNano()%100000), Service: m.Service, Version: version, Zone: m.Zone,
-			Address: m.App(), Control: m.Control(), Slots: 6, Work: work,
+			Address: m.App(), Control: m.Control(), Slots: 6, Work: work, SlowPath: slowPath, SlowTimes: slowTimes,
 		}
 		if err := s.Start(w.Record); err != nil {
 			return err
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,10 @@
 	Slots                                        int
 	// Work is how long a request takes.
 	Work time.Duration
+	// SlowPath is the prefix of the paths on which a bad version takes SlowTimes as long; empty
+	// means none.
+	SlowPath  string
+	SlowTimes int
 	// Born is when the server started.
 	Born time.Time
 
@@ -40,6 +45,7 @@
 	RequestID, Method, URI    string
 	Caller, Timeout, Instance string
 	Body                      string
+	Bad                       bool
 }
 
 // Start listens and begins to send heartbeats.
@@ -162,11 +168,15 @@
 	s.running.Add(1)
 	defer s.running.Add(-1)
 	run := Run{At: time.Now(), RequestID: id, Method: r.Method, URI: r.RequestURI, Caller: r.Header.Get("Kumquatgw-Caller-Service"), Timeout: r.Header.Get("Kumquatgw-Request-Timeout-Ms"), Instance: r.Header.Get("Kumquatgw-Expect-Instance"), Body: string(body)}
+	work := s.Work
+	if run.Bad = s.SlowPath != "" && strings.HasPrefix(r.URL.Path, s.SlowPath); run.Bad {
+		work *= time.Duration(s.SlowTimes)
+	}
 	s.mu.Lock()
 	s.runs = append(s.runs, run)
 	s.mu.Unlock()
 	s.record.Printf("server %s runs %s %s %s from %s", s.ID, id, r.Method, r.RequestURI, run.Caller)
-	time.Sleep(s.Work)
+	time.Sleep(work)
 	data := []byte("answer to " + id + " by " + s.ID + "\n")
 	h.Set("Kumquatgw-Response-Stamp", fmt.Sprintf("%s.%d", s.ID, s.stamp.Add(1)))
 	h.Set("Content-Length", strconv.Itoa(len(data)))
