--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,7 +33,7 @@
 		os.Exit(cannotRun)
 	}
 	cases := map[string]func(*World) int{
-		"secondrun": secondrun, "forgotten": forgotten, "longname": longname,
+		"secondrun": secondrun, "forgotten": forgotten, "prefix": prefix,
 		// Cases of earlier reviews that KNOWN-RED.txt names.
 		"foreign": foreign, "rolledback": rolledback,
 	}
--- a/review/standin/longname.go
+++ b/review/standin/prefix.go
@@ -8,18 +8,19 @@
 // configApply is the bound of the sheet of circulos-quito.
 const configApply = 2 * time.Second
 
-// longname is the case of a configuration that the store accepted and that no node applies, since
-// one of its host names has more than 64 characters.
-func longname(w *World) int {
-	// A host name may have 253 characters, and each part between its dots 63 (RFC 1035).
-	added := "coordinators.parish-sign-up.study-circles.members.ec-sierra.jepu9.example"
+// prefix is the case of a configuration that the store accepted and that no node applies, since one
+// of its path prefixes has an escaped letter.
+func prefix(w *World) int {
+	// The path of a page that is named after a town with a letter beyond ASCII (RFC 3986, section 2.5).
+	const host = "hulo84.example"
+	added := "/parroquia-alaus%C3%AD/"
 	if !w.Trouble {
-		added = "coordinators.jepu9.example"
+		added = "/parroquia-alausi/"
 	}
-	rule := func(name, prefix, service string) any {
+	rule := func(name, match, service string) any {
 		return map[string]any{
 			"Name": name, "Kind": "idempotent", "TargetLatency": "400ms", "Priority": 2,
-			"Match": map[string]any{"PathPrefix": prefix}, "Action": map[string]any{"Service": service, "Timeout": "1200ms", "MaxAttempts": 2},
+			"Match": map[string]any{"PathPrefix": match}, "Action": map[string]any{"Service": service, "Timeout": "1200ms", "MaxAttempts": 2},
 		}
 	}
 	config := func(version int, service string, more ...any) any {
@@ -36,21 +37,21 @@
 		w.Record.Sayf("cannot begin: %v", err)
 		return cannotRun
 	}
-	send := func(host, path, prefix string, length time.Duration) []Answer {
-		return w.Requests("GET", host, path, prefix, 50*time.Millisecond, length, 2500*time.Millisecond, w.Machines)
+	send := func(host, path, id string, length time.Duration) []Answer {
+		return w.Requests("GET", host, path, id, 50*time.Millisecond, length, 2500*time.Millisecond, w.Machines)
 	}
 	before := send("jepu9.example", "/lepu270/2f", "9c41d07a", 4*time.Second)
 	if countOK(before) < len(before)*9/10 {
 		w.Record.Sayf("only %d of %d requests are served under the first version", countOK(before), len(before))
 		return cannotRun
 	}
-	// Version 9 moves the route to another service and adds a host with a route.
-	w.Store.Put("op/config", config(9, "kafi81c", map[string]any{"Hostname": added, "Rules": []any{rule("r-s989anu", "/xapu221/", "huvo11a")}}))
+	// Version 9 moves the route to another service and adds another one.
+	w.Store.Put("op/config", config(9, "kafi81c", map[string]any{"Hostname": host, "Rules": []any{rule("r-s989anu", added, "huvo11a")}}))
 	acknowledged := time.Now()
-	w.Record.Sayf("the store has accepted version 9, which moves a route and adds host %s (%d characters)", added, len(added))
+	w.Record.Sayf("the store has accepted version 9, which moves a route and adds one with the prefix %s", added)
 	time.Sleep(configApply + stableWindow)
 	moved := send("jepu9.example", "/lepu270/2f", "9c41d07b", 5*time.Second)
-	fresh := send(added, "/xapu221/2f", "9c41d07c", 5*time.Second)
+	fresh := send(host, added+"2f", "9c41d07c", 5*time.Second)
 	old, refused := 0, 0
 	for _, s := range w.Servers {
 		for _, r := range s.Runs() {
