kqdeparture: a departure is stored before it is acknowledged

Cause: Replicate returned as soon as two peers held the departure in memory, some milliseconds before the store did. A kill of all processes in between lost it with everybody who knew of it, and the next process found the upstream in its own entry in the store.

Change: the acknowledgement waits for the store, 400 ms at most; only then do two peers suffice, since an upstream gives up after a second and an outage of the store must not keep it. A repeated departure joins the replication under way, and is sent to peers again if it has reached too few. A failed write is retried after 0.1 s, doubling to 1 s, in place of 1 s. Considered and left: to refuse the acknowledgement until the store answers; the upstream then leaves without one, and gains nothing by it.

New: log line "departed" (instance, who holds it, time taken) and the counter kumquatgw_departures_total{held_by}.

--- a/internal/peer/kqdeparture/departure.go
+++ b/internal/peer/kqdeparture/departure.go
@@ -31,7 +31,7 @@
 	// upstreams of 550 servers all leave at once and their replacements also leave within
 	// the retention.
 	maxDepartures = 2000
-	// minPeers is how many peers must hold a departure while the store does not: two
+	// minPeers is how many peers must hold a departure if the store does not answer: two
 	// peers are seldom lost together with the node that sent it. It is also how many
 	// peers must answer a starting node that cannot read the store.
 	minPeers = 2
@@ -41,6 +41,9 @@
 	// replicateTimeout bounds the wait before a departure is acknowledged to the
 	// upstream, which gives up after a second.
 	replicateTimeout = 600 * time.Millisecond
+	// storeTimeout is how long the store alone is waited for. Only the store outlives the
+	// end of all processes.
+	storeTimeout = 400 * time.Millisecond
 	// learnTimeout bounds how long a starting node uses no upstream while it waits for
 	// the store and the peers. A node that can reach none of them gets no calls from
 	// peers either and serves only its own callers, so it may continue without knowing
@@ -48,8 +51,10 @@
 	learnTimeout = 1500 * time.Millisecond
 	// learnPause is the pause before the store and the peers are asked again.
 	learnPause = 50 * time.Millisecond
-	// storeRetryPause is the pause before a failed write to the store is retried.
-	storeRetryPause = time.Second
+	// The pause before a failed write to the store is retried doubles from
+	// minStoreRetryPause to maxStoreRetryPause.
+	minStoreRetryPause = 100 * time.Millisecond
+	maxStoreRetryPause = time.Second
 )
 
 type (
@@ -80,12 +85,17 @@
 		table   *kqmember.Table
 		group   conc.WaitGroup
 
-		mu sync.Mutex
-		// known maps each departure to when this node learned of it.
-		known map[Departure]time.Time
-		// replicating holds a channel for each departure that is being replicated; it is
-		// closed when Replicate returns.
-		replicating map[Departure]chan struct{}
+		mu    sync.Mutex
+		known map[Departure]*record
+	}
+
+	// record is what this node knows of a departure.
+	record struct {
+		learnedAt time.Time
+		// stored is set once the store is known to hold the departure.
+		stored bool
+		// replication is nil unless this node is replicating the departure.
+		replication *replication
 	}
 
 	// departureList holds the departures in a request to replicate or an answer to a
@@ -99,9 +109,9 @@
 
 // New returns an empty set of departures that registers its methods on server.
 func New(store Store, initial Initial, server *kqrpc.Server, client *kqrpc.Client, table *kqmember.Table) *Departures {
-	d := &Departures{store: store, initial: initial, client: client, table: table, known: make(map[Departure]time.Time), replicating: make(map[Departure]chan struct{})}
+	d := &Departures{store: store, initial: initial, client: client, table: table, known: make(map[Departure]*record)}
 	kqrpc.Handle(server, methodReplicate, func(_ context.Context, _ kqname.Node, q departureList) (empty, error) {
-		d.add(q.Departures, time.Now())
+		d.add(q.Departures, false, time.Now())
 		return empty{}, nil
 	})
 	kqrpc.Handle(server, methodFetch, func(context.Context, kqname.Node, empty) (departureList, error) {
@@ -110,45 +120,19 @@
 	return d
 }
 
-// Replicate records a departure and sends it to the store and to peers. It returns when
-// the store or minPeers peers hold it, when replicateTimeout has passed or when ctx
-// ends; outstanding requests continue in the background. For a departure that is already
-// known it sends nothing and returns when the first call for it does.
-func (d *Departures) Replicate(ctx context.Context, departure Departure) {
-	if done, first := d.beginReplication(departure, time.Now()); !first {
-		select {
-		case <-done:
-		case <-ctx.Done():
-		}
-		return
+// Replicate records a departure, sends it to the store and to peers, and returns who holds
+// it. It waits for the store; if the store does not answer within storeTimeout, minPeers
+// peers are enough. It returns HeldByNone after replicateTimeout or when ctx ends;
+// outstanding requests continue in the background. A repeated departure joins the replication
+// that is under way.
+func (d *Departures) Replicate(ctx context.Context, departure Departure) Holder {
+	r := d.startReplication(context.WithoutCancel(ctx), departure, time.Now())
+	if r == nil {
+		return HeldByStore
 	}
-	defer d.endReplication(departure)
-	stored := make(chan struct{}, 1)
-	background := context.WithoutCancel(ctx)
-	d.group.Go(func() { d.persist(background, departure, stored) })
-	waitCtx, cancel := context.WithTimeout(ctx, replicateTimeout)
+	ctx, cancel := context.WithTimeout(ctx, replicateTimeout)
 	defer cancel()
-	peers := d.peers()
-	acknowledged := make(chan struct{}, len(peers))
-	for _, to := range peers {
-		d.group.Go(func() {
-			callCtx, stop := context.WithTimeout(background, replicateTimeout)
-			defer stop()
-			if _, err := kqrpc.Call[departureList, empty](callCtx, d.client, to, methodReplicate, departureList{[]Departure{departure}}); err == nil {
-				acknowledged <- struct{}{}
-			}
-		})
-	}
-	for n := 0; n < minPeers; {
-		select {
-		case <-acknowledged:
-			n++
-		case <-stored:
-			return
-		case <-waitCtx.Done():
-			return
-		}
-	}
+	return r.await(ctx, storeTimeout)
 }
 
 // ReplicateInBackground records a departure and sends it to the store and to peers, without
@@ -157,43 +141,64 @@
 	d.group.Go(func() { d.Replicate(context.Background(), departure) })
 }
 
-// beginReplication records a departure and reports whether it was unknown. If it was known,
-// it returns a channel that is closed once it has been replicated.
-func (d *Departures) beginReplication(departure Departure, now time.Time) (<-chan struct{}, bool) {
-	added := d.add([]Departure{departure}, now)
+// startReplication records a departure and returns its replication, which it starts if there
+// is none, or nil if the store holds the departure. It sends the departure to the peers
+// again if an earlier attempt has reached too few.
+func (d *Departures) startReplication(ctx context.Context, departure Departure, now time.Time) *replication {
+	d.add([]Departure{departure}, false, now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	done, ok := d.replicating[departure]
-	if !ok {
-		done = make(chan struct{})
-		if added {
-			d.replicating[departure] = done
-		} else {
-			close(done)
-		}
+	known := d.known[departure]
+	if known.stored {
+		return nil
+	}
+	r := known.replication
+	if r == nil {
+		r = newReplication()
+		known.replication = r
+		d.group.Go(func() { d.persist(ctx, departure, r) })
 	}
-	return done, added
+	if r.beginSending() {
+		d.group.Go(func() { d.sendToPeers(ctx, departure, r) })
+	}
+	return r
 }
 
-func (d *Departures) endReplication(departure Departure) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	close(d.replicating[departure])
-	delete(d.replicating, departure)
+// sendToPeers sends a departure to peers, once each.
+func (d *Departures) sendToPeers(ctx context.Context, departure Departure, r *replication) {
+	defer r.endSending()
+	ctx, cancel := context.WithTimeout(ctx, replicateTimeout)
+	defer cancel()
+	var group conc.WaitGroup
+	defer group.Wait()
+	for _, to := range d.peers() {
+		group.Go(func() {
+			if _, err := kqrpc.Call[departureList, empty](ctx, d.client, to, methodReplicate, departureList{[]Departure{departure}}); err == nil {
+				r.addHolder(to)
+			}
+		})
+	}
 }
 
-// persist writes a departure to the store, signals stored, and retries a failed write
-// until half of the retention has passed. Without it, a departure that only peers hold
-// would be lost with them.
-func (d *Departures) persist(ctx context.Context, departure Departure, stored chan<- struct{}) {
+// persist writes a departure to the store and retries a failed write until half of the
+// retention has passed. Without it, a departure that only peers hold would be lost with
+// them.
+func (d *Departures) persist(ctx context.Context, departure Departure, r *replication) {
 	ctx, cancel := context.WithTimeout(ctx, retention/2)
 	defer cancel()
-	for ctx.Err() == nil {
-		if d.write(ctx, departure) == nil {
-			stored <- struct{}{}
-			return
+	stored := false
+	for pause := minStoreRetryPause; ctx.Err() == nil && !stored; pause = min(2*pause, maxStoreRetryPause) {
+		if stored = d.write(ctx, departure) == nil; !stored {
+			kqsleep.For(ctx, pause)
 		}
-		kqsleep.For(ctx, storeRetryPause)
+	}
+	d.mu.Lock()
+	if known, ok := d.known[departure]; ok {
+		known.stored, known.replication = known.stored || stored, nil
+	}
+	d.mu.Unlock()
+	if stored {
+		close(r.stored)
 	}
 }
 
@@ -273,7 +278,7 @@
 			found = append(found, departure)
 		}
 	}
-	d.add(found, time.Now())
+	d.add(found, true, time.Now())
 	return nil
 }
 
@@ -283,7 +288,7 @@
 	if err != nil {
 		return fmt.Errorf("fetch departures from %s: %w", from, err)
 	}
-	d.add(a.Departures, time.Now())
+	d.add(a.Departures, false, time.Now())
 	return nil
 }
 
@@ -307,37 +312,36 @@
 	return list
 }
 
-// add records departures, drops expired ones, and reports whether any was new. A new one
-// replaces the oldest of maxDepartures: its upstream has probably exited, while that of the
-// new one still runs.
-func (d *Departures) add(list []Departure, now time.Time) bool {
+// add records departures, which the store holds if stored is set, and drops expired ones. A
+// new one replaces the oldest of maxDepartures: its upstream has probably exited, while that
+// of the new one still runs.
+func (d *Departures) add(list []Departure, stored bool, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for departure, at := range d.known {
-		if now.Sub(at) > retention {
+	for departure, known := range d.known {
+		if now.Sub(known.learnedAt) > retention {
 			delete(d.known, departure)
 		}
 	}
-	added := false
 	for _, departure := range list {
-		if _, ok := d.known[departure]; ok {
-			continue
-		}
-		if len(d.known) >= maxDepartures {
-			d.dropOldest()
+		known, ok := d.known[departure]
+		if !ok {
+			if len(d.known) >= maxDepartures {
+				d.dropOldest()
+			}
+			known = &record{learnedAt: now}
+			d.known[departure] = known
 		}
-		d.known[departure] = now
-		added = true
+		known.stored = known.stored || stored
 	}
-	return added
 }
 
 func (d *Departures) dropOldest() {
 	var oldest Departure
 	var since time.Time
-	for departure, at := range d.known {
-		if since.IsZero() || at.Before(since) {
-			oldest, since = departure, at
+	for departure, known := range d.known {
+		if since.IsZero() || known.learnedAt.Before(since) {
+			oldest, since = departure, known.learnedAt
 		}
 	}
 	delete(d.known, oldest)
@@ -348,8 +352,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var list []Departure
-	for departure, at := range d.known {
-		if now.Sub(at) <= retention {
+	for departure, known := range d.known {
+		if now.Sub(known.learnedAt) <= retention {
 			list = append(list, departure)
 		}
 	}
--- a/internal/peer/kqdeparture/doc.go
+++ b/internal/peer/kqdeparture/doc.go
@@ -6,5 +6,6 @@
 // those seconds it would treat the upstream's next announcement, or a delayed one, as
 // that of a healthy upstream and send it calls. Therefore a departure is sent to peers
 // and to the store before it is acknowledged, and a starting node reads both before it
-// uses any upstream.
+// uses any upstream. All processes may be killed together, so the acknowledgement waits
+// for the store. Peers stand in for a store that does not answer.
 package kqdeparture
--- a/internal/run/kqmetric/metric.go
+++ b/internal/run/kqmetric/metric.go
@@ -33,6 +33,7 @@
 	endedUnderCalls          prometheus.Counter
 	suspectedRequests        *prometheus.CounterVec
 	suspicionsDropped        prometheus.Counter
+	departures               *prometheus.CounterVec
 	limits                   limitMetrics
 	workspaces               workspaceMetrics
 	rates                    rateMetrics
@@ -78,6 +79,9 @@
 	m.suspicionsDropped = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kumquatgw_suspicions_dropped_total", Help: "Ends of upstreams under requests that peers were not told of, because there were too many.",
 	})
+	m.departures = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kumquatgw_departures_total", Help: "Departures of the local upstream that were acknowledged, by who held them then: store, peers or none.",
+	}, []string{"held_by"})
 	m.gateCalls, m.limits, m.workspaces, m.rates = newGateCalls(), newLimitMetrics(), newWorkspaceMetrics(), newRateMetrics()
 	m.suppressedLines = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kumquatgw_log_lines_left_out_total", Help: "Log lines of calls that were over the rate for their reason.",
@@ -93,7 +97,7 @@
 	m.panics = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kumquatgw_panics_total", Help: "Panics that were caught, by the part that panicked.",
 	}, []string{"part"})
-	m.registry.MustRegister(m.rates.decisions, m.rates.limited, m.workspaces.peersAsked, m.workspaces.refusals, m.limits.limit, m.limits.calls, m.evacuated, m.endedUnderCalls, m.suspectedRequests, m.suspicionsDropped, m.panics, m.suppressedLines, m.storeCalls, m.stageSeconds)
+	m.registry.MustRegister(m.rates.decisions, m.rates.limited, m.workspaces.peersAsked, m.workspaces.refusals, m.limits.limit, m.limits.calls, m.evacuated, m.endedUnderCalls, m.suspectedRequests, m.suspicionsDropped, m.departures, m.panics, m.suppressedLines, m.storeCalls, m.stageSeconds)
 	m.registry.MustRegister(m.calls, m.retries, m.gateCalls, m.configRefused, m.platformFailed, m.budgetExceeded, m.broadcastDropped, m.version,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "kumquatgw_control_sent_bytes_total", Help: "Bytes of control traffic sent to peers.",
@@ -190,6 +194,10 @@
 // SuspicionDropped implements kqsuspicionlog.Counter.
 func (m *Metrics) SuspicionDropped() { m.suspicionsDropped.Inc() }
 
+// DepartureAcknowledged counts a departure that was acknowledged to its upstream. heldBy is
+// one of the holders of kqdeparture.
+func (m *Metrics) DepartureAcknowledged(heldBy string) { m.departures.WithLabelValues(heldBy).Inc() }
+
 // Sent implements kqrpc.Meter.
 func (m *Metrics) Sent(bytes int) { m.sentBytes.Add(uint64(max(bytes, 0))) }
 
--- a/internal/run/kqnode/announce.go
+++ b/internal/run/kqnode/announce.go
@@ -54,7 +54,7 @@
 // announce applies an announcement and refuses an invalid one, or holds it unchecked until
 // earlier departures are known. An announcement with Gone or Draining is a departure: it
 // takes effect before the upstream gets its answer, and the answer also waits, for a limited
-// time, until the store or peers hold it.
+// time, until the store holds it or, if the store does not answer, peers do.
 func (n *Node) announce(a kqlocal.Announcement) error {
 	now := time.Now()
 	leaves := a.Gone || a.Draining
@@ -79,12 +79,22 @@
 	if leaves {
 		n.gate.Sweep(now)
 		if n.distribution.departures != nil {
-			n.distribution.departures.Replicate(context.Background(), kqdeparture.Departure{Instance: a.Instance, StartedMS: a.StartedMS})
+			n.replicateDeparture(kqdeparture.Departure{Instance: a.Instance, StartedMS: a.StartedMS}, now)
 		}
 	}
 	return nil
 }
 
+// replicateDeparture replicates a departure before it is acknowledged, and logs who holds it
+// then.
+func (n *Node) replicateDeparture(d kqdeparture.Departure, begun time.Time) {
+	heldBy := n.distribution.departures.Replicate(context.Background(), d)
+	n.metrics.DepartureAcknowledged(string(heldBy))
+	n.logger.Part("upstream").WithFields(logrus.Fields{
+		"event": "departed", "instance": d.Instance, "started_ms": d.StartedMS, "held_by": heldBy, "took_ms": time.Since(begun).Milliseconds(),
+	}).Info("Upstream leaves.")
+}
+
 // upstreamLeaves applies that a local upstream has said in its answers that it leaves, as if
 // it had announced so. The answer does not wait until the store or peers hold the departure.
 func (n *Node) upstreamLeaves(a kqlocal.Announcement, now time.Time) {
