kqlocal: a recovered upstream must announce itself soon

Cause: a starting node registers the upstreams of its entry in the store, so that a restarted fleet need not wait for announcements, and used them for upstream_ttl (8 s on the platform) like upstreams that it has heard. While the store is silent, a departure is held by processes alone; after a kill of all of them nothing but the upstream's silence tells that it has left.

Change: a recovered upstream is removed one and a half announcement intervals after the process started, unless it has announced itself. Upstreams can do so from the start on, so live ones are confirmed by then and none is used later than before. The time for which a node is paused does not count. Considered and left: not to use entries at all (a restarted fleet would serve nothing for up to 1.5 s), and to use them only while no other upstream of the service is known (the first that announces itself would get all calls).

New: log line "expired" for an upstream that no longer announces itself.

--- a/internal/call/kqlocal/upstreams.go
+++ b/internal/call/kqlocal/upstreams.go
@@ -74,8 +74,11 @@
 
 	// Upstreams holds the current announcements. It is safe for concurrent use.
 	Upstreams struct {
-		ttl      time.Duration
-		onChange func([]kqmember.Upstream)
+		ttl time.Duration
+		// recoveredTTL is how long an upstream is used that was recovered and has not
+		// announced itself.
+		recoveredTTL time.Duration
+		onChange     func([]kqmember.Upstream)
 
 		mu        sync.Mutex
 		byAddress map[kqname.Address]registration
@@ -114,6 +117,9 @@
 		withdrawal
 	}
 
+	// Option configures Upstreams.
+	Option func(*Upstreams)
+
 	// withdrawal is whether an upstream is left out of the published list, when it was
 	// last withdrawn, and for how long at least.
 	withdrawal struct {
@@ -123,11 +129,22 @@
 	}
 )
 
+// WithRecoveredTTL sets how long an upstream is used after Recover without an announcement of
+// its own; the default is the ttl of announcements. It is meant to be shorter: an upstream
+// that has left, which nobody remembers, announces itself no more.
+func WithRecoveredTTL(ttl time.Duration) Option {
+	return func(u *Upstreams) { u.recoveredTTL = min(ttl, u.ttl) }
+}
+
 // New returns an empty set whose announcements expire after ttl unless renewed. At each
 // change that other nodes must learn of, onChange receives all upstreams that are not
 // withdrawn. It is called with the set's lock held and must not call the set.
-func New(ttl time.Duration, onChange func([]kqmember.Upstream)) *Upstreams {
-	return &Upstreams{ttl: ttl, onChange: onChange, byAddress: make(map[kqname.Address]registration), goodbyes: make(map[kqname.Instance]goodbye)}
+func New(ttl time.Duration, onChange func([]kqmember.Upstream), options ...Option) *Upstreams {
+	u := &Upstreams{ttl: ttl, recoveredTTL: ttl, onChange: onChange, byAddress: make(map[kqname.Address]registration), goodbyes: make(map[kqname.Instance]goodbye)}
+	for _, o := range options {
+		o(u)
+	}
+	return u
 }
 
 // Announce applies an announcement, first or renewed.
@@ -174,7 +191,8 @@
 
 // Recover registers an upstream as an earlier process of this node knew it, unless an
 // upstream at its address has announced itself since or it has said goodbye. Any later
-// announcement at its address replaces it, also one by a clock that is behind.
+// announcement at its address replaces it, also one by a clock that is behind. It is removed
+// unless it announces itself soon after now.
 func (u *Upstreams) Recover(a Announcement, now time.Time) error {
 	u.mu.Lock()
 	_, known := u.byAddress[a.Address]
@@ -271,11 +289,11 @@
 // Sweep removes upstreams whose announcements have expired, and forgets goodbyes older than
 // historyTTL. It is called every sweepInterval. If it is called later, this node itself was
 // paused, and announcements that arrived meanwhile may still wait to be read; the time
-// beyond the interval does not count against any upstream.
-func (u *Upstreams) Sweep(now time.Time) {
+// beyond the interval does not count against any upstream. Sweep returns the removed ones.
+func (u *Upstreams) Sweep(now time.Time) []Announcement {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	removed := false
+	var removed []Announcement
 	pause := time.Duration(0)
 	if !u.lastSweep.IsZero() {
 		pause = max(now.Sub(u.lastSweep)-sweepInterval, 0)
@@ -290,16 +308,24 @@
 		if e.lastRenewed = e.lastRenewed.Add(pause); e.lastRenewed.After(now) {
 			e.lastRenewed = now
 		}
-		if now.Sub(e.lastRenewed) > u.ttl {
+		if now.Sub(e.lastRenewed) > u.ttlOf(e) {
 			delete(u.byAddress, address)
-			removed = true
+			removed = append(removed, e.Announcement)
 			continue
 		}
 		u.byAddress[address] = e
 	}
-	if removed {
+	if len(removed) > 0 {
 		u.publish()
 	}
+	return removed
+}
+
+func (u *Upstreams) ttlOf(e registration) time.Duration {
+	if e.recovered {
+		return u.recoveredTTL
+	}
+	return u.ttl
 }
 
 // Find returns the upstream of a service and version; an empty version accepts any. Of
--- a/internal/run/kqnode/announce.go
+++ b/internal/run/kqnode/announce.go
@@ -144,10 +144,19 @@
 	n.distribution.discovery.SetUpstreams(list)
 }
 
+// recoveredTTL returns for how long after the start an upstream that an earlier process has
+// listed is used without an announcement of its own. In one and a half intervals each live
+// upstream has announced itself, even if one announcement is half an interval late.
+func (n *Node) recoveredTTL() time.Duration { return n.settings.Member.AnnounceInterval * 3 / 2 }
+
 // recoverUpstreams registers the upstreams that an earlier process of this node has listed.
-// They announce themselves about once in two seconds; without this, a fleet that restarts
-// would have no upstream for most of that time.
+// Without this, a fleet that restarts would have no upstream until they announce themselves
+// again. An upstream that has left does not; all who knew of its departure may have been
+// killed, so that silence alone tells it from a live one.
 func (n *Node) recoverUpstreams(ctx context.Context) {
+	if time.Since(n.started) > n.recoveredTTL() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, recoverTimeout)
 	defer cancel()
 	list, err := kqdiscovery.OwnUpstreams(ctx, n.initialState, n.settings.Node.Name)
@@ -157,7 +166,8 @@
 	}
 	for _, u := range list {
 		a := kqlocal.Announcement{Service: u.Service, Version: u.Version, Address: u.Address, Slots: u.Slots, Instance: u.Instance, StartedMS: u.StartedMS}
-		if err := n.local.Recover(a, time.Now()); err != nil {
+		// Upstreams could announce themselves from the start on.
+		if err := n.local.Recover(a, n.started); err != nil {
 			n.logger.Part("upstream").WithError(err).Warn("Earlier upstream refused.")
 			continue
 		}
@@ -165,6 +175,13 @@
 	}
 }
 
+// sweepUpstreams removes the local upstreams that no longer announce themselves.
+func (n *Node) sweepUpstreams(now time.Time) {
+	for _, a := range n.local.Sweep(now) {
+		n.logger.Part("upstream").WithFields(logrus.Fields{"event": "expired", "instance": a.Instance, "service": a.Service, "started_ms": a.StartedMS}).Info("Upstream no longer announces itself.")
+	}
+}
+
 // hold holds an announcement unless earlier departures are known, and reports whether it
 // did.
 func (p *pendingAnnouncements) hold(a kqlocal.Announcement) bool {
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -81,7 +81,7 @@
 func (n *Node) setUpCalls() {
 	n.local = kqlocal.New(n.settings.Member.UpstreamTTL, func(list []kqmember.Upstream) {
 		n.table.Update(func(m *kqmember.Member) { m.Upstreams = list })
-	})
+	}, kqlocal.WithRecoveredTTL(n.recoveredTTL()))
 	n.disconnectWatcher = kqdisconnect.New()
 	gate := []kqgate.Option{kqgate.WithWithdrawer(n.local), kqgate.WithObserver(n.rollouts), kqgate.WithGuard(n.rollouts), kqgate.WithEvacuation(n.isEvacuated), kqgate.WithColdStart(n.coldStart), kqgate.WithDeparture(n.upstreamLeaves), kqgate.WithDisconnectWatcher(n.disconnectWatcher), kqgate.WithCounter(n.metrics), kqgate.WithSupervisor(n.supervisor)}
 	entry := append(n.entryTLSOptions(), kqentry.WithCounter(n.metrics), kqentry.WithSplitter(n.rollouts),
--- /dev/null
+++ b/internal/run/kqnode/forgotten_departure_test.go
@@ -0,0 +1,41 @@
+package kqnode_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/store/kqfakestore"
+)
+
+// Guards against calls to an upstream that left while the store was silent and whose node was
+// killed before the store was back: the next process found it in the node's entry and used it
+// for as long as one that announces itself.
+func TestForgottenDepartureIsNotedBySilence(t *testing.T) {
+	store := kqfakestore.New()
+	node, kill := startWithAdapter(t, "a", store)
+	sendAnnouncement(t, node, "one ready")
+	await(t, "the upstream is in the node's entry", func() bool {
+		l, err := store.List(t.Context(), "kumquatgw/nodes/")
+		return err == nil && len(l.Entries) == 1
+	})
+	store.SetFaults(kqfakestore.Faults{Down: true})
+	sendAnnouncement(t, node, "one gone")
+	kill()
+	store.SetFaults(kqfakestore.Faults{})
+	if l, err := store.List(t.Context(), "kumquatgw/departures/"); err != nil || len(l.Entries) != 0 {
+		t.Fatalf("the store holds %d departures, error %v, want none", len(l.Entries), err)
+	}
+	restarted := time.Now()
+	node, kill = startWithAdapter(t, "a", store)
+	defer kill()
+	await(t, "the upstream of before is used", func() bool { return hasUpstream(node) })
+	await(t, "the silent upstream is used no more", func() bool { return !hasUpstream(node) })
+	// Twice the interval at which upstreams announce themselves by default.
+	if took := time.Since(restarted); took > 3*time.Second {
+		t.Errorf("the silent upstream was used for %v", took)
+	}
+	sendAnnouncement(t, node, "one ready")
+	if !hasUpstream(node) {
+		t.Error("an upstream that announces itself is not used")
+	}
+}
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -354,7 +354,7 @@
 // connections and unused hosts. It also closes the idle connections to nodes that are
 // leaving, which wait for that, and to dead ones.
 func (n *Node) sweep(now time.Time) {
-	n.local.Sweep(now)
+	n.sweepUpstreams(now)
 	n.gate.Sweep(now)
 	for _, l := range n.gate.Limits() {
 		n.local.SetLimit(l.Address, l.Limited, l.PerSecond, now)
--- a/internal/run/kqsettings/settings.go
+++ b/internal/run/kqsettings/settings.go
@@ -54,11 +54,12 @@
 	// Member configures membership, announcements of upstreams, and the budgets
 	// for control traffic and configuration memory.
 	Member struct {
-		Seeds        []string      `key:"seeds" doc:"Control addresses of nodes to ask at the start, parted by commas."`
-		Heartbeat    time.Duration `key:"heartbeat" default:"1s" min:"10ms" max:"1m" doc:"Time between two heartbeats to a peer."`
-		UpstreamTTL  time.Duration `key:"upstream_ttl" default:"3s" min:"100ms" max:"1m" doc:"How long an upstream's announcement lasts unless renewed."`
-		SendBudget   int           `key:"send_budget" default:"16KB" min:"1KB" max:"64MB" unit:"bytes" doc:"Control bytes that the node may send a second, over half a minute; bulk waits beyond it."`
-		MemoryBudget int           `key:"memory_budget" default:"64MB" min:"1MB" max:"16GB" unit:"bytes" doc:"Bytes of configuration that the node may hold; hosts that were used least go beyond it."`
+		Seeds            []string      `key:"seeds" doc:"Control addresses of nodes to ask at the start, parted by commas."`
+		Heartbeat        time.Duration `key:"heartbeat" default:"1s" min:"10ms" max:"1m" doc:"Time between two heartbeats to a peer."`
+		UpstreamTTL      time.Duration `key:"upstream_ttl" default:"3s" min:"100ms" max:"1m" doc:"How long an upstream's announcement lasts unless renewed."`
+		AnnounceInterval time.Duration `key:"announce_interval" default:"1500ms" min:"10ms" max:"1m" doc:"About how often an upstream announces itself. One that a restarted node knows only from before must do so within one and a half times that."`
+		SendBudget       int           `key:"send_budget" default:"16KB" min:"1KB" max:"64MB" unit:"bytes" doc:"Control bytes that the node may send a second, over half a minute; bulk waits beyond it."`
+		MemoryBudget     int           `key:"memory_budget" default:"64MB" min:"1MB" max:"16GB" unit:"bytes" doc:"Bytes of configuration that the node may hold; hosts that were used least go beyond it."`
 	}
 
 	// Config configures the distribution of configuration to the node.
