kqdeparture: departures are also learned once the store is back

Callers would see: requests reach an upstream that has left, for as long as one announcement lasts, if a node starts while the store does not answer and an announcement from before the departure arrives late.

Cause: Learn ends when two peers have answered, or after 1.5 s, and nothing read the store's departures after that. After a kill of all processes the peers have just started too and know nothing, so that their answers say nothing.

Change: after Learn, a node goes on to read the store, and to ask peers until it has, at pauses of 0.1 s doubling to 1 s, and applies what it learns to upstreams that are in use by then. Nothing waits for it: upstreams are used as soon as before, also while the store is silent.

--- a/internal/peer/kqdeparture/departure.go
+++ b/internal/peer/kqdeparture/departure.go
@@ -229,6 +229,34 @@
 	return d.list(time.Now())
 }
 
+// LearnRest continues to ask, at growing intervals, until the store has been read, and calls
+// apply with all known departures after each round. Learn may return before: after a restart
+// of the whole fleet, peers answer that have not read the store either.
+func (d *Departures) LearnRest(ctx context.Context, apply func([]Departure)) {
+	for pause := minStoreRetryPause; ctx.Err() == nil; pause = min(2*pause, maxStoreRetryPause) {
+		err := d.readStore(ctx)
+		if err != nil {
+			d.fetchFromPeers(ctx)
+		}
+		apply(d.list(time.Now()))
+		if err == nil {
+			return
+		}
+		kqsleep.For(ctx, pause)
+	}
+}
+
+// fetchFromPeers adds the departures that peers hold. Peers that do not answer are left out.
+func (d *Departures) fetchFromPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, replicateTimeout)
+	defer cancel()
+	var group conc.WaitGroup
+	defer group.Wait()
+	for _, from := range d.peers() {
+		group.Go(func() { _ = d.fetch(ctx, from) })
+	}
+}
+
 // ask requests the departures from the store and the peers that have not answered and of
 // which no request is in flight.
 func (d *Departures) ask(ctx context.Context, group *conc.WaitGroup, l *learning) {
--- a/internal/run/kqnode/announce.go
+++ b/internal/run/kqnode/announce.go
@@ -114,12 +114,10 @@
 
 // learnDepartures applies the departures that were announced before this process started,
 // and then the announcements held meanwhile. It only logs an invalid one, since its sender
-// already has an answer.
+// already has an answer. Departures that become known later, since the store did not answer,
+// are applied to upstreams that are in use by then.
 func (n *Node) learnDepartures(ctx context.Context) {
-	now := time.Now()
-	for _, d := range n.distribution.departures.Learn(ctx) {
-		n.local.ApplyDeparture(d.Instance, d.StartedMS, now)
-	}
+	n.applyDepartures(n.distribution.departures.Learn(ctx))
 	for _, a := range n.pendingAnnouncements.release() {
 		if err := n.local.Announce(a, time.Now()); err != nil {
 			n.logger.Part("upstream").WithError(err).Warn("Announcement refused.")
@@ -127,6 +125,18 @@
 	}
 	n.recordUpstreams()
 	n.recoverUpstreams(ctx)
+	n.distribution.departures.LearnRest(ctx, func(list []kqdeparture.Departure) {
+		n.applyDepartures(list)
+		n.recordUpstreams()
+		n.gate.Sweep(time.Now())
+	})
+}
+
+func (n *Node) applyDepartures(list []kqdeparture.Departure) {
+	now := time.Now()
+	for _, d := range list {
+		n.local.ApplyDeparture(d.Instance, d.StartedMS, now)
+	}
 }
 
 // recordUpstreams lists the local upstreams in the node's entry in the store, for the process
--- a/internal/run/kqnode/forgotten_departure_test.go
+++ b/internal/run/kqnode/forgotten_departure_test.go
@@ -39,3 +39,25 @@
 		t.Error("an upstream that announces itself is not used")
 	}
 }
+
+// Guards against a node that starts while the store is silent and takes a delayed announcement
+// for that of a live upstream: it must use it no more once it can read the departure.
+func TestDepartureIsAppliedOnceTheStoreIsBack(t *testing.T) {
+	store := kqfakestore.New()
+	node, kill := startWithAdapter(t, "a", store)
+	sendAnnouncement(t, node, "one ready")
+	await(t, "the upstream is announced", func() bool { return hasUpstream(node) })
+	sendAnnouncement(t, node, "one gone")
+	kill()
+	store.SetFaults(kqfakestore.Faults{Down: true})
+	node, kill = startWithAdapter(t, "a", store)
+	defer kill()
+	sendAnnouncement(t, node, "one ready")
+	await(t, "an announcement is applied while the store is silent", func() bool { return hasUpstream(node) })
+	store.SetFaults(kqfakestore.Faults{})
+	back := time.Now()
+	await(t, "the upstream that left is used no more", func() bool { return !hasUpstream(node) })
+	if took := time.Since(back); took > 2*time.Second {
+		t.Errorf("the upstream that left was used for %v after the store's return", took)
+	}
+}
