kqdiscovery: an upstream that left does not stay in its node's entry

Callers would see: requests go to an upstream that left long ago, after every restart of its node, if the node has had no other upstream since.

Cause: a restarted node leaves the upstreams that its entry lists until one announces itself, since the live ones are not known yet; if none does, it renews the entry with the old list for good. Upstreams whose announcements expire were not taken off either. Once the departure has lapsed in the store (after a minute), each restart recovers the upstream again.

Change: once all live upstreams have had the time to announce themselves, an empty list counts; it is written with the next renewal. Expired upstreams are taken off the list.

--- a/internal/peer/kqdiscovery/discovery.go
+++ b/internal/peer/kqdiscovery/discovery.go
@@ -114,16 +114,27 @@
 
 // SetUpstreams sets the upstreams that the entry lists. It is called with each announcement.
 // A change is written with the next renewal, and at once if the entry waits for its first
-// upstream. Until there has been one, an empty list is ignored.
+// upstream. Until there has been one, an empty list is ignored: upstreams that an earlier
+// process has listed may announce themselves yet.
 func (d *Discovery) SetUpstreams(list []Upstream) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	known := d.isUpstreamsSet()
-	if !known && len(list) == 0 {
-		return
+	if len(list) > 0 || d.isUpstreamsSet() {
+		d.setUpstreams(list)
 	}
+}
+
+// SetAllUpstreams is like SetUpstreams for a list that is complete, also if it is empty.
+func (d *Discovery) SetAllUpstreams(list []Upstream) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.setUpstreams(list)
+}
+
+// setUpstreams must be called with d.mu held.
+func (d *Discovery) setUpstreams(list []Upstream) {
 	d.upstreams = list
-	if !known {
+	if !d.isUpstreamsSet() {
 		close(d.upstreamsSet)
 	}
 }
--- a/internal/run/kqnode/announce.go
+++ b/internal/run/kqnode/announce.go
@@ -140,18 +140,27 @@
 }
 
 // recordUpstreams lists the local upstreams in the node's entry in the store, for the process
-// that runs after this one.
+// that runs after this one. Before all live upstreams have had the time to announce
+// themselves, it leaves what an earlier process has listed if there are none.
 func (n *Node) recordUpstreams() {
-	if n.distribution.discovery == nil {
-		return
+	switch list := n.listedUpstreams(); {
+	case n.distribution.discovery == nil:
+	case time.Since(n.started) > n.recoveredTTL():
+		n.distribution.discovery.SetAllUpstreams(list)
+	default:
+		n.distribution.discovery.SetUpstreams(list)
 	}
+}
+
+// listedUpstreams returns the local upstreams that a later process may recover.
+func (n *Node) listedUpstreams() []kqdiscovery.Upstream {
 	var list []kqdiscovery.Upstream
 	for _, a := range n.local.Announcements() {
 		if a.Instance != "" {
 			list = append(list, kqdiscovery.Upstream{Service: a.Service, Version: a.Version, Address: a.Address, Slots: a.Slots, Instance: a.Instance, StartedMS: a.StartedMS})
 		}
 	}
-	n.distribution.discovery.SetUpstreams(list)
+	return list
 }
 
 // recoveredTTL returns for how long after the start an upstream that an earlier process has
@@ -185,8 +194,10 @@
 	}
 }
 
-// sweepUpstreams removes the local upstreams that no longer announce themselves.
+// sweepUpstreams removes the local upstreams that no longer announce themselves, also from
+// the node's entry in the store.
 func (n *Node) sweepUpstreams(now time.Time) {
+	defer n.recordUpstreams()
 	for _, a := range n.local.Sweep(now) {
 		n.logger.Part("upstream").WithFields(logrus.Fields{"event": "expired", "instance": a.Instance, "service": a.Service, "started_ms": a.StartedMS}).Info("Upstream no longer announces itself.")
 	}
--- a/internal/run/kqnode/announce_test.go
+++ b/internal/run/kqnode/announce_test.go
@@ -50,12 +50,15 @@
 
 // startWithAdapter starts a node for an upstream of the service "store", with an adapter to
 // a platform. kill ends the node without a drain.
-func startWithAdapter(t *testing.T, name string, store *kqfakestore.Fake) (node *kqnode.Node, kill func()) {
+func startWithAdapter(t *testing.T, name string, store *kqfakestore.Fake, options ...func(*kqsettings.Settings)) (node *kqnode.Node, kill func()) {
 	t.Helper()
 	s := kqsettings.Default()
 	s.Node.Name, s.Node.Domain, s.Node.Service = kqname.Node(name), "one", "store"
 	s.Node.EntryListen, s.Node.LocalListen, s.Node.GateListen, s.Node.ControlListen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.Node.DrainTimeout = time.Second
+	for _, o := range options {
+		o(&s)
+	}
 	node, err := kqnode.New(s, store, kqnode.WithAdapter(kqnode.Adapter{Announcements: textAnnouncements{}, OperatorDecoder: emptyOperators{}, Lister: store}))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/run/kqnode/forgotten_departure_test.go
+++ b/internal/run/kqnode/forgotten_departure_test.go
@@ -1,9 +1,11 @@
 package kqnode_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqfakestore"
 )
 
@@ -61,3 +63,25 @@
 		t.Errorf("the upstream that left was used for %v after the store's return", took)
 	}
 }
+
+// Guards against an upstream that left and stays in its node's entry since no other takes its
+// place: each kill of the fleet would bring it back, also once its departure has lapsed.
+func TestEntryForgetsAnUpstreamThatLeft(t *testing.T) {
+	store := kqfakestore.New()
+	entryLists := func(instance string) bool {
+		l, err := store.List(t.Context(), "kumquatgw/nodes/")
+		return err == nil && len(l.Entries) == 1 && strings.Contains(string(l.Entries[0].Value), `"instance":"`+instance+`"`)
+	}
+	node, kill := startWithAdapter(t, "a", store)
+	sendAnnouncement(t, node, "one ready")
+	await(t, "the upstream is in the node's entry", func() bool { return entryLists("one") })
+	sendAnnouncement(t, node, "one gone")
+	kill()
+	if !entryLists("one") {
+		t.Fatal("the upstream is not in the entry of the killed process")
+	}
+	control := node.Members()[0].Control
+	_, kill = startWithAdapter(t, "a", store, func(s *kqsettings.Settings) { s.Node.ControlListen = control })
+	defer kill()
+	await(t, "the upstream that left is not in the node's entry", func() bool { return !entryLists("one") })
+}
