kqdocument: a platform's document is taken with any path prefix

Callers saw: a configuration that the store has acknowledged takes no effect. A node that starts meanwhile has no configuration at all and answers 503.

Cause: Validate refuses prefixes that an operator more likely mistyped: with a percent sign, beyond ASCII, with dots or doubled slashes, or over 512 bytes. That is right before a document is stored. Nodes applied the same rules to a document that the platform has stored already, where nobody is left to mend it, and a version that breaks one is refused whole.

Change: nodes use ValidateAdopted, which asks of a prefix only that it begins with a slash and has at most 64 KB (a request's header has 18 KB at most). Validate, for documents that come through this program, still refuses mistakes, but no longer complete escapes. Prefix and path are compared after the normalization of RFC 3986, section 6.2.2: upper and lower case of escapes and escaped unreserved letters are the same, and letters beyond ASCII stand for their escapes. If two prefixes are equivalent, the one that is written like the path goes first. Upstreams get the request as it was sent. Considered and left: to compare bytes only (a caller's %c3 would get 404 on a route for %C3), and to skip the one route (a version would be in force in part).

--- a/internal/config/kqorigin/merge.go
+++ b/internal/config/kqorigin/merge.go
@@ -225,7 +225,7 @@
 }
 
 func validate(d kqdocument.Document) error {
-	if problems := kqdocument.Validate(d); len(problems) > 0 {
+	if problems := kqdocument.ValidateAdopted(d); len(problems) > 0 {
 		return fmt.Errorf("%d validation problems, first %w: %w", len(problems), problems[0], errInvalid)
 	}
 	return nil
--- a/internal/config/kqsnapshot/index.go
+++ b/internal/config/kqsnapshot/index.go
@@ -3,9 +3,11 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
+	"github.com/kumquatgw/kumquatgw/pkg/kqpath"
 )
 
 // index finds a host's routes by path prefix. Instead of a comparison with each of
@@ -16,9 +18,9 @@
 	// a host's routes may be split over several objects. The next version reuses
 	// most of them.
 	parts map[kqresource.Digest][]kqdocument.Route
-	// lengths are the distinct lengths of the prefixes, longest first.
+	// lengths are the distinct lengths of the normalized prefixes, longest first.
 	lengths []int
-	// prefixes holds the routes by their prefix, the most specific first.
+	// prefixes holds the routes by their normalized prefix, the most specific first.
 	prefixes map[string][]kqdocument.Route
 }
 
@@ -28,30 +30,51 @@
 	routes := slices.Concat(slices.Collect(maps.Values(parts))...)
 	slices.SortFunc(routes, compareRoutes)
 	for _, r := range routes {
-		x.prefixes[r.PathPrefix] = append(x.prefixes[r.PathPrefix], r)
-		if !slices.Contains(x.lengths, len(r.PathPrefix)) {
-			x.lengths = append(x.lengths, len(r.PathPrefix))
+		prefix := kqpath.Normalize(r.PathPrefix)
+		x.prefixes[prefix] = append(x.prefixes[prefix], r)
+		if !slices.Contains(x.lengths, len(prefix)) {
+			x.lengths = append(x.lengths, len(prefix))
 		}
 	}
 	slices.SortFunc(x.lengths, func(a, b int) int { return b - a })
 	return x
 }
 
-// match returns the most specific route that matches the request.
+// match returns the most specific route that matches the request. A prefix matches every
+// path that it begins once both are normalized.
 func (x *index) match(r Request) (kqdocument.Route, bool) {
+	path := kqpath.Normalize(r.Path)
 	for _, n := range x.lengths {
-		if n > len(r.Path) {
+		if n > len(path) {
 			continue
 		}
-		for i := range x.prefixes[r.Path[:n]] {
-			if route := &x.prefixes[r.Path[:n]][i]; matchesRequest(route, r) {
-				return *route, true
-			}
+		if route := mostSpecific(x.prefixes[path[:n]], r); route != nil {
+			return *route, true
 		}
 	}
 	return kqdocument.Route{}, false
 }
 
+// mostSpecific returns the first of the routes that matches a request or, if their prefixes
+// are written in several ways, the first whose prefix begins the path as it was sent. It
+// returns nil if there is none. All prefixes begin the normalized path.
+func mostSpecific(routes []kqdocument.Route, r Request) *kqdocument.Route {
+	var first *kqdocument.Route
+	for i := range routes {
+		route := &routes[i]
+		if !matchesRequest(route, r) {
+			continue
+		}
+		if strings.HasPrefix(r.Path, route.PathPrefix) {
+			return route
+		}
+		if first == nil {
+			first = route
+		}
+	}
+	return first
+}
+
 // matchesRequest reports whether a route's method and headers match a request.
 func matchesRequest(route *kqdocument.Route, r Request) bool {
 	if route.Method != "" && route.Method != r.Method {
--- a/internal/config/kqsnapshot/index_test.go
+++ b/internal/config/kqsnapshot/index_test.go
@@ -67,6 +67,24 @@
 	}
 }
 
+// Guards against a request that gets 404 on a route that is there, since caller and operator
+// write an equivalent path in two ways, and against one that reaches a neighbour's route.
+func TestEquivalentPathsReachTheRoute(t *testing.T) {
+	s := build(t, []kqdocument.Route{
+		route("all", "/", "", nil), route("upper", "/caf%C3%A9/", "", nil), route("plain", "/th\u00e9/", "", nil), route("deep", "/caf%C3%A9/1/", "", nil),
+		route("tilde", "/~a/", "", nil), route("escaped", "/%7Ea/", "", nil), route("double", "//x/", "", nil), route("dots", "/d/../x/", "", nil), route("percent", "/50%/", "", nil),
+	})
+	for path, want := range map[string]string{
+		"/caf%C3%A9/1": "upper", "/caf%c3%a9/2": "upper", "/caf\u00e9/2": "upper", "/cafe/2": "all", "/caf%C3%A9": "all", "/caf%C3%A9%2F1/2": "all",
+		"/caf%c3%a9/1/2": "deep", "/th%C3%A9/1": "plain", "/%74h%c3%a9/1": "plain",
+		"/~a/1": "tilde", "/%7Ea/1": "escaped", "/%7ea/1": "escaped", "//x/1": "double", "/x/1": "all", "/d/../x/1": "dots", "/50%/1": "percent", "/50%25/1": "percent",
+	} {
+		if got, _ := s.Match(kqsnapshot.Request{Host: host, Path: path, Method: "GET"}); string(got.Name) != want {
+			t.Errorf("%s matches route %q, want %q", path, got.Name, want)
+		}
+	}
+}
+
 // BenchmarkMatch matches in the worst case: all 2,000 routes of 89 services on one host.
 func BenchmarkMatch(b *testing.B) {
 	var routes []kqdocument.Route
--- a/internal/config/kqsnapshot/validate.go
+++ b/internal/config/kqsnapshot/validate.go
@@ -7,7 +7,7 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
-// validate applies the rules for whole documents to the snapshot's content. The
+// validate applies the rules for adopted documents to the snapshot's content. The
 // commit validates too, but a node does not rely on it: an older version of this
 // program, or another one, could commit a document that misroutes calls. Teams are not
 // part of a snapshot, so every team that is named is assumed to exist and to have no
@@ -45,7 +45,7 @@
 		d.Evacuations = append(d.Evacuations, kqdocument.Evacuation{Name: domain})
 	}
 	d.Workspaces = s.Workspaces()
-	if problems := kqdocument.Validate(d); len(problems) > 0 {
+	if problems := kqdocument.ValidateAdopted(d); len(problems) > 0 {
 		return fmt.Errorf("%d validation problems, first %w: %w", len(problems), problems[0], ErrInvalid)
 	}
 	return nil
--- a/pkg/kqdocument/validate.go
+++ b/pkg/kqdocument/validate.go
@@ -34,6 +34,8 @@
 	// checker collects the problems of a document.
 	checker struct {
 		problems []Problem
+		// adopted is set for a document that was accepted elsewhere.
+		adopted bool
 	}
 )
 
@@ -42,8 +44,15 @@
 
 // Validate returns all problems of the document. The problems and their order depend
 // only on the document, so that they are the same on all nodes.
-func Validate(d Document) []Problem {
-	c := &checker{}
+func Validate(d Document) []Problem { return (&checker{}).check(d) }
+
+// ValidateAdopted is like Validate for a document that a platform has accepted from its
+// operators, and that nodes can only take or leave as a whole. It allows everything that
+// nodes can serve, also what is more likely a mistake than meant.
+func ValidateAdopted(d Document) []Problem { return (&checker{adopted: true}).check(d) }
+
+// check returns all problems of the document.
+func (c *checker) check(d Document) []Problem {
 	c.checkCount("teams", len(d.Teams), maxTeams)
 	c.checkCount("policies", len(d.Policies), maxPolicies)
 	c.checkCount("services", len(d.Services), maxServices)
--- a/pkg/kqdocument/validate_route.go
+++ b/pkg/kqdocument/validate_route.go
@@ -9,14 +9,17 @@
 	"strings"
 
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
+	"github.com/kumquatgw/kumquatgw/pkg/kqpath"
 )
 
 const (
-	// maxPrefix, maxHeaderName and maxHeaderValue are lengths in bytes.
-	maxPrefix      = 512
-	maxHeaders     = 8
-	maxHeaderName  = 64
-	maxHeaderValue = 256
+	// maxPrefix, maxAdoptedPrefix, maxHeaderName and maxHeaderValue are lengths in bytes. No
+	// request whose headers a node accepts has a longer path than maxAdoptedPrefix.
+	maxPrefix        = 512
+	maxAdoptedPrefix = 64 << 10
+	maxHeaders       = 8
+	maxHeaderName    = 64
+	maxHeaderValue   = 256
 	// reservedHeaderPrefix is the prefix of kumquatgw's own headers.
 	reservedHeaderPrefix = "kq-"
 	maxWeight            = 1000000
@@ -39,8 +42,7 @@
 
 func (c *checker) checkRoute(at string, r Route) {
 	c.reportIf(!kqname.Valid(r.Host), at+".host", "is not a lower-case host name")
-	c.reportIf(!isValidPathPrefix(r.PathPrefix), at+".path_prefix",
-		fmt.Sprintf("must be a plain path of at most %d bytes that begins with /", maxPrefix))
+	c.checkPathPrefix(at+".path_prefix", r.PathPrefix)
 	c.reportIf(!slices.Contains(methods, r.Method), at+".method", "is not an HTTP method in capitals")
 	c.reportIf(!slices.Contains(classes, r.Class), at+".class", "must be critical, normal or background")
 	c.reportIf(len(r.Headers) > maxHeaders, at+".headers", fmt.Sprintf("has more than %d headers", maxHeaders))
@@ -92,7 +94,7 @@
 func (c *checker) checkDuplicates(routes []Route) {
 	seen := make(map[string]kqname.Route, len(routes))
 	for i, r := range routes {
-		match := []string{string(r.Host), r.PathPrefix, r.Method}
+		match := []string{string(r.Host), c.comparedPrefix(r.PathPrefix), r.Method}
 		for _, name := range slices.Sorted(maps.Keys(r.Headers)) {
 			match = append(match, strings.ToLower(name), r.Headers[name])
 		}
@@ -105,12 +107,28 @@
 	}
 }
 
-func isValidPathPrefix(p string) bool {
-	if len(p) > maxPrefix || !strings.HasPrefix(p, "/") || strings.ContainsAny(p, "?#% ") {
-		return false
+// comparedPrefix returns the form in which the prefixes of two routes are compared. In an
+// adopted document, prefixes that are written in two ways may stand side by side.
+func (c *checker) comparedPrefix(prefix string) string {
+	if c.adopted {
+		return prefix
+	}
+	return kqpath.Normalize(prefix)
+}
+
+// checkPathPrefix refuses a prefix that begins no path. Dot segments, doubled slashes and
+// characters that clients escape are refused as mistakes: few requests have such a path.
+func (c *checker) checkPathPrefix(at, prefix string) {
+	if c.adopted {
+		c.reportIf(len(prefix) > maxAdoptedPrefix || !strings.HasPrefix(prefix, "/"), at, fmt.Sprintf("must begin with / and have at most %d bytes", maxAdoptedPrefix))
+		return
 	}
-	cleaned := path.Clean(p)
-	return (p == cleaned || p == cleaned+"/") && isVisibleASCII(p)
+	normal := kqpath.Normalize(prefix)
+	cleaned := path.Clean(normal)
+	isClean := normal == cleaned || normal == cleaned+"/"
+	isPath := strings.HasPrefix(prefix, "/") && !strings.ContainsAny(prefix, "?#") && kqpath.IsWellFormed(prefix)
+	c.reportIf(len(prefix) > maxPrefix || !isPath || !isClean, at,
+		fmt.Sprintf("must be a path of at most %d bytes that begins with /, without dot segments, doubled slashes or incomplete escapes", maxPrefix))
 }
 
 func isValidHeaderValue(v string) bool {
--- a/pkg/kqdocument/validate_test.go
+++ b/pkg/kqdocument/validate_test.go
@@ -78,6 +78,25 @@
 	}
 }
 
+// Guards against a version that every node refuses although the platform has accepted it, and
+// against operators who are not told of a likely mistake before their change is stored.
+func TestPathPrefixes(t *testing.T) {
+	for prefix, want := range map[string]struct{ valid, adopted bool }{
+		"/a/": {true, true}, "/": {true, true}, "/caf%C3%A9/": {true, true}, "/caf%c3%a9/": {true, true}, "/~a%20b/": {true, true},
+		"/caf\u00e9/": {false, true}, "/50%/": {false, true}, "/%2e%2e/": {false, true}, "/a//b/": {false, true}, "/./": {false, true}, "/a?b/": {false, true},
+		"/" + strings.Repeat("x", 600): {false, true}, "": {}, "a/": {}, "/" + strings.Repeat("x", 64<<10): {},
+	} {
+		d := validDocument()
+		d.Routes[0].PathPrefix = prefix
+		if problems := kqdocument.Validate(d); (len(problems) == 0) != want.valid {
+			t.Errorf("%.40q: problems %v, want valid %v", prefix, problems, want.valid)
+		}
+		if problems := kqdocument.ValidateAdopted(d); (len(problems) == 0) != want.adopted {
+			t.Errorf("%.40q, adopted: problems %v, want valid %v", prefix, problems, want.adopted)
+		}
+	}
+}
+
 // Guards against malformed files that are accepted in part: truncated, misspelled or too
 // large ones, and duplicate fields, of which the JSON library would drop the first
 // silently.
