kqwire: amounts that a platform has accepted are taken

Found beside it, by reading each check of the document and the adapter: TargetLatency or ColdStart over 600 s, a Timeout under 1 ms, more than 16 attempts, a weight over a million, a service that stands twice in a split, more than 100 keys of a tenant or one that stands twice, rates over ten million a second, an order of more than 24 days, and two orders that were written together, since the revision that they share names both rollouts.

The names of adopted rollouts need to be unique for their service only; the id of a rollout has its service in it.

A refused value is also among the events that a node's log repeats, so that an operator finds it without the first line.

--- a/internal/run/kqnode/config.go
+++ b/internal/run/kqnode/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -117,7 +118,8 @@
 	log := n.logger.Part("config")
 	refused := func(key string, err error) {
 		n.metrics.ConfigRefused("invalid")
-		log.WithError(err).Warnf("Refused the value of key %s.", key)
+		log.WithError(err).WithFields(logrus.Fields{"event": "refused", "key": key}).Warnf("Refused the value of key %s.", key)
+		n.recentEvents.Add(fmt.Sprintf("Refused the value of key %s: %v.", key, err), time.Now())
 	}
 	isFirst := func() bool { return kqfollower.IsFirstWatcher(n.table.Self(), n.table.Members()) }
 	origin := kqorigin.New(n.storeWithLister(), n.adapter.OperatorDecoder, receive, refused, failed,
--- a/pkg/kqdocument/validate.go
+++ b/pkg/kqdocument/validate.go
@@ -6,6 +6,10 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
+// MaxAdoptedTimeoutMS is the longest timeout, target or cold start of an adopted document, in
+// milliseconds: a day.
+const MaxAdoptedTimeoutMS = 24 * 60 * 60 * 1000
+
 const (
 	maxTeams    = 500
 	maxPolicies = 200
@@ -64,7 +68,7 @@
 	policies := uniqueNames(c, "policies", d.Policies, func(p Policy) kqname.Policy { return p.Name })
 	services := uniqueNames(c, "services", d.Services, func(s Service) kqname.Service { return s.Name })
 	uniqueNames(c, "routes", d.Routes, func(r Route) kqname.Route { return r.Name })
-	uniqueNames(c, "rollouts", d.Rollouts, func(r Rollout) kqname.Rollout { return r.Name })
+	c.checkRolloutNames(d.Rollouts)
 	uniqueNames(c, "evacuations", d.Evacuations, func(e Evacuation) kqname.Domain { return e.Name })
 	for i, p := range d.Policies {
 		c.checkPolicy(fmt.Sprintf("policies[%d]", i), p)
@@ -116,11 +120,19 @@
 }
 
 func (c *checker) checkTimeout(at string, ms int) {
-	c.reportIf(ms < 0 || ms > maxTimeoutMS, at+".timeout_ms", fmt.Sprintf("must be from 0 to %d", maxTimeoutMS))
+	c.checkMilliseconds(at+".timeout_ms", ms)
+}
+
+func (c *checker) checkMilliseconds(path string, ms int) {
+	limit := maxTimeoutMS
+	if c.adopted {
+		limit = MaxAdoptedTimeoutMS
+	}
+	c.reportIf(ms < 0 || ms > limit, path, fmt.Sprintf("must be from 0 to %d", limit))
 }
 
 func (c *checker) checkColdStart(at string, s Service) {
-	c.reportIf(s.ColdStartMS < 0 || s.ColdStartMS > maxTimeoutMS, at+".cold_start_ms", fmt.Sprintf("must be from 0 to %d", maxTimeoutMS))
+	c.checkMilliseconds(at+".cold_start_ms", s.ColdStartMS)
 	// Negated so that NaN, for which every comparison is false, is refused too.
 	c.reportIf(!(s.ColdRate >= 0 && s.ColdRate <= maxColdRate), at+".cold_rate", fmt.Sprintf("must be from 0 to %d", maxColdRate))
 	c.reportIf(s.HealthPath != "" && s.HealthPath[0] != '/', at+".health_path", "must begin with /")
--- a/pkg/kqdocument/validate_rollout.go
+++ b/pkg/kqdocument/validate_rollout.go
@@ -21,6 +21,27 @@
 	latest   = time.Date(2200, 1, 1, 0, 0, 0, 0, time.UTC)
 )
 
+// checkRolloutNames checks that the rollouts' names are unique. In an adopted document they
+// need to be so for each service only: orders that were written together for two services
+// have the same name.
+func (c *checker) checkRolloutNames(rollouts []Rollout) {
+	if !c.adopted {
+		uniqueNames(c, "rollouts", rollouts, func(r Rollout) kqname.Rollout { return r.Name })
+		return
+	}
+	type key struct {
+		service kqname.Service
+		name    kqname.Rollout
+	}
+	seen := make(map[key]bool, len(rollouts))
+	for i, r := range rollouts {
+		at := fmt.Sprintf("rollouts[%d].name", i)
+		c.reportIf(!isName(c, r.Name), at, "is not a name")
+		c.reportIf(seen[key{r.Service, r.Name}], at, fmt.Sprintf("%.64q is named twice for its service", string(r.Name)))
+		seen[key{r.Service, r.Name}] = true
+	}
+}
+
 // checkRollout checks a rollout that is given by From, Start and Deadline.
 func (c *checker) checkRollout(path string, r Rollout) {
 	c.reportIf(!isName(c, r.From), path+".from", "is not a plain name")
--- a/pkg/kqdocument/validate_route.go
+++ b/pkg/kqdocument/validate_route.go
@@ -77,7 +77,7 @@
 	c.reportIf(len(r.Parts) > 0 && !(total > 0), at+".parts", "have no weight at all")
 	c.reportIf(r.Idempotent && r.NotIdempotent, at+".not_idempotent", "stands beside idempotent")
 	c.reportIf(r.MaxAttempts < 0 || r.MaxAttempts > maxAttempts, at+".max_attempts", fmt.Sprintf("must be from 0 to %d", maxAttempts))
-	c.reportIf(r.TargetMS < 0 || r.TargetMS > maxTimeoutMS, at+".target_ms", fmt.Sprintf("must be from 0 to %d", maxTimeoutMS))
+	c.checkMilliseconds(at+".target_ms", r.TargetMS)
 }
 
 // checkTimeoutOverride refuses a route whose timeout exceeds that of its service.
--- a/pkg/kqdocument/validate_test.go
+++ b/pkg/kqdocument/validate_test.go
@@ -97,6 +97,27 @@
 	}
 }
 
+// Guards against a version that is refused because orders for two services were written
+// together, under one revision, and against two orders that cannot be told apart.
+func TestRolloutsOfTwoServicesMayShareTheirName(t *testing.T) {
+	d := validDocument()
+	d.Services = append(d.Services, kqdocument.Service{Name: "other", Team: "shop"})
+	order := kqdocument.Rollout{Name: "order-9", Team: "shop", Service: "store", To: "v2", Policy: "careful", DurationMS: 1000}
+	second := order
+	second.Service = "other"
+	d.Rollouts = []kqdocument.Rollout{order, second}
+	if problems := kqdocument.ValidateAdopted(d); len(problems) > 0 {
+		t.Errorf("problems %v", problems)
+	}
+	if problems := kqdocument.Validate(d); len(problems) == 0 {
+		t.Error("two rollouts of one name are valid for operators who choose the names")
+	}
+	d.Rollouts[1].Service = "store"
+	if problems := kqdocument.ValidateAdopted(d); len(problems) == 0 {
+		t.Error("two rollouts of one service and name are valid")
+	}
+}
+
 // Guards against malformed files that are accepted in part: truncated, misspelled or too
 // large ones, and duplicate fields, of which the JSON library would drop the first
 // silently.
--- a/pkg/kqdocument/validate_workspace.go
+++ b/pkg/kqdocument/validate_workspace.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// maxKeys is the largest number of keys of one workspace.
-	maxKeys = 100
+	// maxKeys is the largest number of keys of one workspace, and maxAdoptedKeys that in an
+	// adopted document. A value of the store holds fewer keys than the latter.
+	maxKeys        = 100
+	maxAdoptedKeys = 200000
 	// maxRate is in calls a second, and the largest burst is as many calls.
 	maxRate = 10000000
 )
@@ -26,7 +28,7 @@
 		c.reportIf(!slices.Contains(classes, w.Class), at+".class", "must be critical, normal or background")
 		c.checkAmount(at+".rate_per_s", w.RatePerS)
 		c.checkAmount(at+".burst", w.Burst)
-		c.reportIf(len(w.KeyDigests) > maxKeys, at+".key_digests", fmt.Sprintf("has more than %d keys", maxKeys))
+		c.checkKeyCount(at+".key_digests", len(w.KeyDigests))
 		for j, d := range w.KeyDigests {
 			field := fmt.Sprintf("%s.key_digests[%d]", at, j)
 			c.reportIf(!isKeyDigest(d), field, "is not a SHA-256 digest in lower-case hex")
@@ -38,6 +40,14 @@
 	}
 }
 
+func (c *checker) checkKeyCount(path string, count int) {
+	limit := maxKeys
+	if c.adopted {
+		limit = maxAdoptedKeys
+	}
+	c.reportIf(count > limit, path, fmt.Sprintf("has more than %d keys", limit))
+}
+
 func (c *checker) checkAmount(path string, n float64) {
 	// Negated so that NaN, for which every comparison is false, is refused too.
 	c.reportIf(!(n >= 0 && n <= maxRate), path, fmt.Sprintf("must be from 0 to %d", maxRate))
