kqnode: a departure reaches the upstream's own node

Callers would see: an upstream that deregistered at another node than its own ("otherwise, the next node is called") goes on to get calls until it exits.

Cause: a departure is sent to the store and to four peers, and read from there at a start only. The node beside the upstream, if it runs, learned nothing.

--- a/internal/call/kqlocal/upstreams.go
+++ b/internal/call/kqlocal/upstreams.go
@@ -246,6 +246,18 @@
 	u.publish()
 }
 
+// Has reports whether an upstream of that instance is registered.
+func (u *Upstreams) Has(instance kqname.Instance) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, e := range u.byAddress {
+		if e.Instance == instance {
+			return true
+		}
+	}
+	return false
+}
+
 // StartedMS returns when the upstream of that instance started, by its own clock in
 // milliseconds, or 0 if it is unknown.
 func (u *Upstreams) StartedMS(instance kqname.Instance) int64 {
--- a/internal/run/kqnode/announce.go
+++ b/internal/run/kqnode/announce.go
@@ -57,13 +57,14 @@
 // time, until the store holds it or, if the store does not answer, peers do.
 func (n *Node) announce(a kqlocal.Announcement) error {
 	now := time.Now()
-	leaves := a.Gone || a.Draining
+	leaves, elsewhere := a.Gone || a.Draining, false
 	if !leaves && n.pendingAnnouncements.hold(a) {
 		return nil
 	}
 	if leaves {
 		// An earlier announcement must not take effect after the departure.
 		held := n.pendingAnnouncements.remove(a.Instance)
+		elsewhere = a.Gone && held.Instance == "" && !n.local.Has(a.Instance)
 		if a.StartedMS == 0 {
 			a.StartedMS = max(held.StartedMS, n.local.StartedMS(a.Instance))
 		}
@@ -79,66 +80,12 @@
 	if leaves {
 		n.gate.Sweep(now)
 		if n.distribution.departures != nil {
-			n.replicateDeparture(kqdeparture.Departure{Instance: a.Instance, StartedMS: a.StartedMS}, now)
+			n.replicateDeparture(kqdeparture.Departure{Instance: a.Instance, StartedMS: a.StartedMS}, elsewhere, now)
 		}
 	}
 	return nil
 }
 
-// replicateDeparture replicates a departure before it is acknowledged, and logs who holds it
-// then.
-func (n *Node) replicateDeparture(d kqdeparture.Departure, begun time.Time) {
-	heldBy := n.distribution.departures.Replicate(context.Background(), d)
-	n.metrics.DepartureAcknowledged(string(heldBy))
-	n.logger.Part("upstream").WithFields(logrus.Fields{
-		"event": "departed", "instance": d.Instance, "started_ms": d.StartedMS, "held_by": heldBy, "took_ms": time.Since(begun).Milliseconds(),
-	}).Info("Upstream leaves.")
-}
-
-// upstreamLeaves applies that a local upstream has said in its answers that it leaves, as if
-// it had announced so. The answer does not wait until the store or peers hold the departure.
-func (n *Node) upstreamLeaves(a kqlocal.Announcement, now time.Time) {
-	n.local.Leave(a, now)
-	n.recordUpstreams()
-	n.gate.Sweep(now)
-	if n.distribution.departures == nil || a.Instance == "" {
-		return
-	}
-	departure := kqdeparture.Departure{Instance: a.Instance, StartedMS: a.StartedMS}
-	if departure.StartedMS == 0 {
-		// The start time is unknown; now is an upper bound.
-		departure.StartedMS = now.UnixMilli()
-	}
-	n.distribution.departures.ReplicateInBackground(departure)
-}
-
-// learnDepartures applies the departures that were announced before this process started,
-// and then the announcements held meanwhile. It only logs an invalid one, since its sender
-// already has an answer. Departures that become known later, since the store did not answer,
-// are applied to upstreams that are in use by then.
-func (n *Node) learnDepartures(ctx context.Context) {
-	n.applyDepartures(n.distribution.departures.Learn(ctx))
-	for _, a := range n.pendingAnnouncements.release() {
-		if err := n.local.Announce(a, time.Now()); err != nil {
-			n.logger.Part("upstream").WithError(err).Warn("Announcement refused.")
-		}
-	}
-	n.recordUpstreams()
-	n.recoverUpstreams(ctx)
-	n.distribution.departures.LearnRest(ctx, func(list []kqdeparture.Departure) {
-		n.applyDepartures(list)
-		n.recordUpstreams()
-		n.gate.Sweep(time.Now())
-	})
-}
-
-func (n *Node) applyDepartures(list []kqdeparture.Departure) {
-	now := time.Now()
-	for _, d := range list {
-		n.local.ApplyDeparture(d.Instance, d.StartedMS, now)
-	}
-}
-
 // recordUpstreams lists the local upstreams in the node's entry in the store, for the process
 // that runs after this one. Before all live upstreams have had the time to announce
 // themselves, it leaves what an earlier process has listed if there are none.
--- a/internal/run/kqnode/config.go
+++ b/internal/run/kqnode/config.go
@@ -105,6 +105,7 @@
 		n.distribution.follower = kqfollower.New(n.table, watcher, n.setReader, n.storeUnavailable.Load,
 			kqfollower.WithStartsFleet(n.startsFleet), kqfollower.WithCallers(func() bool { return n.entry.AwaitsConfig() }))
 		n.distribution.departures = kqdeparture.New(n.store, n.initialState, n.peers, n.client, n.table)
+		n.broadcaster.Subscribe(topicDeparture, n.handleDeparture)
 	}
 }
 
--- a/internal/run/kqnode/forgotten_departure_test.go
+++ b/internal/run/kqnode/forgotten_departure_test.go
@@ -85,3 +85,24 @@
 	defer kill()
 	await(t, "the upstream that left is not in the node's entry", func() bool { return !entryLists("one") })
 }
+
+// Guards against an upstream that leaves by way of another node than its own: that node takes
+// the departure, and the upstream's own one goes on to send it calls.
+func TestDepartureReachesTheUpstreamsNode(t *testing.T) {
+	store := kqfakestore.New()
+	node, kill := startWithAdapter(t, "a", store)
+	defer kill()
+	other, killOther := startWithAdapter(t, "b", store)
+	defer killOther()
+	await(t, "the nodes know each other", func() bool { return len(node.Members()) == 2 && len(other.Members()) == 2 })
+	sendAnnouncement(t, node, "one ready")
+	await(t, "the upstream is announced", func() bool { return hasUpstream(node) })
+	sendAnnouncement(t, other, "one gone")
+	if hasUpstream(node) {
+		t.Error("the upstream is used after another node has acknowledged that it left")
+	}
+	sendAnnouncement(t, node, "one ready")
+	if hasUpstream(node) {
+		t.Error("a late announcement brings the upstream back")
+	}
+}
