kqnode: only departures of upstreams that are unknown here are broadcast

Cause: an upstream whose answers or draining heartbeat have already said that it leaves is no longer registered when it deregisters, so that each such deregistration was broadcast to all nodes.

Change: an instance whose goodbye is known counts as this node's own.

--- a/internal/call/kqlocal/upstreams.go
+++ b/internal/call/kqlocal/upstreams.go
@@ -246,10 +246,13 @@
 	u.publish()
 }
 
-// Has reports whether an upstream of that instance is registered.
-func (u *Upstreams) Has(instance kqname.Instance) bool {
+// Knows reports whether an upstream of that instance is registered or has said goodbye.
+func (u *Upstreams) Knows(instance kqname.Instance) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if _, left := u.goodbyes[instance]; left {
+		return true
+	}
 	for _, e := range u.byAddress {
 		if e.Instance == instance {
 			return true
--- a/internal/run/kqnode/announce.go
+++ b/internal/run/kqnode/announce.go
@@ -64,7 +64,7 @@
 	if leaves {
 		// An earlier announcement must not take effect after the departure.
 		held := n.pendingAnnouncements.remove(a.Instance)
-		elsewhere = a.Gone && held.Instance == "" && !n.local.Has(a.Instance)
+		elsewhere = a.Gone && held.Instance == "" && !n.local.Knows(a.Instance)
 		if a.StartedMS == 0 {
 			a.StartedMS = max(held.StartedMS, n.local.StartedMS(a.Instance))
 		}
