kqorigin: a restarted fleet keeps the last usable document

Callers would see: 503 for every call, from all nodes that restart while the store holds a document that no node can use, until a usable one is written.

Peers that run on give a new node their version; after a kill of all there are none.

Change: a node without a document that finds an unusable one adopts the recorded one, as it does for a recorded one that is newer. The unusable one is refused, logged and counted as before, as a whole.

--- a/internal/config/kqorigin/record.go
+++ b/internal/config/kqorigin/record.go
@@ -41,24 +41,32 @@
 )
 
 // checkRecord adopts the recorded document if it is newer than the current one and than the
-// document among the changes, or if it has that one's number but other content. It asks the
-// store only if the changes hold a document that would be accepted.
+// document among the changes, or if it has that one's number but other content. It does so,
+// too, if there is no current document and that among the changes cannot be used. It asks
+// the store only if the changes hold a document that would be accepted, or that one.
 func (o *Origin) checkRecord(ctx context.Context, changes []change) error {
-	var next change
+	var next, unusable change
 	current := o.currentNumber()
 	for _, c := range changes {
-		if c.isDocument && c.err == nil && c.number > max(current, next.number) {
+		switch {
+		case !c.isDocument:
+		case c.err != nil || current == 0 && validate(c.document) != nil:
+			unusable = c
+		case c.number > max(current, next.number):
 			next = c
 		}
 	}
 	if next.number == 0 {
-		return nil
+		if current > 0 || !unusable.isDocument {
+			return nil
+		}
+		next = change{entry: unusable.entry}
 	}
 	r, err := o.recordSince(ctx, next.entry.Revision)
 	if err != nil {
 		return err
 	}
-	if r.Number < next.number || r.Number == next.number && r.Digest == kqresource.DigestOf(next.entry.Value) {
+	if r.Number == 0 || r.Number < next.number || r.Number == next.number && r.Digest == kqresource.DigestOf(next.entry.Value) {
 		return nil
 	}
 	return o.adoptRecorded(ctx, next.entry.Key)
--- a/internal/config/kqorigin/record_test.go
+++ b/internal/config/kqorigin/record_test.go
@@ -13,6 +13,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/store/kqbootstrap"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqfakestore"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
+	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -89,6 +90,33 @@
 	restarted.checkServes(t, "restarted node", "a")
 }
 
+// Guards against a fleet that has no configuration at all once it restarts while the store
+// holds a document that no node can use: all calls would be refused.
+func TestRestartedFleetKeepsTheLastUsableDocument(t *testing.T) {
+	unknownService := document(6, "b")
+	unknownService.Document.Routes = []kqdocument.Route{{Name: "r", Team: "t", Host: "h", PathPrefix: "/", Service: "nobody"}}
+	for name, unusable := range map[string]any{"cannot be decoded": "?", "names an unknown service": unknownService} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t)
+			s.write(t, "o/document", document(5, "a"))
+			await(t, "accepted document is recorded", func() bool {
+				_, err := s.store.Get(t.Context(), kqorigin.NumberKey)
+				return err == nil
+			})
+			s.write(t, "o/document", unusable)
+			s.awaitRefusals(t, 1)
+			restarted := startOn(t, s.store)
+			await(t, "restarted node publishes", func() bool { n, _ := restarted.count(); return n > 0 })
+			restarted.awaitRefusals(t, 1)
+			restarted.checkServes(t, "restarted node", "a")
+			s.write(t, "o/document", document(7, "c"))
+			for _, o := range []*testOrigin{s, restarted} {
+				await(t, "next usable document is published", func() bool { services, _ := o.newest(); _, ok := services["c"]; return ok })
+			}
+		})
+	}
+}
+
 // Guards against a node that was cut off from the store while a document was accepted, and
 // then finds the older one that was written after it.
 func TestNodeThatMissedADocumentRefusesTheOlderOne(t *testing.T) {
