--- a/internal/peer/kqdeparture/departure.go
+++ b/internal/peer/kqdeparture/departure.go
@@ -202,85 +202,6 @@
 	}
 }
 
-// Learn reads the departures that the store and the peers hold, until minPeers peers
-// have answered, the store and at least one peer have, or learnTimeout has passed. It
-// returns all departures that are known by then. The store and the peers are asked
-// concurrently: the upstream is not used before, and some peers may be gone.
-func (d *Departures) Learn(ctx context.Context) []Departure {
-	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
-	defer cancel()
-	l := &learning{asked: make(map[kqname.Address]bool), answers: make(chan learned)}
-	var group conc.WaitGroup
-	defer group.Wait()
-	// The requests must end before the wait for them.
-	defer cancel()
-	ticker := time.NewTicker(learnPause)
-	defer ticker.Stop()
-	d.ask(ctx, &group, l)
-	for !l.isEnough() && ctx.Err() == nil {
-		select {
-		case a := <-l.answers:
-			l.record(a)
-		case <-ticker.C:
-			d.ask(ctx, &group, l)
-		case <-ctx.Done():
-		}
-	}
-	return d.list(time.Now())
-}
-
-// LearnRest continues to ask, at growing intervals, until the store has been read, and calls
-// apply with all known departures after each round. Learn may return before: after a restart
-// of the whole fleet, peers answer that have not read the store either.
-func (d *Departures) LearnRest(ctx context.Context, apply func([]Departure)) {
-	for pause := minStoreRetryPause; ctx.Err() == nil; pause = min(2*pause, maxStoreRetryPause) {
-		err := d.readStore(ctx)
-		if err != nil {
-			d.fetchFromPeers(ctx)
-		}
-		apply(d.list(time.Now()))
-		if err == nil {
-			return
-		}
-		kqsleep.For(ctx, pause)
-	}
-}
-
-// fetchFromPeers adds the departures that peers hold. Peers that do not answer are left out.
-func (d *Departures) fetchFromPeers(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, replicateTimeout)
-	defer cancel()
-	var group conc.WaitGroup
-	defer group.Wait()
-	for _, from := range d.peers() {
-		group.Go(func() { _ = d.fetch(ctx, from) })
-	}
-}
-
-// ask requests the departures from the store and the peers that have not answered and of
-// which no request is in flight.
-func (d *Departures) ask(ctx context.Context, group *conc.WaitGroup, l *learning) {
-	request := func(from kqname.Address, timeout time.Duration, read func(context.Context) error) {
-		if l.asked[from] {
-			return
-		}
-		l.asked[from] = true
-		group.Go(func() {
-			callCtx, cancel := context.WithTimeout(ctx, timeout)
-			defer cancel()
-			a := learned{from, read(callCtx)}
-			select {
-			case l.answers <- a:
-			case <-ctx.Done():
-			}
-		})
-	}
-	request(theStore, learnTimeout/4, d.readStore)
-	for _, to := range d.peers() {
-		request(to, learnTimeout/8, func(ctx context.Context) error { return d.fetch(ctx, to) })
-	}
-}
-
 // write writes a departure to the store, without retries, under a lease that lapses
 // after the retention.
 func (d *Departures) write(ctx context.Context, departure Departure) error {
@@ -294,32 +215,6 @@
 	return nil
 }
 
-// readStore adds the departures in the store, skipping malformed keys.
-func (d *Departures) readStore(ctx context.Context) error {
-	l, err := d.initial.List(ctx, prefix)
-	if err != nil {
-		return fmt.Errorf("read departures: %w", err)
-	}
-	var found []Departure
-	for _, e := range l.Entries {
-		if departure, err := parse(e.Key); err == nil {
-			found = append(found, departure)
-		}
-	}
-	d.add(found, true, time.Now())
-	return nil
-}
-
-// fetch adds the departures that a peer holds.
-func (d *Departures) fetch(ctx context.Context, from kqname.Address) error {
-	a, err := kqrpc.Call[empty, departureList](ctx, d.client, from, methodFetch, empty{})
-	if err != nil {
-		return fmt.Errorf("fetch departures from %s: %w", from, err)
-	}
-	d.add(a.Departures, false, time.Now())
-	return nil
-}
-
 // peers returns the addresses of the first maxPeers alive peers by name. The choice
 // changes only with the membership, so that a restarted node asks the peers that hold
 // its departures. Peers that only the store has told of may be gone; they are added but do
--- a/internal/run/kqnode/announce.go
+++ b/internal/run/kqnode/announce.go
@@ -90,13 +90,15 @@
 // that runs after this one. Before all live upstreams have had the time to announce
 // themselves, it leaves what an earlier process has listed if there are none.
 func (n *Node) recordUpstreams() {
-	switch list := n.listedUpstreams(); {
-	case n.distribution.discovery == nil:
-	case time.Since(n.started) > n.recoveredTTL():
-		n.distribution.discovery.SetAllUpstreams(list)
-	default:
-		n.distribution.discovery.SetUpstreams(list)
+	d := n.distribution.discovery
+	if d == nil {
+		return
+	}
+	if time.Since(n.started) > n.recoveredTTL() {
+		d.SetAllUpstreams(n.listedUpstreams())
+		return
 	}
+	d.SetUpstreams(n.listedUpstreams())
 }
 
 // listedUpstreams returns the local upstreams that a later process may recover.
--- a/internal/run/kqnode/departure.go
+++ b/internal/run/kqnode/departure.go
@@ -23,13 +23,13 @@
 // replicateDeparture replicates a departure before it is acknowledged, and logs who holds it
 // then. If the upstream may be beside another node, all nodes are told.
 func (n *Node) replicateDeparture(d kqdeparture.Departure, elsewhere bool, begun time.Time) {
-	var told <-chan struct{}
+	var confirmed <-chan struct{}
 	if elsewhere {
-		told = n.publishDeparture(d)
+		confirmed = n.publishDeparture(d)
 	}
 	heldBy := n.distribution.departures.Replicate(context.Background(), d)
-	if told != nil {
-		awaitUntil(told, begun.Add(maxDepartureWait))
+	if confirmed != nil {
+		awaitUntil(confirmed, begun.Add(maxDepartureWait))
 	}
 	n.metrics.DepartureAcknowledged(string(heldBy))
 	n.logger.Part("upstream").WithFields(logrus.Fields{
@@ -101,7 +101,7 @@
 	}
 	n.recordUpstreams()
 	n.recoverUpstreams(ctx)
-	n.distribution.departures.LearnRest(ctx, func(list []kqdeparture.Departure) {
+	n.distribution.departures.LearnRemaining(ctx, func(list []kqdeparture.Departure) {
 		n.applyDepartures(list)
 		n.recordUpstreams()
 		n.gate.Sweep(time.Now())
--- a/pkg/kqdocument/validate.go
+++ b/pkg/kqdocument/validate.go
@@ -6,11 +6,11 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
-// MaxAdoptedTimeoutMS is the longest timeout, target or cold start of an adopted document, in
-// milliseconds: a day.
-const MaxAdoptedTimeoutMS = 24 * 60 * 60 * 1000
-
 const (
+	// MaxAdoptedTimeoutMS is the longest timeout, target or cold start of an adopted document,
+	// in milliseconds: a day.
+	MaxAdoptedTimeoutMS = 24 * 60 * 60 * 1000
+
 	maxTeams    = 500
 	maxPolicies = 200
 	maxServices = 2000
