kqlag: a node logs at which step a version was late

Cause: nothing was logged between the announcement of a version and the moment when it is in force, so a node that was late for want of a root looked the same as one whose fetch was superseded or waited for another read.

Change: after 0.5 s behind, a node logs how long it waited for the root, from whom it came, how many pulls failed and how many fetches failed or were superseded; a fetch of 0.25 s or more logs the time spent waiting for its own other reads, for peers and for the platform. kumquatgw_config_lag_seconds counts all of it.

Result: no change of behaviour; the tests of the touched packages pass.

--- a/internal/config/kqdistribute/apply.go
+++ b/internal/config/kqdistribute/apply.go
@@ -47,13 +47,18 @@
 		switch {
 		case err == nil:
 			applied, backoff = r.root.Version, minBackoff
+			if report, ok := d.lag.InForce(applied, time.Now()); ok {
+				d.onInForce(report)
+			}
 		case applyCtx.Err() != nil:
 			// A newer root has superseded this one, or ctx has ended.
+			d.lag.FetchSuperseded()
 		case errors.Is(err, kqsnapshot.ErrInvalid):
 			// A retry cannot succeed; the next version may be valid.
 			d.onFailure(r.root.Version, err)
 			applied = r.root.Version
 		default:
+			d.lag.FetchFailed()
 			d.onFailure(r.root.Version, err)
 			d.waitForApply(ctx, rand.N(backoff)+time.Millisecond)
 			backoff = min(2*backoff, maxBackoff)
--- a/internal/config/kqdistribute/distribute.go
+++ b/internal/config/kqdistribute/distribute.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/base/kqsupervisor"
+	"github.com/kumquatgw/kumquatgw/internal/config/kqlag"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqstart"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
@@ -55,6 +56,8 @@
 		budget    Budget
 		replica   Replica
 		onFailure func(version kqname.ConfigVersion, err error)
+		lag       kqlag.Lag
+		onInForce func(kqlag.Report)
 		group     conc.WaitGroup
 
 		mu sync.Mutex
@@ -88,18 +91,28 @@
 		digest     kqresource.Digest
 		retryAfter time.Time
 	}
+
+	// Option configures a Distributor.
+	Option func(*Distributor)
 )
 
+// WithOnInForce calls f each time that this node was behind and a version came into force.
+func WithOnInForce(f func(kqlag.Report)) Option { return func(d *Distributor) { d.onInForce = f } }
+
 // New returns a Distributor that serves peers on server and calls them through
 // client. onFailure is called for each failure to apply or encode a version, or to build
 // it from a delta, and for each root that is not the announced one.
 func New(server *kqrpc.Server, client *kqrpc.Client, table *kqmember.Table, overlay Overlay, budget Budget,
-	replica Replica, onFailure func(kqname.ConfigVersion, error),
+	replica Replica, onFailure func(kqname.ConfigVersion, error), options ...Option,
 ) *Distributor {
 	d := &Distributor{
 		client: client, table: table, overlay: overlay, budget: budget, replica: replica, onFailure: onFailure,
 		hints: make(map[kqname.Address]hint), answeredPeers: make(map[kqname.Node]kqname.Domain),
 		pullWake: make(chan struct{}, 1), applyWake: make(chan struct{}, 1), cancelApply: func() {}, startSupersedeGrace: func() {},
+		onInForce: func(kqlag.Report) {},
+	}
+	for _, o := range options {
+		o(d)
 	}
 	kqrpc.Handle(server, methodPush, d.handlePush)
 	kqrpc.Handle(server, methodRoot, d.handleRoot)
@@ -135,6 +148,7 @@
 	if reported.version <= d.newest().root.Version || from == "" {
 		return
 	}
+	d.lag.Announced(reported.version, time.Now())
 	known := d.hints[from]
 	if reported.version > known.version || reported.version == known.version && known.digest.IsZero() {
 		reported.retryAfter = known.retryAfter
@@ -188,6 +202,7 @@
 		d.mu.Unlock()
 		return
 	}
+	d.lag.RootReceived(r.root.Version, from, time.Now())
 	d.roots = append(d.roots, r)
 	if len(d.roots) > maxRoots {
 		d.roots = append([]rootRecord(nil), d.roots[len(d.roots)-maxRoots:]...)
--- a/internal/config/kqdistribute/exchange.go
+++ b/internal/config/kqdistribute/exchange.go
@@ -161,6 +161,7 @@
 	}
 	d.finishPull(from, announced, retryAfter)
 	if err != nil {
+		d.lag.PullFailed()
 		return
 	}
 	if err := announced.check(r); err != nil {
--- a/internal/config/kqfetch/fetch.go
+++ b/internal/config/kqfetch/fetch.go
@@ -106,6 +106,7 @@
 		// watchers then returns the members that watch the platform for all others.
 		builder  ObjectBuilder
 		watchers func() []kqmember.Member
+		onSlow   func(Timing)
 
 		mu sync.Mutex
 		// local is set before peers are served and then only read; mu guards the
@@ -147,7 +148,7 @@
 		client: client, table: table, platform: platform, budget: budget,
 		fleetRate: float64(perSecond), expectedNodes: expectedNodes,
 		limiter: rate.NewLimiter(1, burst), reads: make(map[kqresource.Digest]*sharedRead),
-		recent: make(map[kqresource.Digest][]byte),
+		recent: make(map[kqresource.Digest][]byte), onSlow: func(Timing) {},
 	}
 	kqrpc.Handle(server, methodObjects, f.answer)
 	kqrpc.Handle(server, methodHosts, f.answerHosts)
@@ -170,28 +171,40 @@
 
 // Fetch returns all wanted objects, or those found and an error.
 func (f *Fetcher) Fetch(ctx context.Context, wanted []kqresource.Digest) (kqresource.Objects, error) {
+	start, t := time.Now(), Timing{Wanted: len(wanted)}
+	found, err := f.fetch(ctx, wanted, &t)
+	if t.Took, t.Err = time.Since(start), err; t.Took >= slowFetch {
+		f.onSlow(t)
+	}
+	return found, err
+}
+
+func (f *Fetcher) fetch(ctx context.Context, wanted []kqresource.Digest, t *Timing) (kqresource.Objects, error) {
 	found := f.builtObjects(wanted)
 	if wanted = missing(wanted, found); len(wanted) == 0 {
 		return found, nil
 	}
 	self := f.table.Self()
 	if self.Reader && f.builder != nil {
-		return found, f.fetchWholeVersion(ctx, wanted, found)
+		return found, f.fetchWholeVersion(ctx, wanted, found, t)
 	}
 	if self.Reader {
 		return found, f.fetchAsReader(ctx, self.Node, wanted, found)
 	}
 	for pass := range maxPeerPasses {
+		peersStart := time.Now()
 		wait := f.fetchFromPeers(ctx, f.peers(self), wanted, found)
+		t.Peers += time.Since(peersStart)
 		if wanted = missing(wanted, found); len(wanted) == 0 {
 			return found, nil
 		}
 		if wait == 0 || pass == maxPeerPasses-1 {
 			break
 		}
+		t.BusyPeers++
 		kqsleep.For(ctx, rand.N(wait)+time.Millisecond)
 	}
-	return found, f.fetchFromPlatform(ctx, missing(wanted, found), found)
+	return found, f.fetchFromPlatform(ctx, missing(wanted, found), found, t)
 }
 
 // fetchAsReader fetches each object from the reader that owns it by rendezvous
@@ -229,7 +242,7 @@
 		})
 	}
 	group.Wait()
-	return f.fetchFromPlatform(ctx, missing(wanted, found), found)
+	return f.fetchFromPlatform(ctx, missing(wanted, found), found, &Timing{})
 }
 
 // answer returns the requested objects that this node holds, up to maxAnswerBytes; a
@@ -258,7 +271,7 @@
 	}
 	found := make(kqresource.Objects)
 	// On an error, the answer lacks the objects that were not read.
-	_ = f.fetchFromPlatform(ctx, lacking, found)
+	_ = f.fetchFromPlatform(ctx, lacking, found, &Timing{})
 	for _, data := range found {
 		if bytes += len(data); bytes > maxAnswerBytes && len(a.Objects) > 0 {
 			break
@@ -270,9 +283,9 @@
 
 // fetchFromPlatform reads the wanted objects from the platform and adds them to found.
 // On an error, found still gets the objects that were read.
-func (f *Fetcher) fetchFromPlatform(ctx context.Context, wanted []kqresource.Digest, found kqresource.Objects) error {
+func (f *Fetcher) fetchFromPlatform(ctx context.Context, wanted []kqresource.Digest, found kqresource.Objects, t *Timing) error {
 	if f.builder != nil {
-		return f.fetchWholeVersion(ctx, wanted, found)
+		return f.fetchWholeVersion(ctx, wanted, found, t)
 	}
 	for _, d := range wanted {
 		data, err := f.fetchObject(ctx, d)
--- a/internal/config/kqfetch/whole.go
+++ b/internal/config/kqfetch/whole.go
@@ -33,8 +33,9 @@
 // fetchWholeVersion fetches, in one platform call, the wanted objects that this node
 // has not built. Concurrent fetches wait for that call and then read only what this
 // node still has not built.
-func (f *Fetcher) fetchWholeVersion(ctx context.Context, wanted []kqresource.Digest, found kqresource.Objects) error {
+func (f *Fetcher) fetchWholeVersion(ctx context.Context, wanted []kqresource.Digest, found kqresource.Objects, t *Timing) error {
 	for {
+		start := time.Now()
 		maps.Copy(found, f.builtObjects(wanted))
 		if wanted = missing(wanted, found); len(wanted) == 0 {
 			return nil
@@ -43,14 +44,19 @@
 		if own == nil {
 			select {
 			case <-other.done:
+				t.Queued += time.Since(start)
 				continue
 			case <-ctx.Done():
 				return fmt.Errorf("wait for %d objects: %w", len(wanted), ctx.Err())
 			}
 		}
 		defer f.finishWholeRead(own)
-		if wanted = f.fetchFromWatchers(ctx, wanted, found); len(wanted) > 0 {
+		wanted = f.fetchFromWatchers(ctx, wanted, found)
+		t.Peers += time.Since(start)
+		if len(wanted) > 0 {
+			start = time.Now()
 			own.err = f.readWholeVersion(ctx, wanted, found)
+			t.Platform += time.Since(start)
 		}
 		return own.err
 	}
--- a/internal/run/kqmetric/metric.go
+++ b/internal/run/kqmetric/metric.go
@@ -19,6 +19,7 @@
 	retries                  *prometheus.CounterVec
 	gateCalls                *prometheus.CounterVec
 	configRefused            *prometheus.CounterVec
+	configLag                prometheus.Histogram
 	platformFailed           prometheus.Counter
 	budgetExceeded           *prometheus.CounterVec
 	broadcastDropped         prometheus.Counter
@@ -67,6 +68,10 @@
 			Name: "kumquatgw_config_version", Help: "Configuration version in force on this node.",
 		}),
 	}
+	m.configLag = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "kumquatgw_config_lag_seconds", Help: "Time that this node was behind a newer version before one came into force.",
+		Buckets: []float64{0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16},
+	})
 	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "kumquatgw_evacuated_domains", Help: "Failure domains whose upstreams this node sends no calls to.",
 	})
@@ -98,7 +103,7 @@
 		Name: "kumquatgw_panics_total", Help: "Panics that were caught, by the part that panicked.",
 	}, []string{"part"})
 	m.registry.MustRegister(m.rates.decisions, m.rates.limited, m.workspaces.peersAsked, m.workspaces.refusals, m.limits.limit, m.limits.calls, m.evacuated, m.endedUnderCalls, m.suspectedRequests, m.suspicionsDropped, m.departures, m.panics, m.suppressedLines, m.storeCalls, m.stageSeconds)
-	m.registry.MustRegister(m.calls, m.retries, m.gateCalls, m.configRefused, m.platformFailed, m.budgetExceeded, m.broadcastDropped, m.version,
+	m.registry.MustRegister(m.calls, m.retries, m.gateCalls, m.configRefused, m.configLag, m.platformFailed, m.budgetExceeded, m.broadcastDropped, m.version,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "kumquatgw_control_sent_bytes_total", Help: "Bytes of control traffic sent to peers.",
 		}, func() float64 { return float64(m.sentBytes.Load()) }),
@@ -120,6 +125,9 @@
 // Registry returns the registry, to serve it or to register further metrics.
 func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
 
+// ConfigLagged records how long the node was behind a newer version.
+func (m *Metrics) ConfigLagged(d time.Duration) { m.configLag.Observe(d.Seconds()) }
+
 // ConfigRefused counts a configuration version that was not applied.
 func (m *Metrics) ConfigRefused(reason string) { m.configRefused.WithLabelValues(reason).Inc() }
 
--- a/internal/run/kqnode/config.go
+++ b/internal/run/kqnode/config.go
@@ -86,7 +86,8 @@
 	overlay := kqoverlay.New(n.table)
 	d := kqdistribute.New(n.peers, n.client, n.table, overlay, n.budget, n.replica, func(v kqname.ConfigVersion, err error) {
 		log.WithError(err).Warnf("Refused version %d.", v)
-	})
+	}, kqdistribute.WithOnInForce(n.recordLag))
+	fetcher.OnSlow(n.logSlowFetch)
 	receive = d.AcceptRoot
 	if direct {
 		receive = func(ctx context.Context, root kqresource.Root) {
