kqlocal: an announcement that names no usable upstream is refused

It happens here: an announcement with a port out of range, without a port, with a start to come or an endless cold start took the place of the live upstream beside the node, since the one first seen last is preferred, and its calls failed until the announcement expired. A sequence number near the largest made all later announcements look late, so that the upstream was removed after 8 s.

Change: address, slots, cold start and start time are checked where an announcement is read, and the error is short whatever was sent. A sequence number that is too far ahead counts as another writer's. An entry of the store that names no node is skipped.

--- a/internal/call/kqlocal/upstreams.go
+++ b/internal/call/kqlocal/upstreams.go
@@ -18,6 +18,17 @@
 // MaxSlots bounds the slots that an upstream may announce.
 const MaxSlots = 10000
 
+const (
+	// maxWarmUp bounds the cold start that an upstream may announce, and MaxClockLead how far
+	// its clock may be ahead of this node's. Later announcements of the same upstream could
+	// not replace one that is beyond them.
+	maxWarmUp    = time.Hour
+	MaxClockLead = time.Hour
+	// maxSequenceLag is how many announcements a late one may lag behind the latest. A
+	// sequence number that is further ahead is not one of the same writer.
+	maxSequenceLag = 1 << 20
+)
+
 // historyTTL is how long a goodbye is remembered, so that the upstream's earlier
 // announcements are recognized as late if they arrive after it; a network delays them by
 // seconds at most. A withdrawal is remembered for as long, so that the next one lasts
@@ -158,8 +169,8 @@
 		u.recordGoodbye(a, now)
 		return nil
 	}
-	if !kqname.Usable(a.Service) || !kqname.Usable(a.Version) || a.Address == "" || a.Slots < 1 || a.Slots > MaxSlots {
-		return fmt.Errorf("announce %q %q at %q with %d slots: %w", a.Service, a.Version, a.Address, a.Slots, ErrInvalidAnnouncement)
+	if err := a.check(now); err != nil {
+		return fmt.Errorf("announce %.64q %.64q at %.64q: %w: %w", string(a.Service), string(a.Version), string(a.Address), err, ErrInvalidAnnouncement)
 	}
 	if ignoresDraining {
 		a.Draining = false
@@ -189,6 +200,27 @@
 	return nil
 }
 
+// check returns an error if the announcement names no upstream that calls can be sent to, or
+// states times that no running upstream can have.
+func (a Announcement) check(now time.Time) error {
+	switch {
+	case !kqname.Usable(a.Service):
+		return errors.New("service is not usable")
+	case !kqname.Usable(a.Version):
+		return errors.New("version is not usable")
+	case !kqname.UsableAddress(a.Address):
+		return errors.New("address is not usable")
+	case a.Slots < 1 || a.Slots > MaxSlots:
+		return fmt.Errorf("%d slots, not 1 to %d", a.Slots, MaxSlots)
+	case a.WarmUpLeft < 0 || a.WarmUpLeft > maxWarmUp:
+		return fmt.Errorf("cold start of %v, not up to %v", a.WarmUpLeft, maxWarmUp)
+	case a.StartedMS > now.Add(MaxClockLead).UnixMilli():
+		return fmt.Errorf("start at %d ms is to come", a.StartedMS)
+	default:
+		return nil
+	}
+}
+
 // Recover registers an upstream as an earlier process of this node knew it, unless an
 // upstream at its address has announced itself since or it has said goodbye. Any later
 // announcement at its address replaces it, also one by a clock that is behind. It is removed
@@ -280,7 +312,7 @@
 	if a.StartedMS != held.StartedMS {
 		return a.StartedMS < held.StartedMS
 	}
-	return a.Sequence != 0 && a.Instance == held.Instance && a.Sequence < held.Sequence
+	return a.Sequence != 0 && a.Instance == held.Instance && a.Sequence < held.Sequence && held.Sequence-a.Sequence <= maxSequenceLag
 }
 
 // StartID identifies the start of the upstream that made the announcement among all at this
--- a/internal/peer/kqdiscovery/entry.go
+++ b/internal/peer/kqdiscovery/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"reflect"
 	"slices"
@@ -27,6 +28,9 @@
 	Upstreams []Upstream     `json:"upstreams,omitempty"`
 }
 
+// errUnusable means that an entry names no node that can be contacted.
+var errUnusable = errors.New("entry is not usable")
+
 // Upstream is an upstream that has announced itself to this node.
 type Upstream struct {
 	Service   kqname.Service         `json:"service"`
@@ -94,10 +98,14 @@
 func decodeEntry(e kqstore.Entry) (kqmember.Member, error) {
 	var v entry
 	if err := json.Unmarshal(e.Value, &v); err != nil {
-		return kqmember.Member{}, fmt.Errorf("decode entry %s: %w", e.Key, err)
+		return kqmember.Member{}, fmt.Errorf("decode entry %.128q: %w", e.Key, err)
+	}
+	node := kqname.Node(strings.TrimPrefix(e.Key, prefix))
+	if !kqname.Usable(node) || v.Domain != "" && !kqname.Usable(v.Domain) || !kqname.UsableAddress(v.Control) || v.LinkMbits < 0 || v.CoreShare < 0 {
+		return kqmember.Member{}, fmt.Errorf("entry %.128q with domain %.64q at %.64q: %w", e.Key, string(v.Domain), string(v.Control), errUnusable)
 	}
 	return kqmember.Member{
-		Node: kqname.Node(strings.TrimPrefix(e.Key, prefix)), Control: v.Control, Domain: v.Domain, Region: v.Region,
+		Node: node, Control: v.Control, Domain: v.Domain, Region: v.Region,
 		LinkMbits: v.LinkMbits, CoreShare: v.CoreShare,
 	}, nil
 }
--- a/internal/run/kqnode/announce.go
+++ b/internal/run/kqnode/announce.go
@@ -72,6 +72,8 @@
 			// The start time is unknown; now is an upper bound.
 			a.StartedMS = now.UnixMilli()
 		}
+		// A departure of a start to come would end all later starts of the upstream.
+		a.StartedMS = min(a.StartedMS, now.Add(kqlocal.MaxClockLead).UnixMilli())
 	}
 	if err := n.local.Announce(a, now); err != nil {
 		return err
--- a/pkg/kqname/name.go
+++ b/pkg/kqname/name.go
@@ -1,7 +1,10 @@
 package kqname
 
 import (
+	"net"
+	"net/netip"
 	"regexp"
+	"strconv"
 	"strings"
 	"unicode"
 	"unicode/utf8"
@@ -64,6 +67,20 @@
 	return validName.MatchString(string(name))
 }
 
+// UsableAddress reports whether a node can connect to an address that somebody else has
+// chosen: an IP address or a valid name, and a port from 1 to 65535.
+func UsableAddress(a Address) bool {
+	host, port, err := net.SplitHostPort(string(a))
+	if err != nil || len(a) > maxLength {
+		return false
+	}
+	if _, err := netip.ParseAddr(host); err != nil && !Valid(host) {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
+}
+
 // Usable reports whether nodes can work with a name that somebody else has chosen: 1 to 253
 // bytes of letters, digits and visible ASCII characters other than semicolons, double quotes
 // and backslashes. Such a name can stand in headers and logs as it is, but may need escaping
