kqdistribute: a slow pull goes on, and another peer is asked beside it

Callers were served by versions that had been replaced 2.7 and 2.9 s before.

Cause: a node pulled the root of a new version from one peer at a time, and abandoned each pull after 0.5 s, with its connection. Peers that are short of processor time need longer, so every pull was in vain, and each left the peer a connection to open anew. In a series of versions most neighbours are such peers.

Change: a pull may take 2 s; after 0.1 s another peer is asked beside it, eight at most. Of peers that announce the same version, readers are asked first: they hold all of it, and have the widest links.

--- a/internal/config/kqdistribute/distribute.go
+++ b/internal/config/kqdistribute/distribute.go
@@ -22,9 +22,14 @@
 	methodRoot = "c.r"
 
 	pushTimeout = time.Second
-	// pullTimeout bounds the pull of a root or delta of some KB from one peer, so that
-	// a partitioned peer does not keep the node from calling another.
-	pullTimeout = 500 * time.Millisecond
+	// pullTimeout bounds the pull of a root or delta of some KB from one peer. A peer that is
+	// short of processor time needs a second and more; if its pulls were abandoned earlier,
+	// all would be in vain while most peers are.
+	pullTimeout = 2 * time.Second
+	// pullHedgeDelay is the time after which another peer is called beside a pull, and
+	// maxPulls bounds the pulls in flight.
+	pullHedgeDelay = 100 * time.Millisecond
+	maxPulls       = 8
 	// maxRoots is how many roots are kept to compute deltas from; a node that is that
 	// many versions behind pulls the whole root.
 	maxRoots = 16
@@ -64,6 +69,8 @@
 		// roots holds the newest roots in ascending order of their versions.
 		roots []rootRecord
 		hints map[kqname.Address]hint
+		// pulling holds the peers that are being pulled from.
+		pulling map[kqname.Address]bool
 		// answeredPeers holds the failure domains of the peers that have answered before
 		// the node started to apply versions; started is set once it may do so.
 		answeredPeers    map[kqname.Node]kqname.Domain
@@ -107,7 +114,7 @@
 ) *Distributor {
 	d := &Distributor{
 		client: client, table: table, overlay: overlay, budget: budget, replica: replica, onFailure: onFailure,
-		hints: make(map[kqname.Address]hint), answeredPeers: make(map[kqname.Node]kqname.Domain),
+		hints: make(map[kqname.Address]hint), pulling: make(map[kqname.Address]bool), answeredPeers: make(map[kqname.Node]kqname.Domain),
 		pullWake: make(chan struct{}, 1), applyWake: make(chan struct{}, 1), cancelApply: func() {}, startSupersedeGrace: func() {},
 		onInForce: func(kqlag.Report) {},
 	}
--- a/internal/config/kqdistribute/exchange.go
+++ b/internal/config/kqdistribute/exchange.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/kumquatgw/kumquatgw/internal/config/kqdelta"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqrpc"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -95,12 +98,26 @@
 	return rootAnswer{Version: next.root.Version, Whole: next.data}, nil
 }
 
-// pullLoop pulls from the peers that reported a newer version, the highest first.
+// pullLoop pulls from the peers that reported a newer version, the highest first. A pull that
+// takes longer than pullHedgeDelay goes on, and another peer is called beside it.
 func (d *Distributor) pullLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		from, announced, wait, ok := d.choosePeer(time.Now())
-		if ok {
-			d.pullFrom(ctx, from, announced)
+	var group conc.WaitGroup
+	defer group.Wait()
+	var highest kqname.ConfigVersion
+	var hedgeAt time.Time
+	for ended := make(chan struct{}, maxPulls); ctx.Err() == nil; {
+		now := time.Now()
+		from, announced, wait, ok := d.choosePeer(now)
+		switch {
+		case ok && announced.version <= highest && now.Before(hedgeAt) && d.pullCount() > 0:
+			wait = hedgeAt.Sub(now)
+		case ok:
+			highest, hedgeAt = announced.version, now.Add(pullHedgeDelay)
+			d.beginPull(from)
+			group.Go(func() {
+				defer func() { ended <- struct{}{} }()
+				d.pullFrom(ctx, from, announced)
+			})
 			continue
 		}
 		var timeout <-chan time.Time
@@ -110,32 +127,63 @@
 		select {
 		case <-ctx.Done():
 		case <-d.pullWake:
+		case <-ended:
 		case <-timeout:
 		}
 	}
 }
 
-// choosePeer returns the peer with the highest version above this node's, and its hint. If
-// there is none, ok is false and wait is the time until a busy peer may be called again, or
-// 0 if none is busy.
+// choosePeer returns the peer with the highest version above this node's, a reader before
+// others, and its hint. If there is none, ok is false and wait is the time until a busy peer may
+// be called again, or 0 if none is busy. It leaves out peers that are being pulled from, and
+// returns none if maxPulls are.
 func (d *Distributor) choosePeer(now time.Time) (from kqname.Address, best hint, wait time.Duration, ok bool) {
+	readers := d.readers()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if len(d.pulling) >= maxPulls {
+		return "", hint{}, 0, false
+	}
 	for peer, h := range d.hints {
 		switch {
 		case h.version <= d.newest().root.Version:
 			delete(d.hints, peer)
+		case d.pulling[peer]:
 		case h.retryAfter.After(now):
 			if left := h.retryAfter.Sub(now); wait == 0 || left < wait {
 				wait = left
 			}
-		case h.version > best.version:
+		case h.version > best.version, h.version == best.version && readers[peer] && !readers[from]:
 			from, best, ok = peer, h, true
 		}
 	}
 	return from, best, wait, ok
 }
 
+// readers returns the control addresses of the readers that are not dead. They hold every
+// object of a version, and have the widest links.
+func (d *Distributor) readers() map[kqname.Address]bool {
+	readers := make(map[kqname.Address]bool)
+	for _, m := range d.table.Members() {
+		if m.Reader && m.State != kqmember.Dead {
+			readers[m.Control] = true
+		}
+	}
+	return readers
+}
+
+func (d *Distributor) beginPull(from kqname.Address) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pulling[from] = true
+}
+
+func (d *Distributor) pullCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.pulling)
+}
+
 // pullFrom pulls the newest root of a peer, which has announced a version, and adds it.
 func (d *Distributor) pullFrom(ctx context.Context, from kqname.Address, announced hint) {
 	d.mu.Lock()
@@ -187,6 +235,7 @@
 func (d *Distributor) finishPull(from kqname.Address, announced hint, retryAfter time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	delete(d.pulling, from)
 	h, ok := d.hints[from]
 	switch {
 	case !ok:
