kqfetch, kqrpc: a fetch waits for no other one, and keeps what it got

Callers were served by versions that had been replaced 2.7 and 2.9 s before.

A reader had one read in flight for whatever objects, and all others waited for it and then began their own, one after the other; a node that watches a store which falls silent asked the store alone, for 1.1 s each time, with the version at its peers; a fetch that a newer version superseded dropped what it had got; and one connection to a peer carried one request at a time, so that roots and heartbeats waited for a transfer of objects.

--- a/internal/config/kqfetch/fetch.go
+++ b/internal/config/kqfetch/fetch.go
@@ -112,19 +112,25 @@
 		// local is set before peers are served and then only read; mu guards the
 		// fields below it.
 		local LocalConfig
-		// wholeRead is the read in flight of all objects of a version, or nil.
-		wholeRead   *sharedRead
-		reads       map[kqresource.Digest]*sharedRead
+		// wholeRead is the platform read in flight of all objects of a version, or nil.
+		wholeRead *sharedRead
+		reads     map[kqresource.Digest]*sharedRead
+		// partial holds the objects that the last fetch of this node's own had found when it
+		// failed or was cancelled.
+		partial     kqresource.Objects
 		recent      map[kqresource.Digest][]byte
 		recentOrder []kqresource.Digest
+		// group runs the reads that outlive the fetch which started them.
+		group conc.WaitGroup
 	}
 
-	// sharedRead is a platform read in flight that several callers wait for. data is
-	// set only for the read of a single object.
+	// sharedRead is a read in flight that several callers wait for. data is set only for
+	// the read of a single object, objects for that of several.
 	sharedRead struct {
-		done chan struct{}
-		data []byte
-		err  error
+		done    chan struct{}
+		data    []byte
+		objects kqresource.Objects
+		err     error
 	}
 
 	request struct {
@@ -173,6 +179,7 @@
 func (f *Fetcher) Fetch(ctx context.Context, wanted []kqresource.Digest) (kqresource.Objects, error) {
 	start, t := time.Now(), Timing{Wanted: len(wanted)}
 	found, err := f.fetch(ctx, wanted, &t)
+	f.keepPartial(found, err)
 	if t.Took, t.Err = time.Since(start), err; t.Took >= slowFetch {
 		f.onSlow(t)
 	}
@@ -181,6 +188,7 @@
 
 func (f *Fetcher) fetch(ctx context.Context, wanted []kqresource.Digest, t *Timing) (kqresource.Objects, error) {
 	found := f.builtObjects(wanted)
+	f.addPartial(wanted, found)
 	if wanted = missing(wanted, found); len(wanted) == 0 {
 		return found, nil
 	}
@@ -207,6 +215,28 @@
 	return found, f.fetchFromPlatform(ctx, missing(wanted, found), found, t)
 }
 
+// keepPartial keeps what a fetch has found if it failed. Versions that come quickly cancel each
+// other's fetches: without the objects that they have in common, each fetch would begin anew.
+func (f *Fetcher) keepPartial(found kqresource.Objects, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.partial = nil
+	if err != nil {
+		f.partial = found
+	}
+}
+
+// addPartial adds the wanted objects that an earlier fetch has found.
+func (f *Fetcher) addPartial(wanted []kqresource.Digest, found kqresource.Objects) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, d := range wanted {
+		if data, ok := f.partial[d]; ok {
+			found[d] = data
+		}
+	}
+}
+
 // fetchAsReader fetches each object from the reader that owns it by rendezvous
 // hashing, so that all readers together read each object from the platform about
 // once. It reads from the platform the objects that this node owns and those that
--- a/internal/peer/kqrpc/client.go
+++ b/internal/peer/kqrpc/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,11 +13,16 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
-// dialTimeout bounds the opening of a connection, including its ClientGuard.
-const dialTimeout = time.Second
+const (
+	// dialTimeout bounds the opening of a connection, including its ClientGuard.
+	dialTimeout = time.Second
+	// maxConnections bounds the connections to one peer. Each carries one request at a time:
+	// on a single one, heartbeats and versions would wait for a transfer of objects.
+	maxConnections = 3
+)
 
 type (
-	// Client sends requests to peers over one persistent connection to each. It is
+	// Client sends requests to peers over persistent connections, usually one to each. It is
 	// safe for concurrent use.
 	Client struct {
 		self  kqname.Node
@@ -25,7 +31,7 @@
 		guard ClientGuard
 
 		mu    sync.Mutex
-		conns map[kqname.Address]*peerConn
+		peers map[kqname.Address]*peerPool
 	}
 
 	// Dialer opens a connection to a peer.
@@ -38,13 +44,21 @@
 	// ClientOption configures a Client.
 	ClientOption func(*Client)
 
-	// peerConn is the connection to one peer; conn is nil until it is opened.
-	peerConn struct {
-		// lock is held during a request, since a drpc connection carries one at a
-		// time. It is a channel and not a mutex so that a goroutine that waits for
-		// a slow request can give up at its own deadline.
-		lock     chan struct{}
-		conn     *drpcconn.Conn
+	// peerPool holds the connections to one peer.
+	peerPool struct {
+		// requests holds a token for each request in flight. It is a channel so that a
+		// goroutine that waits for slow requests can give up at its own deadline.
+		requests chan struct{}
+
+		mu sync.Mutex
+		// idle holds the connections without a request, the last used one last.
+		idle []idleConn
+		// removed is set once the client has forgotten the pool, which then keeps nothing.
+		removed bool
+	}
+
+	idleConn struct {
+		*drpcconn.Conn
 		lastUsed time.Time
 	}
 )
@@ -57,7 +71,7 @@
 
 // NewClient returns a client that sends requests as the node self; meter may be nil.
 func NewClient(self kqname.Node, meter Meter, options ...ClientOption) *Client {
-	c := &Client{self: self, meter: meter, conns: make(map[kqname.Address]*peerConn), dial: dialTCP}
+	c := &Client{self: self, meter: meter, peers: make(map[kqname.Address]*peerPool), dial: dialTCP}
 	for _, o := range options {
 		o(c)
 	}
@@ -69,31 +83,33 @@
 // the answer to the next request.
 func Call[Req, Resp any](ctx context.Context, c *Client, to kqname.Address, method string, request Req) (Resp, error) {
 	var response Resp
-	p := c.peerConn(to)
+	p := c.pool(to)
 	select {
-	case p.lock <- struct{}{}:
+	case p.requests <- struct{}{}:
 	case <-ctx.Done():
-		return response, fmt.Errorf("wait for an earlier request to %s: %w", to, ctx.Err())
-	}
-	defer func() { <-p.lock }()
-	p.lastUsed = time.Now()
-	if err := c.connect(ctx, p, to); err != nil {
-		return response, fmt.Errorf("connect to %s: %w", to, err)
+		return response, fmt.Errorf("wait for earlier requests to %s: %w", to, ctx.Err())
+	}
+	defer func() { <-p.requests }()
+	conn := p.take()
+	if conn == nil {
+		var err error
+		if conn, err = c.connect(ctx, to); err != nil {
+			return response, fmt.Errorf("connect to %s: %w", to, err)
+		}
 	}
-	if err := p.conn.Invoke(ctx, method, codec{}, &envelope[Req]{From: c.self, Body: request}, &response); err != nil {
-		_ = p.conn.Close()
-		p.conn = nil
+	if err := conn.Invoke(ctx, method, codec{}, &envelope[Req]{From: c.self, Body: request}, &response); err != nil {
+		_ = conn.Close()
 		return response, fmt.Errorf("call %s at %s: %w", method, to, err)
 	}
+	p.put(conn, time.Now())
 	return response, nil
 }
 
-// Disconnect closes and removes the connection to a peer. It waits for a request in
-// flight.
+// Disconnect closes and removes the connections to a peer. It waits for requests in flight.
 func (c *Client) Disconnect(to kqname.Address) {
 	c.mu.Lock()
-	p, ok := c.conns[to]
-	delete(c.conns, to)
+	p, ok := c.peers[to]
+	delete(c.peers, to)
 	c.mu.Unlock()
 	if ok {
 		p.close()
@@ -105,80 +121,115 @@
 // connection to each node of the fleet.
 func (c *Client) CloseIdle(before time.Time) {
 	c.mu.Lock()
-	var idle []*peerConn
-	for to, p := range c.conns {
-		select {
-		case p.lock <- struct{}{}:
-			if p.lastUsed.Before(before) {
-				delete(c.conns, to)
-				idle = append(idle, p)
-			}
-			<-p.lock
-		default:
+	var idle []idleConn
+	for to, p := range c.peers {
+		expired, empty := p.takeIdleSince(before)
+		if idle = append(idle, expired...); empty {
+			delete(c.peers, to)
 		}
 	}
 	c.mu.Unlock()
-	for _, p := range idle {
-		p.close()
+	for _, conn := range idle {
+		_ = conn.Close()
 	}
 }
 
 // Close closes and removes every connection. It waits for requests in flight.
 func (c *Client) Close() {
 	c.mu.Lock()
-	conns := c.conns
-	c.conns = make(map[kqname.Address]*peerConn)
+	peers := c.peers
+	c.peers = make(map[kqname.Address]*peerPool)
 	c.mu.Unlock()
-	for _, p := range conns {
+	for _, p := range peers {
 		p.close()
 	}
 }
 
-// peerConn returns the connection to a peer, without opening it.
-func (c *Client) peerConn(to kqname.Address) *peerConn {
+// pool returns the connections to a peer, without opening one.
+func (c *Client) pool(to kqname.Address) *peerPool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p, ok := c.conns[to]
+	p, ok := c.peers[to]
 	if !ok {
-		p = &peerConn{lock: make(chan struct{}, 1)}
-		c.conns[to] = p
+		p = &peerPool{requests: make(chan struct{}, maxConnections)}
+		c.peers[to] = p
 	}
 	return p
 }
 
-// connect opens a connection to a peer unless it is open. p.lock must be held.
-func (c *Client) connect(ctx context.Context, p *peerConn, to kqname.Address) error {
-	if p.conn != nil {
-		select {
-		case <-p.conn.Closed():
-			p.conn = nil
-		default:
-			return nil
-		}
-	}
+// connect opens a connection to a peer.
+func (c *Client) connect(ctx context.Context, to kqname.Address) (*drpcconn.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	raw, err := c.dial(ctx, to)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	var secured net.Conn = meteredConn{Conn: raw, meter: c.meter}
 	if c.guard != nil {
 		if secured, err = c.guard(ctx, secured); err != nil {
 			_ = raw.Close()
-			return err
+			return nil, err
+		}
+	}
+	return drpcconn.NewWithOptions(secured, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+// take returns the last used idle connection that is still open, or nil.
+func (p *peerPool) take() *drpcconn.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for last := len(p.idle) - 1; last >= 0; last-- {
+		conn := p.idle[last].Conn
+		p.idle = p.idle[:last]
+		select {
+		case <-conn.Closed():
+		default:
+			return conn
 		}
 	}
-	p.conn = drpcconn.NewWithOptions(secured, drpcconn.Options{Manager: managerOptions()})
 	return nil
 }
 
-func (p *peerConn) close() {
-	p.lock <- struct{}{}
-	defer func() { <-p.lock }()
-	if p.conn != nil {
-		_ = p.conn.Close()
-		p.conn = nil
+func (p *peerPool) put(conn *drpcconn.Conn, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.removed {
+		_ = conn.Close()
+		return
+	}
+	p.idle = append(p.idle, idleConn{conn, now})
+}
+
+// takeIdleSince removes and returns the connections that have been idle since before the
+// given time. It removes the pool, and reports so, if no connection is left and no request is
+// in flight.
+func (p *peerPool) takeIdleSince(before time.Time) (expired []idleConn, empty bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for count < len(p.idle) && p.idle[count].lastUsed.Before(before) {
+		count++
+	}
+	expired = slices.Clone(p.idle[:count])
+	p.idle = slices.Delete(p.idle, 0, count)
+	p.removed = len(p.idle) == 0 && len(p.requests) == 0
+	return expired, p.removed
+}
+
+// close waits for the requests in flight and closes all connections.
+func (p *peerPool) close() {
+	for range maxConnections {
+		p.requests <- struct{}{}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.idle {
+		_ = conn.Close()
+	}
+	p.idle, p.removed = nil, true
+	for range maxConnections {
+		<-p.requests
 	}
 }
 
