kqentry, kqgate: the caller is looked for before a call is sent

Calls reached upstreams over 0.5 s after their callers had left.

Cause: a connection was probed from 25 ms after its call was read, on the assumption that a call is read when it arrives. A node that is short of processor time reads it later than that, and the caller may have given up and closed by then; so does a gate with a call that its entry has cancelled. Bytes behind the call, as of a pipelined request, hid the close from the probe altogether.

Change: the entry probes the caller's connection before each attempt, the gate when it has read a call, each for one system call. The probe also asks for a close behind unread bytes. Other waits of the entry (for its configuration, its rate, a workspace) lie before an attempt and are covered by it.

--- /dev/null
+++ b/internal/call/kqdisconnect/half_closed_other.go
@@ -0,0 +1,6 @@
+//go:build !linux
+
+package kqdisconnect
+
+// isClosedBehindData reports false on systems without POLLRDHUP.
+func isClosedBehindData(uintptr) bool { return false }
--- a/internal/call/kqdisconnect/probe.go
+++ b/internal/call/kqdisconnect/probe.go
@@ -12,6 +12,8 @@
 	peek    func(fd uintptr)
 	count   int
 	peekErr error
+	// closedBehindData is set if the peer has closed its side and there are unread bytes.
+	closedBehindData bool
 }
 
 // NewProbe returns a probe of c's socket: for a TLS connection, that of the TCP connection
@@ -25,6 +27,7 @@
 	p.peek = func(fd uintptr) {
 		var one [1]byte
 		p.count, _, p.peekErr = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		p.closedBehindData = p.peekErr == nil && p.count > 0 && isClosedBehindData(fd)
 	}
 	return p
 }
@@ -41,7 +44,7 @@
 }
 
 // Peek reports whether the peer has closed the connection and whether bytes are ready to be
-// read. A close behind unread bytes is not reported. Peek does not block.
+// read. A close behind unread bytes is reported on Linux only. Peek does not block.
 func (p *Probe) Peek() (closed, readable bool) {
 	if p.raw == nil {
 		return p.peekErr != nil, false
@@ -55,6 +58,6 @@
 	case p.peekErr != nil:
 		return true, false
 	default:
-		return p.count == 0, p.count > 0
+		return p.count == 0 || p.closedBehindData, p.count > 0
 	}
 }
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -249,6 +249,11 @@
 	last.RetryAfter = defaultRetryAfter
 	defer e.finishProbe(c)
 	for {
+		// The caller may have left before the call was read, or during a wait that is shorter
+		// than the watcher's interval.
+		if c.CheckCaller(); c.Cancel.Done() {
+			return combined(kqcall.Refuse(c.Cancel.Reason()), possibleRuns)
+		}
 		var refusal kqcall.Outcome
 		if criteria, refusal = e.admitSuspect(c, criteria); refusal.Result != kqcall.Answered {
 			return combined(refusal, possibleRuns)
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -203,6 +203,8 @@
 	var watched kqdisconnect.WatchedCall
 	c.Cancel, c.Dialect, c.CheckCaller = &cancel, g.dialect, watched.CheckCaller
 	g.watcher.Track(&watched, g.sequence.Add(1), ctx.Conn(), &cancel, now)
+	// The entry may have cancelled the call before this node read it.
+	watched.CheckCaller()
 	o, load := g.handle(c, now)
 	g.watcher.Untrack(&watched)
 	g.counter.GateCallEnded(o)
