--- a/internal/call/kqlocal/upstreams.go
+++ b/internal/call/kqlocal/upstreams.go
@@ -19,11 +19,11 @@
 const MaxSlots = 10000
 
 const (
-	// maxWarmUp bounds the cold start that an upstream may announce, and MaxClockLead how far
-	// its clock may be ahead of this node's. Later announcements of the same upstream could
-	// not replace one that is beyond them.
-	maxWarmUp    = time.Hour
+	// MaxClockLead bounds how far an upstream's clock may be ahead of this node's. Later
+	// announcements of the upstream could not replace one with a start beyond it.
 	MaxClockLead = time.Hour
+	// maxWarmUp bounds the cold start that an upstream may announce.
+	maxWarmUp = time.Hour
 	// maxSequenceLag is how many announcements a late one may lag behind the latest. A
 	// sequence number that is further ahead is not one of the same writer.
 	maxSequenceLag = 1 << 20
