--- a/internal/call/kqentry/gone_test.go
+++ b/internal/call/kqentry/gone_test.go
@@ -49,7 +49,7 @@
 				t.Fatal(err)
 			}
 			var group conc.WaitGroup
-			handled := make(chan struct{})
+			handled := make(chan struct{}, 1)
 			server := &fasthttp.Server{Handler: kqconnection.Serve(func(ctx *fasthttp.RequestCtx) {
 				e.ServeOutside(ctx)
 				select {
