kqdistribute: a pull that panics ends for its peer

Found by reading the mend of the pulls: the loop runs them beside each other now, outside of the supervisor's restart. A panic in one was not reported, and its peer counted as being pulled from for ever.

Change: each pull runs under the supervisor, and one that panics is finished.

--- a/internal/config/kqdistribute/exchange.go
+++ b/internal/config/kqdistribute/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqsupervisor"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqdelta"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
@@ -103,6 +104,7 @@
 func (d *Distributor) pullLoop(ctx context.Context) {
 	var group conc.WaitGroup
 	defer group.Wait()
+	supervisor := kqsupervisor.From(ctx)
 	var highest kqname.ConfigVersion
 	var hedgeAt time.Time
 	for ended := make(chan struct{}, 1); ctx.Err() == nil; {
@@ -116,7 +118,10 @@
 			d.beginPull(from)
 			group.Go(func() {
 				defer wake(ended)
-				d.pullFrom(ctx, from, announced)
+				if !supervisor.RunRecovered("pull", func() { d.pullFrom(ctx, from, announced) }) {
+					// The peer would otherwise count as being pulled from for ever.
+					d.finishPull(from, announced, time.Time{})
+				}
 			})
 			continue
 		}
--- a/internal/config/kqdistribute/slow_peer_test.go
+++ b/internal/config/kqdistribute/slow_peer_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqsupervisor"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqdistribute"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
@@ -88,3 +89,37 @@
 		t.Errorf("version 2 was not applied in 0.5 s although one of %d peers answers at once", len(peers))
 	}
 }
+
+// Guards against a peer that is never pulled from again because a pull from it has panicked.
+func TestPeerIsPulledFromAfterAPanic(t *testing.T) {
+	peer := &scriptedPeer{client: kqrpc.NewClient("peer", nil), answer: func(int) kqresource.Root { return kqresource.Root{Version: 2} }}
+	t.Cleanup(peer.client.Close)
+	peerServer := kqrpc.NewServer(nil)
+	kqrpc.Handle(peerServer, "c.r", peer.serveRoot)
+	peer.address = serve(t, peerServer)
+	table := kqmember.NewTable(kqmember.Member{Node: "node", Domain: "d"})
+	table.Merge(kqmember.Member{Node: "peer", Domain: "d", Control: peer.address, Incarnation: 1})
+	server, client, replica := kqrpc.NewServer(nil), kqrpc.NewClient("node", nil), make(appliedReplica, 10)
+	d := kqdistribute.New(server, client, table, loneNode{}, loneNode{}, replica, func(kqname.ConfigVersion, error) { panic("refused") })
+	address := serve(t, server)
+	panicked := make(chan struct{}, 10)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { d.Run(kqsupervisor.New(func(kqsupervisor.Panic) { panicked <- struct{}{} }).With(ctx)) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+		client.Close()
+	})
+	d.AcceptRoot(ctx, kqresource.Root{Version: 1})
+	replica.await(t, 1)
+	// The root that the peer serves is not the announced one, which is reported.
+	peer.push(t, address, kqresource.Root{Version: 2, Author: "ana"})
+	select {
+	case <-panicked:
+	case <-time.After(waitTimeout):
+		t.Fatal("no pull has panicked")
+	}
+	peer.push(t, address, kqresource.Root{Version: 2})
+	replica.await(t, 2)
+}
