kqhead: a response without a valid status line is no answer

What callers saw: an upstream in trouble sent "HTTP/1.1 000 ...", and the caller got its body and fields as a 200. The same happened to statuses of another length, to 600 and more, to other versions and protocols ("HTTP/2.0", "ICY"), to control bytes in the reason, to a first line that ends with a line feed alone, and to a 101 that no request asked for, after which the connection was used for the next call.

Cause: fasthttp's response parser takes any digits for a status and anything before the first blank for a version, skips empty lines before it, and its StatusCode returns 200 where the status is 0. kqsend passed on what it returned, for answers of upstreams, of other nodes' gates, of health checks and for interim responses alike.

Change: kqhead checks each head before the library reads it, and kqsend uses it in the one place through which all heads pass, interim responses and those that ask for an announced body included.

Why it works: bytes that are not exactly version, blank, three digits from 100 to 599 and a reason never reach the library. The call ends as unknown with a reason of its own, malformed_response (504); it is retried only if it is idempotent, by the budget that "cut" has; its connection is closed; the gate counts it as the upstream's failure and logs event=response_malformed with what was wrong, quoted and bounded. What shows with the first bytes is refused with them, where "garbage" kept the caller waiting until its deadline.

--- a/internal/call/kqcall/call.go
+++ b/internal/call/kqcall/call.go
@@ -74,6 +74,8 @@
 	// MismatchedResponse means that the response is not the answer to this call: it carries
 	// another call's id or no id where one is required, or the dialect rejects it.
 	MismatchedResponse Reason = "crossed"
+	// MalformedResponse means that the peer the call was sent to did not respond with valid HTTP.
+	MalformedResponse Reason = "malformed_response"
 	// Quarantined means that upstreams have ended under the same request.
 	Quarantined Reason = "quarantined"
 	// Misdirected means that another upstream has taken over the address and did not run the
@@ -229,8 +231,11 @@
 		// BodyFailed is set if a streamed response turned out to be malformed or was cut off by
 		// its peer.
 		BodyFailed bool
-		Request    *fasthttp.Request
-		Response   *fasthttp.Response
+		// ResponseError says why the response to the latest attempt is malformed, nil if it is
+		// not.
+		ResponseError error
+		Request       *fasthttp.Request
+		Response      *fasthttp.Response
 	}
 )
 
@@ -238,7 +243,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		NoReason, NoRoute, NoConfig, NoUpstream, QueueFull, Overload, NotStartedInTime, RolledBack, Draining, Evacuated, Cold, Limited, Quarantined, RefusedByUpstream, ConnectFailed,
-		TooLarge, Malformed, TooSlow, Timeout, Cut, UpstreamEnded, Cancelled, MismatchedResponse, Misdirected, NoMemory,
+		TooLarge, Malformed, TooSlow, Timeout, Cut, UpstreamEnded, Cancelled, MismatchedResponse, MalformedResponse, Misdirected, NoMemory,
 		NoKey, UnknownKey, KeyRevoked, UnverifiedKey, UnknownParent, OverRate, Panicked,
 	}
 }
--- a/internal/call/kqentry/record.go
+++ b/internal/call/kqentry/record.go
@@ -41,6 +41,9 @@
 		// Took the time until the attempt's outcome.
 		TimeLeft, Took time.Duration
 		Outcome        kqcall.Outcome
+		// ResponseError says why the response of the gate, or of this node's own upstream, is
+		// malformed; nil if it is not.
+		ResponseError error
 		// Status is the HTTP status of the upstream's answer, 0 if the call was not
 		// answered.
 		Status int
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -285,7 +285,7 @@
 		e.recordFate(f, gate, last, answeredByGate, sent, now)
 		e.finishProbe(c)
 		attempt.Ejected = s.recordAttempt(c, to, last, load, hasLoad, now)
-		attempt.Took, attempt.Outcome = now.Sub(sent), last
+		attempt.Took, attempt.Outcome, attempt.ResponseError = now.Sub(sent), last, c.ResponseError
 		if last.Result == kqcall.Answered {
 			attempt.Status = c.Response.StatusCode()
 		}
@@ -378,7 +378,7 @@
 // send sends the call to a gate and returns the outcome and the gate's load, and whether
 // the gate reported one and answered at all.
 func (e *Entry) send(c *kqcall.Call, to kqmember.Candidate) (o kqcall.Outcome, load kqcall.Load, hasLoad, answeredByGate bool) {
-	c.UpstreamStart = 0
+	c.UpstreamStart, c.ResponseError = 0, nil
 	if to.Node == e.self {
 		c.Hint = kqcall.Hint{}
 		o, load = e.local.Do(c)
--- a/internal/call/kqgate/condition.go
+++ b/internal/call/kqgate/condition.go
@@ -24,6 +24,8 @@
 		UpstreamEnded(a kqlocal.Announcement, f kqfingerprint.Fingerprint, now time.Time)
 		// ConditionInvalid records an answer whose condition cannot be read.
 		ConditionInvalid(a kqlocal.Announcement, err error, now time.Time)
+		// ResponseMalformed records that an upstream did not respond to a call with valid HTTP.
+		ResponseMalformed(a kqlocal.Announcement, call kqcall.ID, err error, now time.Time)
 	}
 
 	// LimitChange is a change of the limit that an upstream names, in calls a second.
@@ -80,6 +82,9 @@
 // ConditionInvalid implements ConditionRecorder.
 func (noop) ConditionInvalid(kqlocal.Announcement, error, time.Time) {}
 
+// ResponseMalformed implements ConditionRecorder.
+func (noop) ResponseMalformed(kqlocal.Announcement, kqcall.ID, error, time.Time) {}
+
 func newCondition(r ConditionRecorder) *condition {
 	return &condition{recorder: r, limiter: kqratelimit.New()}
 }
--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -174,6 +174,9 @@
 		c.Response.Reset()
 		o = incompleteOutcome(c, g.now())
 	}
+	if c.ResponseError != nil {
+		g.conditions.ResponseMalformed(a, c.ID, c.ResponseError, g.now())
+	}
 	if o.Reason == kqcall.Cut && u.client.IsRefused() {
 		o.Reason = kqcall.UpstreamEnded
 		g.conditions.UpstreamEnded(a, c.Fingerprint, g.now())
--- /dev/null
+++ b/internal/call/kqgate/malformed_test.go
@@ -0,0 +1,67 @@
+package kqgate_test
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqconditionlog"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqlog"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqmetric"
+)
+
+// newRawServer starts a server that sends the response, byte for byte as given, to each request.
+func newRawServer(t *testing.T, response string) *httptest.Server {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, buffer, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		writeAndWait(conn, buffer, response)
+	}))
+	t.Cleanup(server.Close)
+	return server
+}
+
+// Guards against a malformed response of which something reaches the caller, that is not logged,
+// or that does not count as its upstream's failure.
+func TestMalformedResponseIsAFailure(t *testing.T) {
+	for name, response := range map[string]string{
+		"status": "HTTP/1.1 000 OK\r\nX-Stamp: a1\r\nContent-Length: 6\r\n\r\nbroken",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			logger, err := kqlog.New(&out, "info", "json")
+			if err != nil {
+				t.Fatal(err)
+			}
+			g := kqgate.New(announceServer(t, newRawServer(t, response)), kqgate.WithConditionRecorder(kqconditionlog.New(logger.Part("upstream"), kqmetric.New())))
+			rate := 0.0
+			for range 30 {
+				c := newCall("/")
+				c.ID = "one"
+				o, load := g.Do(c)
+				if o != kqcall.UnknownOutcome(kqcall.MalformedResponse) {
+					t.Fatalf("outcome is %+v", o)
+				}
+				c.Answer(o)
+				if got := c.Response.String(); c.Response.StatusCode() != fasthttp.StatusGatewayTimeout || strings.Contains(got, "X-Stamp") || strings.Contains(got, "broken") {
+					t.Fatalf("the caller gets %q", got)
+				}
+				rate = load.FailureRate
+			}
+			if lines := strings.Count(out.String(), `"event":"response_malformed"`); lines < 1 || lines > 15 || !strings.Contains(out.String(), `"id":"one"`) || rate < 0.5 {
+				t.Errorf("%d lines for 30 responses, the failure rate is %v: %.300s", lines, rate, out.String())
+			}
+		})
+	}
+}
--- a/internal/call/kqsend/announce.go
+++ b/internal/call/kqsend/announce.go
@@ -51,7 +51,7 @@
 		return err
 	}
 	var interim fasthttp.ResponseHeader
-	if err := interim.Read(n.reader); err != nil {
+	if err := n.readHead(&interim); err != nil {
 		return err
 	}
 	if interim.StatusCode() != fasthttp.StatusContinue {
--- a/internal/call/kqsend/exchange.go
+++ b/internal/call/kqsend/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqhead"
 )
 
 const (
@@ -53,6 +54,7 @@
 	if err != nil {
 		call.Cancel.SetConnection(nil)
 		c.drop(n)
+		call.ResponseError = responseError(err)
 		return n.failureOutcome(call, err)
 	}
 	if c.isMismatched(call) {
@@ -188,6 +190,8 @@
 		return connectFailureOutcome(err, call.Deadline)
 	case cancelled != kqcall.NoReason:
 		return kqcall.UnknownOutcome(cancelled)
+	case errors.Is(err, kqhead.ErrMalformed):
+		return kqcall.UnknownOutcome(kqcall.MalformedResponse)
 	case isTimeout(err):
 		return kqcall.UnknownOutcome(kqcall.Timeout)
 	default:
@@ -195,6 +199,14 @@
 	}
 }
 
+// responseError returns the error if it says that the response is malformed, else nil.
+func responseError(err error) error {
+	if errors.Is(err, kqhead.ErrMalformed) {
+		return err
+	}
+	return nil
+}
+
 func connectFailureOutcome(err error, deadline time.Time) kqcall.Outcome {
 	switch {
 	case errors.Is(err, errConnectionLimit), errors.Is(err, errBodyDeclined):
--- a/internal/call/kqsend/response.go
+++ b/internal/call/kqsend/response.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqhead"
 )
 
 const (
@@ -30,7 +31,7 @@
 )
 
 var (
-	errInterim = errors.New("too many interim responses")
+	errInterim = fmt.Errorf("over %d interim responses: %w", maxInterim, kqhead.ErrMalformed)
 	errTrailer = errors.New("trailer is too long")
 )
 
@@ -58,10 +59,10 @@
 		if interim > maxInterim {
 			return errInterim
 		}
-		if err := r.Header.Read(n.reader); err != nil {
+		if err := n.readHead(&r.Header); err != nil {
 			return err
 		}
-		if r.StatusCode() >= fasthttp.StatusOK || r.StatusCode() == fasthttp.StatusSwitchingProtocols {
+		if r.StatusCode() >= fasthttp.StatusOK {
 			break
 		}
 	}
@@ -70,7 +71,7 @@
 	case call.Request.Header.IsHead():
 		r.SkipBody = true
 		return nil
-	case status < fasthttp.StatusOK, status == fasthttp.StatusNoContent, status == fasthttp.StatusNotModified:
+	case status == fasthttp.StatusNoContent, status == fasthttp.StatusNotModified:
 		return nil
 	case length >= 0 && length <= MaxBufferedBody:
 		return r.ReadBody(n.reader, 0)
--- a/internal/decide/kqretry/retry.go
+++ b/internal/decide/kqretry/retry.go
@@ -49,7 +49,7 @@
 	switch o.Reason {
 	case kqcall.Draining, kqcall.RolledBack, kqcall.Evacuated:
 		return true
-	case kqcall.ConnectFailed, kqcall.NoUpstream, kqcall.Cut, kqcall.UpstreamEnded, kqcall.MismatchedResponse, kqcall.Misdirected:
+	case kqcall.ConnectFailed, kqcall.NoUpstream, kqcall.Cut, kqcall.UpstreamEnded, kqcall.MismatchedResponse, kqcall.MalformedResponse, kqcall.Misdirected:
 		tokens = &b.churn
 	case kqcall.QueueFull, kqcall.Cold, kqcall.Limited, kqcall.RefusedByUpstream:
 	default:
--- a/internal/run/kqconditionlog/log.go
+++ b/internal/run/kqconditionlog/log.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqfingerprint"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
@@ -40,15 +41,19 @@
 	Log struct {
 		log     *logrus.Entry
 		counter Counter
-		// limits, ends and invalid are the rate limits of the lines on limits, on requests
-		// under which upstreams ended, and on conditions that cannot be read.
-		limits, ends, invalid *rate.Limiter
+		// limits, ends, invalid and malformed are the rate limits of the lines on limits, on
+		// requests under which upstreams ended, on conditions that cannot be read and on
+		// responses that are no valid HTTP.
+		limits, ends, invalid, malformed *rate.Limiter
 	}
 )
 
 // New returns a Log that writes to log.
 func New(log *logrus.Entry, counter Counter) *Log {
-	return &Log{log: log, counter: counter, limits: rate.NewLimiter(linesPerSecond, maxBurst), ends: rate.NewLimiter(linesPerSecond, maxEndsBurst), invalid: rate.NewLimiter(linesPerSecond, maxBurst)}
+	return &Log{
+		log: log, counter: counter, limits: rate.NewLimiter(linesPerSecond, maxBurst), ends: rate.NewLimiter(linesPerSecond, maxEndsBurst),
+		invalid: rate.NewLimiter(linesPerSecond, maxBurst), malformed: rate.NewLimiter(linesPerSecond, maxBurst),
+	}
 }
 
 // LimitChanged implements kqgate.ConditionRecorder.
@@ -110,6 +115,18 @@
 	l.log.WithFields(upstreamFields(event, a)).WithError(err).Warn("An upstream's limit or departure cannot be read and changes nothing.")
 }
 
+// ResponseMalformed implements kqgate.ConditionRecorder.
+func (l *Log) ResponseMalformed(a kqlocal.Announcement, call kqcall.ID, err error, now time.Time) {
+	const event = "response_malformed"
+	if !l.malformed.AllowN(now, 1) {
+		l.counter.LineSuppressed(event)
+		return
+	}
+	fields := upstreamFields(event, a)
+	fields["id"] = call
+	l.log.WithFields(fields).WithError(err).Warn("Upstream did not respond with valid HTTP; its response is dropped.")
+}
+
 func upstreamFields(event string, a kqlocal.Announcement) logrus.Fields {
 	return logrus.Fields{"event": event, "instance": a.Instance, "address": a.Address, "service": a.Service, "upstream_version": a.Version}
 }
--- a/internal/run/kqexplain/explain.go
+++ b/internal/run/kqexplain/explain.go
@@ -124,7 +124,7 @@
 		return fmt.Sprintf("quarantine. Upstreams ended under request %s, which this one is by its content; \"kumquatgw requests list\" shows them.", end.Request)
 	case "upstream_ended":
 		return fmt.Sprintf("the upstream at %s, which ended while it ran the request, after %.0f ms; %s.", last.To, last.Took, noRetryReason(end))
-	case "cut", "connect_failed", "draining", "rolled_back", "moved", "crossed", "shed":
+	case "cut", "connect_failed", "draining", "rolled_back", "moved", "crossed", "malformed_response", "shed":
 		return fmt.Sprintf("the upstream. The last attempt, to %s, ended as %s after %.0f ms%s; %s.", last.To, end.Reason, last.Took, l.laterMemberState(end, last.To), noRetryReason(end))
 	case "no_key", "unknown_key", "unverified_key", "key_revoked", "unknown_parent":
 		return l.keyCause(end, last)
--- a/internal/run/kqrecord/record.go
+++ b/internal/run/kqrecord/record.go
@@ -172,6 +172,9 @@
 		if t.Outcome.Reason != kqcall.NoReason {
 			fields["reason"] = t.Outcome.Reason
 		}
+		if t.ResponseError != nil {
+			fields["response_error"] = t.ResponseError.Error()
+		}
 		if t.Status > 0 {
 			fields["status"] = t.Status
 		}
