kqhead: a head that says the length of its body in no valid way is no answer

What callers saw: an answer with two different lengths, with a length beside chunks, with an unknown or compressed transfer encoding or with a line that is no field came as a complete one, with a body that was not the server's: cut to the last length, decoded as chunks although it was not, or, behind an empty line that ended with a line feed alone, the rest of the head as the body ("Content-Length: 2\r\n\r\nok").

Cause: fasthttp's parser takes the last of several lengths, ignores a length beside an encoding, even a spoilt one, takes any encoding but "identity" for chunks and ignores that and an empty one, joins a line that begins with a blank to the one before, ends the head at an empty line within it, and accepts line feeds alone. In all of these it reads a meaning into bytes that RFC 9112 (sections 2.2, 5.2, 6.1 and 6.3) has a recipient refuse, or lets it.

Change: kqhead checks each field's line and what all of them say of the length together. A list of equal lengths ("2, 2") is the one valid form that the library refused; it passes now (RFC 9112, section 6.3), as equal lengths in two fields did: TestUnusualResponsesPassWhole.

Why it works: a head that passes has at most one length, of digits and below 2^63, or "chunked" once and alone and not for HTTP/1.0, and no line but fields, so that the library cannot read it in another way. Refused before anything of it reaches the caller; its connection is closed.

--- a/internal/call/kqgate/malformed_test.go
+++ b/internal/call/kqgate/malformed_test.go
@@ -36,7 +36,9 @@
 // or that does not count as its upstream's failure.
 func TestMalformedResponseIsAFailure(t *testing.T) {
 	for name, response := range map[string]string{
-		"status": "HTTP/1.1 000 OK\r\nX-Stamp: a1\r\nContent-Length: 6\r\n\r\nbroken",
+		"status":   "HTTP/1.1 000 OK\r\nX-Stamp: a1\r\nContent-Length: 6\r\n\r\nbroken",
+		"lengths":  "HTTP/1.1 200 OK\r\nX-Stamp: a1\r\nContent-Length: 9\r\nContent-Length: 6\r\n\r\nbroken",
+		"no field": "HTTP/1.1 200 OK\r\nX-Stamp: a1\r\n\nContent-Length: 6\r\n\r\nbroken",
 	} {
 		t.Run(name, func(t *testing.T) {
 			var out bytes.Buffer
--- a/internal/call/kqhead/checker.go
+++ b/internal/call/kqhead/checker.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 )
 
 const (
 	// versionPrefix begins each response. Its minor version, one digit, may be any: a
 	// recipient treats a higher one as 1.1 (RFC 9110, section 2.5).
 	versionPrefix = "HTTP/1."
+	oldVersion    = versionPrefix + "0"
 	// statusStart is the index of the status in a status line, and statusEnd that of the byte
 	// behind it.
 	statusStart = len(versionPrefix) + 2
@@ -19,6 +21,8 @@
 	maxStatus = 599
 
 	lineEnd = "\r\n"
+	// blanks may stand around a field's value.
+	blanks = " \t"
 	// maxQuoted is how many bytes of a malformed part are quoted.
 	maxQuoted = 40
 )
@@ -28,6 +32,7 @@
 
 // Checker checks one head. Its zero value is ready to use.
 type Checker struct {
+	framing framing
 	// lines counts the complete lines, which end at the index checked.
 	lines   int
 	checked int
@@ -38,7 +43,8 @@
 // Check checks the beginning of a response, of which more may follow, and returns the length of
 // its head in bytes, 0 if that is incomplete. Bytes that an earlier call got are passed again.
 // The error is ErrMalformed, as soon as no further bytes can make the head valid. Its text says
-// what is wrong, and quotes little.
+// what is wrong, and quotes little. Check overwrites a list of equal lengths in data with one
+// length.
 func (c *Checker) Check(data []byte) (length int, err error) {
 	for {
 		end := bytes.IndexByte(data[c.scanned:], '\n')
@@ -72,30 +78,55 @@
 
 // checkLine checks a line with its end, and reports whether it ends the head.
 func (c *Checker) checkLine(line []byte) (isLast bool, err error) {
-	if c.lines == 0 {
-		return false, checkStatusLine(line)
+	text, ok := bytes.CutSuffix(line, []byte(lineEnd))
+	switch {
+	case c.lines == 0 && !ok:
+		return false, malformedStatusLine(line)
+	case c.lines == 0:
+		c.framing.isOld = bytes.HasPrefix(text, []byte(oldVersion))
+		return false, checkStatusLine(text)
+	case !ok:
+		return false, c.malformedField("it ends with a line feed alone")
+	case len(text) == 0:
+		return true, c.framing.check()
+	default:
+		return false, c.checkField(text)
 	}
-	return string(line) == lineEnd, nil
+}
+
+// checkField checks a field (RFC 9112, section 5).
+func (c *Checker) checkField(text []byte) error {
+	name, value, ok := bytes.Cut(text, []byte{':'})
+	switch {
+	case strings.IndexByte(blanks, text[0]) >= 0:
+		return c.malformedField("it continues the line before")
+	case !ok:
+		return c.malformedField("it has no colon")
+	}
+	return c.framing.add(name, value)
+}
+
+func (c *Checker) malformedField(what string) error {
+	return fmt.Errorf("line %d of the head: %s: %w", c.lines+1, what, ErrMalformed)
 }
 
 // checkStatusLine checks a status line (RFC 9112, section 4). The blank behind the status may be
 // missing if there is no reason.
-func checkStatusLine(line []byte) error {
-	text, ok := bytes.CutSuffix(line, []byte(lineEnd))
-	if !ok || len(text) < statusEnd || !bytes.HasPrefix(text, []byte(versionPrefix)) ||
+func checkStatusLine(text []byte) error {
+	if len(text) < statusEnd || !bytes.HasPrefix(text, []byte(versionPrefix)) ||
 		!isDigit(text[len(versionPrefix)]) || text[statusStart-1] != ' ' {
-		return malformedStatusLine(line)
+		return malformedStatusLine(text)
 	}
 	status := 0
 	for _, b := range text[statusStart:statusEnd] {
 		if !isDigit(b) {
-			return malformedStatusLine(line)
+			return malformedStatusLine(text)
 		}
 		status = status*10 + int(b-'0')
 	}
 	reason := text[statusEnd:]
 	if status < minStatus || status > maxStatus || len(reason) > 0 && reason[0] != ' ' || !isText(reason) {
-		return malformedStatusLine(line)
+		return malformedStatusLine(text)
 	}
 	return nil
 }
--- a/internal/call/kqsend/malformed_test.go
+++ b/internal/call/kqsend/malformed_test.go
@@ -114,6 +114,54 @@
 	})
 }
 
+// Guards against a response whose head is spoilt where it tells the length of the body, or holds a
+// line that is no field, and which is taken for a complete one, with other bytes as its body.
+func TestMalformedFramingIsNoAnswer(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	const chunks = "\r\n2\r\nok\r\n0\r\n\r\n"
+	expectMalformedAll(t, map[string]string{
+		"no digits":                            ok + "Content-Length: x\r\n\r\nok",
+		"digits and others":                    ok + "Content-Length: 2x\r\n\r\nok",
+		"no length":                            ok + "Content-Length:\r\n\r\nok",
+		"plus":                                 ok + "Content-Length: +2\r\n\r\nok",
+		"minus":                                ok + "Content-Length: -2\r\n\r\nok",
+		"hexadecimal":                          ok + "Content-Length: 0x2\r\n\r\nok",
+		"fraction":                             ok + "Content-Length: 2.0\r\n\r\nok",
+		"two numbers":                          ok + "Content-Length: 2 2\r\n\r\nok",
+		"length with overflow":                 ok + "Content-Length: 18446744073709551618\r\n\r\nok",
+		"length that wraps to 2":               ok + "Content-Length: 36893488147419103234\r\n\r\nok",
+		"length of 64 bits":                    ok + "Content-Length: 9223372036854775808\r\n\r\nok",
+		"two lengths":                          ok + "Content-Length: 9\r\nContent-Length: 2\r\n\r\nok",
+		"list of two lengths":                  ok + "Content-Length: 2, 9\r\n\r\nok",
+		"list with an empty length":            ok + "Content-Length: 2,\r\n\r\nok",
+		"length beside chunks":                 ok + "Content-Length: 9\r\nTransfer-Encoding: chunked\r\n" + chunks,
+		"chunks beside a length":               ok + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n" + chunks,
+		"spoilt length after chunks":           ok + "Transfer-Encoding: chunked\r\nContent-Length: x\r\n" + chunks,
+		"unknown encoding":                     ok + "Transfer-Encoding: chunkedd\r\n" + chunks,
+		"compressed chunks":                    ok + "Transfer-Encoding: gzip, chunked\r\n" + chunks,
+		"chunks that are not last":             ok + "Transfer-Encoding: chunked, gzip\r\n" + chunks,
+		"chunked twice":                        ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunks,
+		"no encoding":                          ok + "Transfer-Encoding:\r\nContent-Length: 2\r\n\r\nok",
+		"identity":                             ok + "Transfer-Encoding: identity\r\nContent-Length: 2\r\n\r\nok",
+		"chunks of HTTP/1.0":                   "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks,
+		"no colon":                             ok + "X-Name\r\nContent-Length: 2\r\n\r\nok",
+		"no colon at the length":               ok + "Content-Length 2\r\n\r\nok",
+		"no colon in the last line":            ok + "Content-Length: 2\r\nX-Name\r\n\r\nok",
+		"folded line":                          ok + "X-Name: a\r\n Content-Length: 2\r\n\r\nok",
+		"folded length":                        ok + "Content-Length: 2\r\n 3\r\n\r\nok",
+		"folded with nothing":                  ok + "Content-Length: 2\r\n \r\n\r\nok",
+		"first line folded":                    ok + " X-Name: a\r\nContent-Length: 2\r\n\r\nok",
+		"line feed alone":                      ok + "X-Name: a\nContent-Length: 2\r\n\r\nok",
+		"empty line with a line feed":          ok + "X-Name: a\r\n\nContent-Length: 2\r\n\r\nok",
+		"head that ends with line feeds":       ok + "Content-Length: 2\r\n\nok",
+		"carriage return alone":                ok + "X-Name: a\rContent-Length: 2\r\n\r\nok",
+		"carriage return before the end":       ok + "Content-Length: 2\r\r\n\r\nok",
+		"interim with a spoilt length":         "HTTP/1.1 103 Early Hints\r\nContent-Length: x\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok",
+		"interim with a line that is no field": "HTTP/1.1 103 Early Hints\r\nno field\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok",
+		"no content with a spoilt length":      "HTTP/1.1 204 No Content\r\nContent-Length: x\r\n\r\n",
+	})
+}
+
 // Guards against a response that is refused although it is valid, in an unusual form.
 func TestUnusualResponsesPassWhole(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -139,6 +187,7 @@
 		"small letters":                 {response: "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", body: "ok"},
 		"leading zeros":                 {response: "HTTP/1.1 200 OK\r\nContent-Length: 0002\r\n\r\nok", body: "ok"},
 		"equal lengths in two fields":   {response: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok", body: "ok"},
+		"equal lengths in a list":       {response: "HTTP/1.1 200 OK\r\nContent-Length: 2, 2\r\n\r\nok", body: "ok"},
 		"chunks":                        {response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n", body: "ok"},
 		"chunked in capitals":           {response: "HTTP/1.1 200 OK\r\ntransfer-encoding: \tCHUNKED \r\n\r\n2\r\nok\r\n0\r\n\r\n", body: "ok"},
 		"chunk extensions":              {response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b;c=\"d\"\r\nok\r\n0;e\r\n\r\n", body: "ok"},
@@ -171,7 +220,7 @@
 // Guards against a malformed interim response by which a body is sent that its peer did not ask
 // for. The peer has not got the body, so the call has not run.
 func TestMalformedInterimAsksForNoBody(t *testing.T) {
-	for _, response := range []string{"HTTP/1.1 000 Continue\r\n\r\n"} {
+	for _, response := range []string{"HTTP/1.1 000 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\nno field\r\n\r\n"} {
 		received := make(chan int64, 1)
 		p := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 			q, err := http.ReadRequest(r)
