kqhead: a field whose name is no token or whose value holds control bytes is no field

What callers saw: an answer with a blank in or behind the name of a field came as an answer, with that line passed on; with "Content-Length : 2" or "Transfer-Encoding : chunked" it came with a body that was not the server's ("2\r\nok\r\n0\r\n\r\n"), up to the connection's end. A tab or a line feed before a name joined the line to the one before or ended the head.

RFC 9112, section 5.1, allows no blank there, and has a proxy not pass it on.

TestMalformedInterimAsksForNoBody: a "100 Continue" with such a field had a body sent.

Change: kqhead checks that names are tokens (RFC 9110, section 5.6.2) and that values hold no control bytes but tabs. A proxy may also remove the blank behind a name and go on; refused instead, since a sender that writes one is in trouble, and nodes would disagree with other recipients on the rest. Bytes from 0x80 on in values, empty values and blanks around values pass as before: TestUnusualResponsesPassWhole.

Why it works: the library no longer sees a name that it would compare or pass on with a blank.

--- a/internal/call/kqentry/malformed_test.go
+++ b/internal/call/kqentry/malformed_test.go
@@ -22,7 +22,7 @@
 	var received atomic.Int32
 	for _, node := range []string{"good", "bad"} {
 		server := s.start(t, kqfleet.Spec{Node: kqname.Node(node), Domain: "one", Region: "one"})
-		startHTTPUpstream(t, server, "store", func(w http.ResponseWriter, r *http.Request) {
+		startHTTPUpstream(t, server, "store", func(w http.ResponseWriter, _ *http.Request) {
 			received.Add(1)
 			if node == "good" {
 				_, _ = io.WriteString(w, "good")
--- a/internal/call/kqgate/malformed_test.go
+++ b/internal/call/kqgate/malformed_test.go
@@ -38,6 +38,7 @@
 	for name, response := range map[string]string{
 		"status":   "HTTP/1.1 000 OK\r\nX-Stamp: a1\r\nContent-Length: 6\r\n\r\nbroken",
 		"lengths":  "HTTP/1.1 200 OK\r\nX-Stamp: a1\r\nContent-Length: 9\r\nContent-Length: 6\r\n\r\nbroken",
+		"name":     "HTTP/1.1 200 OK\r\nX-Stamp: a1\r\nContent-Length : 6\r\n\r\nbroken",
 		"no field": "HTTP/1.1 200 OK\r\nX-Stamp: a1\r\n\nContent-Length: 6\r\n\r\nbroken",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/call/kqhead/checker.go
+++ b/internal/call/kqhead/checker.go
@@ -23,12 +23,18 @@
 	lineEnd = "\r\n"
 	// blanks may stand around a field's value.
 	blanks = " \t"
+	// tokenText holds the characters of a token (RFC 9110, section 5.6.2).
+	tokenText = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
 	// maxQuoted is how many bytes of a malformed part are quoted.
 	maxQuoted = 40
 )
 
-// ErrMalformed means that a head is not one of a valid HTTP/1.1 response.
-var ErrMalformed = errors.New("malformed response")
+var (
+	// ErrMalformed means that a head is not one of a valid HTTP/1.1 response.
+	ErrMalformed = errors.New("malformed response")
+
+	tokenBytes = bytesOf(tokenText)
+)
 
 // Checker checks one head. Its zero value is ready to use.
 type Checker struct {
@@ -102,6 +108,10 @@
 		return c.malformedField("it continues the line before")
 	case !ok:
 		return c.malformedField("it has no colon")
+	case !isToken(name):
+		return c.malformedField(fmt.Sprintf("name %q", name[:min(len(name), maxQuoted)]))
+	case !isText(value):
+		return c.malformedField(fmt.Sprintf("control byte in the value of %q", name[:min(len(name), maxQuoted)]))
 	}
 	return c.framing.add(name, value)
 }
@@ -137,6 +147,24 @@
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
+// isToken reports whether a field's name is a token.
+func isToken(name []byte) bool {
+	for _, b := range name {
+		if !tokenBytes[b] {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
+// bytesOf returns a table that holds true for each byte of the text.
+func bytesOf(text string) (table [256]bool) {
+	for i := range len(text) {
+		table[text[i]] = true
+	}
+	return table
+}
+
 // isText reports whether there are no control bytes but tabs, in a reason or in a field's value.
 func isText(text []byte) bool {
 	for _, b := range text {
--- a/internal/call/kqsend/malformed_test.go
+++ b/internal/call/kqsend/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -162,6 +163,29 @@
 	})
 }
 
+// Guards against a field whose name or value holds a byte that is not allowed there, and which is
+// passed on or not recognized: its response would have another meaning for the next recipient.
+func TestMalformedFieldIsNoAnswer(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	responses := map[string]string{
+		"no name":                  ok + ": a\r\nContent-Length: 2\r\n\r\nok",
+		"blank behind the length":  ok + "Content-Length : 2\r\n\r\nok",
+		"tab behind the length":    ok + "Content-Length\t: 2\r\n\r\nok",
+		"blank behind chunks":      ok + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"blank in an interim name": "HTTP/1.1 103 Early Hints\r\nX Name: a\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok",
+	}
+	for _, b := range []string{"\x00", "\x01", "\t", "\n", "\v", "\r", "\x1b", " ", "\"", "(", ",", "/", ";", "=", "@", "[", "{", "\x7f", "\x80", "\xff"} {
+		responses[fmt.Sprintf("%q in the name", b)] = ok + "X" + b + "Name: a\r\nContent-Length: 2\r\n\r\nok"
+		responses[fmt.Sprintf("%q before the name", b)] = ok + "X-Name: a\r\n" + b + "Content-Length: 2\r\n\r\nok"
+		responses[fmt.Sprintf("%q in the name of the length", b)] = ok + "Content" + b + "-Length: 2\r\n\r\nok"
+	}
+	for _, b := range []string{"\x00", "\x01", "\b", "\v", "\f", "\r", "\x1b", "\x7f"} {
+		responses[fmt.Sprintf("%q in a value", b)] = ok + "X-Name: a" + b + "b\r\nContent-Length: 2\r\n\r\nok"
+		responses[fmt.Sprintf("%q behind the length", b)] = ok + "Content-Length: 2" + b + "\r\n\r\nok"
+	}
+	expectMalformedAll(t, responses)
+}
+
 // Guards against a response that is refused although it is valid, in an unusual form.
 func TestUnusualResponsesPassWhole(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -220,7 +244,7 @@
 // Guards against a malformed interim response by which a body is sent that its peer did not ask
 // for. The peer has not got the body, so the call has not run.
 func TestMalformedInterimAsksForNoBody(t *testing.T) {
-	for _, response := range []string{"HTTP/1.1 000 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\nno field\r\n\r\n"} {
+	for _, response := range []string{"HTTP/1.1 000 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\nX Name: a\r\n\r\n", "HTTP/1.1 100 Continue\r\nno field\r\n\r\n"} {
 		received := make(chan int64, 1)
 		p := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 			q, err := http.ReadRequest(r)
