kqsend: a body whose trailer is malformed is not complete

What callers saw: a chunked answer whose last chunk was followed by a line that is no field, by one that ended with a line feed alone, or by the head of another answer came as a complete one, and the connection was used for the next call.

Cause: skipTrailer looked for the first line of two bytes at most and skipped what came before it, whatever it was; "X\n" passed for the empty line. Had it returned an error, that could have been lost: the library's writer of chunks reads on after an error that came with bytes.

Evidence: TestMalformedBodyLooksIncomplete in kqentry, whole nodes, on the code before: "/trailer: status 200 and 2 bytes look complete", likewise "/line", over a gate and without one, to callers of HTTP/1.1 and 1.0. Malformed chunks, short lengths and a reset connection looked incomplete to callers before and stay as cases.

Change: a trailer's lines are checked as a head's fields, by kqhead.ParseField. A failed body stays failed. The gate logs response_malformed for chunks and trailers too.

Why it works: the caller's last chunk is written only after the upstream's trailer has been read to its empty line; with an error the connection to the caller, as that to the upstream, is closed without it.

--- a/internal/call/kqentry/malformed_test.go
+++ b/internal/call/kqentry/malformed_test.go
@@ -1,11 +1,14 @@
 package kqentry_test
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -67,3 +70,59 @@
 		t.Logf("%s: %d of 60 calls ended as unknown", method, unknown)
 	}
 }
+
+// Guards against a streamed body that turns out malformed or cut off after its head has been
+// passed on, and looks complete to the caller.
+func TestMalformedBodyLooksIncomplete(t *testing.T) {
+	t.Parallel()
+	const chunked, untilClose = "Transfer-Encoding: chunked\r\n\r\n", "Connection: close\r\n\r\n"
+	bodies := map[string]string{
+		"/chunk":   chunked + "2\r\nok\r\nzz\r\n",
+		"/end":     chunked + "2\r\nokk\r\n0\r\n\r\n",
+		"/line":    chunked + "2\r\nok\r\n0\r\nX\n\r\n",
+		"/trailer": chunked + "2\r\nok\r\n0\r\nX-Sum\r\n\r\n",
+		"/cut":     chunked + "2\r\nok\r\n",
+		"/length":  "Content-Length: 100000\r\n\r\nok",
+		"/large":   "Content-Length: 2000000\r\n\r\n" + strings.Repeat("x", 100000),
+		"/reset":   untilClose + strings.Repeat("x", 100000),
+	}
+	s := newTestFleet(t, 0, 0, 0)
+	back := s.start(t, kqfleet.Spec{Node: "back", Domain: "one", Region: "one"})
+	for _, server := range []*kqfleet.Server{back, s.front} {
+		startHTTPUpstream(t, server, "store", func(w http.ResponseWriter, r *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+bodies[r.URL.Path])
+			if r.URL.Path == "/reset" {
+				time.Sleep(100 * time.Millisecond)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+			_ = conn.Close()
+		})
+		poll(t, "the upstream is known", func() bool {
+			o, err := s.send(http.MethodGet, "cut")
+			return err != nil || o.Reason != kqcall.NoUpstream
+		})
+		for path := range bodies {
+			for _, version := range []string{"1.1", "1.0"} {
+				conn, err := net.Dial("tcp", string(s.front.Node.EntryAddress()))
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, _ = io.WriteString(conn, "POST "+path+" HTTP/"+version+"\r\nHost: store\r\nContent-Length: 0\r\n\r\n")
+				_ = conn.SetDeadline(time.Now().Add(testTimeout))
+				a, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil {
+					t.Fatalf("%s, HTTP/%s: %v", path, version, err)
+				}
+				if body, err := io.ReadAll(a.Body); err == nil && a.StatusCode < http.StatusInternalServerError {
+					t.Errorf("%s, HTTP/%s: status %d and %d bytes look complete, %v", path, version, a.StatusCode, len(body), a.TransferEncoding)
+				}
+				_ = conn.Close()
+			}
+		}
+	}
+}
--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -112,6 +112,9 @@
 	c.Finish = func() {
 		c.Finish = nil
 		now := g.now()
+		if c.ResponseError != nil {
+			g.conditions.ResponseMalformed(a, c.ID, c.ResponseError, now)
+		}
 		u.releaseSlot(t, o, upstreamFailed || c.BodyFailed, now.Sub(began), now)
 	}
 	return o, u.load(t, ended)
--- a/internal/call/kqgate/malformed_test.go
+++ b/internal/call/kqgate/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -32,6 +33,18 @@
 	return server
 }
 
+// newLoggingGate returns a gate to an upstream that sends the response, and its log.
+func newLoggingGate(t *testing.T, response string) (*kqgate.Gate, *bytes.Buffer) {
+	t.Helper()
+	var out bytes.Buffer
+	logger, err := kqlog.New(&out, "info", "json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := kqconditionlog.New(logger.Part("upstream"), kqmetric.New())
+	return kqgate.New(announceServer(t, newRawServer(t, response)), kqgate.WithConditionRecorder(log)), &out
+}
+
 // Guards against a malformed response of which something reaches the caller, that is not logged,
 // or that does not count as its upstream's failure.
 func TestMalformedResponseIsAFailure(t *testing.T) {
@@ -42,12 +55,7 @@
 		"no field": "HTTP/1.1 200 OK\r\nX-Stamp: a1\r\n\nContent-Length: 6\r\n\r\nbroken",
 	} {
 		t.Run(name, func(t *testing.T) {
-			var out bytes.Buffer
-			logger, err := kqlog.New(&out, "info", "json")
-			if err != nil {
-				t.Fatal(err)
-			}
-			g := kqgate.New(announceServer(t, newRawServer(t, response)), kqgate.WithConditionRecorder(kqconditionlog.New(logger.Part("upstream"), kqmetric.New())))
+			g, out := newLoggingGate(t, response)
 			rate := 0.0
 			for range 30 {
 				c := newCall("/")
@@ -68,3 +76,21 @@
 		})
 	}
 }
+
+// Guards against a streamed response that turns out malformed and is not logged.
+func TestMalformedStreamIsLogged(t *testing.T) {
+	for _, body := range []string{"zz\r\n", "0\r\nX-Sum\r\n\r\n"} {
+		g, out := newLoggingGate(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+body)
+		c := newCall("/")
+		if o, _ := g.Do(c); o != kqcall.OK() {
+			t.Fatalf("outcome is %+v", o)
+		}
+		if _, err := io.ReadAll(c.Response.BodyStream()); err == nil {
+			t.Errorf("%q counts as complete", body)
+		}
+		_ = c.Response.CloseBodyStream()
+		if lines := strings.Count(out.String(), `"event":"response_malformed"`); lines != 1 {
+			t.Errorf("%q: %d lines: %s", body, lines, out.String())
+		}
+	}
+}
--- a/internal/call/kqhead/checker.go
+++ b/internal/call/kqhead/checker.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"strings"
 )
 
 const (
@@ -21,20 +20,12 @@
 	maxStatus = 599
 
 	lineEnd = "\r\n"
-	// blanks may stand around a field's value.
-	blanks = " \t"
-	// tokenText holds the characters of a token (RFC 9110, section 5.6.2).
-	tokenText = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
 	// maxQuoted is how many bytes of a malformed part are quoted.
 	maxQuoted = 40
 )
 
-var (
-	// ErrMalformed means that a head is not one of a valid HTTP/1.1 response.
-	ErrMalformed = errors.New("malformed response")
-
-	tokenBytes = bytesOf(tokenText)
-)
+// ErrMalformed means that a response is not valid HTTP/1.1.
+var ErrMalformed = errors.New("malformed response")
 
 // Checker checks one head. Its zero value is ready to use.
 type Checker struct {
@@ -84,61 +75,44 @@
 
 // checkLine checks a line with its end, and reports whether it ends the head.
 func (c *Checker) checkLine(line []byte) (isLast bool, err error) {
-	text, ok := bytes.CutSuffix(line, []byte(lineEnd))
+	if c.lines == 0 {
+		return false, c.checkStatusLine(line)
+	}
+	name, value, err := ParseField(line)
 	switch {
-	case c.lines == 0 && !ok:
-		return false, malformedStatusLine(line)
-	case c.lines == 0:
-		c.framing.isOld = bytes.HasPrefix(text, []byte(oldVersion))
-		return false, checkStatusLine(text)
-	case !ok:
-		return false, c.malformedField("it ends with a line feed alone")
-	case len(text) == 0:
+	case err != nil:
+		return false, fmt.Errorf("line %d of the head: %w", c.lines+1, err)
+	case len(name) == 0:
 		return true, c.framing.check()
 	default:
-		return false, c.checkField(text)
+		return false, c.framing.add(name, value)
 	}
 }
 
-// checkField checks a field (RFC 9112, section 5).
-func (c *Checker) checkField(text []byte) error {
-	name, value, ok := bytes.Cut(text, []byte{':'})
-	switch {
-	case strings.IndexByte(blanks, text[0]) >= 0:
-		return c.malformedField("it continues the line before")
-	case !ok:
-		return c.malformedField("it has no colon")
-	case !isToken(name):
-		return c.malformedField(fmt.Sprintf("name %q", name[:min(len(name), maxQuoted)]))
-	case !isText(value):
-		return c.malformedField(fmt.Sprintf("control byte in the value of %q", name[:min(len(name), maxQuoted)]))
+// checkStatusLine checks a status line (RFC 9112, section 4). The blank behind the status may be
+// missing if there is no reason.
+func (c *Checker) checkStatusLine(line []byte) error {
+	text, ok := bytes.CutSuffix(line, []byte(lineEnd))
+	if !ok || !isStatusLine(text) {
+		return malformedStatusLine(line)
 	}
-	return c.framing.add(name, value)
-}
-
-func (c *Checker) malformedField(what string) error {
-	return fmt.Errorf("line %d of the head: %s: %w", c.lines+1, what, ErrMalformed)
+	c.framing.isOld = bytes.HasPrefix(text, []byte(oldVersion))
+	return nil
 }
 
-// checkStatusLine checks a status line (RFC 9112, section 4). The blank behind the status may be
-// missing if there is no reason.
-func checkStatusLine(text []byte) error {
-	if len(text) < statusEnd || !bytes.HasPrefix(text, []byte(versionPrefix)) ||
-		!isDigit(text[len(versionPrefix)]) || text[statusStart-1] != ' ' {
-		return malformedStatusLine(text)
+func isStatusLine(text []byte) bool {
+	if len(text) < statusEnd || !bytes.HasPrefix(text, []byte(versionPrefix)) || !isDigit(text[len(versionPrefix)]) || text[statusStart-1] != ' ' {
+		return false
 	}
 	status := 0
 	for _, b := range text[statusStart:statusEnd] {
 		if !isDigit(b) {
-			return malformedStatusLine(text)
+			return false
 		}
 		status = status*10 + int(b-'0')
 	}
 	reason := text[statusEnd:]
-	if status < minStatus || status > maxStatus || len(reason) > 0 && reason[0] != ' ' || !isText(reason) {
-		return malformedStatusLine(text)
-	}
-	return nil
+	return status >= minStatus && status <= maxStatus && (len(reason) == 0 || reason[0] == ' ') && isText(reason)
 }
 
 func malformedStatusLine(line []byte) error {
@@ -146,31 +120,3 @@
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
-
-// isToken reports whether a field's name is a token.
-func isToken(name []byte) bool {
-	for _, b := range name {
-		if !tokenBytes[b] {
-			return false
-		}
-	}
-	return len(name) > 0
-}
-
-// bytesOf returns a table that holds true for each byte of the text.
-func bytesOf(text string) (table [256]bool) {
-	for i := range len(text) {
-		table[text[i]] = true
-	}
-	return table
-}
-
-// isText reports whether there are no control bytes but tabs, in a reason or in a field's value.
-func isText(text []byte) bool {
-	for _, b := range text {
-		if b < ' ' && b != '\t' || b == 0x7f {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/call/kqsend/response.go
+++ b/internal/call/kqsend/response.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http/httputil"
 
 	"github.com/valyala/fasthttp"
@@ -32,7 +33,7 @@
 
 var (
 	errInterim = fmt.Errorf("over %d interim responses: %w", maxInterim, kqhead.ErrMalformed)
-	errTrailer = errors.New("trailer is too long")
+	errTrailer = fmt.Errorf("longer than %d bytes: %w", maxTrailerBytes, kqhead.ErrMalformed)
 )
 
 // responseStream is a response body that is streamed to the caller. Its connection is
@@ -46,6 +47,8 @@
 	read     int
 	complete bool
 	closed   bool
+	// failure is the error of an earlier read, nil if there was none.
+	failure error
 	// peerCloses is set if the peer closes the connection after this response.
 	peerCloses bool
 }
@@ -94,34 +97,47 @@
 	return nil
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It repeats an error, since the HTTP library reads on after one that
+// came with bytes.
 func (s *responseStream) Read(b []byte) (count int, err error) {
-	// Another read after the last chunk would wait for a second trailer.
-	if s.complete {
+	switch {
+	case s.failure != nil:
+		return 0, s.failure
+	case s.complete:
+		// Another read after the last chunk would wait for a second trailer.
 		return 0, io.EOF
 	}
 	count, err = s.reader.Read(b)
 	s.read += count
-	defer func() {
-		// A response that is not read whole by its deadline may have a slow caller.
-		if err != nil && err != io.EOF && !isTimeout(err) && !s.call.Cancel.Done() {
-			s.call.BodyFailed = true
-		}
-	}()
-	switch {
+	switch atEnd := errors.Is(err, io.EOF); {
 	case s.length >= 0 && s.read == s.length:
 		s.complete = true
-	case s.length >= 0 && err == io.EOF:
+	case s.length >= 0 && atEnd:
 		err = io.ErrUnexpectedEOF
-	case s.length == chunkedLength && err == io.EOF:
-		if trailerErr := skipTrailer(s.conn.reader); trailerErr != nil {
-			return count, fmt.Errorf("read trailer: %w", trailerErr)
+	case s.length == chunkedLength && atEnd:
+		trailerErr := skipTrailer(s.conn.reader)
+		if s.complete = trailerErr == nil; !s.complete {
+			err = fmt.Errorf("read trailer: %w", trailerErr)
 		}
-		s.complete = true
+	case s.length == chunkedLength && isMalformedChunk(err):
+		err = fmt.Errorf("read chunk: %w: %w", kqhead.ErrMalformed, err)
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		s.fail(err)
 	}
 	return count, err
 }
 
+// fail records that the body cannot be read to its end.
+func (s *responseStream) fail(err error) {
+	s.failure = err
+	// A response that is not read whole by its deadline may have a slow caller.
+	if !isTimeout(err) && !s.call.Cancel.Done() {
+		s.call.BodyFailed = true
+		s.call.ResponseError = responseError(err)
+	}
+}
+
 // Close implements io.Closer.
 func (s *responseStream) Close() error {
 	if s.closed {
@@ -139,14 +155,25 @@
 func skipTrailer(r *bufio.Reader) error {
 	for read := 0; ; {
 		line, err := r.ReadSlice('\n')
+		if read += len(line); read > maxTrailerBytes || errors.Is(err, bufio.ErrBufferFull) {
+			return errTrailer
+		}
+		if errors.Is(err, io.EOF) {
+			return io.ErrUnexpectedEOF
+		}
 		if err != nil {
 			return err
 		}
-		if read += len(line); read > maxTrailerBytes {
-			return errTrailer
-		}
-		if len(line) <= len("\r\n") {
-			return nil
+		name, _, err := kqhead.ParseField(line)
+		if err != nil || len(name) == 0 {
+			return err
 		}
 	}
 }
+
+// isMalformedChunk reports whether an error of the reader of chunks is about what it has read, and
+// not one of the connection.
+func isMalformedChunk(err error) bool {
+	var network net.Error
+	return err != nil && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &network)
+}
