kqstoreclient: a response of the store without end is bounded

What an operator saw of a system like ours: a faulty server sent bytes without end, the machine that had called it kept them all and ran out of memory, and other clients' requests ended with it.

Cause, here: the client of the store decoded the body as JSON from the connection, and a string or blanks without end are kept until the call's timeout. Of the head, net/http keeps up to 10 MB. Answers of upstreams and gates are bounded already (TestUnboundedResponses in kqsend, unchanged).

Change: the body is read up to twice the largest value and 4 KB, as the service bounds requests, the head up to 64 KB. What is longer cannot be decoded: ErrUnavailable, as for other unusable answers, and the connection is closed.

--- a/internal/store/kqstoreclient/client.go
+++ b/internal/store/kqstoreclient/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -12,8 +13,15 @@
 	"github.com/kumquatgw/kumquatgw/internal/store/kqstore"
 )
 
-// defaultTimeout bounds a call unless WithTimeout sets another timeout.
-const defaultTimeout = 2 * time.Second
+const (
+	// defaultTimeout bounds a call unless WithTimeout sets another timeout.
+	defaultTimeout = 2 * time.Second
+	// maxResultBytes bounds the body of a response. It fits a value of the largest size in
+	// base64.
+	maxResultBytes = 2*kqstore.MaxValueBytes + 4096
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
+)
 
 type (
 	// Client implements kqstore.Store over HTTP by the protocol of kqfakestore. It
@@ -33,7 +41,7 @@
 
 // New returns a client of the service at url, such as "http://10.0.0.1:7000".
 func New(url string, options ...Option) *Client {
-	c := &Client{url: url, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}, timeout: defaultTimeout}
+	c := &Client{url: url, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeadBytes}}, timeout: defaultTimeout}
 	for _, o := range options {
 		o(c)
 	}
@@ -107,7 +115,7 @@
 		return a, fmt.Errorf("%s %s: %w: %w", verb, request.Key, kqstore.ErrUnavailable, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResultBytes)).Decode(&a); err != nil {
 		return a, fmt.Errorf("%s %s, status %d: %w: %w", verb, request.Key, resp.StatusCode, kqstore.ErrUnavailable, err)
 	}
 	if a.Error == "" {
