kqstoreclient: a response that is not the store's is no success

What could be seen: a store in trouble, or another program at its address, answered with status 000 or 500 and a JSON object, and the node took that for a value that is there, empty and with revision 0, for a write that was made or for a lease without an id; a "conflict" under status 000 was taken for certain.

Cause: the client did not read the status, and decoded any JSON object, null included, into a result whose missing fields are zero; what followed the object was ignored.

Bodies that are cut or empty were refused already.

Change: a result is one JSON value, with an error under a status from 400 on, or complete under 200: an entry of the key asked for, a revision, a lease. All else is ErrUnavailable.

Why it works: ErrUnavailable says that a write may have been made; those who write settle it by reading back, and those who read keep what they hold.

--- a/internal/store/kqfakestore/serve.go
+++ b/internal/store/kqfakestore/serve.go
@@ -34,8 +34,8 @@
 	}
 
 	// Result is the JSON body of every response to an Operation, except those of status
-	// 400, which are plain text. Error is empty or a key of Errors; clients read it and
-	// not the HTTP status.
+	// 400, which are plain text. Error is empty, with status 200, or a key of Errors, whose
+	// HTTP status clients do not read.
 	Result struct {
 		Entry    kqstore.Entry    `json:"entry,omitzero"`
 		Revision kqstore.Revision `json:"revision,omitempty"`
--- a/internal/store/kqstoreclient/client.go
+++ b/internal/store/kqstoreclient/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,6 +24,9 @@
 	maxHeadBytes = 64 << 10
 )
 
+// errMalformed means that a response is not the service's, or is not whole.
+var errMalformed = errors.New("malformed response")
+
 type (
 	// Client implements kqstore.Store over HTTP by the protocol of kqfakestore. It
 	// is safe for concurrent use.
@@ -96,27 +100,27 @@
 }
 
 // request posts one operation and decodes its result. It returns ErrUnavailable if the
-// service cannot be reached, or if its answer cannot be read or has an unknown error
-// code. The HTTP status is not evaluated.
+// service cannot be reached, or if its answer is malformed or has an unknown error code: a write
+// may have been made then.
 func (c *Client) request(ctx context.Context, verb string, request kqfakestore.Operation, wait time.Duration) (kqfakestore.Result, error) {
-	var a kqfakestore.Result
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
 	defer cancel()
 	body, err := json.Marshal(request)
 	if err != nil {
-		return a, fmt.Errorf("encode %s request: %w", verb, err)
+		return kqfakestore.Result{}, fmt.Errorf("encode %s request: %w", verb, err)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url+"/v1/"+verb, bytes.NewReader(body))
 	if err != nil {
-		return a, fmt.Errorf("create %s request: %w", verb, err)
+		return kqfakestore.Result{}, fmt.Errorf("create %s request: %w", verb, err)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return a, fmt.Errorf("%s %s: %w: %w", verb, request.Key, kqstore.ErrUnavailable, err)
+		return kqfakestore.Result{}, fmt.Errorf("%s %s: %w: %w", verb, request.Key, kqstore.ErrUnavailable, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResultBytes)).Decode(&a); err != nil {
-		return a, fmt.Errorf("%s %s, status %d: %w: %w", verb, request.Key, resp.StatusCode, kqstore.ErrUnavailable, err)
+	a, err := readResult(resp, verb, request.Key)
+	if err != nil {
+		return kqfakestore.Result{}, fmt.Errorf("%s %s, status %d: %w: %w", verb, request.Key, resp.StatusCode, kqstore.ErrUnavailable, err)
 	}
 	if a.Error == "" {
 		return a, nil
@@ -127,3 +131,35 @@
 	}
 	return a, fmt.Errorf("%s %s: %w", verb, request.Key, cause)
 }
+
+// readResult reads the result of an operation on the key, which either has an error or is
+// complete.
+func readResult(resp *http.Response, verb, key string) (a kqfakestore.Result, err error) {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResultBytes))
+	if err != nil {
+		return a, fmt.Errorf("read body: %w", err)
+	}
+	if err := json.Unmarshal(data, &a); err != nil {
+		return a, fmt.Errorf("decode body of %d bytes: %w", len(data), err)
+	}
+	isError := a.Error != "" && resp.StatusCode >= http.StatusBadRequest
+	isSuccess := a.Error == "" && resp.StatusCode == http.StatusOK && isComplete(a, verb, key)
+	if !isError && !isSuccess {
+		return a, fmt.Errorf("neither an error nor a complete result: %w", errMalformed)
+	}
+	return a, nil
+}
+
+// isComplete reports whether the result of an operation on the key holds what its success says.
+func isComplete(a kqfakestore.Result, verb, key string) bool {
+	switch verb {
+	case "get", "watch":
+		return a.Entry.Key == key && a.Entry.Revision > 0
+	case "put", "swap":
+		return a.Revision > 0
+	case "grant":
+		return a.Lease != kqstore.NoLease
+	default:
+		return true
+	}
+}
