kqnode: an upstream's own calls are served until the calls that need them end

What callers saw: in a planned stop of one node, in calm, with its upstream sound and staying, orders that the node had passed on in time failed with the upstream's 500, among them ones that may not be repeated: the calls that the upstream made for them were refused, or their connections were not accepted.

Cause: 3 s after the signal at the latest, or once callers had gone, the entry refused all new calls and the listener took no new connections. An upstream makes its calls through the same entry, and each answer of a stopping node asks for its connection to be closed, so that the next one needs a new connection.

Change: the entry goes on serving nested calls; the gate, which takes no new calls, waits for the running ones before the entry's listener closes, until 0.4 s before the end of the drain. Callers from outside get their refusal meanwhile, in place of a connection that is not made.

Why it works: no call can begin at the upstream any more when the wait begins, so that it ends with the last parent. Where an upstream runs nothing, it costs one poll of 10 ms.

--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -60,7 +60,8 @@
 func (e *Entry) AwaitsConfig() bool { return e.awaitsConfig.Load() }
 
 // RefuseAll makes the entry refuse all new calls, because the process will end before their
-// answers could be complete.
+// answers could be complete. Only nested calls are still served: without them, the calls that the
+// local upstream is running would fail.
 func (e *Entry) RefuseAll() { e.refusing.Store(true) }
 
 // Close closes the idle connections to other nodes' gates.
@@ -141,7 +142,7 @@
 	if c.Depth > kqcall.MaxDepth {
 		return kqcall.Refuse(kqcall.Malformed)
 	}
-	if e.refusing.Load() {
+	if e.refusing.Load() && c.Depth == 0 {
 		o := kqcall.Refuse(kqcall.Draining)
 		o.RetryAfter = restartRetryAfter
 		return o
--- a/internal/call/kqnesting/nesting.go
+++ b/internal/call/kqnesting/nesting.go
@@ -117,6 +117,18 @@
 	return r.Parent, ok
 }
 
+// Len returns the number of running calls.
+func (c *Calls) Len() int {
+	count := 0
+	for i := range c.shards {
+		s := &c.shards[i]
+		s.mu.Lock()
+		count += len(s.running)
+		s.mu.Unlock()
+	}
+	return count
+}
+
 func (c *Calls) shard(id kqcall.ID) *shard {
 	return &c.shards[xxhash.Sum64String(string(id))%shardCount]
 }
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -92,8 +92,8 @@
 	gateWorkspaces, entryWorkspaces := n.workspaceOptions()
 	gate, entry = append(gate, gateWorkspaces...), append(entry, entryWorkspaces...)
 	entry = append(entry, n.ratesOption())
-	nesting := kqnesting.New()
-	gate, entry = append(gate, kqgate.WithNesting(nesting)), append(entry, kqentry.WithNesting(nesting))
+	n.nesting = kqnesting.New()
+	gate, entry = append(gate, kqgate.WithNesting(n.nesting)), append(entry, kqentry.WithNesting(n.nesting))
 	if n.settings.Call.SlotMode == slotsExact {
 		gate = append(gate, kqgate.WithExactSlots())
 	}
--- a/internal/run/kqnode/drain.go
+++ b/internal/run/kqnode/drain.go
@@ -29,6 +29,9 @@
 	// callers have not moved, for instance since too few other nodes are ready. It is time
 	// enough for all but the slowest calls to finish.
 	closeMargin = 2300 * time.Millisecond
+	// acceptMargin is how long before the drain timeout connections are no longer accepted: the
+	// calls on the last ones are refused before their connections are closed.
+	acceptMargin = 4 * acceptGrace
 	// drainPoll is the interval of the checks for calls and connections.
 	drainPoll = 10 * time.Millisecond
 	// noProbeGrace is how long callers get to close their connections without a
@@ -51,6 +54,7 @@
 // longer than until their idle connections have timed out after kqsend.DefaultIdleTimeout.
 func (n *Node) drainCalls(ctx context.Context) error {
 	n.gate.Drain()
+	n.awaitParents(ctx)
 	n.stopAccepting(ctx, RoleEntry, RoleLocal)
 	err := n.drainServers(ctx, n.entry.Calls, map[Role]*fasthttp.Server{RoleEntry: n.servers.entry, RoleLocal: n.servers.local})
 	n.entry.Close()
@@ -59,6 +63,20 @@
 	return errors.Join(err, n.drainServers(ctx, n.disconnectWatcher.Count, map[Role]*fasthttp.Server{RoleGate: n.servers.gate}))
 }
 
+// awaitParents returns once the local upstream runs no call, or acceptMargin before ctx's deadline.
+// Until then it may still make calls that are nested in those that it runs, on new connections.
+func (n *Node) awaitParents(ctx context.Context) {
+	end, _ := ctx.Deadline()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	// A call that the gate took last has begun by the first tick.
+	for now := range ticker.C {
+		if n.nesting.Len() == 0 || now.After(end.Add(-acceptMargin)) {
+			return
+		}
+	}
+}
+
 // drainServers shuts servers down. Calls that exceed ctx's deadline are cancelled and
 // answered as such; cut off by the end of the process, they would have no answer.
 func (n *Node) drainServers(ctx context.Context, calls func() int, servers map[Role]*fasthttp.Server) error {
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -20,6 +20,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqgate"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqnesting"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqreplica"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqinbound"
@@ -105,6 +106,7 @@
 		local             *kqlocal.Upstreams
 		gate              *kqgate.Gate
 		entry             *kqentry.Entry
+		nesting           *kqnesting.Calls
 		disconnectWatcher *kqdisconnect.Watcher
 		servers           callServers
 		rollouts          *rollouts
