kqgrace: a call that a stopping node cannot finish is refused

What an operator saw of a system like ours: in a planned stop, in calm, requests that came late in the grace were passed on and cut at its end, among them ones that may not be repeated. Here they were answered in time, with 504, unknown; but whether they ran was in doubt all the same.

Cause: calls were taken until 2.3 s before the end of the drain, whatever their upstream usually takes. With routes of 160 ms that is time enough; with one of 2.7 s no call taken later than 2.5 s after the signal could end.

Change: kqgrace decides by the end of the drain and the work that a gate expects for the route, and half as much again; the entry asks it before each attempt of a caller's call, the gate before it sends one, also for other nodes. What does not fit is refused with draining, 503 and 2 s to come back, at once. Weighed: the route's timeout as the bound would refuse all calls from the signal on where it is longer than the grace, for the 2 s that callers take to move.

Open: an upstream that becomes slower only within the stop; its calls end as unknown.

--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqallowance"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqcallerretry"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqgrace"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/pkg/kqdocument"
@@ -95,6 +96,8 @@
 		nodeCount func() int
 		// origin is the service whose upstream runs on this entry's server.
 		origin kqname.Service
+		// grace is what is left until the node ends.
+		grace *kqgrace.Grace
 		// draining is set by Drain, refusing by RefuseAll.
 		draining atomic.Bool
 		refusing atomic.Bool
@@ -212,6 +215,10 @@
 // own calls are recognized as nested.
 func WithNesting(c *kqnesting.Calls) Option { return func(e *Entry) { e.nesting = c } }
 
+// WithGrace sets what is left until the node ends, if it stops. Calls that would not end by then are
+// refused, but for nested ones, by whose parents that is decided.
+func WithGrace(g *kqgrace.Grace) Option { return func(e *Entry) { e.grace = g } }
+
 // WithBaseline makes the entry the baseline for measurements: it picks upstreams at random,
 // sheds no load, and retries calls that did not run even beyond the retry limits.
 func WithBaseline() Option { return func(e *Entry) { e.baseline = true } }
@@ -223,6 +230,7 @@
 		splitter: defaultSplitter{}, counter: noopCounter{}, recorder: noopRecorder{}, watcher: kqdisconnect.New(), onForged: func() {}, started: time.Now(), now: time.Now,
 		// The random prefix keeps ids unique across nodes and across restarts of a node.
 		idPrefix:         strconv.FormatUint(rand.Uint64(), 36) + "-",
+		grace:            new(kqgrace.Grace),
 		returningCallers: newReturningCallers(), hints: hints{byNode: make(map[kqname.Node]heldHint)}, nesting: kqnesting.New(), quarantine: noopQuarantine{},
 		isRevoked: func(*kqcall.Call) bool { return false },
 	}
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -143,9 +143,7 @@
 		return kqcall.Refuse(kqcall.Malformed)
 	}
 	if e.refusing.Load() && c.Depth == 0 {
-		o := kqcall.Refuse(kqcall.Draining)
-		o.RetryAfter = restartRetryAfter
-		return o
+		return refuseStopping()
 	}
 	snapshot, route, refusal := e.match(c, now)
 	if refusal == kqcall.NoConfig {
@@ -211,6 +209,13 @@
 	return o
 }
 
+// refuseStopping returns the outcome of a call that did not run because this node stops.
+func refuseStopping() kqcall.Outcome {
+	o := kqcall.Refuse(kqcall.Draining)
+	o.RetryAfter = restartRetryAfter
+	return o
+}
+
 // criteria returns which upstreams the call may go to, and whether any that is known is among
 // them. A node that has just started may know upstreams before it knows the rollouts that
 // allow them calls.
@@ -263,6 +268,9 @@
 			return combined(kqcall.Refuse(kqcall.KeyRevoked), possibleRuns)
 		}
 		now := e.now()
+		if c.Depth == 0 && e.grace.IsSet() && !e.grace.Allows(s.leastWork(c.Route), now) {
+			return combined(refuseStopping(), possibleRuns)
+		}
 		c.Version = criteria.Version
 		to, gate, attempt := s.pick(c, e.directory.Upstreams(c.Service), criteria, tried, now)
 		if to == nil && criteria.HasNext() {
--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -132,6 +132,14 @@
 	return c.Workspace != "" && now.Add(s.pool.LeastWork(c.Route)/2).After(c.Deadline)
 }
 
+// leastWork returns the least work that an upstream's gate expects for calls of the route, 0 if
+// that is unknown.
+func (s *service) leastWork(route kqname.Route) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.LeastWork(route)
+}
+
 // pick returns the upstream for the next attempt, how to reach it, and the attempt's record.
 // The upstream is nil if the criteria allow none whose node has not been tried.
 func (s *service) pick(c *kqcall.Call, all []kqmember.Candidate, criteria kqpick.Criteria, tried []kqname.Node, now time.Time) (*kqpick.PoolUpstream, kqmember.Candidate, Attempt) {
--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -11,9 +11,14 @@
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqslots"
 )
 
-// callerCheckAfter is how long a call must have waited before its caller's connection is
-// checked: each check costs a system call.
-const callerCheckAfter = time.Millisecond
+const (
+	// callerCheckAfter is how long a call must have waited before its caller's connection is
+	// checked: each check costs a system call.
+	callerCheckAfter = time.Millisecond
+	// restartRetryAfter is the Retry-After of a call that a stopping node refuses: about the time
+	// that a node takes to stop and start again.
+	restartRetryAfter = 2 * time.Second
+)
 
 // forward admits the call, sends it to the upstream and reports the result to the observer.
 // It returns the outcome and the upstream's load, and fills in the rest of the record.
@@ -70,7 +75,7 @@
 		}
 	}()
 	if o = kqcall.RefuseQuarantined(); !g.quarantine.IsRefused(c.Fingerprint, g.now()) {
-		o = g.confirm(u, a, c, &p, cold)
+		o = g.confirm(u, a, c, t, &p, cold)
 	}
 	if o.Result != kqcall.Answered {
 		released = true
@@ -123,13 +128,18 @@
 // confirm decides whether the upstream may get a call that has a slot, and returns kqcall.OK() if
 // so. What the upstream bears may have changed while the call waited, and the call's API key may
 // have been removed.
-func (g *Gate) confirm(u *upstream, a kqlocal.Announcement, c *kqcall.Call, p *permit, cold ColdStart) kqcall.Outcome {
+func (g *Gate) confirm(u *upstream, a kqlocal.Announcement, c *kqcall.Call, t *kqslots.Ticket, p *permit, cold ColdStart) kqcall.Outcome {
 	if g.isRevoked(c) {
 		return kqcall.Refuse(kqcall.KeyRevoked)
 	}
 	if u.condition.isLeaving() {
 		return kqcall.Refuse(kqcall.Draining)
 	}
+	if now := g.now(); g.grace.IsSet() && !g.grace.Allows(u.load(t, now).ExpectedWork, now) {
+		o := kqcall.Refuse(kqcall.Draining)
+		o.RetryAfter = restartRetryAfter
+		return o
+	}
 	// A health check that names no limit does not lift that of the calls' answers.
 	heard := func(c kqcall.Condition, r kqcall.ServerReport) {
 		u.report(r, g.now())
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -12,6 +12,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqdisconnect"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqnesting"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqgrace"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqinbound"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqslots"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
@@ -82,6 +83,8 @@
 		quarantine Quarantine
 		// evacuated reports whether the gate's failure domain is evacuated.
 		evacuated func() bool
+		// grace is what is left until the node ends.
+		grace *kqgrace.Grace
 		// isRevoked reports whether the call's API key has been removed since its entry
 		// accepted it.
 		isRevoked func(*kqcall.Call) bool
@@ -178,7 +181,7 @@
 		local: local, withdrawer: noop{}, observer: noop{}, guard: noop{}, quarantine: noop{}, evacuated: func() bool { return false },
 		bodyBacklog: func(time.Time) time.Duration { return 0 },
 		coldStart:   func(*kqcall.Call) ColdStart { return ColdStart{} }, started: time.Now(), counter: noop{}, recorder: noopRecorder{}, conditions: noop{}, onDeparture: func(kqlocal.Announcement, time.Time) {}, now: time.Now, watcher: kqdisconnect.New(),
-		isRevoked: func(*kqcall.Call) bool { return false },
+		isRevoked: func(*kqcall.Call) bool { return false }, grace: new(kqgrace.Grace),
 		upstreams: make(map[upstreamKey]*upstream), hints: make(map[kqname.Address]kqcall.Hint), nesting: kqnesting.New(),
 		queue: func(slots int, address kqname.Address) queue {
 			return kqslots.New(slots, saltOf(address))
--- a/internal/call/kqgate/options.go
+++ b/internal/call/kqgate/options.go
@@ -9,6 +9,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqnesting"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqfifo"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqgrace"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqslots"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
@@ -29,6 +30,10 @@
 // evacuated. The gate then refuses all calls.
 func WithEvacuation(evacuated func() bool) Option { return func(g *Gate) { g.evacuated = evacuated } }
 
+// WithGrace sets what is left until the node ends, if it stops. Calls that would not end by then are
+// refused.
+func WithGrace(grace *kqgrace.Grace) Option { return func(g *Gate) { g.grace = grace } }
+
 // WithRevocation sets the function that reports whether the API key of a call has been removed
 // since its entry accepted it. Such a call is refused when it gets its slot.
 func WithRevocation(isRevoked func(*kqcall.Call) bool) Option {
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -94,6 +94,7 @@
 	entry = append(entry, n.ratesOption())
 	n.nesting = kqnesting.New()
 	gate, entry = append(gate, kqgate.WithNesting(n.nesting)), append(entry, kqentry.WithNesting(n.nesting))
+	gate, entry = append(gate, kqgate.WithGrace(&n.grace)), append(entry, kqentry.WithGrace(&n.grace))
 	if n.settings.Call.SlotMode == slotsExact {
 		gate = append(gate, kqgate.WithExactSlots())
 	}
--- a/internal/run/kqnode/leave.go
+++ b/internal/run/kqnode/leave.go
@@ -20,6 +20,9 @@
 	n.logEvent(logrus.Fields{"event": "leaving", "step": "begun", "within_ms": n.drainTimeout().Milliseconds()}, "Leaving.")
 	ctx, cancel := context.WithTimeout(context.Background(), n.drainTimeout())
 	defer cancel()
+	if end, ok := ctx.Deadline(); ok {
+		n.grace.End(end)
+	}
 	// A panic in one step must not keep the calls in flight from finishing.
 	n.supervisor.RunRecovered("leave", func() { n.divertTraffic(ctx) })
 	var err error
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -23,6 +23,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqnesting"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqreplica"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqsnapshot"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqgrace"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqinbound"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqbroadcast"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqbudget"
@@ -107,6 +108,7 @@
 		gate              *kqgate.Gate
 		entry             *kqentry.Entry
 		nesting           *kqnesting.Calls
+		grace             kqgrace.Grace
 		disconnectWatcher *kqdisconnect.Watcher
 		servers           callServers
 		rollouts          *rollouts
