kqcall: a peer's response without a readable outcome is of unknown outcome

What could be seen: another program, or a node in trouble, at a gate's address answers with the call's id and without a Kq-Result, or with one that does not exist. The caller got a 504 whose result and reason were the peer's words, which also became labels of counters.

Cause: the result was taken over as text; only the comparison with "answered" decided.

Evidence: TestUnreadableOutcomeIsUnknown on the code before: 4 of 4 texts were taken over.

Change: what is neither answered, not_run nor unknown is unknown with malformed_response.

--- a/internal/call/kqcall/header.go
+++ b/internal/call/kqcall/header.go
@@ -262,12 +262,16 @@
 	}
 }
 
-// Outcome reads the outcome that Answer wrote into a response.
+// Outcome reads the outcome that Answer wrote into a response. It is Unknown if there is none.
 func (c *Call) Outcome() Outcome {
 	h := &c.Response.Header
 	o := Outcome{Result: Result(h.Peek(HeaderResult)), Reason: Reason(h.Peek(HeaderReason))}
-	if o.Result == Answered {
+	switch o.Result {
+	case Answered:
 		return o
+	case NotRun, Unknown:
+	default:
+		return UnknownOutcome(MalformedResponse)
 	}
 	if ms, err := strconv.Atoi(string(h.Peek(headerRetry))); err == nil {
 		o.RetryAfter = time.Duration(ms) * time.Millisecond
--- a/internal/call/kqcall/header_test.go
+++ b/internal/call/kqcall/header_test.go
@@ -29,3 +29,16 @@
 		}
 	}
 }
+
+// Guards against a response of a peer that states no outcome, or one that does not exist, and is
+// taken for an answer or for a call that has not run.
+func TestUnreadableOutcomeIsUnknown(t *testing.T) {
+	for _, text := range []string{"", "ANSWERED", "answered, not_run", "not run"} {
+		c := &kqcall.Call{Response: &fasthttp.Response{}}
+		c.Response.Header.Set(kqcall.HeaderResult, text)
+		c.Response.Header.Set(kqcall.HeaderReason, "whatever")
+		if o := c.Outcome(); o != kqcall.UnknownOutcome(kqcall.MalformedResponse) {
+			t.Errorf("%q is read as %+v", text, o)
+		}
+	}
+}
