--- a/internal/call/kqgate/cold_test.go
+++ b/internal/call/kqgate/cold_test.go
@@ -39,6 +39,8 @@
 	// leaving makes health checks say that the upstream leaves.
 	leaving  bool
 	sequence uint64
+	// health replaces the answers to health checks, byte for byte, unless it is empty.
+	health string
 }
 
 func newFragileUpstream(t *testing.T, options ...kqgate.Option) *fragileUpstream {
@@ -98,6 +100,10 @@
 	}
 	if r.URL.Path == coldPath {
 		u.checks++
+		if u.health != "" {
+			u.sendHealth(w)
+			return
+		}
 		w.Header().Set(kqcall.HeaderInstance, "one")
 		if u.leaving {
 			w.Header().Set(kqcall.HeaderLeaving, "1")
@@ -116,6 +122,15 @@
 	}
 }
 
+// sendHealth answers a health check with the bytes that replace it.
+func (u *fragileUpstream) sendHealth(w http.ResponseWriter) {
+	if conn, buffer, err := w.(http.Hijacker).Hijack(); err == nil {
+		_, _ = buffer.WriteString(u.health)
+		_ = buffer.Flush()
+		_ = conn.Close()
+	}
+}
+
 // load sends 100 calls a second for the given time, with an announcement after each fourth
 // of a second, and returns how many of them were answered.
 func (u *fragileUpstream) load(t *testing.T, duration time.Duration) (answered, sent int) {
@@ -219,3 +234,30 @@
 		t.Errorf("%d crashes, want none", u.crashes)
 	}
 }
+
+// Guards against a malformed answer to a health check by which a cold upstream counts as warm.
+func TestMalformedHealthChecksProveNothing(t *testing.T) {
+	t.Parallel()
+	for name, health := range map[string]string{
+		"status": "HTTP/1.1 000 OK\r\nKq-Instance: one\r\nContent-Length: 0\r\n\r\n",
+		"length": "HTTP/1.1 200 OK\r\nKq-Instance: one\r\nContent-Length: 0\r\nContent-Length: 2\r\n\r\nok",
+		"name":   "HTTP/1.1 200 OK\r\nKq-Instance: one\r\nKq-Cold-Ms : 1500\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			u := newFragileUpstream(t, withBound())
+			u.start, u.health = 1, health
+			u.announce(t)
+			u.coolDown()
+			var group sync.WaitGroup
+			for range 100 {
+				group.Go(func() { u.gate.Do(newCall("/")) })
+				time.Sleep(5 * time.Millisecond)
+			}
+			group.Wait()
+			if u.crashes > 0 || u.checks == 0 {
+				t.Errorf("%d crashes after %d health checks, want none", u.crashes, u.checks)
+			}
+		})
+	}
+}
