--- a/internal/call/kqentry/malformed_test.go
+++ b/internal/call/kqentry/malformed_test.go
@@ -126,3 +126,49 @@
 		}
 	}
 }
+
+// Guards against a valid response of an unusual form that reaches a caller changed, or not at all.
+func TestUnusualResponsesReachCallersWhole(t *testing.T) {
+	t.Parallel()
+	responses := map[string]struct {
+		method, response, body string
+		status                 int
+	}{
+		"/reason":   {"GET", "HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nok", "ok", 200},
+		"/value":    {"GET", "HTTP/1.1 200 OK\r\nX-Name: \xfc\r\nX-Empty:\r\nContent-Length:\t2 \r\n\r\nok", "ok", 200},
+		"/list":     {"GET", "HTTP/1.1 200 OK\r\nContent-Length: 2, 2\r\n\r\nok", "ok", 200},
+		"/lengths":  {"GET", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok", "ok", 200},
+		"/old":      {"GET", "HTTP/1.0 200 OK\r\n\r\nok", "ok", 200},
+		"/close":    {"GET", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", "ok", 200},
+		"/chunks":   {"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n1;a=b\r\no\r\n01\r\nk\r\n0;c\r\n\r\n", "ok", 200},
+		"/trailer":  {"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nok\r\n0\r\nX-Sum: \xfc\r\nX-Empty:\r\n\r\n", "ok", 200},
+		"/interim":  {"GET", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "ok", 200},
+		"/none":     {"GET", "HTTP/1.1 204 No Content\r\n\r\n", "", 204},
+		"/same":     {"GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n", "", 304},
+		"/head":     {"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n", "", 200},
+		"/error":    {"POST", "HTTP/1.1 599 Odd\r\nContent-Length: 2\r\n\r\nok", "ok", 599},
+		"/question": {"POST", "HTTP/1.1 422\r\nContent-Length: 2\r\n\r\nok", "ok", 422},
+	}
+	s := newTestFleet(t, 0, 0, 0)
+	back := s.start(t, kqfleet.Spec{Node: "back", Domain: "one", Region: "one"})
+	startHTTPUpstream(t, back, "store", func(w http.ResponseWriter, r *http.Request) {
+		if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			_, _ = io.WriteString(conn, responses[r.URL.Path].response)
+			_ = conn.Close()
+		}
+	})
+	poll(t, "the upstream is known", func() bool {
+		o, err := s.send(http.MethodGet, "none")
+		return err != nil || o.Reason != kqcall.NoUpstream
+	})
+	for path, c := range responses {
+		a := exchange(t, s.front.Node.EntryAddress(), c.method+" "+path+" HTTP/1.1\r\nHost: store\r\nContent-Length: 0\r\n\r\n")
+		if c.method == http.MethodHead {
+			a.Body = http.NoBody
+		}
+		body, err := io.ReadAll(a.Body)
+		if err != nil || string(body) != c.body || a.StatusCode != c.status || a.Header.Get(kqcall.HeaderResult) != string(kqcall.Answered) {
+			t.Errorf("%s: status %d %s, body %q, %v, want %d and %q", path, a.StatusCode, a.Header.Get(kqcall.HeaderReason), body, err, c.status, c.body)
+		}
+	}
+}
