--- a/internal/admin/kqclient/malformed_test.go
+++ b/internal/admin/kqclient/malformed_test.go
@@ -1,13 +1,10 @@
 package kqclient_test
 
 import (
-	"bufio"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqclient"
+	"github.com/kumquatgw/kumquatgw/internal/lab/kqrawserver"
 )
 
 // Guards against a malformed response that a command shows as the fleet's state.
@@ -26,22 +23,12 @@
 		"bytes, no HTTP": "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			server, err := kqrawserver.Start(response, "")
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer func() { _ = l.Close() }()
-			go func() {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, response)
-				}
-				_ = c.Close()
-			}()
-			client, err := kqclient.New(kqclient.Access{URL: "http://" + l.Addr().String()})
+			defer func() { _ = server.Close() }()
+			client, err := kqclient.New(kqclient.Access{URL: server.URL()})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -32,9 +32,6 @@
 	configTimeout = 2 * time.Second
 	// defaultMaxAttempts applies to calls whose route states no number of attempts.
 	defaultMaxAttempts = 3
-	// restartRetryAfter is the Retry-After of a node that is stopping: about the time that a
-	// node takes to stop and start again.
-	restartRetryAfter = 2 * time.Second
 	// defaultRetryAfter is the Retry-After of the entry's refusals for NoConfig, Overload,
 	// NoUpstream and Panicked. It is the least that a gate gives.
 	defaultRetryAfter = 250 * time.Millisecond
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -10,6 +10,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqfingerprint"
 	"github.com/kumquatgw/kumquatgw/internal/config/kqresource"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqgrace"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqhold"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpick"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
@@ -212,7 +213,7 @@
 // refuseStopping returns the outcome of a call that did not run because this node stops.
 func refuseStopping() kqcall.Outcome {
 	o := kqcall.Refuse(kqcall.Draining)
-	o.RetryAfter = restartRetryAfter
+	o.RetryAfter = kqgrace.RetryAfter
 	return o
 }
 
--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -8,17 +8,13 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqcold"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqgrace"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqslots"
 )
 
-const (
-	// callerCheckAfter is how long a call must have waited before its caller's connection is
-	// checked: each check costs a system call.
-	callerCheckAfter = time.Millisecond
-	// restartRetryAfter is the Retry-After of a call that a stopping node refuses: about the time
-	// that a node takes to stop and start again.
-	restartRetryAfter = 2 * time.Second
-)
+// callerCheckAfter is how long a call must have waited before its caller's connection is
+// checked: each check costs a system call.
+const callerCheckAfter = time.Millisecond
 
 // forward admits the call, sends it to the upstream and reports the result to the observer.
 // It returns the outcome and the upstream's load, and fills in the rest of the record.
@@ -137,7 +133,7 @@
 	}
 	if now := g.now(); g.grace.IsSet() && !g.grace.Allows(u.load(t, now).ExpectedWork, now) {
 		o := kqcall.Refuse(kqcall.Draining)
-		o.RetryAfter = restartRetryAfter
+		o.RetryAfter = kqgrace.RetryAfter
 		return o
 	}
 	// A health check that names no limit does not lift that of the calls' answers.
--- a/internal/decide/kqgrace/doc.go
+++ b/internal/decide/kqgrace/doc.go
@@ -2,6 +2,6 @@
 //
 // It answers calls that keep arriving during a planned stop, until their callers have moved to
 // other nodes, while the end of the process is fixed. Without it, a call of a route whose usual
-// work is longer than what is left would be passed on and cut off at the end: its caller waits for
-// nothing, and does not know whether it ran.
+// work is longer than what is left would be passed on and cut off at the end: its caller would wait
+// in vain, and not know whether it ran.
 package kqgrace
--- a/internal/decide/kqgrace/grace.go
+++ b/internal/decide/kqgrace/grace.go
@@ -5,8 +5,13 @@
 	"time"
 )
 
-// workMargin is the factor on the expected work of a call: some calls take longer than usual.
-const workMargin = 1.5
+const (
+	// RetryAfter is the Retry-After of a call that a stopping node refuses: about the time that a
+	// node takes to stop and start again.
+	RetryAfter = 2 * time.Second
+	// workMargin is the factor on the expected work of a call: some calls take longer than usual.
+	workMargin = 1.5
+)
 
 // Grace is what is left of a node's planned stop. Its zero value is that of a node that does not
 // stop. It is safe for concurrent use.
