kqentry, kqgate: a refused call is told when to come back

Callers saw now and then a 503 without a Retry-After when a node began to stop (TestLateOrdersOfAStopAreNotInDoubt and TestNestedCallsAreServedUntilTheirParentsEnd, at a peer).

Cause: a gate that drains refuses without a time, and so do gates without a fitting upstream; an entry that knows no other upstream, and has not heard of the leave yet, passes that on. A call that a caller still sends when the node ends was refused without a time too.

Change: a draining gate names the time in which a node starts again, and an entry gives each 503 without a time the least that gates give.

--- a/internal/call/kqentry/returning_callers.go
+++ b/internal/call/kqentry/returning_callers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqcallerretry"
@@ -68,6 +69,14 @@
 	s.returningCallers.RecordFailure(f.callKey, f.firstTry, f.callerDeadline)
 }
 
+// setRetryAfter sets the Retry-After of a call that may be served later and whose refusal, such as
+// that of a gate without a suitable upstream, has none.
+func setRetryAfter(o *kqcall.Outcome) {
+	if o.RetryAfter == 0 && o.Status() == fasthttp.StatusServiceUnavailable {
+		o.RetryAfter = defaultRetryAfter
+	}
+}
+
 // extendRetryAfter lengthens a Retry-After after which the call would miss its target
 // anyway, to at least a third of the caller's remaining time. The caller then retries after
 // a burst is over rather than twice more during it.
--- a/internal/call/kqentry/serve.go
+++ b/internal/call/kqentry/serve.go
@@ -117,6 +117,7 @@
 	}
 	e.watcher.Untrack(&f.watched)
 	if o.Result == kqcall.NotRun {
+		setRetryAfter(&o)
 		f.extendRetryAfter(&o, e.now())
 		e.returnAdmission(f)
 	}
--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -26,7 +26,7 @@
 	defer finish()
 	a, reason := g.findUpstream(c)
 	if reason != kqcall.NoReason {
-		return kqcall.Refuse(reason), kqcall.Load{}
+		return g.refuse(reason), kqcall.Load{}
 	}
 	r.Instance = a.Instance
 	now := g.now()
@@ -156,6 +156,16 @@
 	return limitRefusal(retryAfter)
 }
 
+// refuse returns the outcome of a call that the gate does not pass on. If the node stops, its callers
+// are told when it may have started again.
+func (g *Gate) refuse(reason kqcall.Reason) kqcall.Outcome {
+	o := kqcall.Refuse(reason)
+	if g.draining.Load() {
+		o.RetryAfter = kqgrace.RetryAfter
+	}
+	return o
+}
+
 // findUpstream returns the upstream for the call, or why it takes no calls.
 func (g *Gate) findUpstream(c *kqcall.Call) (kqlocal.Announcement, kqcall.Reason) {
 	a, ok := g.local.Find(c.Service, c.Version)
--- a/internal/call/kqgate/retry_after_test.go
+++ b/internal/call/kqgate/retry_after_test.go
@@ -31,3 +31,15 @@
 		}
 	}
 }
+
+// Guards against a call that meets a node just when it begins to stop, and whose caller is not told
+// when to come back.
+func TestDrainingGateNamesATimeToComeBack(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	g := kqgate.New(announceServer(t, server))
+	g.Drain()
+	if o, _ := g.Do(newCall("/")); o.Result != kqcall.NotRun || o.Reason != kqcall.Draining || o.RetryAfter < time.Second {
+		t.Errorf("ended as %+v, want not_run, draining, with a Retry-After of a second at least", o)
+	}
+}
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -19,6 +19,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqnesting"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqallowance"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqgrace"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqinbound"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqmember"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqconditionlog"
@@ -214,7 +215,9 @@
 		// The caller has disconnected.
 		return kqcall.Refuse(kqcall.Cancelled)
 	case n.leaving.Load():
-		return kqcall.Refuse(kqcall.Draining)
+		o := kqcall.Refuse(kqcall.Draining)
+		o.RetryAfter = kqgrace.RetryAfter
+		return o
 	default:
 		return kqcall.Refuse(kqcall.TooSlow)
 	}
