--- a/cmd/kumquatgw/fleet_test.go
+++ b/cmd/kumquatgw/fleet_test.go
@@ -21,6 +21,9 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
+// pieceSize is the size, in bytes, of the pieces in which a testUpstream writes a response.
+const pieceSize = 64 << 10
+
 // callIDHeader is the header with a call's id, by which the upstream counts its runs.
 const callIDHeader = "Work-Id"
 
@@ -32,9 +35,9 @@
 		// platform is the URL of the platform's key-value service.
 		platform    string
 		front, back *process
-		// entry, local and control are the front node's entry address, the back
-		// node's local address and the front node's control address.
-		entry, local, control string
+		// entry, local, gate and control are the front node's entry address, the back
+		// node's local and gate addresses and the front node's control address.
+		entry, local, gate, control string
 		upstream              *testUpstream
 	}
 
@@ -59,6 +62,7 @@
 	f.control = f.front.readAfter(t, "control ")
 	f.back = startNode(t, extendSettings(t, writeSettings(t, "back", f.platform, f.control, "store"), back))
 	f.local = f.back.readAfter(t, "local ")
+	f.gate = f.back.readAfter(t, "gate ")
 	// Not read from f in the goroutine: a test that restarts a node replaces f.back.
 	for _, p := range []*process{f.front, f.back} {
 		go func() { _, _ = io.Copy(logOutput(), p.lines) }()
@@ -167,8 +171,12 @@
 	}
 	out.Header().Set(callIDHeader, id)
 	_, _ = io.WriteString(out, text)
-	if size > len(text) {
-		_, _ = out.Write(bytes.Repeat([]byte{'.'}, size-len(text)))
+	piece := bytes.Repeat([]byte{'.'}, min(max(size-len(text), 0), pieceSize))
+	for left := size - len(text); left > 0; left -= len(piece) {
+		piece = piece[:min(left, len(piece))]
+		if _, err := out.Write(piece); err != nil {
+			return
+		}
 	}
 }
 
