--- a/cmd/kumquatgw/fleet_test.go
+++ b/cmd/kumquatgw/fleet_test.go
@@ -38,7 +38,7 @@
 		// entry, local, gate and control are the front node's entry address, the back
 		// node's local and gate addresses and the front node's control address.
 		entry, local, gate, control string
-		upstream              *testUpstream
+		upstream                    *testUpstream
 	}
 
 	// testUpstream is an upstream that behaves as a call's query parameters say.
