--- a/internal/call/kqcall/header.go
+++ b/internal/call/kqcall/header.go
@@ -159,6 +159,22 @@
 	return c, nil
 }
 
+// FindID returns the id of the call in a request's head as another node sends it, which may have
+// arrived in part, or an empty one if the head does not have it.
+func FindID(head []byte) ID {
+	for line := range bytes.Lines(head) {
+		name, value, _ := bytes.Cut(line, []byte{':'})
+		if !bytes.EqualFold(name, []byte(headerCall)) {
+			continue
+		}
+		id, _, complete := bytes.Cut(bytes.TrimSpace(value), []byte{';'})
+		if complete {
+			return ID(id)
+		}
+	}
+	return ""
+}
+
 // ReadTimeLeft returns the time until the deadline of the call whose fields Write put into a
 // request, 0 if it cannot be read.
 func ReadTimeLeft(h *fasthttp.RequestHeader) time.Duration {
--- a/internal/call/kqconnection/doc.go
+++ b/internal/call/kqconnection/doc.go
@@ -12,6 +12,7 @@
 // are started before it has been answered. fasthttp still gets every request, and its
 // response, in order.
 //
-// The package only finds where requests end; fasthttp parses them. It also reserves memory
-// for bodies of unknown length, and closes connections so that the last response arrives.
+// The package only finds where requests end; fasthttp parses them. It also reserves the memory of
+// connections, heads and pipelined requests, records the progress of clients for package kqreclaim,
+// and closes connections so that the last response arrives.
 package kqconnection
--- a/internal/call/kqconnection/framer.go
+++ b/internal/call/kqconnection/framer.go
@@ -5,9 +5,15 @@
 	"strconv"
 )
 
-// maxPartialLine is how much of an incomplete header line is kept, in bytes: more than the
-// fields that are looked for take, with their values.
-const maxPartialLine = 128
+const (
+	// maxPartialLine is how much of an incomplete header line is kept, in bytes: more than the
+	// fields that are looked for take, with their values.
+	maxPartialLine = 128
+	// headByteMemory and headLineMemory are what each byte and each line of a head take once it is
+	// parsed, in bytes: fasthttp keeps the head as it came and each field's name and value.
+	// includedHeadMemory is a part that a connection's own memory includes.
+	headByteMemory, headLineMemory, includedHeadMemory = 2, 160, 8 << 10
+)
 
 var (
 	// contentLengthName is the header that states a body's length.
@@ -31,15 +37,33 @@
 	matched       int
 	// unknownLength is set if the current request has a body whose length is not stated.
 	// The framer does not find the end of such a body; the connection resets the framing
-	// once the request is answered. chunkedBodyCounter counts the bytes of its data.
-	unknownLength      bool
-	chunkedBodyCounter chunkedBodyCounter
+	// once the request is answered.
+	unknownLength bool
+	chunkScanner  chunkScanner
+	// head is the size of the current request's head so far, with its trailer. inHead is set while
+	// the head is incomplete.
+	head   headSize
+	inHead bool
 	// partialFraming is the framing stated by the complete lines of a head that has arrived
 	// in part, and partialLine the beginning of its last line.
 	partialFraming bodyFraming
 	partialLine    []byte
 }
 
+// headSize is the size of a head.
+type headSize struct{ bytes, lines int }
+
+// add adds a part of the head.
+func (h *headSize) add(data []byte) {
+	h.bytes += len(data)
+	h.lines += bytes.Count(data, []byte{'\n'})
+}
+
+// memory returns what the parsed head takes, in bytes, beyond what a connection has for it.
+func (h headSize) memory() int {
+	return max(h.bytes*headByteMemory+h.lines*headLineMemory-includedHeadMemory, 0)
+}
+
 // bodyFraming is what a request's head states about its body.
 type bodyFraming struct {
 	contentLength int
@@ -55,17 +79,23 @@
 		return n
 	}
 	if fr.unknownLength {
-		fr.chunkedBodyCounter.add(data)
+		fr.head.add(fr.chunkScanner.trailer(data))
 		return len(data)
 	}
+	if !fr.inHead {
+		fr.head, fr.inHead = headSize{}, true
+	}
 	end := fr.findHeadEnd(data)
 	if end < 0 {
+		fr.head.add(data)
 		fr.addPartialHead(data)
 		return len(data)
 	}
+	fr.head.add(data[:end])
+	fr.inHead = false
 	f := fr.finishHead(data[:end])
 	if fr.unknownLength = f.unknownLength; fr.unknownLength {
-		fr.chunkedBodyCounter.add(data[end:])
+		fr.head.add(fr.chunkScanner.trailer(data[end:]))
 		return len(data)
 	}
 	n := min(f.contentLength, len(data)-end)
--- a/internal/call/kqconnection/listener.go
+++ b/internal/call/kqconnection/listener.go
@@ -11,21 +11,19 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqmemory"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqdisconnect"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqreclaim"
 )
 
-// ErrBodyMemoryExhausted is returned when no memory is left for more of a body of unknown
-// length.
-var ErrBodyMemoryExhausted = errors.New("no memory left for the request body")
+var (
+	// ErrNoMemory is returned when no memory is left for a request's head.
+	ErrNoMemory = errors.New("no memory left for the request head")
+	// ErrReclaimed is returned when the client has to give way to others.
+	ErrReclaimed = errors.New("the client made no progress while memory or connections were short")
+)
 
 type (
-	// BodyLimiter limits the memory that bodies of unknown length take. A connection
-	// reserves more as more of its body arrives.
-	BodyLimiter interface {
-		Grow(connection any, size int, wait time.Duration) bool
-		Release(connection any)
-	}
-
 	// Pacer spaces out large responses.
 	Pacer interface {
 		Count(bytes int, now time.Time)
@@ -39,10 +37,13 @@
 	// unless its body is of unknown length. It is safe for concurrent use.
 	Listener struct {
 		net.Listener
-		// limiter is nil if bodies are not limited; limiterWait is how long a read waits
-		// for memory.
-		limiter     BodyLimiter
-		limiterWait time.Duration
+		// group is nil if connections and memory are not limited.
+		group *kqmemory.Group
+		// onRefused is called for each connection that there is no room for, and refusal returns the
+		// response to the first request on it; if it is nil, the connection is closed at once.
+		onRefused    func()
+		refusal      func(head []byte) []byte
+		maxLingering int64
 		// pacer is nil if responses are not spaced out.
 		pacer Pacer
 		// lingering counts closed connections whose remaining input is still being
@@ -65,10 +66,12 @@
 	connection struct {
 		*net.TCPConn
 		listener *Listener
-		used     atomic.Bool
-		framer   framer
-		// memoryRefused is set if no memory was left for more of a body of unknown length.
-		memoryRefused bool
+		// client is nil if memory is not limited. heads is the memory of the largest head so far,
+		// which the server keeps for the next one, and ahead that of buffered.
+		client       *kqmemory.Client
+		heads, ahead *kqmemory.Reservation
+		used         atomic.Bool
+		framer       framer
 		// lastReadErr is the error of the last read, or nil.
 		lastReadErr error
 		// written is the number of bytes written since the last read.
@@ -89,38 +92,98 @@
 	}
 )
 
-// WithBodyLimiter makes bodies of unknown length reserve memory from b as they arrive. A
-// read waits for memory for at most wait, 0 for not at all, and then fails with
-// ErrBodyMemoryExhausted.
-func WithBodyLimiter(b BodyLimiter, wait time.Duration) Option {
-	return func(l *Listener) { l.limiter, l.limiterWait = b, wait }
+// WithGroup makes connections, and what is read from them, reserve memory as clients of g. refused
+// is called for each connection that there is no room for.
+func WithGroup(g *kqmemory.Group, refused func()) Option {
+	return func(l *Listener) { l.group, l.onRefused = g, refused }
+}
+
+// WithRefusal sets the function that returns the response to the first request, whose head may have
+// arrived in part, on a connection that there is no room for. By default such a connection is closed
+// at once.
+func WithRefusal(response func(head []byte) []byte) Option {
+	return func(l *Listener) { l.refusal = response }
 }
 
+// WithMaxLingering limits the connections that linger at once.
+func WithMaxLingering(n int) Option { return func(l *Listener) { l.maxLingering = int64(n) } }
+
 // WithPacer spaces out large responses by p.
 func WithPacer(p Pacer) Option { return func(l *Listener) { l.pacer = p } }
 
 // New returns a listener over l. Only TCP connections are split into requests; others are
 // passed through.
 func New(l net.Listener, options ...Option) *Listener {
-	n := &Listener{Listener: l, open: make(map[*connection]struct{}), unused: make(map[*connection]struct{})}
+	n := &Listener{Listener: l, maxLingering: defaultMaxLingering, open: make(map[*connection]struct{}), unused: make(map[*connection]struct{})}
 	for _, o := range options {
 		o(n)
 	}
 	return n
 }
 
-// Accept implements net.Listener. It does not wrap the error, because servers compare it.
+// Accept implements net.Listener. It refuses connections that there is no room for. It does not wrap
+// the error, because servers compare it.
 func (l *Listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	tcp, ok := raw.(*net.TCPConn)
-	if err != nil || !ok {
-		return raw, err
+	for {
+		raw, err := l.Listener.Accept()
+		tcp, ok := raw.(*net.TCPConn)
+		if err != nil || !ok {
+			return raw, err
+		}
+		c := &connection{TCPConn: tcp, listener: l}
+		if !c.admit(time.Now()) {
+			c.refuse()
+			continue
+		}
+		l.mu.Lock()
+		l.open[c], l.unused[c] = struct{}{}, struct{}{}
+		l.mu.Unlock()
+		return c, nil
+	}
+}
+
+// admit reserves the connection's memory and reports whether there is room for it.
+func (c *connection) admit(now time.Time) bool {
+	if c.listener.group == nil {
+		return true
+	}
+	var admitted bool
+	c.client, admitted = c.listener.group.Admit(c.giveWay, now)
+	c.heads, c.ahead = c.client.NewReservation(), c.client.NewReservation()
+	return admitted
+}
+
+// giveWay ends what the client, which makes no progress, is doing: an idle connection is closed, a
+// request that has arrived in part is refused, and a response that is not read is cut off.
+func (c *connection) giveWay(s kqreclaim.State) {
+	past := time.Unix(0, 1)
+	// An error means that the connection was closed in the meantime.
+	switch s {
+	case kqreclaim.Receiving:
+		_ = c.SetReadDeadline(past)
+	case kqreclaim.Sending:
+		_ = c.SetWriteDeadline(past)
+	default:
+		// A request that has arrived meanwhile is refused once it is read.
+		if _, readable := kqdisconnect.NewProbe(c.TCPConn).Peek(); !readable {
+			_ = c.TCPConn.Close()
+		}
+	}
+}
+
+// ClientOf returns the client of a connection that a Listener has accepted, also of one beneath TLS,
+// or nil.
+func ClientOf(conn net.Conn) *kqmemory.Client {
+	for {
+		if c, ok := conn.(*connection); ok {
+			return c.client
+		}
+		outer, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		conn = outer.NetConn()
 	}
-	c := &connection{TCPConn: tcp, listener: l}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.open[c], l.unused[c] = struct{}{}, struct{}{}
-	return c, nil
 }
 
 // OpenCount returns the number of open connections. fasthttp's own count is one too low
@@ -155,25 +218,29 @@
 	delete(l.unused, c)
 }
 
-// release removes a connection that is being closed, releases the memory reserved for its
-// body and reports whether it was still open.
+// release removes a connection that is being closed, and reports whether it was still open.
 func (l *Listener) release(c *connection) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	_, open := l.open[c]
 	delete(l.open, c)
-	if l.limiter != nil {
-		l.limiter.Release(c)
-	}
 	return open
 }
 
 // Read implements net.Conn. It returns no bytes beyond the end of the current request,
 // unless its body is of unknown length.
 func (c *connection) Read(b []byte) (int, error) {
-	n, err := c.read(b)
-	if n > 0 && c.framer.unknownLength && !c.reserveMemory() {
-		n, err = 0, ErrBodyMemoryExhausted
+	var n int
+	err := ErrReclaimed
+	if c.client.State() != kqreclaim.Reclaimed {
+		c.client.Await(time.Now())
+		n, err = c.read(b)
+	}
+	switch {
+	case n > 0 && !c.client.Receive(n, time.Now()), err != nil && c.client.State() == kqreclaim.Reclaimed:
+		n, err = 0, ErrReclaimed
+	case n > 0 && !c.reserveHead():
+		n, err = 0, ErrNoMemory
 	}
 	c.lastReadErr = err
 	return n, err
@@ -190,10 +257,8 @@
 	c.written.Store(0)
 	c.listener.markUsed(c)
 	current := c.framer.consume(b[:n])
-	if current < n {
-		c.mu.Lock()
-		c.buffered = append(c.buffered, b[current:n]...)
-		c.mu.Unlock()
+	if current < n && !c.buffer(b[current:n]) {
+		return 0, ErrNoMemory
 	}
 	return current, err
 }
@@ -220,19 +285,28 @@
 	n = c.framer.consume(b[:n])
 	if c.buffered = c.buffered[n:]; len(c.buffered) == 0 {
 		c.buffered = nil
+		c.ahead.Release(kqmemory.Calls, c.ahead.Held(kqmemory.Calls))
 	}
 	c.startedBytes = max(c.startedBytes-n, 0)
 	return n, nil
 }
 
-// reserveMemory reserves memory for more of a body of unknown length. Input after a
-// refusal is only read to be discarded.
-func (c *connection) reserveMemory() bool {
-	if c.listener.limiter == nil || c.memoryRefused {
-		return true
-	}
-	c.memoryRefused = !c.listener.limiter.Grow(c, c.framer.chunkedBodyCounter.bodyBytes, c.listener.limiterWait)
-	return !c.memoryRefused
+// buffer keeps bytes behind the current request, and reports whether there was memory for them.
+func (c *connection) buffer(data []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.buffered = append(c.buffered, data...)
+	need := bufferGrowth * len(c.buffered)
+	held := c.ahead.Held(kqmemory.Calls)
+	return need <= held || c.ahead.Reserve(kqmemory.Calls, need-held, 0)
+}
+
+// reserveHead reserves the memory of the current request's head as far as it has arrived. The server
+// keeps it for the next request's.
+func (c *connection) reserveHead() bool {
+	held := c.heads.Held(kqmemory.Calls)
+	need := c.framer.head.memory()
+	return need <= held || c.heads.Reserve(kqmemory.Calls, need-held, 0)
 }
 
 // endRequest resets the framing after a request with a body of unknown length has been
@@ -242,11 +316,8 @@
 	if !c.framer.unknownLength {
 		return
 	}
-	if c.listener.limiter != nil {
-		c.listener.limiter.Release(c)
-	}
-	c.memoryRefused, c.sequential = false, true
-	c.framer.unknownLength, c.framer.chunkedBodyCounter = false, chunkedBodyCounter{}
+	c.sequential = true
+	c.framer.unknownLength, c.framer.chunkScanner = false, chunkScanner{}
 }
 
 // WriteTo implements io.WriterTo in place of TCPConn's method, which would skip the
@@ -262,6 +333,9 @@
 	if !c.listener.release(c) {
 		return nil
 	}
+	c.client.Close()
+	// Nothing more is reserved from now on, and there is nothing to report.
+	_, _ = c.heads.Close(), c.ahead.Close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.discardPipelined()
--- a/internal/call/kqconnection/pace.go
+++ b/internal/call/kqconnection/pace.go
@@ -7,21 +7,29 @@
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpace"
 )
 
-// Write implements net.Conn. With a pacer, it writes what is beyond the beginning of a response
-// in pieces.
+// writeSize is the largest size, in bytes, of a piece of a response without a pacer.
+const writeSize = 32 << 10
+
+// Write implements net.Conn. It writes in pieces, which show whether the client reads. With a pacer,
+// those beyond the beginning of a response are spaced out.
 func (c *connection) Write(b []byte) (int, error) {
-	if c.listener.pacer == nil {
-		return c.TCPConn.Write(b)
+	before := c.client.Send(time.Now())
+	defer func() { c.client.Sent(before) }()
+	total, size := 0, writeSize
+	if c.listener.pacer != nil {
+		size = kqpace.PieceSize
 	}
-	total := 0
 	for {
-		piece := b[total:min(len(b), total+kqpace.PieceSize)]
-		c.pace(len(piece))
+		piece := b[total:min(len(b), total+size)]
+		if c.listener.pacer != nil {
+			c.pace(len(piece))
+		}
 		n, err := c.TCPConn.Write(piece)
 		total += n
 		if err != nil || total == len(b) {
 			return total, err
 		}
+		c.client.Progress(time.Now())
 	}
 }
 
@@ -38,10 +46,7 @@
 	}
 }
 
-// ReadFrom implements io.ReaderFrom in place of TCPConn's method, which would not be paced.
+// ReadFrom implements io.ReaderFrom in place of TCPConn's method, which would not write in pieces.
 func (c *connection) ReadFrom(r io.Reader) (int64, error) {
-	if c.listener.pacer == nil {
-		return c.TCPConn.ReadFrom(r)
-	}
 	return io.Copy(struct{ io.Writer }{c}, r)
 }
--- a/internal/call/kqconnection/pipeline.go
+++ b/internal/call/kqconnection/pipeline.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"time"
 
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
+
+	"github.com/kumquatgw/kumquatgw/internal/base/kqmemory"
 )
 
 const (
@@ -23,6 +26,10 @@
 	maxBufferedBody = 64 << 10
 	// readSize is the size of the buffer for reading ahead, in bytes.
 	readSize = 4 << 10
+	// bufferGrowth is how much more memory than its length a buffer takes that grows by copying.
+	bufferGrowth = 2
+	// pipelinedMemory is what a pipelined request takes beside its head and its response, in bytes.
+	pipelinedMemory = 12 << 10
 )
 
 type (
@@ -31,7 +38,9 @@
 	pipelined struct {
 		head []byte
 		ctx  fasthttp.RequestCtx
-		done chan struct{}
+		// memory is nil if memory is not limited.
+		memory *kqmemory.Reservation
+		done   chan struct{}
 		// stream is the response's body if it is too large to be buffered whole, else nil.
 		stream *prefetchedBody
 		// discarded is set if the response will not be sent. The connection's lock guards
@@ -50,6 +59,10 @@
 		io.Reader
 		close func() error
 	}
+
+	// pipelinedKey is the key of a pipelined request's memory among the user values of the request
+	// whose response it becomes.
+	pipelinedKey struct{}
 )
 
 // Serve returns a handler that serves a caller's pipelined requests concurrently, by
@@ -67,6 +80,7 @@
 			next(ctx)
 			return
 		}
+		c.client.Serve()
 		started := c.takePipelined(ctx)
 		stop := c.readAhead(ctx, next)
 		if started != nil {
@@ -104,13 +118,13 @@
 	b := make([]byte, readSize)
 	for c.startPipelined(ctx.Conn(), next) {
 		n, err := c.TCPConn.Read(b)
-		c.mu.Lock()
-		c.buffered = append(c.buffered, b[:n]...)
+		hasRoom := c.buffer(b[:n])
 		if err != nil && !isTimeout(err) {
+			c.mu.Lock()
 			c.readErr = err
+			c.mu.Unlock()
 		}
-		c.mu.Unlock()
-		if err != nil {
+		if err != nil || !hasRoom {
 			c.startPipelined(ctx.Conn(), next)
 			return
 		}
@@ -127,12 +141,20 @@
 		if end < len(headEnd) || !canPipeline(c.buffered[c.startedBytes:c.startedBytes+end]) {
 			break
 		}
-		p := &pipelined{head: bytes.Clone(c.buffered[c.startedBytes : c.startedBytes+end]), done: make(chan struct{})}
+		var size headSize
+		size.add(c.buffered[c.startedBytes : c.startedBytes+end])
+		memory := c.client.NewReservation()
+		if !memory.Reserve(kqmemory.Calls, pipelinedMemory+size.bytes+size.memory(), 0) {
+			break
+		}
+		p := &pipelined{head: bytes.Clone(c.buffered[c.startedBytes : c.startedBytes+end]), memory: memory, done: make(chan struct{})}
 		p.ctx.Init2(conn, nil, true)
 		if err := p.ctx.Request.Read(bufio.NewReader(bytes.NewReader(p.head))); err != nil {
 			// The server refuses it once the earlier requests have been answered.
+			_ = memory.Close()
 			break
 		}
+		kqmemory.Attach(&p.ctx.Request, memory)
 		c.startedBytes += end
 		c.started = append(c.started, p)
 		c.listener.pipelined.Add(1)
@@ -199,6 +221,10 @@
 func (p *pipelined) copyResponse(ctx *fasthttp.RequestCtx) {
 	<-p.done
 	r := &p.ctx.Response
+	// The HTTP library closes it once the response has been written.
+	if p.memory != nil {
+		ctx.SetUserValue(pipelinedKey{}, p.memory)
+	}
 	r.Header.CopyTo(&ctx.Response.Header)
 	ctx.Response.SkipBody = r.SkipBody
 	if p.stream != nil {
@@ -208,8 +234,8 @@
 	}
 }
 
-// bufferBody buffers a streamed body whole if it has at most maxBufferedBody bytes, else
-// its beginning. If it were not read until the earlier requests have been answered, the
+// bufferBody buffers a streamed body whole if it is shorter than maxBufferedBody, else its
+// beginning, if there is memory for that. If it were not read until the earlier requests have been answered, the
 // call's deadline could pass first: the caller would lose a small response that has already
 // arrived and, since the connection breaks, all responses behind it.
 func (p *pipelined) bufferBody() {
@@ -218,12 +244,30 @@
 		return
 	}
 	stream := r.BodyStream()
-	data, err := io.ReadAll(io.LimitReader(stream, maxBufferedBody+1))
-	if err == nil && len(data) <= maxBufferedBody {
-		r.SetBody(data)
+	data, hasRoom := p.memory.ResponseBuffer(maxBufferedBody)
+	if !hasRoom {
+		p.stream = &prefetchedBody{stream, r.CloseBodyStream}
 		return
 	}
-	p.stream = &prefetchedBody{io.MultiReader(bytes.NewReader(data), &remainder{stream, err}), r.CloseBodyStream}
+	n, err := readFull(stream, data)
+	if errors.Is(err, io.EOF) {
+		r.SetBodyRaw(data[:n])
+		return
+	}
+	p.stream = &prefetchedBody{io.MultiReader(bytes.NewReader(data[:n]), &remainder{stream, err}), r.CloseBodyStream}
+}
+
+// readFull reads until the buffer is full or an error occurs, which it returns as it is: io.EOF is
+// the end of a whole body.
+func readFull(r io.Reader, buffer []byte) (int, error) {
+	total := 0
+	for total < len(buffer) {
+		n, err := r.Read(buffer[total:])
+		if total += n; err != nil {
+			return total, err
+		}
+	}
+	return total, nil
 }
 
 // Read implements io.Reader.
@@ -237,9 +281,9 @@
 // Close implements io.Closer.
 func (r *prefetchedBody) Close() error { return r.close() }
 
-// closeBody closes the body of a discarded response; until then, the call is not finished
-// and its upstream may still be sending the body.
-func (p *pipelined) closeBody() { _ = p.ctx.Response.CloseBodyStream() }
+// closeBody closes the body of a discarded response and releases its memory; until then, the call
+// is not finished and its upstream may still be sending the body.
+func (p *pipelined) closeBody() { _, _ = p.ctx.Response.CloseBodyStream(), p.memory.Close() }
 
 // canPipeline reports whether a request with this head is safe and has no body, and so may
 // be served concurrently with others.
--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -193,6 +193,9 @@
 // complete any handshake, so that a call whose dial fails has certainly not run.
 func WithDialer(dial fasthttp.DialFunc) Option { return func(e *Entry) { e.gateClients.dial = dial } }
 
+// WithMemory makes connections to other nodes' gates reserve their memory from m.
+func WithMemory(m kqsend.Memory) Option { return func(e *Entry) { e.gateClients.memory = m } }
+
 // WithDialect sets the dialect that callers and upstreams use instead of this project's
 // headers.
 func WithDialect(d kqcall.Dialect) Option { return func(e *Entry) { e.dialect = d } }
--- a/internal/call/kqentry/service.go
+++ b/internal/call/kqentry/service.go
@@ -54,6 +54,7 @@
 	// gateClients holds the connections to other nodes' gates.
 	gateClients struct {
 		dial      fasthttp.DialFunc
+		memory    kqsend.Memory
 		mu        sync.RWMutex
 		byAddress map[kqname.Address]*gateClient
 	}
@@ -268,7 +269,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if found, ok = c.byAddress[to]; !ok {
-		found = &gateClient{Client: kqsend.New(to, kqsend.WithDialer(c.dial), kqsend.WithRequiredCallID(), kqsend.WithSilenceTimeout(), kqsend.WithAnnouncedBodies(kqinbound.LargeBody)), used: time.Now()}
+		found = &gateClient{Client: kqsend.New(to, kqsend.WithDialer(c.dial), kqsend.WithMemory(c.memory), kqsend.WithRequiredCallID(), kqsend.WithSilenceTimeout(), kqsend.WithAnnouncedBodies(kqinbound.LargeBody)), used: time.Now()}
 		c.byAddress[to] = found
 	}
 	return found.Client
--- a/internal/call/kqfingerprint/fingerprint.go
+++ b/internal/call/kqfingerprint/fingerprint.go
@@ -9,6 +9,8 @@
 	"fmt"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqbody"
 )
 
 // size is the length of a fingerprint in bytes. Callers choose what they send; with fewer
@@ -30,13 +32,12 @@
 	head = append(append(head, 0), bytes.ToLower(r.Header.Host())...)
 	head = append(append(head, 0), r.Header.RequestURI()...)
 	head = append(head, 0)
-	body := r.Body()
-	if len(body) == 0 {
+	if kqbody.Length(r) == 0 {
 		return fromDigest(sha256.Sum256(head))
 	}
 	d := sha256.New()
 	_, _ = d.Write(head)
-	_, _ = d.Write(body)
+	_ = kqbody.Write(r, d)
 	return fromDigest([sha256.Size]byte(d.Sum(space[:0])))
 }
 
--- a/internal/call/kqgate/buffer.go
+++ b/internal/call/kqgate/buffer.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"sync/atomic"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqmemory"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 )
 
@@ -27,6 +29,7 @@
 	bufferedBody struct {
 		bytes.Reader
 		buffer *responseBuffer
+		memory *kqmemory.Reservation
 		size   int64
 	}
 )
@@ -38,14 +41,17 @@
 	if !c.Response.IsBodyStream() || size <= 0 || size > maxBufferedResponse || !b.reserve(int64(size)) {
 		return nil
 	}
+	body := &bufferedBody{buffer: b, memory: kqmemory.Of(c.Request), size: int64(size)}
+	if !body.memory.Reserve(kqmemory.Calls, size, 0) {
+		b.used.Add(-int64(size))
+		return nil
+	}
 	data := make([]byte, size)
 	_, err := io.ReadFull(c.Response.BodyStream(), data)
 	_ = c.Response.CloseBodyStream()
 	if err != nil {
-		b.used.Add(-int64(size))
-		return err
+		return errors.Join(err, body.Close())
 	}
-	body := &bufferedBody{buffer: b, size: int64(size)}
 	body.Reset(data)
 	c.Response.SetBodyStream(body, size)
 	return nil
@@ -63,6 +69,7 @@
 // Close implements io.Closer.
 func (b *bufferedBody) Close() error {
 	b.buffer.used.Add(-b.size)
+	b.memory.Release(kqmemory.Calls, int(b.size))
 	b.size = 0
 	return nil
 }
--- a/internal/call/kqgate/forward.go
+++ b/internal/call/kqgate/forward.go
@@ -245,7 +245,7 @@
 	key := upstreamKey{a.Address, a.Service, a.Version}
 	u, ok := g.upstreams[key]
 	if !ok {
-		u = newUpstream(a, g.queue(a.Slots, a.Address), g.dialect, g.conditions)
+		u = newUpstream(a, g.queue(a.Slots, a.Address), g.dialect, g.conditions, g.memory)
 		g.upstreams[key] = u
 		u.condition.adopt(a, g.hints[a.Address], now)
 		delete(g.hints, a.Address)
--- a/internal/call/kqgate/gate.go
+++ b/internal/call/kqgate/gate.go
@@ -8,10 +8,12 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/kumquatgw/kumquatgw/internal/base/kqsupervisor"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqbody"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqdisconnect"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqnesting"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqsend"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqgrace"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqinbound"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqslots"
@@ -93,6 +95,8 @@
 		// started is when the gate was created, at the start of the process.
 		started time.Time
 		buffer  responseBuffer
+		// memory is nil if connections to upstreams need not reserve any.
+		memory kqsend.Memory
 		// bodyBacklog returns how long a large body from another node would have to wait for
 		// the server's link.
 		bodyBacklog func(now time.Time) time.Duration
@@ -214,7 +218,7 @@
 	c.Answer(o)
 	c.WriteStarved()
 	c.WriteUpstreamStart()
-	if len(ctx.Request.Body()) >= kqinbound.LargeBody {
+	if kqbody.Length(&ctx.Request) >= kqinbound.LargeBody {
 		load.Wait = max(load.Wait, g.bodyBacklog(g.now()))
 	}
 	load.Write(&ctx.Response.Header)
--- a/internal/call/kqgate/options.go
+++ b/internal/call/kqgate/options.go
@@ -8,6 +8,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqdisconnect"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqnesting"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqsend"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqfifo"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqgrace"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqslots"
@@ -64,6 +65,9 @@
 	return func(g *Gate) { g.bodyBacklog = f }
 }
 
+// WithMemory makes connections to upstreams reserve their memory from m.
+func WithMemory(m kqsend.Memory) Option { return func(g *Gate) { g.memory = m } }
+
 // WithDialect sets the dialect that upstreams use instead of this project's headers.
 func WithDialect(d kqcall.Dialect) Option { return func(g *Gate) { g.dialect = d } }
 
--- a/internal/call/kqgate/upstream.go
+++ b/internal/call/kqgate/upstream.go
@@ -68,8 +68,8 @@
 	timers  = sync.Pool{New: func() any { return time.NewTimer(time.Hour) }}
 )
 
-func newUpstream(a kqlocal.Announcement, q queue, d kqcall.Dialect, r ConditionRecorder) *upstream {
-	options := []kqsend.Option{kqsend.WithMaxConnections(connectionsFor(a.Slots)), kqsend.WithIdleTimeout(upstreamIdleTimeout)}
+func newUpstream(a kqlocal.Announcement, q queue, d kqcall.Dialect, r ConditionRecorder, m kqsend.Memory) *upstream {
+	options := []kqsend.Option{kqsend.WithMaxConnections(connectionsFor(a.Slots)), kqsend.WithIdleTimeout(upstreamIdleTimeout), kqsend.WithMemory(m)}
 	if d != nil {
 		options = append(options, kqsend.WithResponseMatcher(d.IsAnswer))
 	}
--- a/internal/call/kqsend/announce.go
+++ b/internal/call/kqsend/announce.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/kumquatgw/kumquatgw/internal/call/kqbody"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 )
 
@@ -40,7 +41,7 @@
 		return err
 	}
 	h := &call.Request.Header
-	h.SetContentLength(len(call.Request.Body()))
+	h.SetContentLength(kqbody.Length(call.Request))
 	h.Set(fasthttp.HeaderExpect, continueExpectation)
 	err := h.Write(n.writer)
 	h.Del(fasthttp.HeaderExpect)
--- a/internal/call/kqsend/client.go
+++ b/internal/call/kqsend/client.go
@@ -42,16 +42,30 @@
 	bufferSize = 16 << 10
 )
 
-// errConnectionLimit is returned when all connections are in use.
-var errConnectionLimit = errors.New("connection limit reached")
+var (
+	// errConnectionLimit is returned when all connections are in use.
+	errConnectionLimit = errors.New("connection limit reached")
+	// errNoMemory is returned when there is no memory for another connection.
+	errNoMemory = errors.New("no memory left for a connection")
+)
 
 type (
+	// Memory is what connections reserve their memory from.
+	Memory interface {
+		// Connect reserves the memory of a connection and reports whether there was enough.
+		Connect() bool
+		// Disconnect releases the memory of a connection.
+		Disconnect()
+	}
+
 	// Client sends calls to one address. It is safe for concurrent use.
 	Client struct {
 		target         kqname.Address
 		dialer         func(address string) (net.Conn, error)
 		maxOpen        int
 		requiresCallID bool
+		// memory is nil if connections need not reserve any.
+		memory Memory
 		// variesSilenceTimeout is set if calls that are not idempotent and streamed
 		// responses have a longer silence timeout.
 		variesSilenceTimeout bool
@@ -100,6 +114,9 @@
 // WithMaxConnections limits the number of open connections.
 func WithMaxConnections(n int) Option { return func(c *Client) { c.maxOpen = n } }
 
+// WithMemory makes connections reserve their memory from m.
+func WithMemory(m Memory) Option { return func(c *Client) { c.memory = m } }
+
 // WithRequiredCallID rejects responses without the call's id. Nodes always send it.
 func WithRequiredCallID() Option { return func(c *Client) { c.requiresCallID = true } }
 
@@ -158,7 +175,7 @@
 			kept = append(kept, n)
 			continue
 		}
-		_ = n.Close()
+		c.close(n)
 		c.open--
 	}
 	clear(c.idle[len(kept):])
@@ -225,14 +242,29 @@
 }
 
 func (c *Client) dial(call *kqcall.Call) (*connection, error) {
+	if c.memory != nil && !c.memory.Connect() {
+		c.cancelReservation()
+		return nil, fmt.Errorf("connect to %s: %w", c.target, errNoMemory)
+	}
 	dialed, err := c.connect(call)
 	if err != nil {
+		if c.memory != nil {
+			c.memory.Disconnect()
+		}
 		c.cancelReservation()
 		return nil, fmt.Errorf("connect to %s: %w", c.target, err)
 	}
 	return c.newConnection(dialed), nil
 }
 
+// close closes a connection and releases its memory.
+func (c *Client) close(n *connection) {
+	_ = n.Close()
+	if c.memory != nil {
+		c.memory.Disconnect()
+	}
+}
+
 func (c *Client) newConnection(dialed net.Conn) *connection {
 	n := &connection{Conn: dialed, maxIdle: c.idleTimeout}
 	if c.variesSilenceTimeout {
@@ -292,7 +324,7 @@
 }
 
 func (c *Client) drop(n *connection) {
-	_ = n.Close()
+	c.close(n)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open--
--- a/internal/call/kqsend/exchange.go
+++ b/internal/call/kqsend/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/kumquatgw/kumquatgw/internal/call/kqbody"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhead"
 )
@@ -114,11 +115,11 @@
 		n.setSilenceTimeout(!call.Idempotent)
 	}
 	var err error
-	if c.announcedBody > 0 && len(call.Request.Body()) >= c.announcedBody {
+	if c.announcedBody > 0 && kqbody.Length(call.Request) >= c.announcedBody {
 		if err = n.announceBody(call); err != nil {
 			return err
 		}
-		_, err = n.writer.Write(call.Request.Body())
+		err = kqbody.Write(call.Request, n.writer)
 	} else {
 		err = writeRequest(call.Request, n.writer)
 	}
@@ -167,15 +168,13 @@
 // the parsed path, with dots and escapes resolved, so that the upstream would run another
 // request than the caller sent.
 func writeRequest(r *fasthttp.Request, w *bufio.Writer) error {
-	body := r.Body()
-	if len(body) > 0 || r.Header.ContentLength() >= 0 {
-		r.Header.SetContentLength(len(body))
+	if length := kqbody.Length(r); length > 0 || r.Header.ContentLength() >= 0 {
+		r.Header.SetContentLength(length)
 	}
 	if err := r.Header.Write(w); err != nil {
 		return err
 	}
-	_, err := w.Write(body)
-	return err
+	return kqbody.Write(r, w)
 }
 
 // failureOutcome returns the outcome of an exchange that failed. Only a call that failed
@@ -209,7 +208,7 @@
 
 func connectFailureOutcome(err error, deadline time.Time) kqcall.Outcome {
 	switch {
-	case errors.Is(err, errConnectionLimit), errors.Is(err, errBodyDeclined):
+	case errors.Is(err, errConnectionLimit), errors.Is(err, errBodyDeclined), errors.Is(err, errNoMemory):
 		o := kqcall.Refuse(kqcall.QueueFull)
 		o.RetryAfter = connectionLimitRetryAfter
 		return o
--- a/internal/call/kqsend/response.go
+++ b/internal/call/kqsend/response.go
@@ -10,13 +10,15 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqmemory"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqhead"
 )
 
 const (
 	// MaxBufferedBody is the largest response body, in bytes, that is buffered whole: 6 MB
-	// for 100 concurrent calls. Larger bodies, and those of unknown length, are streamed.
+	// for 100 concurrent calls. Larger bodies, those of unknown length, and those that there is no
+	// memory for are streamed.
 	MaxBufferedBody = 64 << 10
 
 	// chunkedLength and untilCloseLength are fasthttp's content lengths of chunked bodies
@@ -77,7 +79,9 @@
 	case status == fasthttp.StatusNoContent, status == fasthttp.StatusNotModified:
 		return nil
 	case length >= 0 && length <= MaxBufferedBody:
-		return r.ReadBody(n.reader, 0)
+		if buffer, ok := kqmemory.Of(call.Request).ResponseBuffer(length); ok {
+			return n.readBody(r, buffer)
+		}
 	}
 	if c.variesSilenceTimeout {
 		// A part of this response reaches the caller, so no other response could replace
@@ -97,6 +101,15 @@
 	return nil
 }
 
+// readBody reads a body into the buffer, which has its length.
+func (n *connection) readBody(r *fasthttp.Response, buffer []byte) error {
+	if _, err := io.ReadFull(n.reader, buffer); err != nil {
+		return err
+	}
+	r.SetBodyRaw(buffer)
+	return nil
+}
+
 // Read implements io.Reader. It repeats an error, since the HTTP library reads on after one that
 // came with bytes.
 func (s *responseStream) Read(b []byte) (count int, err error) {
--- a/internal/run/kqmetric/metric.go
+++ b/internal/run/kqmetric/metric.go
@@ -38,6 +38,7 @@
 	limits                   limitMetrics
 	workspaces               workspaceMetrics
 	rates                    rateMetrics
+	clients                  clientMetrics
 	lastApplied              atomic.Int64
 	sentBytes, receivedBytes atomic.Uint64
 }
@@ -87,7 +88,7 @@
 	m.departures = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kumquatgw_departures_total", Help: "Departures of the local upstream that were acknowledged, by who held them then: store, peers or none.",
 	}, []string{"held_by"})
-	m.gateCalls, m.limits, m.workspaces, m.rates = newGateCalls(), newLimitMetrics(), newWorkspaceMetrics(), newRateMetrics()
+	m.gateCalls, m.limits, m.workspaces, m.rates, m.clients = newGateCalls(), newLimitMetrics(), newWorkspaceMetrics(), newRateMetrics(), newClientMetrics()
 	m.suppressedLines = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kumquatgw_log_lines_left_out_total", Help: "Log lines of calls that were over the rate for their reason.",
 	})
@@ -102,7 +103,7 @@
 	m.panics = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kumquatgw_panics_total", Help: "Panics that were caught, by the part that panicked.",
 	}, []string{"part"})
-	m.registry.MustRegister(m.rates.decisions, m.rates.limited, m.workspaces.peersAsked, m.workspaces.refusals, m.limits.limit, m.limits.calls, m.evacuated, m.endedUnderCalls, m.suspectedRequests, m.suspicionsDropped, m.departures, m.panics, m.suppressedLines, m.storeCalls, m.stageSeconds)
+	m.registry.MustRegister(m.clients.reclaimed, m.clients.refused, m.rates.decisions, m.rates.limited, m.workspaces.peersAsked, m.workspaces.refusals, m.limits.limit, m.limits.calls, m.evacuated, m.endedUnderCalls, m.suspectedRequests, m.suspicionsDropped, m.departures, m.panics, m.suppressedLines, m.storeCalls, m.stageSeconds)
 	m.registry.MustRegister(m.calls, m.retries, m.gateCalls, m.configRefused, m.configLag, m.platformFailed, m.budgetExceeded, m.broadcastDropped, m.version,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "kumquatgw_control_sent_bytes_total", Help: "Bytes of control traffic sent to peers.",
--- a/internal/run/kqnode/announce.go
+++ b/internal/run/kqnode/announce.go
@@ -31,6 +31,10 @@
 // that cannot be parsed, that announce refuses, or that names another service and is not
 // Gone. It answers 404 to any other request.
 func (n *Node) serveAnnouncement(ctx *fasthttp.RequestCtx) {
+	if ctx.Request.IsBodyStream() {
+		refuseLargeAnnouncement(ctx)
+		return
+	}
 	a, ok, err := n.adapter.Announcements.Read(string(ctx.Request.Header.RequestURI()), ctx.PostBody())
 	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/kumquatgw/kumquatgw/internal/call/kqbody"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqconnection"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqdisconnect"
@@ -44,6 +45,18 @@
 		entry, local, gate, ready *fasthttp.Server
 	}
 
+	// callServer is how a server of calls differs from others.
+	callServer struct {
+		role Role
+		// count gets the outcomes of the calls that cannot be read or get no memory, and of those
+		// that panic; the handler does its own counting for the others.
+		count func(kqcall.Outcome)
+		// maxBody is the largest body in bytes.
+		maxBody int
+		// bodyWait is how long a body of stated length waits for memory.
+		bodyWait time.Duration
+	}
+
 	// debugLogger logs the HTTP library's messages on broken connections at debug
 	// level, since any caller can cause them at any rate.
 	debugLogger struct{ log *logrus.Entry }
@@ -96,6 +109,7 @@
 	n.nesting = kqnesting.New()
 	gate, entry = append(gate, kqgate.WithNesting(n.nesting)), append(entry, kqentry.WithNesting(n.nesting))
 	gate, entry = append(gate, kqgate.WithGrace(&n.grace)), append(entry, kqentry.WithGrace(&n.grace))
+	gate, entry = append(gate, kqgate.WithMemory(n.account)), append(entry, kqentry.WithMemory(n.account))
 	if n.settings.Call.SlotMode == slotsExact {
 		gate = append(gate, kqgate.WithExactSlots())
 	}
@@ -119,10 +133,10 @@
 	n.gate = kqgate.New(n.local, gate...)
 	n.entry = kqentry.New(n.settings.Node.Name, n.replica, n.table, n.gate, entry...)
 	n.servers = callServers{
-		entry: n.newServer(n.entry.ServeOutside, n.metrics.Ended, entryBodyWait),
-		local: n.newServer(n.serveLocal, n.metrics.Ended, entryBodyWait),
-		gate:  n.newServer(n.gate.Serve, n.metrics.GateCallEnded, n.settings.Call.ReadTimeout/2),
-		ready: n.newServer(n.serveReady, func(kqcall.Outcome) {}, 0),
+		entry: n.newServer(n.entry.ServeOutside, callServer{RoleEntry, n.metrics.Ended, n.settings.Call.MaxBody, entryBodyWait}),
+		local: n.newServer(n.serveLocal, callServer{RoleLocal, n.metrics.Ended, n.settings.Call.MaxBody, entryBodyWait}),
+		gate:  n.newServer(n.gate.Serve, callServer{RoleGate, n.metrics.GateCallEnded, n.settings.Call.MaxBody, n.settings.Call.ReadTimeout / 2}),
+		ready: n.newServer(n.serveReady, callServer{RoleReady, func(kqcall.Outcome) {}, maxReadyBody, 0}),
 	}
 	n.servers.gate.ContinueHandler = n.allowBody
 }
@@ -144,14 +158,14 @@
 	return cold
 }
 
-// newServer returns a server of calls. count gets the outcomes of the calls that the HTTP
-// library cannot read and of those that panic; for the others, handler does its own
-// counting.
-func (n *Node) newServer(handler fasthttp.RequestHandler, count func(kqcall.Outcome), bodyWait time.Duration) *fasthttp.Server {
+// newServer returns a server of calls.
+func (n *Node) newServer(handler fasthttp.RequestHandler, s callServer) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: kqconnection.Serve(n.recoverPanics(handler, count)), Name: "kumquatgw", ReadTimeout: n.settings.Call.ReadTimeout, IdleTimeout: serverIdleTimeout,
-		MaxRequestBodySize: n.settings.Call.MaxBody, NoDefaultServerHeader: true, CloseOnShutdown: true,
-		DisablePreParseMultipartForm: true, ReadBufferSize: maxHeaderSize, ErrorHandler: n.readErrorHandler(count), HeaderReceived: n.reserveBody(bodyWait), Logger: debugLogger{n.logger.Part("call")},
+		Handler: n.receiveBody(kqconnection.Serve(n.reserveCall(n.recoverPanics(handler, s.count), s)), s),
+		Name:    "kumquatgw", ReadTimeout: n.settings.Call.ReadTimeout, IdleTimeout: serverIdleTimeout,
+		MaxRequestBodySize: s.maxBody, NoDefaultServerHeader: true, CloseOnShutdown: true, StreamRequestBody: true,
+		DisablePreParseMultipartForm: true, ReadBufferSize: maxHeaderSize, HeaderReceived: s.markTooLarge, Logger: debugLogger{n.logger.Part("call")},
+		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) { n.refuseUnread(ctx, err, s) },
 	}
 }
 
@@ -166,6 +180,10 @@
 		n.entry.ServeLocal(ctx, kqname.Caller(n.settings.Node.Service))
 		return
 	}
+	if ctx.Request.IsBodyStream() {
+		refuseLargeAnnouncement(ctx)
+		return
+	}
 	var a kqlocal.Announcement
 	err := json.Unmarshal(ctx.PostBody(), &a)
 	if err == nil {
@@ -179,35 +197,26 @@
 	}
 }
 
+// refuseLargeAnnouncement refuses an announcement that is too large to be read as one buffer.
+func refuseLargeAnnouncement(ctx *fasthttp.RequestCtx) {
+	ctx.Error("announcement is too large", fasthttp.StatusRequestEntityTooLarge)
+}
+
 func (s callServers) serve(start func(func() error), l listeners) {
 	start(func() error { return s.entry.Serve(l.entry) })
 	start(func() error { return s.local.Serve(l.local) })
 	start(func() error { return s.gate.Serve(l.gate) })
 }
 
-// readErrorHandler answers and counts requests that the HTTP library could not read.
-// They never reach an entry or a gate, which do their own counting.
-func (n *Node) readErrorHandler(count func(kqcall.Outcome)) func(*fasthttp.RequestCtx, error) {
-	return func(ctx *fasthttp.RequestCtx, err error) {
-		o := n.readErrorOutcome(ctx, errors.Join(err, kqconnection.ReadError(ctx.Conn())))
-		n.bodies.ReleaseRequest(&ctx.Request.Header)
-		count(o)
-		c := &kqcall.Call{Request: &ctx.Request, Response: &ctx.Response}
-		c.Answer(o)
-	}
-}
-
 // readErrorOutcome returns the outcome of a call that could not be read whole, by the
 // error that stopped the reading.
-func (n *Node) readErrorOutcome(ctx *fasthttp.RequestCtx, err error) kqcall.Outcome {
+func (n *Node) readErrorOutcome(err error) kqcall.Outcome {
 	var small *fasthttp.ErrSmallBuffer
 	var network net.Error
 	switch {
-	case errors.Is(err, kqconnection.ErrBodyMemoryExhausted):
-		return noMemoryOutcome()
-	case errors.Is(err, fasthttp.ErrBodyTooLarge) && n.lackedMemory(ctx):
+	case errors.Is(err, kqbody.ErrNoMemory), errors.Is(err, kqconnection.ErrNoMemory), errors.Is(err, kqconnection.ErrReclaimed):
 		return noMemoryOutcome()
-	case errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &small):
+	case errors.Is(err, kqbody.ErrTooLarge), errors.As(err, &small):
 		return kqcall.Refuse(kqcall.TooLarge)
 	case !errors.As(err, &network):
 		return kqcall.Refuse(kqcall.Malformed)
--- a/internal/run/kqnode/listen.go
+++ b/internal/run/kqnode/listen.go
@@ -40,8 +40,11 @@
 			return fmt.Errorf("listen on %s: %w", l.at, err)
 		}
 		inner := opened
-		if tcp, ok := opened.(*net.TCPListener); ok && l.role != RoleControl && l.role != RoleAdmin && l.role != RoleReady {
-			n.callListeners[l.role], n.connections[l.role] = tcp, kqconnection.New(tcp, append(paced[l.role], kqconnection.WithBodyLimiter(n.bodies, entryBodyWait))...)
+		switch tcp, ok := opened.(*net.TCPListener); {
+		case l.role == RoleReady:
+			inner = kqconnection.New(opened, n.connectionOptions(l.role)...)
+		case ok && l.role != RoleControl && l.role != RoleAdmin:
+			n.callListeners[l.role], n.connections[l.role] = tcp, kqconnection.New(tcp, append(paced[l.role], n.connectionOptions(l.role)...)...)
 			inner = n.connections[l.role]
 		}
 		*l.to = kqacceptor.New(n.wrapListener(l.role, inner), func(err error) { n.logAcceptFailure(l.role, err) })
--- /dev/null
+++ b/internal/run/kqnode/memory.go
@@ -0,0 +1,260 @@
+package kqnode
+
+import (
+	"bytes"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/kumquatgw/kumquatgw/internal/base/kqmemory"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqbody"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqconnection"
+	"github.com/kumquatgw/kumquatgw/internal/decide/kqreclaim"
+	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
+)
+
+const (
+	// defaultBodyMemory is the memory for large bodies, in bytes, if the settings state
+	// none: four bodies of 64 MB, the largest max_body that the settings allow.
+	defaultBodyMemory = 256 << 20
+	// bodyMemoryDivisor leaves a quarter of the memory to large bodies, beside which small
+	// ones may take half as much.
+	bodyMemoryDivisor = 4
+	// programMemory is what the program itself takes, in bytes, and clientTenths the part of the
+	// remaining memory, in tenths, that clients may take together; the rest is for garbage. It is
+	// at least the memory divided by minClientDivisor.
+	programMemory, clientTenths, minClientDivisor = 32 << 20, 7, 10
+	// connectionsDivisor and spareDivisor divide the clients' memory to get what their connections
+	// may take, and what connections and bodies leave to calls.
+	connectionsDivisor, spareDivisor = 2, 8
+	// callMemory is what a call takes beside its connection, head, body and response, in bytes.
+	callMemory = 16 << 10
+	// entryBodyWait is how long a caller's body waits for memory at an entry, and a body of
+	// unknown length also at a gate: about as long as it takes to forward one body. A call waits
+	// as long for its own memory.
+	entryBodyWait = 250 * time.Millisecond
+	// noMemoryRetryAfter is the Retry-After of a call refused for lack of memory.
+	noMemoryRetryAfter = time.Second
+	// bodyWaitParts divides the time until a call's deadline to get how long its body may wait
+	// for the link; the rest is for the upstream's work or for another server.
+	bodyWaitParts = 4
+	// headerTooLarge marks a request whose stated length is too large. It never leaves the process.
+	headerTooLarge = "Kq-Too-Large"
+	// maxReadyBody is the largest body of a readiness probe, in bytes.
+	maxReadyBody = 4 << 10
+
+	// openTenths is the part of the descriptors, in tenths, that clients' connections may take. The
+	// others are for connections to other nodes, to the upstream and to the platform's service, and
+	// for connections that linger.
+	openTenths = 8
+	// lingerDivisor divides the descriptors to get how many connections may linger at least.
+	lingerDivisor = 16
+	// reclaimLogInterval is the least time between two log lines about clients that gave way.
+	reclaimLogInterval = time.Second
+)
+
+// reservedDivisors divide the connections of all clients to get how many are kept for those of each
+// listener. Any listener's clients may take what is not kept for others.
+var reservedDivisors = map[Role]int{RoleEntry: 4, RoleGate: 6, RoleControl: 12, RoleLocal: 24, RoleReady: 48, RoleAdmin: 48}
+
+// newAccount returns the account of the memory and the connections of the node's clients.
+func (n *Node) newAccount() *kqmemory.Account {
+	limits := kqmemory.Limits{LargeBodies: bodyMemory(n.settings), SmallBodies: bodyMemory(n.settings) / 2, Open: n.maxOpen()}
+	if memory := n.settings.Node.Memory; memory > 0 {
+		limits.Total = clientMemory(memory)
+		limits.Spare = limits.Total / spareDivisor
+	}
+	return kqmemory.New(limits, kqmemory.WithReclaimHandler(n.recordReclaimed))
+}
+
+// clientMemory returns the part of the process's memory, in bytes, that its clients may use.
+func clientMemory(memory int) int {
+	return max((memory-programMemory)/10*clientTenths, memory/minClientDivisor)
+}
+
+// maxOpen returns how many connections of clients may be open, 0 for no limit: those that descriptors
+// and memory suffice for.
+func (n *Node) maxOpen() int {
+	byDescriptors := n.descriptors() * openTenths / 10
+	if n.settings.Node.Memory == 0 {
+		return byDescriptors
+	}
+	byMemory := clientMemory(n.settings.Node.Memory) / connectionsDivisor / kqmemory.ConnectionMemory
+	if byDescriptors == 0 {
+		return byMemory
+	}
+	return min(byDescriptors, byMemory)
+}
+
+// bodyMemory returns how many bytes of large bodies the node may hold at once, and twice as many as of
+// small ones.
+func bodyMemory(s kqsettings.Settings) int {
+	switch {
+	case s.Call.BodyMemory > 0:
+		return s.Call.BodyMemory
+	case s.Node.Memory > 0:
+		return s.Node.Memory / bodyMemoryDivisor
+	default:
+		return defaultBodyMemory
+	}
+}
+
+// descriptors returns how many descriptors the process may have open, 0 if that is unknown.
+func (n *Node) descriptors() int {
+	if n.settings.Node.Descriptors > 0 {
+		return n.settings.Node.Descriptors
+	}
+	return descriptorLimit()
+}
+
+// newGroup returns the group of a listener's clients.
+func (n *Node) newGroup(r Role) *kqmemory.Group {
+	return n.account.Group(n.maxOpen()/reservedDivisors[r], kqmemory.ConnectionMemory)
+}
+
+// connectionOptions returns the options of a listener for calls or readiness probes.
+func (n *Node) connectionOptions(r Role) []kqconnection.Option {
+	options := []kqconnection.Option{kqconnection.WithGroup(n.newGroup(r), func() { n.recordRefusedConnection(r) })}
+	if d := n.descriptors(); d > 0 {
+		options = append(options, kqconnection.WithMaxLingering(max(d/lingerDivisor, d*openTenths/10-n.maxOpen())))
+	}
+	return append(options, kqconnection.WithRefusal(func(head []byte) []byte { return n.noMemoryResponse(r, head) }))
+}
+
+// noMemoryResponse returns the response to a request on a connection that there is no room for.
+func (n *Node) noMemoryResponse(r Role, head []byte) []byte {
+	var response fasthttp.Response
+	c := &kqcall.Call{Dialect: n.adapter.Dialect, Response: &response}
+	if r == RoleGate {
+		// The calling node takes a response without the call's id for that to another call.
+		c.ID = kqcall.FindID(head)
+	}
+	c.Answer(noMemoryOutcome())
+	response.SetConnectionClose()
+	var b bytes.Buffer
+	// A buffer accepts all that is written.
+	_, _ = response.WriteTo(&b)
+	return b.Bytes()
+}
+
+// recordReclaimed counts and logs that a client gave way.
+func (n *Node) recordReclaimed(s kqreclaim.State) {
+	n.metrics.ClientReclaimed(s)
+	n.logShortage(logrus.Fields{"event": "reclaimed", "state": s.String()}, "Memory or connections are short: clients without progress give way.")
+}
+
+// recordRefusedConnection counts and logs that there is no room for a connection.
+func (n *Node) recordRefusedConnection(r Role) {
+	n.metrics.ConnectionRefused(string(r))
+	n.logShortage(logrus.Fields{"event": "connection_refused", "listener": r}, "Connections are refused, since there is no room for them.")
+}
+
+// logShortage logs an event of a shortage, with what clients use, unless one was just logged.
+func (n *Node) logShortage(fields logrus.Fields, text string) {
+	now := time.Now().UnixNano()
+	last := n.shortageLogged.Load()
+	if now-last < int64(reclaimLogInterval) || !n.shortageLogged.CompareAndSwap(last, now) {
+		return
+	}
+	fields["open"] = n.account.Open()
+	for _, u := range kqmemory.Uses() {
+		fields[u.String()+"_bytes"] = n.account.Used(u)
+	}
+	n.logEvent(fields, text)
+}
+
+// markTooLarge makes receiveBody refuse a request whose stated length is too large before any of its
+// body has arrived. The HTTP library would wait for the beginning of the body first.
+func (s callServer) markTooLarge(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	h.Del(headerTooLarge)
+	if h.ContentLength() > s.maxBody {
+		h.SetContentLength(0)
+		h.Del(fasthttp.HeaderExpect)
+		h.Set(headerTooLarge, "1")
+	}
+	return fasthttp.RequestConfig{}
+}
+
+// receiveBody returns a handler that receives the request's body into memory before it calls next,
+// and refuses the request if that fails. For a body of stated length, a gate waits much longer for
+// memory than an entry: the calling node holds the body meanwhile, and a refusal while it sends would
+// leave the call's outcome unknown.
+func (n *Node) receiveBody(next fasthttp.RequestHandler, s callServer) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		memory := kqconnection.ClientOf(ctx.Conn()).NewReservation()
+		kqmemory.Attach(&ctx.Request, memory)
+		if len(ctx.Request.Header.Peek(headerTooLarge)) > 0 {
+			n.refuseUnread(ctx, kqbody.ErrTooLarge, s)
+			ctx.SetConnectionClose()
+			return
+		}
+		if !ctx.Request.IsBodyStream() {
+			next(ctx)
+			return
+		}
+		length, wait := ctx.Request.Header.ContentLength(), s.bodyWait
+		if length < 0 {
+			wait = entryBodyWait
+		}
+		body, err := kqbody.Receive(ctx.RequestBodyStream(), length, s.maxBody, memory, wait)
+		if err != nil {
+			n.refuseUnread(ctx, err, s)
+			ctx.SetConnectionClose()
+			return
+		}
+		body.Attach(&ctx.Request)
+		next(ctx)
+		// The response may take long to be sent.
+		ctx.Request.ResetBody()
+		body.Release()
+	}
+}
+
+// reserveCall returns a handler that reserves the memory of a call while next handles it, and refuses
+// the call if there is none.
+func (n *Node) reserveCall(next fasthttp.RequestHandler, s callServer) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		memory := kqmemory.Of(&ctx.Request)
+		if !memory.Reserve(kqmemory.Calls, callMemory, entryBodyWait) {
+			n.refuseUnread(ctx, kqbody.ErrNoMemory, s)
+			return
+		}
+		defer memory.Release(kqmemory.Calls, callMemory)
+		next(ctx)
+	}
+}
+
+// refuseUnread answers and counts a request that could not be read whole. It does not reach an entry
+// or a gate, which do their own counting.
+func (n *Node) refuseUnread(ctx *fasthttp.RequestCtx, err error, s callServer) {
+	o := n.readErrorOutcome(errors.Join(err, kqconnection.ReadError(ctx.Conn())))
+	s.count(o)
+	c := &kqcall.Call{Dialect: n.adapter.Dialect, Request: &ctx.Request, Response: &ctx.Response}
+	if s.role == RoleGate {
+		c.ID = kqcall.FindID(ctx.Request.Header.RawHeaders())
+	}
+	c.Answer(o)
+}
+
+// allowBody waits until the node's link has room for a large body that another node announces,
+// and reports false if it has none within the body's share of the time until the deadline.
+func (n *Node) allowBody(h *fasthttp.RequestHeader) bool {
+	if n.inbound == nil {
+		return true
+	}
+	wait, allowed := n.inbound.Reserve(h.ContentLength(), kqcall.ReadTimeLeft(h)/bodyWaitParts, time.Now())
+	if allowed {
+		time.Sleep(wait)
+	}
+	return allowed
+}
+
+// noMemoryOutcome returns the outcome of a call refused for lack of memory.
+func noMemoryOutcome() kqcall.Outcome {
+	o := kqcall.Refuse(kqcall.NoMemory)
+	o.RetryAfter = noMemoryRetryAfter
+	return o
+}
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -13,8 +13,8 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqadmin"
+	"github.com/kumquatgw/kumquatgw/internal/base/kqmemory"
 	"github.com/kumquatgw/kumquatgw/internal/base/kqsupervisor"
-	"github.com/kumquatgw/kumquatgw/internal/call/kqbody"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqconnection"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqdisconnect"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqentry"
@@ -125,7 +125,10 @@
 		pendingAnnouncements pendingAnnouncements
 		recorder             *kqrecord.Recorder
 		supervisor           *kqsupervisor.Supervisor
-		bodies               *kqbody.Limiter
+		account              *kqmemory.Account
+		// shortageLogged is when a shortage of memory or connections was last logged, in Unix
+		// nanoseconds.
+		shortageLogged atomic.Int64
 		// inbound is nil if the settings do not state the link's bandwidth.
 		inbound          *kqinbound.Link
 		storeUnavailable atomic.Bool
@@ -196,7 +199,8 @@
 	n.logger = n.logger.WithNode(string(settings.Node.Name))
 	n.log = n.logger.Part("node")
 	n.supervisor = kqsupervisor.New(n.recordPanic)
-	n.bodies = n.newBodyLimiter()
+	n.account = n.newAccount()
+	n.metrics.RegisterAccount(n.account)
 	if err := n.listen(); err != nil {
 		n.listeners.close()
 		return nil, fmt.Errorf("start node %s: %w", settings.Node.Name, err)
@@ -359,6 +363,7 @@
 // leaving, which wait for that, and to dead ones.
 func (n *Node) sweep(now time.Time) {
 	n.sweepUpstreams(now)
+	n.account.Sweep(n.settings.Call.WriteTimeout, now)
 	n.gate.Sweep(now)
 	for _, l := range n.gate.Limits() {
 		n.local.SetLimit(l.Address, l.Limited, l.PerSecond, now)
--- a/internal/run/kqnode/panic.go
+++ b/internal/run/kqnode/panic.go
@@ -28,11 +28,9 @@
 
 // recoverPanics limits a panic to the request that caused it: the HTTP library does not
 // recover panics, so one would end the process. After a panic it is unknown whether the call
-// ran. The returned handler also releases the memory reserved for the request's body.
+// ran.
 func (n *Node) recoverPanics(handler fasthttp.RequestHandler, count func(kqcall.Outcome)) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		n.bodies.MarkRead(&ctx.Request.Header)
-		defer n.bodies.ReleaseRequest(&ctx.Request.Header)
 		if n.supervisor.RunRecovered("request", func() { handler(ctx) }) {
 			return
 		}
--- a/internal/run/kqsettings/settings.go
+++ b/internal/run/kqsettings/settings.go
@@ -40,6 +40,7 @@
 		ReadyListen    kqname.Address `key:"ready_listen" doc:"Where whoever places callers asks whether the node is ready; empty leaves it out."`
 		ReadyPath      string         `key:"ready_path" default:"/ready" doc:"Path that ready_listen answers: 200 while ready, else 503."`
 		Memory         int            `key:"memory" default:"0" min:"0" max:"1024GB" unit:"bytes" doc:"Memory that the process may hold; 0 states none."`
+		Descriptors    int            `key:"descriptors" default:"0" min:"0" max:"10000000" doc:"Descriptors that the process may have open; 0 takes the limit that the system sets. Clients' connections may take eight tenths of them."`
 		KillAfter      time.Duration  `key:"kill_after" default:"0s" min:"0s" max:"1h" doc:"How long after the signal to stop the process is killed; 0s never. It bounds drain_timeout."`
 		DrainTimeout   time.Duration  `key:"drain_timeout" default:"30s" min:"1s" max:"10m" doc:"Longest wait for calls in flight at shutdown."`
 	}
@@ -75,6 +76,7 @@
 	// Call configures limits and policies for the calls that the node serves.
 	Call struct {
 		ReadTimeout    time.Duration `key:"read_timeout" default:"10s" min:"50ms" max:"10m" doc:"Longest time that a call may take to arrive whole."`
+		WriteTimeout   time.Duration `key:"write_timeout" default:"10s" min:"50ms" max:"10m" doc:"Longest time for which a caller may leave a response unread; its connection is then closed."`
 		MaxBody        int           `key:"max_body" default:"4MB" min:"1KB" max:"64MB" unit:"bytes" doc:"Largest request body that is taken."`
 		BodyMemory     int           `key:"body_memory" default:"0" min:"0" max:"16GB" unit:"bytes" doc:"Bytes of request bodies over 64 KB that are held at once, and half as many of smaller ones beside them, further ones are refused; 0 takes a quarter of [node] memory, or 256MB where it states none."`
 		RepeatRatio    float64       `key:"repeat_ratio" default:"0" min:"0" max:"1" doc:"Sendings beyond the first that all nodes together may add to a service's calls, as a part of them; 0 keeps to this program's own budget."`
