kqadmit: peers' and operators' unfinished messages take their memory from the account

150 connections with an unfinished message of 1 MB at the peers' listener had a node of 128 MB hold 226 MB, 120 requests with an announced chunk of 1 MB at the admin server 275 MB; 1,200 idle connections at the former kept ordinary calls from being answered for a minute.

Cause: the libraries bound single messages, and nothing all of them together, nor the connections.

Change: a listener that reserves memory by what has arrived since the last answer, at the admin server that of the largest request, and that is bounded as those for calls are. It knows nothing of the protocols.

--- a/internal/admin/kqadmin/admin.go
+++ b/internal/admin/kqadmin/admin.go
@@ -38,6 +38,8 @@
 	MaxBody = 1 << 20
 	// MaxHeaders is the maximum size of a request's headers in bytes.
 	MaxHeaders = 8 << 10
+	// RequestMemory is what a request takes at most, in bytes, with its head's fields.
+	RequestMemory = MaxBody + 512<<10
 
 	defaultReadTimeout = 10 * time.Second
 	// refusalTimeout bounds the wait at shutdown until the connections of refused
@@ -78,6 +80,7 @@
 		console  *kqconsole.Console
 		history  *kqrollouthistory.History
 		rollouts func() []kqtracker.Status
+		admit    func(net.Listener) net.Listener
 		// expiringReads is set when a shutdown expires the reads of incomplete requests.
 		expiringReads atomic.Bool
 
@@ -91,22 +94,28 @@
 	options struct {
 		readTimeout time.Duration
 		now         func() time.Time
+		admit       func(net.Listener) net.Listener
 	}
 )
 
 // WithReadTimeout sets the maximum time for receiving a whole request.
 func WithReadTimeout(d time.Duration) Option { return func(o *options) { o.readTimeout = d } }
 
+// WithAdmission sets a function that wraps the listener, to limit the memory of its connections.
+func WithAdmission(wrap func(net.Listener) net.Listener) Option {
+	return func(o *options) { o.admit = wrap }
+}
+
 // WithNow sets the clock of the server.
 func WithNow(now func() time.Time) Option { return func(o *options) { o.now = now } }
 
 // New returns the admin server of a node.
 func New(parts Parts, opts ...Option) (*AdminServer, error) {
-	o := options{readTimeout: defaultReadTimeout, now: time.Now}
+	o := options{readTimeout: defaultReadTimeout, now: time.Now, admit: func(l net.Listener) net.Listener { return l }}
 	for _, set := range opts {
 		set(&o)
 	}
-	a := &AdminServer{history: kqrollouthistory.New(), rollouts: parts.Node.Rollouts}
+	a := &AdminServer{history: kqrollouthistory.New(), rollouts: parts.Node.Rollouts, admit: o.admit}
 	a.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true, ErrorHandler: a.handleError,
 		// Fiber otherwise reuses its buffers, and strings kept from a request,
@@ -142,7 +151,7 @@
 	a.mu.Lock()
 	a.listener = lingering
 	a.mu.Unlock()
-	var served net.Listener = lingering
+	served := a.admit(lingering)
 	if config != nil {
 		served = tls.NewListener(served, config)
 	}
--- a/internal/run/kqnode/admin.go
+++ b/internal/run/kqnode/admin.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net"
 
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqadmin"
+	"github.com/kumquatgw/kumquatgw/internal/base/kqadmit"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqoperator"
 	"github.com/kumquatgw/kumquatgw/internal/security/kqreload"
 )
@@ -30,7 +32,9 @@
 	var err error
 	n.admin, err = kqadmin.New(kqadmin.Parts{
 		Node: n, Store: n.store, Operators: operators, Registry: n.metrics.Registry(), Counter: n.securityMetrics, Log: log,
-	})
+	}, kqadmin.WithAdmission(func(l net.Listener) net.Listener {
+		return kqadmit.New(l, n.newGroup(RoleAdmin), kqadmin.RequestMemory, func() { n.recordRefusedConnection(RoleAdmin) })
+	}))
 	if err != nil {
 		return fmt.Errorf("set up admin server: %w", err)
 	}
--- a/internal/run/kqnode/listen.go
+++ b/internal/run/kqnode/listen.go
@@ -7,12 +7,16 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqadmit"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqacceptor"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqconnection"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqpace"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
+// peerRequestMemory is what a peer's request takes at least, in bytes.
+const peerRequestMemory = 64 << 10
+
 // listen opens the listeners whose address is set. Those for calls track their connections.
 func (n *Node) listen() error {
 	s := n.settings.Node
@@ -41,9 +45,11 @@
 		}
 		inner := opened
 		switch tcp, ok := opened.(*net.TCPListener); {
+		case l.role == RoleControl:
+			inner = kqadmit.New(opened, n.newGroup(l.role), peerRequestMemory, func() { n.recordRefusedConnection(RoleControl) })
 		case l.role == RoleReady:
 			inner = kqconnection.New(opened, n.connectionOptions(l.role)...)
-		case ok && l.role != RoleControl && l.role != RoleAdmin:
+		case ok && l.role != RoleAdmin:
 			n.callListeners[l.role], n.connections[l.role] = tcp, kqconnection.New(tcp, append(paced[l.role], n.connectionOptions(l.role)...)...)
 			inner = n.connections[l.role]
 		}
