kqnode: the log line of a client that gives way says no more than is known

Cause: a client may give way for an unread response alone, and the line said that memory or connections are short.

--- a/internal/run/kqnode/memory.go
+++ b/internal/run/kqnode/memory.go
@@ -143,7 +143,7 @@
 // recordReclaimed counts and logs that a client gave way.
 func (n *Node) recordReclaimed(s kqreclaim.State) {
 	n.metrics.ClientReclaimed(s)
-	n.logShortage(logrus.Fields{"event": "reclaimed", "state": s.String()}, "Memory or connections are short: clients without progress give way.")
+	n.logShortage(logrus.Fields{"event": "reclaimed", "state": s.String()}, "Clients without progress give way.")
 }
 
 // recordRefusedConnection counts and logs that there is no room for a connection.
