kqconnection: heads without carriage returns do not add up over a connection

Found by reading, not run: the framer does not find the end of a head whose lines end without carriage returns, so that each further request of such a caller would have added to the memory reserved for its head, until the connection was refused. Change: the size starts anew with each request. Measured: the package's tests pass with -race.

--- a/internal/call/kqconnection/listener.go
+++ b/internal/call/kqconnection/listener.go
@@ -311,8 +311,10 @@
 
 // endRequest resets the framing after a request with a body of unknown length has been
 // answered. Bytes of pipelined requests may have been read as part of that body, so further
-// requests are served sequentially.
+// requests are served sequentially. It also resets the size of the head, whose end is not found if
+// its lines end without carriage returns.
 func (c *connection) endRequest() {
+	c.framer.head = headSize{}
 	if !c.framer.unknownLength {
 		return
 	}
