kqmemory: a crowd that waits or connects in vain costs bounded processor time

Found by reading, not run: each release woke all that waited for memory, and each connection that found no room looked at all clients. A crowd could make a node spend its processor on both. Change: memory is tried for each 10 ms, and after a look in vain the next one comes 10 ms later. A refusal of a call that could not be read, or got no memory, closes its connection, as other refusals to callers of a dialect do.

--- a/internal/base/kqmemory/account.go
+++ b/internal/base/kqmemory/account.go
@@ -35,8 +35,10 @@
 	// minDivisor: small bodies may always use 1/minDivisor of their limit. A body that is larger
 	// than the whole account is accepted only while connections take at most 1/minDivisor of it.
 	minDivisor = 8
-	// reclaimInterval is the least time between two looks at the clients for lack of memory.
-	reclaimInterval = 10 * time.Millisecond
+	// reclaimInterval is the least time between two looks at all clients in vain, and retryInterval that
+	// between two attempts to reserve memory: a crowd that waits must not cost more processor time the
+	// faster memory is released.
+	reclaimInterval, retryInterval = 10 * time.Millisecond, 10 * time.Millisecond
 )
 
 type (
@@ -70,9 +72,9 @@
 		// candidates is reused for each decision about who gives way.
 		candidates  []kqreclaim.Candidate[*Client]
 		lastReclaim time.Time
-		// freed is closed and replaced when memory is released while somebody waits for it.
-		freed   chan struct{}
-		waiting int
+		// nobodyIdleUntil is until when no client is looked for whose connection may be closed, since
+		// there was none.
+		nobodyIdleUntil time.Time
 	}
 
 	// Option configures an Account.
@@ -94,7 +96,7 @@
 func New(l Limits, options ...Option) *Account {
 	a := &Account{
 		total: l.Total, spare: l.Spare, maxOpen: l.Open, onReclaimed: func(kqreclaim.State) {}, started: time.Now(),
-		clients: make(map[*Client]struct{}), freed: make(chan struct{}),
+		clients: make(map[*Client]struct{}),
 	}
 	a.limits = [useCount]int{SmallBodies: l.SmallBodies, LargeBodies: l.LargeBodies}
 	for _, o := range options {
@@ -143,36 +145,26 @@
 // reserve reserves memory, of which the caller holds own bytes already for the same use. It waits at
 // most wait until there is enough, and reports whether it succeeded.
 func (a *Account) reserve(u Use, size, own int, wait time.Duration) bool {
-	reserved, freed := a.tryReserve(u, size, own, wait > 0)
-	if reserved || wait <= 0 {
-		return reserved
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
 	for {
-		expired := false
-		select {
-		case <-freed:
-		case <-timer.C:
-			expired = true
+		if a.tryReserve(u, size, own) {
+			return true
 		}
-		a.mu.Lock()
-		a.waiting--
-		a.mu.Unlock()
-		if reserved, freed = a.tryReserve(u, size, own, !expired); reserved || expired {
-			return reserved
+		if wait <= 0 {
+			return false
 		}
+		pause := min(wait, retryInterval)
+		time.Sleep(pause)
+		wait -= pause
 	}
 }
 
-// tryReserve reserves memory. If there is not enough, clients give way whose memory would be enough,
-// and it returns a channel that is closed when memory is released if the caller waits for that.
-func (a *Account) tryReserve(u Use, size, own int, waits bool) (bool, <-chan struct{}) {
+// tryReserve reserves memory. If there is not enough, clients give way whose memory would be enough.
+func (a *Account) tryReserve(u Use, size, own int) bool {
 	a.mu.Lock()
 	if a.fits(u, size, own) {
 		a.used[u] += size
 		a.mu.Unlock()
-		return true, nil
+		return true
 	}
 	var victims []victim
 	if now := time.Now(); now.Sub(a.lastReclaim) >= reclaimInterval {
@@ -180,13 +172,9 @@
 		need, uses := a.shortage(u, size)
 		victims = a.markReclaimed(kqreclaim.ForMemory(a.list(nil, uses...), need, now))
 	}
-	freed := a.freed
-	if waits {
-		a.waiting++
-	}
 	a.mu.Unlock()
 	a.giveWay(victims)
-	return false, freed
+	return false
 }
 
 // fits reports whether there is memory for a use by somebody who holds own bytes for it. The caller
@@ -216,15 +204,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.releaseLocked(u, size)
-}
-
-func (a *Account) releaseLocked(u Use, size int) {
 	a.used[u] -= size
-	if a.waiting > 0 {
-		close(a.freed)
-		a.freed = make(chan struct{})
-	}
 }
 
 // shortage returns how many bytes more must be released for a use that does not fit, and by which
@@ -288,7 +268,7 @@
 	delete(a.clients, c)
 	a.open--
 	c.group.open--
-	a.releaseLocked(Connections, c.group.connectionMemory)
+	a.used[Connections] -= c.group.connectionMemory
 }
 
 // giveWay makes the clients give way. It must be called without a.mu.
--- a/internal/base/kqmemory/client.go
+++ b/internal/base/kqmemory/client.go
@@ -72,10 +72,10 @@
 func (a *Account) admit(c *Client, now time.Time) (admitted bool, victims []victim) {
 	g := c.group
 	if !a.hasConnection(g) {
-		victims = a.markReclaimed(kqreclaim.ForConnections(a.list(g), now))
+		victims = a.reclaimConnections(g, now)
 	}
 	if a.hasConnection(g) && !a.fits(Connections, g.connectionMemory, 0) {
-		victims = append(victims, a.markReclaimed(kqreclaim.ForConnections(a.list(nil), now))...)
+		victims = append(victims, a.reclaimConnections(nil, now)...)
 	}
 	if !a.hasConnection(g) || !a.fits(Connections, g.connectionMemory, 0) {
 		return false, victims
@@ -87,6 +87,19 @@
 	return true, victims
 }
 
+// reclaimConnections marks clients whose connections are closed to make room, those of one group only
+// if it is not nil. The caller holds a.mu.
+func (a *Account) reclaimConnections(g *Group, now time.Time) []victim {
+	if now.Before(a.nobodyIdleUntil) {
+		return nil
+	}
+	victims := a.markReclaimed(kqreclaim.ForConnections(a.list(g), now))
+	if len(victims) == 0 {
+		a.nobodyIdleUntil = now.Add(reclaimInterval)
+	}
+	return victims
+}
+
 // hasConnection reports whether the group may have another connection.
 func (a *Account) hasConnection(g *Group) bool {
 	kept := 0
--- a/internal/run/kqnode/memory.go
+++ b/internal/run/kqnode/memory.go
@@ -89,8 +89,8 @@
 	return min(byDescriptors, byMemory)
 }
 
-// bodyMemory returns how many bytes of large bodies the node may hold at once, and twice as many as of
-// small ones.
+// bodyMemory returns how many bytes of large bodies the node may hold at once. Small ones may take half
+// as many beside them.
 func bodyMemory(s kqsettings.Settings) int {
 	switch {
 	case s.Call.BodyMemory > 0:
@@ -188,7 +188,6 @@
 		kqmemory.Attach(&ctx.Request, memory)
 		if len(ctx.Request.Header.Peek(headerTooLarge)) > 0 {
 			n.refuseUnread(ctx, kqbody.ErrTooLarge, s)
-			ctx.SetConnectionClose()
 			return
 		}
 		if !ctx.Request.IsBodyStream() {
@@ -202,7 +201,6 @@
 		body, err := kqbody.Receive(ctx.RequestBodyStream(), length, s.maxBody, memory, wait)
 		if err != nil {
 			n.refuseUnread(ctx, err, s)
-			ctx.SetConnectionClose()
 			return
 		}
 		body.Attach(&ctx.Request)
@@ -227,8 +225,8 @@
 	}
 }
 
-// refuseUnread answers and counts a request that could not be read whole. It does not reach an entry
-// or a gate, which do their own counting.
+// refuseUnread answers and counts a request that could not be read whole, or got no memory. It does
+// not reach an entry or a gate, which do their own counting.
 func (n *Node) refuseUnread(ctx *fasthttp.RequestCtx, err error, s callServer) {
 	o := n.readErrorOutcome(errors.Join(err, kqconnection.ReadError(ctx.Conn())))
 	s.count(o)
@@ -237,6 +235,8 @@
 		c.ID = kqcall.FindID(ctx.Request.Header.RawHeaders())
 	}
 	c.Answer(o)
+	// A kept connection would go on to take memory, of which there may be none left.
+	ctx.SetConnectionClose()
 }
 
 // allowBody waits until the node's link has room for a large body that another node announces,
