--- a/internal/base/kqmemory/account.go
+++ b/internal/base/kqmemory/account.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqbuffer"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqreclaim"
 )
 
@@ -23,7 +24,7 @@
 
 const (
 	// SmallBody is the largest size, in bytes, of a small body.
-	SmallBody = 64 << 10
+	SmallBody = kqbuffer.MaxSize
 	// ConnectionMemory is what a client's connection takes, in bytes: the HTTP library's buffers and
 	// the goroutine's stack.
 	ConnectionMemory = 40 << 10
--- a/internal/base/kqmemory/account_test.go
+++ b/internal/base/kqmemory/account_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqbuffer"
 	"github.com/kumquatgw/kumquatgw/internal/base/kqmemory"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqreclaim"
 )
@@ -81,7 +82,7 @@
 	client := newClients(t, kqmemory.Limits{LargeBodies: 8 << 20, SmallBodies: 4 << 20})
 	taken := 0
 	for range 1000 {
-		if client().Reserve(kqmemory.SmallBodies, kqmemory.BufferSize(60<<10), 0) {
+		if client().Reserve(kqmemory.SmallBodies, kqbuffer.Size(60<<10), 0) {
 			taken++
 		}
 	}
--- a/internal/base/kqmemory/reservation.go
+++ b/internal/base/kqmemory/reservation.go
@@ -1,20 +1,12 @@
 package kqmemory
 
 import (
-	"math/bits"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
-)
 
-const (
-	// minBuffer and maxBuffer bound the sizes of pooled buffers, which are powers of 4.
-	minBuffer, maxBuffer = 4 << 10, 64 << 10
-	// sizeClasses is the number of these sizes.
-	sizeClasses = 3
-	// growthBits: each size class has buffers 1<<growthBits times the size of the one before.
-	growthBits = 2
+	"github.com/kumquatgw/kumquatgw/internal/base/kqbuffer"
 )
 
 type (
@@ -35,9 +27,6 @@
 	reservationKey struct{}
 )
 
-// buffers holds released buffers by size class.
-var buffers [sizeClasses]sync.Pool
-
 // NewReservation returns an empty reservation for the client.
 func (c *Client) NewReservation() *Reservation {
 	if c == nil {
@@ -111,19 +100,19 @@
 // ResponseBuffer returns a buffer of the given size for the response, and reports false if there is
 // no memory for it. It replaces the buffer that was returned before.
 func (m *Reservation) ResponseBuffer(size int) ([]byte, bool) {
-	if m == nil || size > maxBuffer {
+	if m == nil || size > kqbuffer.MaxSize {
 		return make([]byte, size), m == nil
 	}
 	if size <= cap(m.response) {
 		return m.response[:size], true
 	}
-	if !m.Reserve(Calls, BufferSize(size)-cap(m.response), 0) {
+	if !m.Reserve(Calls, kqbuffer.Size(size)-cap(m.response), 0) {
 		return nil, false
 	}
 	if m.response != nil {
-		PutBuffer(m.response)
+		kqbuffer.Put(m.response)
 	}
-	m.response = GetBuffer(size)
+	m.response = kqbuffer.Get(size)
 	return m.response[:size], true
 }
 
@@ -136,7 +125,7 @@
 	defer m.mu.Unlock()
 	m.closed = true
 	if m.response != nil {
-		PutBuffer(m.response)
+		kqbuffer.Put(m.response)
 		m.response = nil
 	}
 	for u, bytes := range m.held {
@@ -144,30 +133,3 @@
 	}
 	return nil
 }
-
-// BufferSize returns the size of the buffer that GetBuffer returns for the given size.
-func BufferSize(size int) int { return minBuffer << (growthBits * sizeClass(size)) }
-
-// GetBuffer returns a buffer of at least the given size, at most SmallBody, whose memory the caller
-// has reserved.
-func GetBuffer(size int) []byte {
-	class := sizeClass(size)
-	if b, ok := buffers[class].Get().(*[]byte); ok {
-		return *b
-	}
-	return make([]byte, BufferSize(size))
-}
-
-// PutBuffer takes back a buffer of GetBuffer.
-func PutBuffer(b []byte) {
-	b = b[:cap(b)]
-	buffers[sizeClass(len(b))].Put(&b)
-}
-
-// sizeClass returns the smallest size class whose buffers have the given size.
-func sizeClass(size int) int {
-	if size <= minBuffer {
-		return 0
-	}
-	return (bits.Len(uint(size-1)) - bits.Len(uint(minBuffer-1)) + growthBits - 1) / growthBits
-}
--- a/internal/call/kqbody/body.go
+++ b/internal/call/kqbody/body.go
@@ -9,12 +9,13 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqbuffer"
 	"github.com/kumquatgw/kumquatgw/internal/base/kqmemory"
 )
 
 const (
 	// blockSize is the size of a block in bytes, and of the largest body that is one buffer.
-	blockSize = kqmemory.SmallBody
+	blockSize = kqbuffer.MaxSize
 	// maxUncounted is the size, in bytes, up to which a body is not reserved, since the connection
 	// itself takes more.
 	maxUncounted = 4 << 10
@@ -98,9 +99,9 @@
 		if !b.reserve(b.length+1, wait) {
 			return nil, ErrNoMemory
 		}
-		larger := kqmemory.GetBuffer(b.length + 1)
+		larger := kqbuffer.Get(b.length + 1)
 		larger = larger[:copy(larger, b.blocks[0])]
-		kqmemory.PutBuffer(b.blocks[0])
+		kqbuffer.Put(b.blocks[0])
 		b.blocks[0] = larger
 		return larger[len(larger):cap(larger)], nil
 	}
@@ -114,7 +115,7 @@
 	if !b.reserve(b.length+size, wait) {
 		return nil, ErrNoMemory
 	}
-	block := kqmemory.GetBuffer(size)
+	block := kqbuffer.Get(size)
 	b.blocks = append(b.blocks, block[:0])
 	return block, nil
 }
@@ -158,7 +159,7 @@
 	case length <= maxUncounted:
 		return kqmemory.SmallBodies, 0
 	case length <= blockSize:
-		return kqmemory.SmallBodies, kqmemory.BufferSize(length)
+		return kqmemory.SmallBodies, kqbuffer.Size(length)
 	default:
 		blocks := (length-1)/blockSize + 1
 		return kqmemory.LargeBodies, blocks * blockSize
@@ -168,7 +169,7 @@
 // Release releases the body's memory.
 func (b *Body) Release() {
 	for _, block := range b.blocks {
-		kqmemory.PutBuffer(block)
+		kqbuffer.Put(block)
 	}
 	b.memory.Release(b.use, b.reserved)
 	b.blocks, b.length, b.reserved = nil, 0, 0
--- a/internal/call/kqconnection/memory_test.go
+++ b/internal/call/kqconnection/memory_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 	"pgregory.net/rapid"
 
+	"github.com/kumquatgw/kumquatgw/internal/base/kqbuffer"
 	"github.com/kumquatgw/kumquatgw/internal/base/kqmemory"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqbody"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqconnection"
@@ -79,7 +80,7 @@
 		got := receiveBody(t, request.String(), rapid.IntRange(100, 5000).Draw(t, "buffer"))
 		reserved := 0
 		if want > 4<<10 {
-			reserved = kqmemory.BufferSize(want)
+			reserved = kqbuffer.Size(want)
 		}
 		if got.err != nil || got.length != want || got.reserved != reserved {
 			t.Fatalf("received %+v, want %d bytes and memory for %d", got, want, reserved)
