kqentry: only a call that no upstream takes is told when to come back

Cause: kqentry gave each 503 without a time a Retry-After, so that callers waited whose call another upstream could serve at once: those that an upstream sheds, that come late, or whose connection fails. Callers came back too late for their targets.

Change: only refusals since no upstream takes calls get one.

--- a/internal/call/kqentry/entry.go
+++ b/internal/call/kqentry/entry.go
@@ -33,8 +33,8 @@
 	// defaultMaxAttempts applies to calls whose route states no number of attempts.
 	defaultMaxAttempts = 3
 	// defaultRetryAfter is the Retry-After of the entry's refusals for NoConfig, Overload,
-	// NoUpstream and Panicked, and of those of gates that give none. It is the least that a gate
-	// gives.
+	// NoUpstream and Panicked, and of those of gates without an upstream that takes calls. It is the
+	// least that a gate gives.
 	defaultRetryAfter = 250 * time.Millisecond
 	// holdPoll is how often a held call is checked.
 	holdPoll = 10 * time.Millisecond
--- a/internal/call/kqentry/returning_callers.go
+++ b/internal/call/kqentry/returning_callers.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/valyala/fasthttp"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqcall"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqcallerretry"
@@ -69,10 +68,11 @@
 	s.returningCallers.RecordFailure(f.callKey, f.firstTry, f.callerDeadline)
 }
 
-// setRetryAfter sets the Retry-After of a call that may be served later and whose refusal, such as
-// that of a gate without a suitable upstream, has none.
+// setRetryAfter sets the Retry-After of a call that was refused since no upstream takes calls, if the
+// refusal, such as that of a gate that has just begun to drain, has none. A call that was refused for
+// another reason may be served elsewhere at once.
 func setRetryAfter(o *kqcall.Outcome) {
-	if o.RetryAfter == 0 && o.Status() == fasthttp.StatusServiceUnavailable {
+	if o.RetryAfter == 0 && o.Reason != kqcall.ConnectFailed && takesNoCalls(o.Reason) {
 		o.RetryAfter = defaultRetryAfter
 	}
 }
