--- a/review/_lab2/main.go
+++ b/review/_lab2/main.go
@@ -26,6 +26,8 @@
 	switch os.Args[1] {
 	case "smuggle":
 		runSmuggle(os.Args[2], rec, trouble)
+	case "latebeat":
+		runLateBeat(os.Args[2], rec, trouble)
 	case "config":
 		runConfig(os.Args[2], rec, trouble)
 	default:
--- a/review/_lab2/store.go
+++ b/review/_lab2/store.go
@@ -28,6 +28,7 @@
 	calls   map[string]int
 	onCall  func(kind string, r *http.Request)
 	events  []event
+	silent  time.Time // until when no call is answered or executed
 }
 
 type version struct {
@@ -74,7 +75,7 @@
 	mux.HandleFunc("POST /-/kv-lease", s.grant)
 	mux.HandleFunc("POST /-/kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", s.end)
-	go func() { _ = http.Serve(l, mux) }()
+	go func() { _ = http.Serve(l, s.serve(mux)) }()
 	go func() {
 		for range time.Tick(50 * time.Millisecond) {
 			s.expire()
@@ -90,6 +91,32 @@
 	s.latency = d
 }
 
+// Silence makes the store neither answer nor execute any call for a time.
+func (s *Store) Silence(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = time.Now().Add(d)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.silent)
+}
+
+// serve answers calls unless the store is silent.
+func (s *Store) serve(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isSilent() {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // pause waits for half of an answer's time: the call is processed in the middle of it.
 func (s *Store) pause() {
 	s.mu.Lock()
@@ -225,6 +252,10 @@
 		}
 		rev, changed := s.rev, s.changed
 		s.mu.Unlock()
+		if s.isSilent() {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		if len(events) > 0 {
 			s.pause()
 			reply(w, map[string]any{"events": events, "CurrentRev": rev})
@@ -357,6 +388,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	if now.Before(s.silent) {
+		// Leases pause while the store is down.
+		for _, l := range s.leases {
+			l.expires = l.expires.Add(50 * time.Millisecond)
+		}
+		return
+	}
 	for id, l := range s.leases {
 		if now.Before(l.expires) {
 			continue
