--- a/review/_lab2/config.go
+++ b/review/_lab2/config.go
@@ -35,8 +35,10 @@
 	services := []string{"storefront", "woodshed"}
 	to := services[(number+1)%2]
 	rule := func(name, prefix, service string) map[string]any {
-		return map[string]any{"Name": name, "Kind": "idempotent", "TargetLatency": "400ms", "Priority": 2, "Match": map[string]any{"PathPrefix": prefix},
-			"Action": map[string]any{"Service": service, "Timeout": "1200ms", "MaxAttempts": 2}}
+		return map[string]any{
+			"Name": name, "Kind": "idempotent", "TargetLatency": "400ms", "Priority": 2, "Match": map[string]any{"PathPrefix": prefix},
+			"Action": map[string]any{"Service": service, "Timeout": "1200ms", "MaxAttempts": 2},
+		}
 	}
 	rules := []any{rule("r-moved", "/moved/", to), rule("r-only", fmt.Sprintf("/only-%d/", number), "storefront")}
 	for i := range 20 {
@@ -45,10 +47,12 @@
 	cluster := func(name string) map[string]any {
 		return map[string]any{"Name": name, "HealthPath": "/health", "MaxConnections": 110, "Protocol": "h1", "Tls": false}
 	}
-	data, _ := json.Marshal(map[string]any{"Version": number,
+	data, _ := json.Marshal(map[string]any{
+		"Version":   number,
 		"Limits":    map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeout": "3000ms", "IdleTimeout": "15000ms"},
 		"Listeners": []any{map[string]any{"Hostname": "shop.example", "Rules": rules}},
-		"Clusters":  []any{cluster("storefront"), cluster("woodshed")}})
+		"Clusters":  []any{cluster("storefront"), cluster("woodshed")},
+	})
 	return data, to
 }
 
