--- a/review/_lab2/config.go
+++ b/review/_lab2/config.go
@@ -141,7 +141,7 @@
 		rec.Log("client at %s: %s %s: %d, run by %q", m.name, id, path, resp.StatusCode, service)
 		return resp.StatusCode, service
 	}
-	end := time.Now().Add(68 * time.Second)
+	end := time.Now().Add(60 * time.Second)
 	order := []int{0, 2, 1, 3, 6, 7, 4, 5, 8, 9}
 	turn, broken, checked := 0, 0, 0
 	for round := 1; time.Now().Before(end) && broken == 0; round++ {
@@ -179,7 +179,7 @@
 			next := time.Now().Add(stormGap)
 			commit()
 			time.Sleep(time.Until(next))
-			if time.Since(begun) > 1800*time.Millisecond && recorded(store) == newest.number-1 && number > 2 && trouble {
+			if time.Since(begun) > 1800*time.Millisecond && recorded(store) == newest.number-1 && number > 2 {
 				_, recRev := store.Value("kumquatgw-document")
 				if _, docRev := store.Value("op/config"); recRev > docRev {
 					rec.Log("the series ends; the nodes have recorded version %d after version %d was written", recorded(store), newest.number)
--- a/review/_lab2/main.go
+++ b/review/_lab2/main.go
@@ -24,8 +24,6 @@
 	rec := newRecorder(os.Args[3])
 	cleanups = append(cleanups, rec.Close)
 	switch os.Args[1] {
-	case "smuggle":
-		runSmuggle(os.Args[2], rec, trouble)
 	case "latebeat":
 		runLateBeat(os.Args[2], rec, trouble)
 	case "config":
