Versions: every root has all entries that are older than its version

Cause: nodes keep the root with the highest version, but a recorded document was published under the revision of its copy, which may be written after a newer document. A node whose first read was seconds old adopted the copy. Then it read the newer document, whose version did not grow, so that all ignored it.

Change: a record that is ahead of what was read makes the node list the entries once more, and the copy is adopted only if the store holds an older or unusable document, under the revision of the newest listed entry. A process reads current entries first; an old read is not merged with an order that it lacks; a late change takes its listing's revision. The first watcher replaces a held root which differs, two polls in a row, from a current listing that is not older: nodes of an earlier release may still publish such roots.

--- a/internal/config/kqdistribute/distribute.go
+++ b/internal/config/kqdistribute/distribute.go
@@ -141,6 +141,14 @@
 	return d.newest().root.Version
 }
 
+// NewestRoot returns the root with the highest version that this node holds, or an empty one.
+// It must not be changed.
+func (d *Distributor) NewestRoot() kqresource.Root {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.newest().root
+}
+
 // VersionSeen records that a peer reports to hold a version, and triggers a pull. It
 // ignores versions that are not newer than this node's.
 func (d *Distributor) VersionSeen(v kqname.ConfigVersion, from kqname.Address) {
--- a/internal/config/kqorigin/merge.go
+++ b/internal/config/kqorigin/merge.go
@@ -13,7 +13,19 @@
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
+const (
+	// currentListing holds all entries, so that orders which it lacks have been deleted.
+	currentListing listingKind = iota
+	// staleListing may be seconds old and lack entries.
+	staleListing
+	// eventListing holds what a watch has reported.
+	eventListing
+)
+
 type (
+	// listingKind tells what a listing shows.
+	listingKind int
+
 	// change is a decoded entry: a document, an order, neither, or err.
 	change struct {
 		entry      kqstore.Entry
@@ -36,32 +48,50 @@
 // document since the current one, so that an older one is refused without the record.
 func (o *Origin) applyEvents(ctx context.Context, l kqstore.Listing) error {
 	if o.currentNumber() == 0 {
-		return o.applyListing(ctx, l, false)
+		return o.applyListing(ctx, l, eventListing)
 	}
-	o.publish(ctx, l, o.decode(l.Entries), false)
+	o.publish(ctx, l, o.decode(l.Entries, eventListing), eventListing)
 	return nil
 }
 
-// applyListing applies a listing, which may have missed documents. complete means that it
-// holds all entries, so that orders which it lacks have been deleted. applyListing applies
-// nothing and returns an error if it cannot find out whether a newer document was in force.
-func (o *Origin) applyListing(ctx context.Context, l kqstore.Listing, complete bool) error {
-	changes := o.decode(l.Entries)
-	if err := o.checkRecord(ctx, changes); err != nil {
+// applyListing applies a listing, which may have missed documents. It applies nothing and
+// returns an error if it cannot find out whether a newer document was in force.
+func (o *Origin) applyListing(ctx context.Context, l kqstore.Listing, kind listingKind) error {
+	changes := o.decode(l.Entries, kind)
+	isNewer, err := o.isRecordNewer(ctx, changes)
+	if err != nil {
 		return fmt.Errorf("check the document's record: %w", err)
 	}
-	o.publish(ctx, l, changes, complete)
+	if !isNewer {
+		o.publish(ctx, l, changes, kind)
+		return nil
+	}
+	refused, err := o.applyRecorded(ctx)
+	if err != nil {
+		return fmt.Errorf("apply the document's record: %w", err)
+	}
+	o.reportRefused(ctx, refused)
 	return nil
 }
 
-// publish merges the changes of a listing and publishes the resulting version, if there is
-// a new one. Before it reports a document as refused, it records the current one, so that a
-// node that starts afterwards refuses it too.
-func (o *Origin) publish(ctx context.Context, l kqstore.Listing, changes []change, complete bool) {
-	root, changed, refused := o.merge(l, changes, complete)
+// publish merges the changes of a listing, publishes the resulting version, if there is a new
+// one, and reports what was rejected.
+func (o *Origin) publish(ctx context.Context, l kqstore.Listing, changes []change, kind listingKind) {
+	o.reportRefused(ctx, o.mergeAndPublish(ctx, l, changes, kind))
+}
+
+// mergeAndPublish is publish without the report: it returns what was rejected.
+func (o *Origin) mergeAndPublish(ctx context.Context, l kqstore.Listing, changes []change, kind listingKind) []refusal {
+	root, changed, refused := o.merge(l, changes, kind)
 	if changed {
 		o.onRoot(ctx, root)
 	}
+	return refused
+}
+
+// reportRefused reports rejected entries. Before it reports a document that is not newer, it
+// records the current one, so that a node that starts afterwards refuses it too.
+func (o *Origin) reportRefused(ctx context.Context, refused []refusal) {
 	for _, r := range refused {
 		if errors.Is(r.err, errNotNewer) {
 			if err := o.recordDocument(ctx); err != nil {
@@ -73,9 +103,9 @@
 }
 
 // decode decodes the entries that were not processed yet.
-func (o *Origin) decode(entries []kqstore.Entry) []change {
+func (o *Origin) decode(entries []kqstore.Entry, kind listingKind) []change {
 	var list []change
-	for _, e := range o.unprocessed(entries) {
+	for _, e := range o.unprocessed(entries, kind) {
 		c := change{entry: e}
 		c.document, c.number, c.isDocument, c.err = o.decoder.Document(e)
 		if !c.isDocument {
@@ -95,26 +125,57 @@
 	return order{rollout: rollout}, ok, err
 }
 
-func (o *Origin) unprocessed(entries []kqstore.Entry) []kqstore.Entry {
+func (o *Origin) unprocessed(entries []kqstore.Entry, kind listingKind) []kqstore.Entry {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(entries), func(e kqstore.Entry) bool { return e.Revision <= o.seenRevisions[e.Key] })
+	return slices.DeleteFunc(slices.Clone(entries), func(e kqstore.Entry) bool { return o.isProcessed(e, kind) })
+}
+
+// isProcessed reports whether an entry, or a later change of its key, was processed. An entry
+// of a stale listing that a newer current listing lacked has been deleted since.
+func (o *Origin) isProcessed(e kqstore.Entry, kind listingKind) bool {
+	return e.Revision <= o.seenRevisions[e.Key] || kind == staleListing && e.Revision <= o.listedRevision
+}
+
+// lacksOrder reports whether a listing lacks an order that is in force.
+func (o *Origin) lacksOrder(l kqstore.Listing) bool {
+	listed := listedKeys(l)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for key := range o.orders {
+		if !listed[key] {
+			return true
+		}
+	}
+	return false
+}
+
+func listedKeys(l kqstore.Listing) map[string]bool {
+	listed := make(map[string]bool, len(l.Entries))
+	for _, e := range l.Entries {
+		listed[e.Key] = true
+	}
+	return listed
 }
 
 // merge merges the changes of a listing. It returns the root of the resulting version, if
 // there is a new one, and the entries that it rejected.
-func (o *Origin) merge(l kqstore.Listing, changes []change, complete bool) (root kqresource.Root, changed bool, refused []refusal) {
+func (o *Origin) merge(l kqstore.Listing, changes []change, kind listingKind) (root kqresource.Root, changed bool, refused []refusal) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	changed, o.isAdopted = o.isAdopted, false
 	for _, c := range changes {
-		if c.entry.Revision <= o.seenRevisions[c.entry.Key] {
+		if o.isProcessed(c.entry, kind) {
 			continue
 		}
 		o.seenRevisions[c.entry.Key] = c.entry.Revision
 		accepted, err := o.accept(c)
+		delete(o.unusable, c.entry.Key)
 		if err != nil {
 			refused = append(refused, refusal{c.entry.Key, err})
+			if !errors.Is(err, errNotNewer) {
+				o.unusable[c.entry.Key] = true
+			}
 		}
 		if accepted {
 			changed = true
@@ -124,15 +185,22 @@
 	for _, d := range l.Deleted {
 		changed = o.deleteOrder(d, l.Revision) || changed
 	}
-	if complete {
+	if kind == currentListing {
 		changed = o.deleteMissingOrders(l) || changed
+		o.listedRevision = max(o.listedRevision, l.Revision)
 	}
 	if !changed || o.documentNumber == 0 {
 		return kqresource.Root{}, false, refused
 	}
+	if kqname.ConfigVersion(o.revision) <= o.root.Version {
+		// What has changed is older than an entry that was applied before it.
+		o.revision = max(o.revision, l.Revision)
+	}
 	if err := o.buildVersion(); err != nil {
+		o.unusable[o.decoder.Prefix()] = true
 		return kqresource.Root{}, false, append(refused, refusal{o.decoder.Prefix(), err})
 	}
+	delete(o.unusable, o.decoder.Prefix())
 	return o.root, o.root.Version > 0, refused
 }
 
@@ -162,10 +230,8 @@
 // deleteMissingOrders deletes the orders that a complete listing lacks, unless they are newer
 // than the listing, and reports whether there were any.
 func (o *Origin) deleteMissingOrders(l kqstore.Listing) bool {
-	listed := make(map[string]bool, len(l.Entries))
-	for _, e := range l.Entries {
-		listed[e.Key] = true
-	}
+	listed := listedKeys(l)
+	maps.DeleteFunc(o.unusable, func(key string, _ bool) bool { return !listed[key] && key != o.decoder.Prefix() })
 	changed := false
 	for key := range o.orders {
 		if !listed[key] {
@@ -183,6 +249,7 @@
 		return false
 	}
 	o.seenRevisions[d.Key] = d.Revision
+	delete(o.unusable, d.Key)
 	if _, ok := o.orders[d.Key]; !ok {
 		return false
 	}
--- a/internal/config/kqorigin/origin.go
+++ b/internal/config/kqorigin/origin.go
@@ -89,6 +89,12 @@
 		isRecorder func() bool
 		// pollsCurrent reports whether this node's polls read current entries.
 		pollsCurrent func() bool
+		onAdopted    func(number, revision kqname.ConfigVersion)
+		held         func() kqresource.Root
+		onCorrected  func(wrong, corrected kqname.ConfigVersion)
+		// suspected is the version of the held root that the last poll found to differ from
+		// what the store holds, or 0. Only Poll uses it.
+		suspected kqname.ConfigVersion
 
 		// recordMu is held while the record is written, so that Watch and Poll do not
 		// conflict with each other.
@@ -111,11 +117,17 @@
 		// seenRevisions maps each key to the highest revision of its entries and deletions
 		// that were processed. Late events and old reads are ignored by it.
 		seenRevisions map[string]kqstore.Revision
+		// unusable holds the keys whose entries could not be used, and the prefix while the
+		// entries are invalid together.
+		unusable map[string]bool
 		// revision is that of the newest entry that was applied or, if higher, of the
 		// listing that showed the deletion of an order. It becomes the version of the next
-		// root.
+		// root, which therefore must have every older entry: nodes keep the root with the
+		// highest version.
 		revision kqstore.Revision
-		root     kqresource.Root
+		// listedRevision is that of the newest current listing that was applied, or 0.
+		listedRevision kqstore.Revision
+		root           kqresource.Root
 		// objects holds the objects of recent versions, the newest first.
 		objects []kqresource.Objects
 	}
@@ -157,7 +169,9 @@
 	o := &Origin{
 		store: store, decoder: decoder, onRoot: onRoot, onRefused: onRefused, onFailure: onFailure,
 		isRecorder: func() bool { return true }, pollsCurrent: func() bool { return false },
-		orders: make(map[string]order), seenRevisions: make(map[string]kqstore.Revision),
+		onAdopted: func(kqname.ConfigVersion, kqname.ConfigVersion) {},
+		held:      func() kqresource.Root { return kqresource.Root{} }, onCorrected: func(kqname.ConfigVersion, kqname.ConfigVersion) {},
+		orders: make(map[string]order), seenRevisions: make(map[string]kqstore.Revision), unusable: make(map[string]bool),
 	}
 	for _, option := range options {
 		option(o)
@@ -247,7 +261,7 @@
 
 // Poll lists the keys at random intervals until ctx ends. It compensates for watches that
 // report no changes and for watching nodes that have died or cannot reach the store. It also
-// records the document, if this node is the recorder.
+// records the document, if this node is the recorder, and corrects the held root.
 func (o *Origin) Poll(ctx context.Context) {
 	// The phase is random, so that nodes which start together read current entries at
 	// different times.
@@ -260,28 +274,61 @@
 		if ctx.Err() != nil {
 			return
 		}
-		refresh := o.refreshStale
-		if current {
-			refresh = o.refresh
-		}
-		err := refresh(ctx)
-		if err == nil && o.isRecorder() {
-			err = o.recordDocument(ctx)
-		}
-		if err != nil && ctx.Err() == nil {
+		if err := o.poll(ctx, current); err != nil && ctx.Err() == nil {
 			o.onFailure(err)
 		}
 	}
 }
 
+// poll lists and applies all entries once, records the document if this node is the recorder,
+// and corrects the held root if this node polls current entries.
+func (o *Origin) poll(ctx context.Context, current bool) error {
+	if !current {
+		if err := o.refreshStale(ctx); err != nil {
+			return err
+		}
+		return o.recordIfRecorder(ctx)
+	}
+	listed, err := o.listAndApply(ctx)
+	if err != nil {
+		return err
+	}
+	if err := o.recordIfRecorder(ctx); err != nil || !o.pollsCurrent() {
+		return err
+	}
+	return o.correctHeld(ctx, listed)
+}
+
+func (o *Origin) recordIfRecorder(ctx context.Context) error {
+	if !o.isRecorder() {
+		return nil
+	}
+	return o.recordDocument(ctx)
+}
+
 // refreshStale lists all entries, which may be seconds old, and applies those that are newer
-// than the known ones.
+// than the known ones. It lists the current entries if there is nothing to compare the old ones
+// with, or if an order was deleted, perhaps: a version that has the newer entries must not have
+// that order.
 func (o *Origin) refreshStale(ctx context.Context) error {
+	if !o.hasListed() {
+		return o.refresh(ctx)
+	}
 	l, err := o.store.ListStale(ctx, o.decoder.Prefix())
 	if err != nil {
 		return err
 	}
-	return o.applyListing(ctx, kqstore.Listing{Entries: l.Entries}, false)
+	if len(o.unprocessed(l.Entries, staleListing)) > 0 && o.lacksOrder(l) {
+		return o.refresh(ctx)
+	}
+	return o.applyListing(ctx, kqstore.Listing{Entries: l.Entries}, staleListing)
+}
+
+// hasListed reports whether a current listing was applied.
+func (o *Origin) hasListed() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.listedRevision > 0
 }
 
 // refresh lists and applies all entries.
@@ -297,7 +344,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := o.applyListing(ctx, l, true); err != nil {
+	if err := o.applyListing(ctx, l, currentListing); err != nil {
 		return 0, err
 	}
 	return max(l.Revision, 1), nil
--- a/internal/config/kqorigin/record.go
+++ b/internal/config/kqorigin/record.go
@@ -1,6 +1,7 @@
 package kqorigin
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -40,11 +41,17 @@
 	}
 )
 
-// checkRecord adopts the recorded document if it is newer than the current one and than the
-// document among the changes, or if it has that one's number but other content. It does so,
+// WithOnAdopted calls f with the number of each document that is adopted from the record, and
+// with the revision of the newest entry beside it. f must not call the Origin.
+func WithOnAdopted(f func(number, revision kqname.ConfigVersion)) Option {
+	return func(o *Origin) { o.onAdopted = f }
+}
+
+// isRecordNewer reports whether the recorded document is newer than the current one and than
+// the document among the changes, or has that one's number but other content. It does so,
 // too, if there is no current document and that among the changes cannot be used. It asks
 // the store only if the changes hold a document that would be accepted, or that one.
-func (o *Origin) checkRecord(ctx context.Context, changes []change) error {
+func (o *Origin) isRecordNewer(ctx context.Context, changes []change) (bool, error) {
 	var next, unusable change
 	current := o.currentNumber()
 	for _, c := range changes {
@@ -58,18 +65,15 @@
 	}
 	if next.number == 0 {
 		if current > 0 || !unusable.isDocument {
-			return nil
+			return false, nil
 		}
 		next = change{entry: unusable.entry}
 	}
 	r, err := o.recordSince(ctx, next.entry.Revision)
 	if err != nil {
-		return err
+		return false, err
 	}
-	if r.Number == 0 || r.Number < next.number || r.Number == next.number && r.Digest == kqresource.DigestOf(next.entry.Value) {
-		return nil
-	}
-	return o.adoptRecorded(ctx, next.entry.Key)
+	return r.Number > next.number || r.Number > 0 && r.Number == next.number && r.Digest != kqresource.DigestOf(next.entry.Value), nil
 }
 
 func (o *Origin) currentNumber() kqname.ConfigVersion {
@@ -119,32 +123,83 @@
 	return r, nil
 }
 
-// adoptRecorded replaces the current document by the recorded one, if that is newer; the
-// next merge publishes it. The version of its root is the revision at which it was recorded,
-// which is the same on each node that adopts it.
-func (o *Origin) adoptRecorded(ctx context.Context, documentKey string) error {
-	e, err := o.store.Get(ctx, ContentKey)
+// applyRecorded lists and applies all entries, and replaces the current document by the
+// recorded one if the store holds only an older or unusable one. It returns the entries that
+// were rejected.
+//
+// The entries are listed after the record was read, since a document that was listed before
+// may be older than the record while the store already holds a newer one. For the same reason,
+// the revision of the recorded content does not become the version: other entries may be newer
+// than that content and have a lower revision.
+func (o *Origin) applyRecorded(ctx context.Context) ([]refusal, error) {
+	content, err := o.store.Get(ctx, ContentKey)
 	if err != nil {
-		return fmt.Errorf("read recorded document: %w", err)
-	}
-	d, number, _, err := o.decoder.Document(kqstore.Entry{Key: documentKey, Value: e.Value, Revision: e.Revision})
-	if err == nil {
-		err = validate(d)
+		return nil, fmt.Errorf("read recorded document: %w", err)
 	}
+	l, err := o.store.List(ctx, o.decoder.Prefix())
 	if err != nil {
-		return fmt.Errorf("decode recorded document: %w", err)
+		return nil, fmt.Errorf("list entries after the record: %w", err)
+	}
+	if err := o.adopt(l, content); err != nil {
+		return nil, fmt.Errorf("adopt recorded document: %w", err)
+	}
+	return o.mergeAndPublish(ctx, l, o.decode(l.Entries, currentListing), currentListing), nil
+}
+
+// adopt makes the recorded document the current one, if it is newer than that and the
+// document of a current listing is older or unusable. The next merge publishes it under the
+// revision of the newest listed entry, which is the same on each node that adopts it.
+func (o *Origin) adopt(l kqstore.Listing, content kqstore.Entry) error {
+	listed, ok := o.listedDocument(l)
+	if !ok {
+		// The operators have deleted the document. The current one stays in force.
+		return nil
+	}
+	recorded := change{entry: kqstore.Entry{Key: listed.entry.Key, Value: content.Value, Revision: content.Revision}}
+	recorded.document, recorded.number, _, recorded.err = o.decoder.Document(recorded.entry)
+	if err := recorded.check(); err != nil {
+		return err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.record.ContentRevision = max(o.record.ContentRevision, e.Revision)
-	if number > o.documentNumber {
-		o.setDocument(d, number, kqstore.Entry{Key: documentKey, Value: e.Value})
+	o.record.ContentRevision = max(o.record.ContentRevision, content.Revision)
+	if recorded.number <= o.documentNumber || listed.check() == nil && !recorded.precedes(listed) {
+		return nil
+	}
+	o.setDocument(recorded.document, recorded.number, recorded.entry)
+	for _, e := range l.Entries {
 		o.revision = max(o.revision, e.Revision)
-		o.isAdopted = true
 	}
+	o.isAdopted = true
+	o.onAdopted(recorded.number, kqname.ConfigVersion(o.revision))
 	return nil
 }
 
+// listedDocument returns the document of a listing.
+func (o *Origin) listedDocument(l kqstore.Listing) (change, bool) {
+	for _, e := range l.Entries {
+		c := change{entry: e}
+		if c.document, c.number, c.isDocument, c.err = o.decoder.Document(e); c.isDocument {
+			return c, true
+		}
+	}
+	return change{}, false
+}
+
+// check returns an error if the document of a change cannot be used.
+func (c change) check() error {
+	if c.err != nil {
+		return c.err
+	}
+	return validate(c.document)
+}
+
+// precedes reports whether a recorded document takes precedence over a listed one: it has a
+// higher number, or the same number and was accepted first.
+func (c change) precedes(listed change) bool {
+	return c.number > listed.number || c.number == listed.number && !bytes.Equal(c.entry.Value, listed.entry.Value)
+}
+
 // recordDocument records the current document, unless the record is up to date or newer.
 func (o *Origin) recordDocument(ctx context.Context) error {
 	o.recordMu.Lock()
@@ -199,11 +254,12 @@
 	if _, err := o.readRecord(ctx); err != nil {
 		return err
 	}
-	o.mu.Lock()
-	key := o.documentKey
-	o.mu.Unlock()
-	if err := o.adoptRecorded(ctx, key); err != nil && !errors.Is(err, kqstore.ErrNotFound) {
+	refused, err := o.applyRecorded(ctx)
+	if err != nil && !errors.Is(err, kqstore.ErrNotFound) {
 		return err
 	}
+	for _, r := range refused {
+		o.onRefused(r.key, r.err)
+	}
 	return nil
 }
--- a/internal/run/kqnode/config.go
+++ b/internal/run/kqnode/config.go
@@ -74,9 +74,11 @@
 		n.metrics.PlatformFailed()
 		log.WithError(err).Debug("Platform did not answer.")
 	}
-	// receive is assigned below, since it depends on objects made from the store.
+	// receive and d are assigned below, since they depend on objects made from the store.
 	var receive func(context.Context, kqresource.Root)
-	store, watcher := n.newVersionSource(func(ctx context.Context, r kqresource.Root) { receive(ctx, r) }, platformFailed)
+	var d *kqdistribute.Distributor
+	store, watcher := n.newVersionSource(func(ctx context.Context, r kqresource.Root) { receive(ctx, r) },
+		func() kqresource.Root { return d.NewestRoot() }, platformFailed)
 	fetcher := kqfetch.New(n.peers, n.client, n.table, store, n.budget, c.PlatformRate, c.ExpectedNodes)
 	if builder, ok := store.(kqfetch.ObjectBuilder); ok {
 		fetcher.UseBuilder(builder, func() []kqmember.Member { return kqfollower.WatchersOf(n.table.Members()) })
@@ -84,7 +86,7 @@
 	n.replica = kqreplica.New(n.replicaSource(direct, store, fetcher), n.replicaOptions(direct)...)
 	fetcher.ServeFrom(n.replica)
 	overlay := kqoverlay.New(n.table)
-	d := kqdistribute.New(n.peers, n.client, n.table, overlay, n.budget, n.replica, func(v kqname.ConfigVersion, err error) {
+	d = kqdistribute.New(n.peers, n.client, n.table, overlay, n.budget, n.replica, func(v kqname.ConfigVersion, err error) {
 		log.WithError(err).Warnf("Refused version %d.", v)
 	}, kqdistribute.WithOnInForce(n.recordLag))
 	fetcher.OnSlow(n.logSlowFetch)
@@ -112,8 +114,9 @@
 
 // newVersionSource returns the source of versions' objects that no peer provides, and
 // the watcher of new versions. Both read the commits of this program's console or,
-// with an adapter, the keys that the platform's operators write.
-func (n *Node) newVersionSource(receive func(context.Context, kqresource.Root), failed func(error)) (kqfetch.Platform, versionWatcher) {
+// with an adapter, the keys that the platform's operators write. held returns the newest root
+// that this node holds.
+func (n *Node) newVersionSource(receive func(context.Context, kqresource.Root), held func() kqresource.Root, failed func(error)) (kqfetch.Platform, versionWatcher) {
 	if n.adapter.OperatorDecoder == nil {
 		return kqcommit.New(n.store), kqwatch.New(n.store, receive, failed)
 	}
@@ -123,9 +126,17 @@
 		log.WithError(err).WithFields(logrus.Fields{"event": "refused", "key": key}).Warnf("Refused the value of key %s.", key)
 		n.recentEvents.Add(fmt.Sprintf("Refused the value of key %s: %v.", key, err), time.Now())
 	}
+	adopted := func(number, version kqname.ConfigVersion) {
+		log.WithFields(logrus.Fields{"event": "adopted", "number": number, "version": version}).Infof("Adopted the recorded document %d as version %d.", number, version)
+	}
+	corrected := func(wrong, version kqname.ConfigVersion) {
+		log.WithFields(logrus.Fields{"event": "corrected", "wrong": wrong, "version": version}).Warnf("Version %d was not what the store holds; version %d replaces it.", wrong, version)
+		n.recentEvents.Add(fmt.Sprintf("Replaced version %d, which was not what the store holds, by version %d.", wrong, version), time.Now())
+	}
 	isFirst := func() bool { return kqfollower.IsFirstWatcher(n.table.Self(), n.table.Members()) }
 	origin := kqorigin.New(n.storeWithLister(), n.adapter.OperatorDecoder, receive, refused, failed,
-		kqorigin.WithInitial(n.initialState), kqorigin.WithRecorder(isFirst), kqorigin.WithCurrentPolls(isFirst))
+		kqorigin.WithInitial(n.initialState), kqorigin.WithRecorder(isFirst), kqorigin.WithCurrentPolls(isFirst),
+		kqorigin.WithHeld(held, corrected), kqorigin.WithOnAdopted(adopted))
 	return origin, origin
 }
 
