Upstreams: one from before the start is confirmed by its second announcement

Cause: while the store is silent, peers hold a departure. After a kill of all nobody knows it, and a new process used an upstream for upstream_ttl (8 s) after a single announcement, which may have been made before the departure and delivered late. The node's log has the departure with held_by=peers, then the new process, then requests until the upstream's end.

Change: two announcement intervals after its start, a process uses an upstream that has started before it only once a second announcement has confirmed it. Until then it uses it at once, as before. A confirmed upstream is preferred to an unconfirmed one.

TestLateAnnouncementAfterAKillIsNotConfirmed fails on the code before; the tests of the set itself need its new option.

--- a/internal/call/kqlocal/upstreams.go
+++ b/internal/call/kqlocal/upstreams.go
@@ -90,6 +90,11 @@
 		// announced itself.
 		recoveredTTL time.Duration
 		onChange     func([]kqmember.Upstream)
+		// started is when this process started, and announceInterval about how often an
+		// upstream announces itself, or 0 if no confirmation is needed.
+		started          time.Time
+		announceInterval time.Duration
+		onHeld           func(Announcement)
 
 		mu        sync.Mutex
 		byAddress map[kqname.Address]registration
@@ -98,6 +103,9 @@
 		// goodbyes holds the latest goodbye of each instance for historyTTL, since earlier
 		// announcements of the same upstream may arrive after it.
 		goodbyes map[kqname.Instance]goodbye
+		// unconfirmedUntil is until when upstreams are used that are unconfirmed, moved
+		// forward by the time for which this node was paused since.
+		unconfirmedUntil time.Time
 	}
 
 	// goodbye means that every start of an upstream up to startMS has ended. receivedAt
@@ -126,6 +134,7 @@
 		// announcement.
 		coldFor time.Duration
 		withdrawal
+		confirmation
 	}
 
 	// Option configures Upstreams.
@@ -193,8 +202,9 @@
 		next.withdrawal, next.leavingUntil, next.limit = old.withdrawal, old.leavingUntil, old.limit
 		next.withdrawn = old.withdrawn && now.Sub(old.withdrawnAt) < old.minDuration
 	}
+	next.confirmation = u.confirm(a, old, ok, now)
 	u.byAddress[a.Address] = next
-	if !ok || coldAgain || !old.sameForPeers(a) || next.withdrawn != old.withdrawn {
+	if !ok || coldAgain || !old.sameForPeers(a) || next.withdrawn != old.withdrawn || next.held != old.held {
 		u.publish()
 	}
 	return nil
@@ -244,14 +254,14 @@
 	return nil
 }
 
-// Announcements returns the latest announcement of each upstream that does not drain, by
-// address.
+// Announcements returns the latest announcement of each upstream that is in use and does not
+// drain, by address.
 func (u *Upstreams) Announcements() []Announcement {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	var list []Announcement
 	for _, e := range u.byAddress {
-		if !e.Draining {
+		if !e.Draining && !e.held {
 			list = append(list, e.Announcement)
 		}
 	}
@@ -333,7 +343,8 @@
 	return a == other
 }
 
-// Sweep removes upstreams whose announcements have expired, and forgets goodbyes older than
+// Sweep removes upstreams whose announcements have expired, ends the use of those that are not
+// confirmed in time, and forgets goodbyes older than
 // historyTTL. It is called every sweepInterval. If it is called later, this node itself was
 // paused, and announcements that arrived meanwhile may still wait to be read; the time
 // beyond the interval does not count against any upstream. Sweep returns the removed ones.
@@ -346,6 +357,8 @@
 		pause = max(now.Sub(u.lastSweep)-sweepInterval, 0)
 	}
 	u.lastSweep = now
+	u.unconfirmedUntil = u.unconfirmedUntil.Add(pause)
+	changed := false
 	for instance, e := range u.goodbyes {
 		if now.Sub(e.receivedAt) > historyTTL {
 			delete(u.goodbyes, instance)
@@ -360,9 +373,10 @@
 			removed = append(removed, e.Announcement)
 			continue
 		}
+		changed = u.holdUnconfirmed(&e, now) || changed
 		u.byAddress[address] = e
 	}
-	if len(removed) > 0 {
+	if len(removed) > 0 || changed {
 		u.publish()
 	}
 	return removed
@@ -376,15 +390,15 @@
 }
 
 // Find returns the upstream of a service and version; an empty version accepts any. Of
-// several, it prefers one that does not drain, then the one first seen last, since the
-// announcement of a replaced upstream stays until it expires. It may return an upstream
-// that is withdrawn.
+// several, it prefers one that does not drain, then one that is confirmed, then the one first
+// seen last, since the announcement of a replaced upstream stays until it expires. It may return
+// an upstream that is withdrawn.
 func (u *Upstreams) Find(service kqname.Service, version kqname.UpstreamVersion) (Announcement, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	var best registration
 	for _, e := range u.byAddress {
-		if e.Service == service && (version == "" || e.Version == version) && (best.Slots == 0 || e.isPreferredTo(best)) {
+		if !e.held && e.Service == service && (version == "" || e.Version == version) && (best.Slots == 0 || e.isPreferredTo(best)) {
 			best = e
 		}
 	}
@@ -411,15 +425,18 @@
 	if e.Draining != other.Draining {
 		return other.Draining
 	}
+	if e.unconfirmed != other.unconfirmed {
+		return other.unconfirmed
+	}
 	return e.firstSeen.After(other.firstSeen)
 }
 
-// publish passes the upstreams that are not withdrawn to onChange. The caller holds
+// publish passes the upstreams that are in use and not withdrawn to onChange. The caller holds
 // u.mu.
 func (u *Upstreams) publish() {
 	list := make([]kqmember.Upstream, 0, len(u.byAddress))
 	for _, e := range u.byAddress {
-		if e.withdrawn {
+		if e.withdrawn || e.held {
 			continue
 		}
 		next := kqmember.Upstream{Service: e.Service, Version: e.Version, Slots: e.Slots, Draining: e.Draining, FirstAnnounced: e.firstSeen, Limited: e.limited, Limit: e.perSecond, Start: e.StartID()}
--- a/internal/run/kqnode/announce.go
+++ b/internal/run/kqnode/announce.go
@@ -19,13 +19,24 @@
 // from.
 const recoverTimeout = 300 * time.Millisecond
 
-// pendingAnnouncements holds announcements until a starting node has learned which
-// upstreams left before it started. It is safe for concurrent use.
-type pendingAnnouncements struct {
-	mu              sync.Mutex
-	departuresKnown bool
-	byInstance      map[kqname.Instance]kqlocal.Announcement
-}
+type (
+	// pendingAnnouncements holds announcements until a starting node has learned which
+	// upstreams left before it started. It is safe for concurrent use.
+	pendingAnnouncements struct {
+		mu              sync.Mutex
+		departuresKnown bool
+		byInstance      map[kqname.Instance]pending
+	}
+
+	// pending holds the first and the latest announcement of an upstream's start.
+	pending struct{ first, latest arrival }
+
+	// arrival is an announcement with the time at which it arrived.
+	arrival struct {
+		kqlocal.Announcement
+		at time.Time
+	}
+)
 
 // serveAnnouncement serves an announcement in the platform's own format. It refuses one
 // that cannot be parsed, that announce refuses, or that names another service and is not
@@ -62,7 +73,7 @@
 func (n *Node) announce(a kqlocal.Announcement) error {
 	now := time.Now()
 	leaves, elsewhere := a.Gone || a.Draining, false
-	if !leaves && n.pendingAnnouncements.hold(a) {
+	if !leaves && n.pendingAnnouncements.hold(a, now) {
 		return nil
 	}
 	if leaves {
@@ -160,16 +171,21 @@
 
 // hold holds an announcement unless earlier departures are known, and reports whether it
 // did.
-func (p *pendingAnnouncements) hold(a kqlocal.Announcement) bool {
+func (p *pendingAnnouncements) hold(a kqlocal.Announcement, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.departuresKnown {
 		return false
 	}
 	if p.byInstance == nil {
-		p.byInstance = make(map[kqname.Instance]kqlocal.Announcement)
+		p.byInstance = make(map[kqname.Instance]pending)
 	}
-	p.byInstance[a.Instance] = a
+	held, ok := p.byInstance[a.Instance]
+	held.latest = arrival{a, now}
+	if !ok || held.first.StartedMS != a.StartedMS || held.first.Address != a.Address {
+		held.first = held.latest
+	}
+	p.byInstance[a.Instance] = held
 	return true
 }
 
@@ -177,19 +193,23 @@
 func (p *pendingAnnouncements) remove(instance kqname.Instance) kqlocal.Announcement {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	a := p.byInstance[instance]
+	held := p.byInstance[instance]
 	delete(p.byInstance, instance)
-	return a
+	return held.latest.Announcement
 }
 
-// release returns the held announcements and stops holding new ones.
-func (p *pendingAnnouncements) release() []kqlocal.Announcement {
+// release returns the held announcements, those of one upstream in the order of their
+// arrival, and stops holding new ones.
+func (p *pendingAnnouncements) release() []arrival {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.departuresKnown = true
-	list := make([]kqlocal.Announcement, 0, len(p.byInstance))
-	for _, a := range p.byInstance {
-		list = append(list, a)
+	var list []arrival
+	for _, held := range p.byInstance {
+		list = append(list, held.first)
+		if held.latest != held.first {
+			list = append(list, held.latest)
+		}
 	}
 	p.byInstance = nil
 	return list
--- a/internal/run/kqnode/call.go
+++ b/internal/run/kqnode/call.go
@@ -90,12 +90,25 @@
 	}
 }
 
+// localOptions returns the options for the local upstreams. Without a store that keeps
+// departures, no process knows those of before, and an announcement is taken at its word.
+func (n *Node) localOptions() []kqlocal.Option {
+	options := []kqlocal.Option{kqlocal.WithRecoveredTTL(n.recoveredTTL())}
+	if n.adapter.Lister == nil {
+		return options
+	}
+	return append(options, kqlocal.WithConfirmation(n.started, n.settings.Member.AnnounceInterval, func(a kqlocal.Announcement) {
+		n.logger.Part("upstream").WithFields(logrus.Fields{"event": "unconfirmed", "instance": a.Instance, "service": a.Service, "started_ms": a.StartedMS}).
+			Info("Upstream from before the start has announced itself only once.")
+	}))
+}
+
 // setUpCalls assembles the call flow: match a route, admit, pick an upstream, send,
 // classify the result and answer.
 func (n *Node) setUpCalls() {
 	n.local = kqlocal.New(n.settings.Member.UpstreamTTL, func(list []kqmember.Upstream) {
 		n.table.Update(func(m *kqmember.Member) { m.Upstreams = list })
-	}, kqlocal.WithRecoveredTTL(n.recoveredTTL()))
+	}, n.localOptions()...)
 	n.disconnectWatcher = kqdisconnect.New()
 	gate := []kqgate.Option{kqgate.WithWithdrawer(n.local), kqgate.WithObserver(n.rollouts), kqgate.WithGuard(n.rollouts), kqgate.WithEvacuation(n.isEvacuated), kqgate.WithColdStart(n.coldStart), kqgate.WithDeparture(n.upstreamLeaves), kqgate.WithDisconnectWatcher(n.disconnectWatcher), kqgate.WithCounter(n.metrics), kqgate.WithSupervisor(n.supervisor)}
 	entry := append(n.entryTLSOptions(), kqentry.WithCounter(n.metrics), kqentry.WithSplitter(n.rollouts),
--- a/internal/run/kqnode/departure.go
+++ b/internal/run/kqnode/departure.go
@@ -95,7 +95,7 @@
 func (n *Node) learnDepartures(ctx context.Context) {
 	n.applyDepartures(n.distribution.departures.Learn(ctx))
 	for _, a := range n.pendingAnnouncements.release() {
-		if err := n.local.Announce(a, time.Now()); err != nil {
+		if err := n.local.Announce(a.Announcement, a.at); err != nil {
 			n.logger.Part("upstream").WithError(err).Warn("Announcement refused.")
 		}
 	}
--- a/internal/run/kqnode/forgotten_departure_test.go
+++ b/internal/run/kqnode/forgotten_departure_test.go
@@ -106,3 +106,49 @@
 		t.Error("a late announcement brings the upstream back")
 	}
 }
+
+// Guards against calls to an upstream that left while the store was silent, after a kill of all
+// processes and one late announcement: it was used for as long as one that announces itself.
+func TestLateAnnouncementAfterAKillIsNotConfirmed(t *testing.T) {
+	store := kqfakestore.New()
+	node, kill := startWithAdapter(t, "a", store)
+	sendAnnouncement(t, node, "one ready")
+	await(t, "the upstream is announced", func() bool { return hasUpstream(node) })
+	store.SetFaults(kqfakestore.Faults{Down: true})
+	sendAnnouncement(t, node, "one gone")
+	kill()
+	restarted := time.Now()
+	node, kill = startWithAdapter(t, "a", store)
+	defer kill()
+	sendAnnouncement(t, node, "one ready")
+	await(t, "an announcement is applied while the store is silent", func() bool { return hasUpstream(node) })
+	await(t, "the upstream is used no more", func() bool { return !hasUpstream(node) })
+	// Two of the intervals at which upstreams announce themselves by default, and a sweep.
+	if took := time.Since(restarted); took > 3500*time.Millisecond {
+		t.Errorf("the upstream was used until %v after the restart", took)
+	}
+	sendAnnouncement(t, node, "one ready")
+	if !hasUpstream(node) {
+		t.Error("an upstream that announces itself again is not used")
+	}
+}
+
+// Guards against live upstreams that are not used after a restart without the store: what they
+// announce before the node knows the departures counts, too.
+func TestHeldAnnouncementsConfirmAnUpstream(t *testing.T) {
+	store := kqfakestore.New()
+	store.SetFaults(kqfakestore.Faults{Down: true})
+	started := time.Now()
+	node, kill := startWithAdapter(t, "a", store)
+	defer kill()
+	sendAnnouncement(t, node, "one ready")
+	time.Sleep(900 * time.Millisecond)
+	sendAnnouncement(t, node, "one ready")
+	await(t, "the upstream is used", func() bool { return hasUpstream(node) })
+	for time.Since(started) < 3500*time.Millisecond {
+		if !hasUpstream(node) {
+			t.Fatalf("a live upstream is not used %v after the start", time.Since(started))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
