Departures: the next process stores what only peers hold

A departure was forgotten a minute after its acknowledgement if its node was killed while the store was silent: peers held it and wrote nothing, and the next process of the node learned it from them but wrote it only if the upstream repeated it. A kill of the peers after that brought the upstream back.

Change: once the store can be read, a starting node writes the departures that it has learned from peers and the store lacks, if its own entry lists the upstream. Only that node does so: if all that start wrote all that they learn, a store that has just come back would get a call for each pair of both.

--- a/internal/run/kqnode/departure.go
+++ b/internal/run/kqnode/departure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -10,6 +11,7 @@
 	"github.com/kumquatgw/kumquatgw/internal/call/kqlocal"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqbroadcast"
 	"github.com/kumquatgw/kumquatgw/internal/peer/kqdeparture"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqdiscovery"
 	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
@@ -103,11 +105,30 @@
 	n.recoverUpstreams(ctx)
 	n.distribution.departures.LearnRemaining(ctx, func(list []kqdeparture.Departure) {
 		n.applyDepartures(list)
+		n.storeOwnDepartures(ctx, list)
 		n.recordUpstreams()
 		n.gate.Sweep(time.Now())
 	})
 }
 
+// storeOwnDepartures writes the departures of this node's upstreams to the store, unless it
+// holds them: the earlier process that was told may have been killed before the store answered,
+// and peers hold a departure for a limited time and write none.
+func (n *Node) storeOwnDepartures(ctx context.Context, list []kqdeparture.Departure) {
+	ctx, cancel := context.WithTimeout(ctx, recoverTimeout)
+	defer cancel()
+	own, err := kqdiscovery.OwnUpstreams(ctx, n.initialState, n.settings.Node.Name)
+	if err != nil {
+		// The store does not answer, so that nothing can be written either.
+		return
+	}
+	for _, d := range list {
+		if slices.ContainsFunc(own, func(u kqdiscovery.Upstream) bool { return u.Instance == d.Instance && u.StartedMS <= d.StartedMS }) {
+			n.distribution.departures.ReplicateInBackground(d)
+		}
+	}
+}
+
 func (n *Node) applyDepartures(list []kqdeparture.Departure) {
 	now := time.Now()
 	for _, d := range list {
--- a/internal/run/kqnode/forgotten_departure_test.go
+++ b/internal/run/kqnode/forgotten_departure_test.go
@@ -5,8 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqdeparture"
+	"github.com/kumquatgw/kumquatgw/internal/peer/kqrpc"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
 	"github.com/kumquatgw/kumquatgw/internal/store/kqfakestore"
+	"github.com/kumquatgw/kumquatgw/pkg/kqname"
 )
 
 // Guards against calls to an upstream that left while the store was silent and whose node was
@@ -152,3 +155,43 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// Guards against a departure that is forgotten after a minute: its node was killed while the
+// store was silent, and the peers that hold it write nothing.
+func TestNextProcessStoresTheDepartureThatPeersHold(t *testing.T) {
+	type departures struct {
+		Departures []kqdeparture.Departure `cbor:"1,keyasint"`
+	}
+	store := kqfakestore.New()
+	node, kill := startWithAdapter(t, "a", store)
+	control := node.Members()[0].Control
+	sendAnnouncement(t, node, "one ready")
+	var peers []kqname.Address
+	for _, name := range []string{"b", "c"} {
+		peer, killPeer := startWithAdapter(t, name, store)
+		defer killPeer()
+		peers = append(peers, peer.Members()[0].Control)
+	}
+	await(t, "the nodes know each other", func() bool { return len(node.Members()) == 3 })
+	await(t, "the upstream is in the node's entry", func() bool {
+		l, err := store.List(t.Context(), "kumquatgw/nodes/a")
+		return err == nil && len(l.Entries) == 1 && strings.Contains(string(l.Entries[0].Value), `"instance":"one"`)
+	})
+	kill()
+	client := kqrpc.NewClient("a", nil)
+	defer client.Close()
+	for _, to := range peers {
+		if _, err := kqrpc.Call[departures, struct{}](t.Context(), client, to, "d.t", departures{[]kqdeparture.Departure{{Instance: "one", StartedMS: 7}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	node, kill = startWithAdapter(t, "a", store, func(s *kqsettings.Settings) { s.Node.ControlListen = control })
+	defer kill()
+	await(t, "the store holds the departure", func() bool {
+		l, err := store.List(t.Context(), "kumquatgw/departures/")
+		return err == nil && len(l.Entries) == 1
+	})
+	if hasUpstream(node) {
+		t.Error("the upstream that left is used")
+	}
+}
