Connections: no reading ahead behind a head that can be read in two ways

A text in the body of a POST ran as a request if the head of the request before it on the connection ended its lines with line feeds alone.

Cause: the HTTP library ends a head at an empty line with or without a carriage return, the framer at CR LF CR LF only, which it found in the next body. What it took for the next request was started ahead; only its answer was discarded.

Change: the framer checks each head. From the first one that the library may read differently on, the connection's requests are served one after the other; a head that was read ahead is not started.

--- a/internal/call/kqconnection/framer.go
+++ b/internal/call/kqconnection/framer.go
@@ -29,8 +29,12 @@
 // framer finds where requests end and which have a body of unknown length. This decides how
 // many bytes one Read returns, whether memory is reserved for the body and whether later
 // requests are served sequentially. If an end is wrong, as within a chunked body, fasthttp
-// still reads the same bytes.
+// still reads the same bytes; but what is behind a wrong end must not be read ahead.
 type framer struct {
+	// isAmbiguous is set from the first head on that fasthttp may read differently, so that the
+	// ends found since may be wrong. syntax is the state of the check of the current head.
+	isAmbiguous bool
+	syntax      headSyntax
 	// bodyRemaining is the number of body bytes still to come, and matched the number of
 	// bytes of headEnd that have arrived.
 	bodyRemaining int
@@ -68,6 +72,9 @@
 type bodyFraming struct {
 	contentLength int
 	unknownLength bool
+	// hasLength is set if a length is stated, and isAmbiguous if several are or one that is
+	// not a number.
+	hasLength, isAmbiguous bool
 }
 
 // consume advances the framing by the beginning of data that belongs to the current
@@ -83,9 +90,12 @@
 		return len(data)
 	}
 	if !fr.inHead {
-		fr.head, fr.inHead = headSize{}, true
+		fr.head, fr.inHead, fr.syntax = headSize{}, true, headSyntax{}
 	}
 	end := fr.findHeadEnd(data)
+	if !fr.syntax.check(data[:max(end, 0)]) || end < 0 && !fr.syntax.check(data) {
+		fr.isAmbiguous = true
+	}
 	if end < 0 {
 		fr.head.add(data)
 		fr.addPartialHead(data)
@@ -94,6 +104,7 @@
 	fr.head.add(data[:end])
 	fr.inHead = false
 	f := fr.finishHead(data[:end])
+	fr.isAmbiguous = fr.isAmbiguous || f.isAmbiguous
 	if fr.unknownLength = f.unknownLength; fr.unknownLength {
 		fr.head.add(fr.chunkScanner.trailer(data[end:]))
 		return len(data)
@@ -126,8 +137,12 @@
 
 // addLines adds the framing stated by complete lines.
 func (f bodyFraming) addLines(lines []byte) bodyFraming {
-	if f.contentLength == 0 {
-		f.contentLength = contentLength(lines)
+	for value, rest := headerField(lines, contentLengthName); value != nil; value, rest = headerField(rest, contentLengthName) {
+		n, err := strconv.ParseUint(string(bytes.Trim(value, " \t\r\n")), 10, 31)
+		if f.isAmbiguous = f.isAmbiguous || f.hasLength || err != nil; err == nil && !f.hasLength {
+			f.contentLength = int(n)
+		}
+		f.hasLength = true
 	}
 	f.unknownLength = f.unknownLength || hasField(lines, transferEncodingName)
 	return f
@@ -158,28 +173,14 @@
 	return -1
 }
 
-// contentLength returns the body length that a head states, or 0 if it states none or one
-// that is malformed or does not fit into 31 bits.
-func contentLength(head []byte) int {
-	value, ok := headerField(head, contentLengthName)
-	if !ok {
-		return 0
-	}
-	n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 31)
-	if err != nil {
-		return 0
-	}
-	return int(n)
-}
-
 func hasField(head, name []byte) bool {
-	_, ok := headerField(head, name)
-	return ok
+	value, _ := headerField(head, name)
+	return value != nil
 }
 
 // headerField returns the value of the first field with the given name, which must be in
-// lower case.
-func headerField(head, name []byte) ([]byte, bool) {
+// lower case, with its line end, and the lines behind it. The value is nil if there is none.
+func headerField(head, name []byte) (value, rest []byte) {
 	colon := len(name)
 	for len(head) > 0 {
 		end := bytes.IndexByte(head, '\n') + 1
@@ -189,8 +190,8 @@
 		line := head[:end]
 		head = head[end:]
 		if len(line) > colon && line[colon] == ':' && bytes.EqualFold(line[:colon], name) {
-			return line[colon+1:], true
+			return line[colon+1:], head
 		}
 	}
-	return nil, false
+	return nil, nil
 }
--- a/internal/call/kqconnection/pipeline.go
+++ b/internal/call/kqconnection/pipeline.go
@@ -96,10 +96,10 @@
 	}
 }
 
-// readAhead reads and serves the requests behind a safe request while that one is served.
-// The returned function stops the reading.
+// readAhead reads and serves the requests behind a safe request while that one is served. The
+// returned function stops the reading.
 func (c *connection) readAhead(ctx *fasthttp.RequestCtx, next fasthttp.RequestHandler) (stop func()) {
-	if c.sequential || c.framer.unknownLength || c.listener.pipeliningDisabled.Load() || !ctx.IsGet() && !ctx.IsHead() {
+	if c.sequential || c.framer.isAmbiguous || c.framer.unknownLength || c.listener.pipeliningDisabled.Load() || !ctx.IsGet() && !ctx.IsHead() {
 		return func() {}
 	}
 	var group conc.WaitGroup
@@ -286,10 +286,12 @@
 func (p *pipelined) closeBody() { _, _ = p.ctx.Response.CloseBodyStream(), p.memory.Close() }
 
 // canPipeline reports whether a request with this head is safe and has no body, and so may
-// be served concurrently with others.
+// be served concurrently with others. fasthttp must not find another end of it.
 func canPipeline(head []byte) bool {
 	if !bytes.HasPrefix(head, []byte("GET ")) && !bytes.HasPrefix(head, []byte("HEAD ")) {
 		return false
 	}
-	return !hasField(head, transferEncodingName) && contentLength(head) == 0
+	var syntax headSyntax
+	f := bodyFraming{}.addLines(head)
+	return syntax.check(head) && !f.isAmbiguous && !f.unknownLength && f.contentLength == 0
 }
