Settings: an empty value keeps the default

Change: a setting with an empty value keeps its default. A required one is still refused. No setting with a default has a meaning for an empty text.

--- a/internal/run/kqsettings/read.go
+++ b/internal/run/kqsettings/read.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// readField sets one field from the file, or keeps its default if the file does
-// not set it.
+// readField sets one field from the file, or keeps its default if the file does not set it or
+// sets it to an empty value: a platform that fills in the file leaves out what it does not state.
 func (r *fileReader) readField(loaded *ini.File, f field) {
 	section := loaded.Section(f.section)
 	if !section.HasKey(f.key) || section.Key(f.key).Value() == "" && f.tag.Get("required") == "true" {
@@ -113,6 +113,9 @@
 		r.addError(f.section, f.key, "is set %d times", len(key.ValueWithShadows()))
 		return
 	}
+	if key.Value() == "" {
+		return
+	}
 	if err := f.set(key.Value()); err != nil {
 		r.addError(f.section, f.key, "%v", err)
 	}
