Versions: an old read makes no version that lacks an earlier change

An old read that shows an entry from before the newest applied one did not raise the version, so that nodes ignored it. And a recorded document did not replace another of its number that a node had accepted first, so that two contents stayed in force, and the correction of held roots asked the store at each poll without an end.

Change: such an old read leads to a current one. Of two documents of one number, the recorded one wins.

--- a/internal/config/kqorigin/merge.go
+++ b/internal/config/kqorigin/merge.go
@@ -137,14 +137,20 @@
 	return e.Revision <= o.seenRevisions[e.Key] || kind == staleListing && e.Revision <= o.listedRevision
 }
 
-// lacksOrder reports whether a listing lacks an order that is in force.
-func (o *Origin) lacksOrder(l kqstore.Listing) bool {
+// isIncomplete reports whether a stale listing has changes but may lack others that precede
+// them: an order that it lacks may have been deleted, and an entry that is older than an applied
+// one does not raise the version.
+func (o *Origin) isIncomplete(l kqstore.Listing) bool {
+	changes := o.unprocessed(l.Entries, staleListing)
 	listed := listedKeys(l)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if slices.ContainsFunc(changes, func(e kqstore.Entry) bool { return e.Revision <= o.revision }) {
+		return true
+	}
 	for key := range o.orders {
 		if !listed[key] {
-			return true
+			return len(changes) > 0
 		}
 	}
 	return false
--- a/internal/config/kqorigin/origin.go
+++ b/internal/config/kqorigin/origin.go
@@ -307,9 +307,8 @@
 }
 
 // refreshStale lists all entries, which may be seconds old, and applies those that are newer
-// than the known ones. It lists the current entries if there is nothing to compare the old ones
-// with, or if an order was deleted, perhaps: a version that has the newer entries must not have
-// that order.
+// than the known ones. It lists the current entries instead if the old ones are not enough for
+// a version that has every change before it.
 func (o *Origin) refreshStale(ctx context.Context) error {
 	if !o.hasListed() {
 		return o.refresh(ctx)
@@ -318,7 +317,7 @@
 	if err != nil {
 		return err
 	}
-	if len(o.unprocessed(l.Entries, staleListing)) > 0 && o.lacksOrder(l) {
+	if o.isIncomplete(l) {
 		return o.refresh(ctx)
 	}
 	return o.applyListing(ctx, kqstore.Listing{Entries: l.Entries}, staleListing)
--- a/internal/config/kqorigin/record.go
+++ b/internal/config/kqorigin/record.go
@@ -146,8 +146,8 @@
 	return o.mergeAndPublish(ctx, l, o.decode(l.Entries, currentListing), currentListing), nil
 }
 
-// adopt makes the recorded document the current one, if it is newer than that and the
-// document of a current listing is older or unusable. The next merge publishes it under the
+// adopt makes the recorded document the current one, if it precedes that one and a current
+// listing has none that is usable and newer. The next merge publishes it under the
 // revision of the newest listed entry, which is the same on each node that adopts it.
 func (o *Origin) adopt(l kqstore.Listing, content kqstore.Entry) error {
 	listed, ok := o.listedDocument(l)
@@ -163,7 +163,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.record.ContentRevision = max(o.record.ContentRevision, content.Revision)
-	if recorded.number <= o.documentNumber || listed.check() == nil && !recorded.precedes(listed) {
+	current := change{entry: kqstore.Entry{Value: o.documentValue}, number: o.documentNumber}
+	if !recorded.precedes(current) || listed.check() == nil && listed.number > recorded.number {
 		return nil
 	}
 	o.setDocument(recorded.document, recorded.number, recorded.entry)
@@ -194,10 +195,10 @@
 	return validate(c.document)
 }
 
-// precedes reports whether a recorded document takes precedence over a listed one: it has a
-// higher number, or the same number and was accepted first.
-func (c change) precedes(listed change) bool {
-	return c.number > listed.number || c.number == listed.number && !bytes.Equal(c.entry.Value, listed.entry.Value)
+// precedes reports whether a recorded document takes precedence over another: it has a higher
+// number, or the same number and other content, since it was accepted first.
+func (c change) precedes(other change) bool {
+	return c.number > other.number || c.number == other.number && !bytes.Equal(c.entry.Value, other.entry.Value)
 }
 
 // recordDocument records the current document, unless the record is up to date or newer.
