Connections: a test for the heads that are read ahead

The check of a head that was read ahead had no case that fails without it: a second request whose lines end with line feeds alone, and a third behind it, which ran the second one twice.

Measured: the new case of TestTextInABodyIsNoRequest fails in its 3 forms with that check alone taken out, and passes with -race with it.

--- a/internal/call/kqconnection/smuggle_test.go
+++ b/internal/call/kqconnection/smuggle_test.go
@@ -78,6 +78,9 @@
 		"a second request with line feeds alone and a body": {
 			"GET /get HTTP/1.1\r\nHost: a\r\n\r\nGET /next HTTP/1.1\nHost: a\nContent-Length: 3\n\nabc" + post("abc"+smuggled), "/get /next /post",
 		},
+		"a second request with line feeds alone and a third": {
+			"GET /get HTTP/1.1\r\nHost: a\r\n\r\nGET /next HTTP/1.1\nHost: a\n\nGET /third HTTP/1.1\r\nHost: a\r\n\r\n" + post("x"), "/get /next /third /post",
+		},
 		"a folded length": {
 			"GET /get HTTP/1.1\r\nHost: a\r\nContent-Length:\r\n " + strconv.Itoa(len(smuggled)) + "\r\n\r\n" + smuggled + post("x"), "/get /post",
 		},
