Connections: a request without a response has a line and a count

Cause: a leave's lines tell calls between the begin and the end of their handlers. A request that is read and not begun, or whose response is not written, is in none of them, so that three hypotheses about a closed connection can't be told apart.

Change: kqexchange follows a connection's request from its first byte to the last byte of its response. The lines of a leave tell by listener what open connections do; event=unanswered and kumquatgw_requests_unanswered_total tell each connection that is closed before anything of a response was written, and each request that crossed such a close unread.

--- a/internal/call/kqconnection/linger.go
+++ b/internal/call/kqconnection/linger.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"time"
+
+	"github.com/kumquatgw/kumquatgw/internal/call/kqexchange"
 )
 
 const (
@@ -112,6 +114,9 @@
 		if err != nil {
 			return
 		}
+		if c.closedIdle && left == maxLingerBytes {
+			c.listener.onUnanswered(kqexchange.Idle, 0)
+		}
 		left -= n
 	}
 }
--- a/internal/call/kqconnection/listener.go
+++ b/internal/call/kqconnection/listener.go
@@ -13,6 +13,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/base/kqmemory"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqdisconnect"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqexchange"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqreclaim"
 )
 
@@ -39,6 +40,9 @@
 		maxLingering int64
 		// pacer is nil if responses are not spaced out.
 		pacer Pacer
+		// onUnanswered is called for each connection that is closed with an unanswered request
+		// although its client has not left.
+		onUnanswered func(p kqexchange.Phase, age time.Duration)
 		// lingering counts closed connections whose remaining input is still being
 		// discarded.
 		lingering atomic.Int64
@@ -64,7 +68,10 @@
 		client       *kqmemory.Client
 		heads, ahead *kqmemory.Reservation
 		used         atomic.Bool
-		framer       framer
+		exchange     kqexchange.Exchange
+		// closedIdle is set if the connection was closed without a request.
+		closedIdle bool
+		framer     framer
 		// lastReadErr is the error of the last read, or nil.
 		lastReadErr error
 		// written is the number of bytes written since the last read.
@@ -91,10 +98,17 @@
 // WithPacer spaces out large responses by p.
 func WithPacer(p Pacer) Option { return func(l *Listener) { l.pacer = p } }
 
+// WithUnanswered sets the function that is called for each connection that is closed before
+// anything of its request's response was written, unless its client has left. It gets what the
+// connection was doing and the time since the request's first byte.
+func WithUnanswered(f func(p kqexchange.Phase, age time.Duration)) Option {
+	return func(l *Listener) { l.onUnanswered = f }
+}
+
 // New returns a listener over l. Only TCP connections are split into requests; others are
 // passed through.
 func New(l net.Listener, options ...Option) *Listener {
-	n := &Listener{Listener: l, maxLingering: defaultMaxLingering, open: make(map[*connection]struct{}), unused: make(map[*connection]struct{})}
+	n := &Listener{Listener: l, maxLingering: defaultMaxLingering, onUnanswered: func(kqexchange.Phase, time.Duration) {}, open: make(map[*connection]struct{}), unused: make(map[*connection]struct{})}
 	for _, o := range options {
 		o(n)
 	}
@@ -130,6 +144,17 @@
 	return len(l.open)
 }
 
+// Exchanges counts the open connections with a request that has not been answered whole.
+func (l *Listener) Exchanges(now time.Time) kqexchange.Count {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var count kqexchange.Count
+	for c := range l.open {
+		count.Add(&c.exchange, now)
+	}
+	return count
+}
+
 // CloseUnused closes the connections on which nothing has arrived yet. fasthttp counts them
 // as active and waits for them at a shutdown. A connection whose call has arrived but has
 // not been read stays open.
@@ -168,6 +193,7 @@
 func (c *connection) Read(b []byte) (int, error) {
 	var n int
 	err := ErrReclaimed
+	c.exchange.Await()
 	if c.client.State() != kqreclaim.Reclaimed {
 		c.client.Await(time.Now())
 		n, err = c.read(b)
@@ -182,7 +208,16 @@
 	return n, err
 }
 
+// read reads, and records that bytes of a request have arrived.
 func (c *connection) read(b []byte) (int, error) {
+	n, err := c.readRequest(b)
+	if n > 0 {
+		c.exchange.Receive(time.Now())
+	}
+	return n, err
+}
+
+func (c *connection) readRequest(b []byte) (int, error) {
 	if n, err := c.readBuffered(b); n > 0 || err != nil {
 		return n, err
 	}
@@ -253,6 +288,7 @@
 	if !c.listener.release(c) {
 		return nil
 	}
+	c.reportUnanswered(time.Now())
 	c.client.Close()
 	// Nothing more is reserved from now on, and there is nothing to report.
 	_, _ = c.heads.Close(), c.ahead.Close()
@@ -265,6 +301,21 @@
 	return c.linger()
 }
 
+// reportUnanswered reports a request without a response, unless its client has left. Bytes that
+// have not been read count as a request in the phase kqexchange.Idle.
+func (c *connection) reportUnanswered(now time.Time) {
+	closed, readable := kqdisconnect.NewProbe(c.TCPConn).Peek()
+	switch phase := c.exchange.Phase(); {
+	case closed:
+	case c.exchange.IsUnanswered():
+		c.listener.onUnanswered(phase, c.exchange.Age(now))
+	case readable && phase == kqexchange.Idle:
+		c.listener.onUnanswered(phase, 0)
+	default:
+		c.closedIdle = phase == kqexchange.Idle
+	}
+}
+
 // Pending reports whether bytes behind the current request have arrived. It must be called
 // by the goroutine that reads the connection.
 func (c *connection) Pending() bool {
--- a/internal/call/kqconnection/pace.go
+++ b/internal/call/kqconnection/pace.go
@@ -13,6 +13,7 @@
 // Write implements net.Conn. It writes in pieces, which show whether the client reads. With a pacer,
 // those beyond the beginning of a response are spaced out.
 func (c *connection) Write(b []byte) (int, error) {
+	c.exchange.Send()
 	before := c.client.Send(time.Now())
 	defer func() { c.client.Sent(before) }()
 	total, size := 0, writeSize
--- a/internal/call/kqconnection/pipeline.go
+++ b/internal/call/kqconnection/pipeline.go
@@ -81,6 +81,8 @@
 			return
 		}
 		c.client.Serve()
+		c.exchange.Serve()
+		defer c.exchange.Handled()
 		started := c.takePipelined(ctx)
 		stop := c.readAhead(ctx, next)
 		if started != nil {
--- a/internal/run/kqmetric/client.go
+++ b/internal/run/kqmetric/client.go
@@ -4,12 +4,13 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/kumquatgw/kumquatgw/internal/base/kqmemory"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqexchange"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqreclaim"
 )
 
 // clientMetrics holds the metrics of the memory and the connections of a node's clients.
 type clientMetrics struct {
-	reclaimed, refused *prometheus.CounterVec
+	reclaimed, refused, unanswered *prometheus.CounterVec
 }
 
 func newClientMetrics() clientMetrics {
@@ -20,9 +21,17 @@
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kumquatgw_connections_refused_total", Help: "Connections that there was no room for, by listener.",
 		}, []string{"listener"}),
+		unanswered: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatgw_requests_unanswered_total", Help: "Connections that were closed with a request of whose response nothing had been written, by listener and by what they were doing.",
+		}, []string{"listener", "phase"}),
 	}
 }
 
+// RequestUnanswered counts a connection that this node closed with an unanswered request.
+func (m *Metrics) RequestUnanswered(listener string, p kqexchange.Phase) {
+	m.clients.unanswered.WithLabelValues(listener, p.String()).Inc()
+}
+
 // ClientReclaimed counts a client that gave way.
 func (m *Metrics) ClientReclaimed(s kqreclaim.State) {
 	m.clients.reclaimed.WithLabelValues(s.String()).Inc()
--- a/internal/run/kqmetric/metric.go
+++ b/internal/run/kqmetric/metric.go
@@ -103,7 +103,7 @@
 	m.panics = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kumquatgw_panics_total", Help: "Panics that were caught, by the part that panicked.",
 	}, []string{"part"})
-	m.registry.MustRegister(m.clients.reclaimed, m.clients.refused, m.rates.decisions, m.rates.limited, m.workspaces.peersAsked, m.workspaces.refusals, m.limits.limit, m.limits.calls, m.evacuated, m.endedUnderCalls, m.suspectedRequests, m.suspicionsDropped, m.departures, m.panics, m.suppressedLines, m.storeCalls, m.stageSeconds)
+	m.registry.MustRegister(m.clients.reclaimed, m.clients.refused, m.clients.unanswered, m.rates.decisions, m.rates.limited, m.workspaces.peersAsked, m.workspaces.refusals, m.limits.limit, m.limits.calls, m.evacuated, m.endedUnderCalls, m.suspectedRequests, m.suspicionsDropped, m.departures, m.panics, m.suppressedLines, m.storeCalls, m.stageSeconds)
 	m.registry.MustRegister(m.calls, m.retries, m.gateCalls, m.configRefused, m.configLag, m.platformFailed, m.budgetExceeded, m.broadcastDropped, m.version,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "kumquatgw_control_sent_bytes_total", Help: "Bytes of control traffic sent to peers.",
--- a/internal/run/kqnode/drain.go
+++ b/internal/run/kqnode/drain.go
@@ -101,7 +101,9 @@
 	defer cancel()
 	var err error
 	if busy() > 0 {
-		n.logEvent(logrus.Fields{"event": "leaving", "step": "cancelled"}, "Leaving: calls that take longer are cancelled.")
+		fields := logrus.Fields{"event": "leaving", "step": "cancelled"}
+		n.exchangeFields(fields, time.Now())
+		n.logEvent(fields, "Leaving: calls that take longer are cancelled.")
 		err = fmt.Errorf("drain: calls were cancelled: %w", context.DeadlineExceeded)
 	}
 	n.disconnectWatcher.CancelAll(kqcall.Draining)
--- a/internal/run/kqnode/memory.go
+++ b/internal/run/kqnode/memory.go
@@ -7,6 +7,7 @@
 
 	"github.com/kumquatgw/kumquatgw/internal/base/kqmemory"
 	"github.com/kumquatgw/kumquatgw/internal/call/kqconnection"
+	"github.com/kumquatgw/kumquatgw/internal/call/kqexchange"
 	"github.com/kumquatgw/kumquatgw/internal/decide/kqreclaim"
 	"github.com/kumquatgw/kumquatgw/internal/run/kqsettings"
 )
@@ -100,7 +101,8 @@
 	if d := n.descriptors(); d > 0 {
 		options = append(options, kqconnection.WithMaxLingering(max(d/lingerDivisor, d*openTenths/10-n.maxOpen())))
 	}
-	return append(options, kqconnection.WithRefusal(func(head []byte) []byte { return n.noMemoryResponse(r, head) }))
+	return append(options, kqconnection.WithRefusal(func(head []byte) []byte { return n.noMemoryResponse(r, head) }),
+		kqconnection.WithUnanswered(func(p kqexchange.Phase, age time.Duration) { n.recordUnanswered(r, p, age) }))
 }
 
 // recordReclaimed counts and logs that a client gave way.
--- a/internal/run/kqnode/node.go
+++ b/internal/run/kqnode/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"golang.org/x/time/rate"
 
 	"github.com/kumquatgw/kumquatgw/internal/admin/kqadmin"
 	"github.com/kumquatgw/kumquatgw/internal/base/kqmemory"
@@ -129,6 +130,8 @@
 		// shortageLogged is when a shortage of memory or connections was last logged, in Unix
 		// nanoseconds.
 		shortageLogged atomic.Int64
+		// unansweredLimiter limits the lines about unanswered requests.
+		unansweredLimiter *rate.Limiter
 		// inbound is nil if the settings do not state the link's bandwidth.
 		inbound          *kqinbound.Link
 		storeUnavailable atomic.Bool
@@ -191,7 +194,7 @@
 		settings: settings, store: store, logger: kqlog.Discard(), metrics: kqmetric.New(), started: time.Now(),
 		wrapListener:  func(_ Role, l net.Listener) net.Listener { return l },
 		callListeners: make(map[Role]*net.TCPListener), connections: make(map[Role]*kqconnection.Listener),
-		unwrittenLines: func() uint64 { return 0 }, memberLog: kqmemberlog.New(),
+		unwrittenLines: func() uint64 { return 0 }, memberLog: kqmemberlog.New(), unansweredLimiter: newUnansweredLimiter(),
 	}
 	for _, o := range options {
 		o(n)
--- a/internal/run/kqnode/recent_events.go
+++ b/internal/run/kqnode/recent_events.go
@@ -44,9 +44,11 @@
 	n.log.WithFields(fields).Info(text)
 }
 
-// logLeaveStep logs that the leave has reached a step.
+// logLeaveStep logs that the leave has reached a step, with the connections that have a request.
 func (n *Node) logLeaveStep(name string) {
-	n.logEvent(logrus.Fields{"event": "leaving", "step": name}, "Leaving: "+name+".")
+	fields := logrus.Fields{"event": "leaving", "step": name}
+	n.exchangeFields(fields, time.Now())
+	n.logEvent(fields, "Leaving: "+name+".")
 }
 
 // logStopped logs the end of the process and the calls still in flight, which are cut
@@ -56,6 +58,7 @@
 	if err != nil {
 		fields["error"] = err.Error()
 	}
+	n.exchangeFields(fields, time.Now())
 	n.logEvent(fields, "Stopped.")
 }
 
