Leave: responses that have begun are written before the process ends

Callers saw responses that broke off, or a connection that was closed without a byte of an answer, 5.303 to 5.34 s after their node's SIGTERM, 0.7 s before the kill.

Cause: the leave counted calls until their handlers return. A response of unstated length is written after that. The HTTP library's shutdown waited for it, and when that had run out of time, a second shutdown, which returns at once, was taken for a wait.

Change: the leave waits for connections with a request that has not been answered whole, by their own state. At the end of the drain time all calls are cancelled at once, at the entry and at the gate, in 150 ms instead of 300, and what has begun is written until 0.25 s before the kill, after the final announcement.

A call whose response has not begun at its entry is still cancelled at 5.3 s and told so.

--- a/internal/run/kqnode/drain.go
+++ b/internal/run/kqnode/drain.go
@@ -37,10 +37,13 @@
 	// noProbeGrace is how long callers get to close their connections without a
 	// platform's dialect, when the node assumes that nothing probes its readiness.
 	noProbeGrace = time.Second
-	// cancelGrace is how long cancelled calls have to be answered, and finalAnnounceTimeout
-	// how long the final announcement may take; both are part of killMargin.
+	// cancelGrace is how long cancelled calls have to end, and finalAnnounceTimeout how long the
+	// final announcement may take; both are part of killMargin.
 	cancelGrace          = 150 * time.Millisecond
 	finalAnnounceTimeout = 200 * time.Millisecond
+	// exitMargin is the part of killMargin that is left for the process's exit. Until then, responses
+	// that have begun are still written.
+	exitMargin = 250 * time.Millisecond
 	// adminShutdownTimeout is the longest time, within the drain timeout, for answering
 	// operators' requests after the calls: as long as one answer of the platform may take
 	// by default.
@@ -52,6 +55,7 @@
 // not tell whether it ran. Each response therefore asks for its connection to be closed
 // first, and the gate's server waits until other nodes have closed theirs. It waits no
 // longer than until their idle connections have timed out after kqsend.DefaultIdleTimeout.
+// Calls that exceed the deadline are cancelled.
 func (n *Node) drainCalls(ctx context.Context) error {
 	n.gate.Drain()
 	n.awaitParents(ctx)
@@ -60,7 +64,11 @@
 	n.entry.Close()
 	n.awaitNoConnections(ctx, kqsend.DefaultIdleTimeout+sweepPeriod, RoleGate)
 	n.stopAccepting(ctx, RoleGate)
-	return errors.Join(err, n.drainServers(ctx, n.disconnectWatcher.Count, map[Role]*fasthttp.Server{RoleGate: n.servers.gate}))
+	err = errors.Join(err, n.drainServers(ctx, n.disconnectWatcher.Count, map[Role]*fasthttp.Server{RoleGate: n.servers.gate}))
+	if ctx.Err() == nil {
+		return err
+	}
+	return errors.Join(err, n.cancelCalls())
 }
 
 // awaitParents returns once the local upstream runs no call, or acceptMargin before ctx's deadline.
@@ -77,28 +85,26 @@
 	}
 }
 
-// drainServers shuts servers down. Calls that exceed ctx's deadline are cancelled and
-// answered as such; cut off by the end of the process, they would have no answer.
+// drainServers closes the servers' listeners, waits for their calls and responses until ctx ends, and
+// shuts the servers down if there are none by then.
 func (n *Node) drainServers(ctx context.Context, calls func() int, servers map[Role]*fasthttp.Server) error {
-	busy := func() int { return calls() + n.pipelinedCalls(servers) }
-	n.awaitIdle(ctx, busy, servers)
+	n.awaitIdle(ctx, func() int { return calls() + n.pipelinedCalls(servers) + n.exchanges(servers) }, servers)
 	if ctx.Err() != nil {
-		return n.cancelCalls(busy, servers)
+		return nil
 	}
 	err := shutdownServers(ctx, servers)
 	if errors.Is(err, context.DeadlineExceeded) {
-		err = errors.Join(err, n.cancelCalls(busy, servers))
+		// finishResponses reports what is left.
+		err = nil
 	}
 	return err
 }
 
-// cancelCalls cancels the calls in flight, stops reading those that callers still send,
-// and waits for the answers of both before it shuts the servers down: a server that is
-// shutting down closes a connection with its next answer, even if more are due on it. It
-// takes at most cancelGrace; a process that takes longer is killed before it has left.
-func (n *Node) cancelCalls(busy func() int, servers map[Role]*fasthttp.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), cancelGrace)
-	defer cancel()
+// cancelCalls cancels the calls in flight and stops reading those that callers still send, and waits
+// for cancelGrace until both have ended. Their responses are written by finishResponses.
+func (n *Node) cancelCalls() error {
+	servers := n.callServers()
+	busy := func() int { return n.disconnectWatcher.Count() + n.pipelinedCalls(servers) }
 	var err error
 	if busy() > 0 {
 		fields := logrus.Fields{"event": "leaving", "step": "cancelled"}
@@ -107,17 +113,57 @@
 		err = fmt.Errorf("drain: calls were cancelled: %w", context.DeadlineExceeded)
 	}
 	n.disconnectWatcher.CancelAll(kqcall.Draining)
+	for _, l := range n.connections {
+		l.InterruptReads(time.Now())
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cancelGrace)
+	defer cancel()
+	await(ctx, func() bool { return busy() == 0 })
+	return err
+}
+
+// finishResponses waits until the responses that have begun are written, at most until the end, and
+// closes the connections that are left. The end of the process would cut the responses off, and
+// the HTTP library's shutdown only waits for them if none has run out of time before.
+func (n *Node) finishResponses(end time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	servers := n.callServers()
+	await(ctx, func() bool { return n.exchanges(servers) == 0 })
+	var err error
+	if left := n.exchanges(servers); left > 0 {
+		err = fmt.Errorf("drain: %d responses were cut off: %w", left, context.DeadlineExceeded)
+	}
+	// Nothing is left to wait for.
+	cancel()
+	_ = shutdownServers(ctx, servers)
+	return err
+}
+
+// callServers returns the servers of calls.
+func (n *Node) callServers() map[Role]*fasthttp.Server {
+	return map[Role]*fasthttp.Server{RoleEntry: n.servers.entry, RoleLocal: n.servers.local, RoleGate: n.servers.gate}
+}
+
+// exchanges returns how many connections of the servers have a request that has not been answered
+// whole.
+func (n *Node) exchanges(servers map[Role]*fasthttp.Server) int {
+	count, now := 0, time.Now()
 	for role := range servers {
 		if l, ok := n.connections[role]; ok {
-			l.InterruptReads(time.Now())
+			count += l.Exchanges(now).Total()
 		}
 	}
+	return count
+}
+
+// await returns once done reports true, or ctx ends.
+func await(ctx context.Context, done func() bool) {
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	for busy() > 0 && ctx.Err() == nil {
+	for ctx.Err() == nil && !done() {
 		<-ticker.C
 	}
-	return errors.Join(err, shutdownServers(ctx, servers))
 }
 
 // pipelinedCalls returns how many pipelined calls were started before the calls ahead of
--- a/internal/run/kqnode/leave.go
+++ b/internal/run/kqnode/leave.go
@@ -14,7 +14,7 @@
 // meanwhile: it is healthy, and unreachable once its node has stopped. Then leave announces
 // that the node leaves, so that other nodes stop sending to it, and waits for the calls in
 // flight. In the reverse order, calls would reach a closed gate. Last, it announces the end
-// of the process and shuts the admin server down.
+// of the process, writes what is left of the responses and shuts the admin server down.
 func (n *Node) leave() error {
 	n.leaving.Store(true)
 	n.logEvent(logrus.Fields{"event": "leaving", "step": "begun", "within_ms": n.drainTimeout().Milliseconds()}, "Leaving.")
@@ -31,6 +31,9 @@
 	n.logLeaveStep("no calls are taken")
 	n.supervisor.RunRecovered("leave", n.announceDead)
 	n.supervisor.RunRecovered("leave", func() { n.distribution.reader.Close(ctx) })
+	if end, ok := ctx.Deadline(); ok {
+		n.supervisor.RunRecovered("leave", func() { err = errors.Join(err, n.finishResponses(end.Add(killMargin-exitMargin))) })
+	}
 	return errors.Join(err, n.shutdownAdmin(ctx))
 }
 
