Connections: an answered request without a handler leaves its connection idle

A leave waited for its whole drain time for kept connections whose listener is wrapped, as beneath TLS: kqnode ran into its limit of 10 minutes in TestStartingNodeKnowsWhichRequestsEndUpstreams.

Cause: the request's handler was noted for connections of the package alone, so that those stayed in the phase of receiving.

Change: a connection that is read again after something was written has no request any more, and handlers are noted beneath TLS too.

--- a/internal/call/kqconnection/client.go
+++ b/internal/call/kqconnection/client.go
@@ -62,9 +62,17 @@
 // ClientOf returns the client of a connection that a Listener has accepted, also of one beneath TLS,
 // or nil.
 func ClientOf(conn net.Conn) *kqmemory.Client {
+	if c := connectionOf(conn); c != nil {
+		return c.client
+	}
+	return nil
+}
+
+// connectionOf returns the connection that a Listener has accepted, also one beneath TLS, or nil.
+func connectionOf(conn net.Conn) *connection {
 	for {
 		if c, ok := conn.(*connection); ok {
-			return c.client
+			return c
 		}
 		outer, ok := conn.(interface{ NetConn() net.Conn })
 		if !ok {
--- a/internal/call/kqconnection/pipeline.go
+++ b/internal/call/kqconnection/pipeline.go
@@ -75,14 +75,16 @@
 // the connection only if no other request is pending on it.
 func Serve(next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
+		if c := connectionOf(ctx.Conn()); c != nil {
+			c.exchange.Serve()
+			defer c.exchange.Handled()
+		}
 		c, ok := ctx.Conn().(*connection)
 		if !ok {
 			next(ctx)
 			return
 		}
 		c.client.Serve()
-		c.exchange.Serve()
-		defer c.exchange.Handled()
 		started := c.takePipelined(ctx)
 		stop := c.readAhead(ctx, next)
 		if started != nil {
--- a/internal/call/kqexchange/exchange.go
+++ b/internal/call/kqexchange/exchange.go
@@ -59,9 +59,10 @@
 func (e *Exchange) Send() { e.responded.Store(true) }
 
 // Await records that the server reads the connection again. It does so after it has written the
-// response, or to read the rest of the request.
+// response, also one of a request that has reached no handler, or to read the rest of the request.
 func (e *Exchange) Await() {
-	if e.Phase() == Responding {
+	switch p := e.Phase(); {
+	case p == Responding, p == Receiving && e.responded.Load():
 		e.phase.Store(int32(Idle))
 	}
 }
--- a/internal/call/kqexchange/exchange_test.go
+++ b/internal/call/kqexchange/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"testing"
 	"time"
 
 	"github.com/kumquatgw/kumquatgw/internal/call/kqexchange"
@@ -27,6 +28,21 @@
 	// idle false
 }
 
+// Guards against a leave that waits for connections whose requests were answered without a handler.
+func TestAnsweredWithoutAHandlerIsIdle(t *testing.T) {
+	var e kqexchange.Exchange
+	e.Receive(now)
+	e.Await()
+	if e.Phase() != kqexchange.Receiving {
+		t.Errorf("phase %v while the rest of the request is awaited", e.Phase())
+	}
+	e.Send()
+	e.Await()
+	if e.Phase() != kqexchange.Idle {
+		t.Errorf("phase %v after the response", e.Phase())
+	}
+}
+
 func ExampleCount() {
 	var idle, old, served kqexchange.Exchange
 	old.Receive(now.Add(-time.Minute))
